--- /dev/null
+++ b/src/bin/camphorturn.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/src/bin/camphorturnd.rs
@@ -0,0 +1,3 @@
+//! The node's daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/commands.rs
@@ -0,0 +1,1 @@
+//! The subcommands of the `camphorturn` command line, one file each.
--- /dev/null
+++ b/src/coordination.rs
@@ -0,0 +1,1 @@
+//! Decisions: who does what. Pure functions of state, event and time that return actions.
--- /dev/null
+++ b/src/protocol.rs
@@ -0,0 +1,6 @@
+//! Typed messages and outcomes that cross an edge of a process.
+
+pub mod attempt;
+pub mod call;
+pub mod load_report;
+pub mod outcome;
--- /dev/null
+++ b/src/state/moment.rs
@@ -0,0 +1,41 @@
+//! Points on one process's monotonic clock.
+
+use serde::{Deserialize, Serialize};
+use std::{
+    ops::{Add, Sub},
+    time::Duration,
+};
+
+/// Microseconds on the monotonic clock of one process.
+///
+/// NB: moments of two processes can't be compared; what crosses a process edge is a [`Duration`].
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// Time from `earlier` to `self`; zero if `earlier` is the later one.
+    #[must_use]
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
--- /dev/null
+++ b/src/state/names.rs
@@ -0,0 +1,55 @@
+//! Names as shared immutable strings: cloning one copies a pointer.
+
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+use std::fmt;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(ArcStr);
+
+        impl $name {
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self(ArcStr::from(text))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// Name of a node, and so of the one upstream beside it. Unique in the mesh.
+    NodeName
+);
+name_type!(
+    /// Name of a service: a group of interchangeable upstreams.
+    ServiceName
+);
+name_type!(
+    /// Name of a class of work, unique within its service.
+    ClassName
+);
+name_type!(
+    /// Name of an availability zone.
+    AvailabilityZoneName
+);
+name_type!(
+    /// Name of a region.
+    RegionName
+);
--- /dev/null
+++ b/src/transport.rs
@@ -0,0 +1,1 @@
+//! Sockets, HTTP and RPC: the edges of a process.
