--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,5 +2,6 @@
 
 pub mod attempt;
 pub mod call;
+pub mod headers;
 pub mod load_report;
 pub mod outcome;
--- /dev/null
+++ b/src/protocol/headers.rs
@@ -0,0 +1,99 @@
+//! Which headers cross an edge, and which stay behind.
+
+use crate::constants::{DEADLINE_HEADER, DEPTH_HEADER, INTERNAL_HEADER_PREFIX};
+use http::{
+    HeaderMap, HeaderName,
+    header::{
+        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
+        TRAILER, TRANSFER_ENCODING, UPGRADE,
+    },
+};
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+
+/// Headers that concern one connection only (RFC 9110, section 7.6.1).
+const HOP_BY_HOP: [HeaderName; 9] = [
+    CONNECTION,
+    KEEP_ALIVE,
+    PROXY_CONNECTION,
+    PROXY_AUTHENTICATE,
+    PROXY_AUTHORIZATION,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+];
+
+/// Removes what concerns one connection only, including headers that `Connection` names.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    for name in connection_named(headers) {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+}
+
+fn connection_named(headers: &HeaderMap) -> Vec<HeaderName> {
+    let values = headers.get_all(CONNECTION);
+    let texts = values.iter().filter_map(|value| value.to_str().ok());
+    let tokens = texts.flat_map(|text| text.split(','));
+    tokens
+        .filter_map(|token| token.trim().parse().ok())
+        .collect()
+}
+
+/// Leaves the end-to-end headers of a caller's request.
+///
+/// Internal headers are removed: a caller that could set them might forge an outcome or a call id
+/// that operators and upstreams trust.
+pub fn clean_request_headers(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    for name in [CONTENT_LENGTH, EXPECT, HOST] {
+        headers.remove(name);
+    }
+    remove_internal(headers);
+}
+
+/// Leaves the end-to-end headers of an upstream's answer.
+pub fn clean_answer_headers(headers: &mut HeaderMap) {
+    remove_hop_by_hop(headers);
+    remove_internal(headers);
+}
+
+fn remove_internal(headers: &mut HeaderMap) {
+    let internal = |name: &&HeaderName| name.as_str().starts_with(INTERNAL_HEADER_PREFIX);
+    let names: Vec<HeaderName> = headers.keys().filter(internal).cloned().collect();
+    for name in names {
+        headers.remove(name);
+    }
+}
+
+/// Headers of a caller that steer the call and are read before the rest are removed.
+pub const CALLER_HEADERS: [&str; 2] = [DEADLINE_HEADER, DEPTH_HEADER];
+
+/// Whether the message's length is given in two ways, which lets two readers of the same bytes
+/// disagree about where it ends.
+#[must_use]
+pub fn has_conflicting_lengths(headers: &HeaderMap) -> bool {
+    let lengths = headers.get_all(CONTENT_LENGTH).iter().count();
+    lengths > 1 || (lengths == 1 && headers.contains_key(TRANSFER_ENCODING))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use http::HeaderValue;
+
+    #[test]
+    fn remove_hop_by_hop_named_by_connection() {
+        let mut headers = HeaderMap::new();
+        headers.insert(CONNECTION, HeaderValue::from_static("close, x-private"));
+        headers.insert("x-private", HeaderValue::from_static("1"));
+        headers.insert("x-kept", HeaderValue::from_static("1"));
+        remove_hop_by_hop(&mut headers);
+        assert_eq!(headers.len(), 1);
+        assert!(headers.contains_key("x-kept"));
+    }
+}
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,1 +1,4 @@
 //! Sockets, HTTP and RPC: the edges of a process.
+
+pub mod callers;
+pub mod upstreams;
--- /dev/null
+++ b/src/transport/callers.rs
@@ -0,0 +1,196 @@
+//! The edge towards callers: an HTTP/1.1 server on the node's event loop.
+//!
+//! Bodies are read whole before a call is handed on. Dropping a handler's future is how a caller's
+//! disconnect reaches it: the server drops the future as soon as it sees the connection end.
+
+mod body;
+mod reply;
+
+pub use reply::{CallerReply, reply_json};
+
+use crate::{protocol::headers::has_conflicting_lengths, timers::TimerService};
+use body::{BodyError, read_body};
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use http::{HeaderMap, Method, Request, StatusCode, Uri, header::CONNECTION};
+use http_body_util::Full;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration};
+use tokio::net::{TcpListener, TcpStream};
+
+/// Connections over the limit that are still told why they are refused.
+const REFUSED_CONNECTIONS_TOLD: usize = 64;
+/// How long to wait after a failed `accept`, for instance when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// A caller's request with its whole body.
+#[derive(Debug)]
+pub struct CallerRequest {
+    /// HTTP method.
+    pub method: Method,
+    /// Target as the caller sent it.
+    pub uri: Uri,
+    /// All headers, as received.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What the node does with requests.
+pub trait CallerHandler {
+    /// Answers a request. Dropping the future cancels the call.
+    fn handle(&self, req: CallerRequest) -> LocalBoxFuture<'static, CallerReply>;
+
+    /// Whether kept connections are to be closed after the next answer.
+    fn is_stopping(&self) -> bool;
+}
+
+/// Bounds on what callers may use.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerLimits {
+    /// Open connections.
+    pub connections: usize,
+    /// Time a caller may take to send a request's head, and to send its body.
+    pub read_timeout: Duration,
+    /// Largest head in bytes.
+    pub head: usize,
+    /// Largest body in bytes.
+    pub body: usize,
+}
+
+/// Accepts callers until the future is dropped.
+///
+/// # Errors
+/// None at present: failures of `accept` are waited out.
+pub async fn serve_callers(
+    listener: TcpListener,
+    limits: CallerLimits,
+    timers: TimerService,
+    handler: Rc<dyn CallerHandler>,
+) -> io::Result<()> {
+    let server = Rc::new(CallerServer {
+        limits,
+        timers,
+        handler,
+        open: Cell::new(0),
+    });
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => server.admit(stream),
+            // Out of file descriptors: without a pause this loop would spin on the same error.
+            Err(_) => drop(server.timers.after(ACCEPT_PAUSE).recv_async().await),
+        }
+    }
+}
+
+struct CallerServer {
+    limits: CallerLimits,
+    timers: TimerService,
+    handler: Rc<dyn CallerHandler>,
+    open: Cell<usize>,
+}
+
+/// Counts a connection for as long as it lives.
+struct OpenConnection(Rc<CallerServer>);
+
+impl OpenConnection {
+    fn count(server: &Rc<CallerServer>) -> Self {
+        server.open.set(server.open.get() + 1);
+        Self(Rc::clone(server))
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get() - 1);
+    }
+}
+
+impl CallerServer {
+    fn admit(self: &Rc<Self>, stream: TcpStream) {
+        let open = self.open.get();
+        if open >= self.limits.connections + REFUSED_CONNECTIONS_TOLD {
+            return;
+        }
+        let too_many = open >= self.limits.connections;
+        let counted = OpenConnection::count(self);
+        tokio::task::spawn_local(serve_connection(counted, stream, too_many));
+    }
+
+    async fn answer(&self, req: Request<Incoming>, too_many: bool) -> CallerReply {
+        if too_many {
+            let mut reply = reply_json(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
+            reply
+                .headers_mut()
+                .insert(CONNECTION, http::HeaderValue::from_static("close"));
+            return reply;
+        }
+        let mut reply = match self.read_request(req).await {
+            Ok(req) => self.handler.handle(req).await,
+            Err(refused) => refused,
+        };
+        if self.handler.is_stopping() {
+            reply
+                .headers_mut()
+                .insert(CONNECTION, http::HeaderValue::from_static("close"));
+        }
+        reply
+    }
+
+    async fn read_request(&self, req: Request<Incoming>) -> Result<CallerRequest, CallerReply> {
+        let (parts, incoming) = req.into_parts();
+        if has_conflicting_lengths(&parts.headers) {
+            return Err(reply_json(StatusCode::BAD_REQUEST, "conflicting lengths"));
+        }
+        let timeout = self.timers.after(self.limits.read_timeout);
+        let body = read_body(incoming, self.limits.body, timeout)
+            .await
+            .map_err(refuse_body)?;
+        Ok(CallerRequest {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body,
+        })
+    }
+}
+
+fn refuse_body(error: BodyError) -> CallerReply {
+    let status = match error {
+        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+    };
+    let mut reply = reply_json(status, &error.to_string());
+    // The rest of the body was not read: the next bytes on this connection are not a request.
+    reply
+        .headers_mut()
+        .insert(CONNECTION, http::HeaderValue::from_static("close"));
+    reply
+}
+
+async fn serve_connection(counted: OpenConnection, stream: TcpStream, too_many: bool) {
+    // Answers are small and complete: waiting to fill a segment would only delay them.
+    if stream.set_nodelay(true).is_err() {
+        return;
+    }
+    let server = Rc::clone(&counted.0);
+    let service = service_fn(|req| {
+        let server = Rc::clone(&server);
+        async move { Ok::<_, Infallible>(server.answer(req, too_many).await) }
+    });
+    let limits = server.limits;
+    let ended = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.read_timeout)
+        .max_buf_size(limits.head)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = ended {
+        tracing::trace!(%error, "caller connection ended");
+    }
+}
+
+/// Body type of a reply.
+pub type ReplyBody = Full<Bytes>;
