--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -1,1 +1,3 @@
 //! Decisions: who does what. Pure functions of state, event and time that return actions.
+
+pub mod classification;
