Add the key table, the ownership fold and the owner's lease

Cause: a caller repeats a booking with its key at another node; nothing of ours is durable, so one owner a key must remember it and be known to be the only one. Change: state::key_table (keys in order of issue, floors a slot, answers within a byte bound, export and import), state::ownership (fold of epoch records, 256 slots by rendezvous hash), state::lease (lease by fresh views of the log or by promises of all other owners). Typed reasons for keyed calls. Nothing measured yet. Conclusion: the data is there; the node's decisions and the model check come next.

--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -47,6 +47,12 @@
     NotOwner,
     /// The executing node does not know the service or class.
     UnknownClass,
+    /// The class needs an idempotency key and the call has none.
+    KeyMissing,
+    /// The key is not a version 7 UUID, or was issued further in the future than clocks may differ.
+    KeyInvalid,
+    /// The key was used before with another request.
+    KeyReused,
 }
 
 /// What the receiver of a refusal should do next.
@@ -86,6 +92,10 @@
     BadAnswer,
     /// The key was issued before the present owner's knowledge begins.
     KeyTooOld,
+    /// A call with the same key ran; its answer is no longer held.
+    AnswerNotHeld,
+    /// No node that could tell whether the key ran was reached in time.
+    KeyUnsettled,
 }
 
 /// How a call ended.
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,9 @@
 
 pub mod class;
 pub mod configuration;
+pub mod key_table;
+pub mod lease;
 pub mod member;
 pub mod moment;
 pub mod names;
+pub mod ownership;
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,4 @@
+//! Tests of behaviour and of failures.
+
+mod key_table;
+mod ownership_view;
