Read and check the node settings

Cause: a node has to know its addresses, upstream and limits before it starts, and an operator has to see every fault of a file at once. Change: typed NodeSettings, loaded by check_node_settings from JSON with comments. Findings carry file, line, column, path, problem and suggestion.

--- a/src/options.rs
+++ b/src/options.rs
@@ -1,1 +1,9 @@
 //! What a process is told: command-line arguments and the settings file, merged once and checked.
+
+pub mod checked_file;
+pub mod findings;
+pub mod json_document;
+pub mod node_rules;
+pub mod node_settings;
+mod schema_check;
+pub mod secret;
--- /dev/null
+++ b/src/options/json_document.rs
@@ -0,0 +1,216 @@
+//! JSON with comments, with the place of every value and key.
+
+use crate::options::findings::{Finding, Place, Problem};
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::{Object, Value as Node},
+    common::Ranged,
+    parse_to_ast,
+};
+use serde_json::Value;
+use std::collections::BTreeMap;
+
+/// JSON with comments and trailing commas, and nothing else beyond JSON.
+const SYNTAX: ParseOptions = ParseOptions {
+    allow_comments: true,
+    allow_loose_object_property_names: false,
+    allow_trailing_commas: true,
+    allow_missing_commas: false,
+    allow_single_quoted_strings: false,
+    allow_hexadecimal_numbers: false,
+    allow_unary_plus_numbers: false,
+    allow_bare_decimal_point_numbers: false,
+    allow_non_finite_numbers: false,
+    allow_extended_string_escapes: false,
+};
+
+/// A parsed file.
+#[derive(Debug)]
+pub struct JsonDocument {
+    file_name: String,
+    value: Value,
+    /// Place of each value (of its key, for a member of an object) by JSON pointer.
+    places: BTreeMap<String, Place>,
+    duplicates: Vec<DuplicateKey>,
+}
+
+#[derive(Debug)]
+struct DuplicateKey {
+    pointer: String,
+    key: String,
+    place: Place,
+}
+
+impl JsonDocument {
+    /// Parses `text`; `file_name` only labels findings.
+    ///
+    /// # Errors
+    /// The first place at which the text stops being JSON with comments; the parser can't tell what
+    /// was meant after it.
+    pub fn parse(file_name: &str, text: &str) -> Result<Self, Finding> {
+        let syntax_finding = |place, message: String| Finding {
+            file: file_name.to_owned(),
+            place,
+            path: "$".to_owned(),
+            problem: Problem::Syntax(message),
+            suggestion: "write JSON; comments and trailing commas are allowed".to_owned(),
+        };
+        let parsed = parse_to_ast(text, &CollectOptions::default(), &SYNTAX).map_err(|error| {
+            let place = Place {
+                line: error.line_display().max(1),
+                column: error.column_display().max(1),
+            };
+            syntax_finding(place, error.kind().to_string())
+        })?;
+        let root = parsed
+            .value
+            .ok_or_else(|| syntax_finding(Place::START, "the file is empty".to_owned()))?;
+        let mut walk = PlaceWalk::new(text);
+        walk.add_place("", root.start());
+        walk.visit(&root, "");
+        Ok(Self {
+            file_name: file_name.to_owned(),
+            value: root.into(),
+            places: walk.places,
+            duplicates: walk.duplicates,
+        })
+    }
+
+    /// The content.
+    #[must_use]
+    pub fn value(&self) -> &Value {
+        &self.value
+    }
+
+    /// A finding at the place of `pointer`, or of the nearest value around it.
+    #[must_use]
+    pub fn finding_at(&self, pointer: &str, problem: Problem, suggestion: String) -> Finding {
+        self.make_finding(self.find_place(pointer), pointer, problem, suggestion)
+    }
+
+    /// A finding for every key that stands twice. The JSON value itself keeps only the last one.
+    #[must_use]
+    pub fn find_duplicate_keys(&self) -> Vec<Finding> {
+        let finding = |duplicate: &DuplicateKey| {
+            let problem = Problem::DuplicateKey(duplicate.key.clone());
+            let suggestion = "keep one of them".to_owned();
+            self.make_finding(duplicate.place, &duplicate.pointer, problem, suggestion)
+        };
+        self.duplicates.iter().map(finding).collect()
+    }
+
+    fn make_finding(
+        &self,
+        place: Place,
+        pointer: &str,
+        problem: Problem,
+        suggestion: String,
+    ) -> Finding {
+        Finding {
+            file: self.file_name.clone(),
+            place,
+            path: format_path(pointer),
+            problem,
+            suggestion,
+        }
+    }
+
+    fn find_place(&self, pointer: &str) -> Place {
+        let mut prefix = pointer;
+        loop {
+            if let Some(place) = self.places.get(prefix) {
+                return *place;
+            }
+            match prefix.rfind('/') {
+                Some(end) => prefix = &prefix[..end],
+                None => return Place::START,
+            }
+        }
+    }
+}
+
+/// Joins a key to a JSON pointer.
+#[must_use]
+pub fn join_pointer(pointer: &str, key: &str) -> String {
+    let escaped = key.replace('~', "~0").replace('/', "~1");
+    format!("{pointer}/{escaped}")
+}
+
+/// Writes a JSON pointer as people read it: `/services/0/name` as `$.services[0].name`.
+fn format_path(pointer: &str) -> String {
+    let mut path = String::from("$");
+    for part in pointer.split('/').skip(1) {
+        if !part.is_empty() && part.bytes().all(|byte| byte.is_ascii_digit()) {
+            path.extend(["[", part, "]"]);
+        } else {
+            path.push('.');
+            path.push_str(&part.replace("~1", "/").replace("~0", "~"));
+        }
+    }
+    path
+}
+
+struct PlaceWalk<'a> {
+    text: &'a str,
+    line_starts: Vec<usize>,
+    places: BTreeMap<String, Place>,
+    duplicates: Vec<DuplicateKey>,
+}
+
+impl<'a> PlaceWalk<'a> {
+    fn new(text: &'a str) -> Self {
+        let later_lines = text.match_indices('\n').map(|(at, _)| at + 1);
+        Self {
+            text,
+            line_starts: std::iter::once(0).chain(later_lines).collect(),
+            places: BTreeMap::new(),
+            duplicates: Vec::new(),
+        }
+    }
+
+    // The parser bounds the nesting depth, and so the depth of this recursion.
+    fn visit(&mut self, node: &Node<'_>, pointer: &str) {
+        match node {
+            Node::Object(object) => self.visit_object(object, pointer),
+            Node::Array(array) => {
+                for (index, element) in array.elements.iter().enumerate() {
+                    let pointer = format!("{pointer}/{index}");
+                    self.add_place(&pointer, element.start());
+                    self.visit(element, &pointer);
+                }
+            }
+            Node::StringLit(_)
+            | Node::NumberLit(_)
+            | Node::BooleanLit(_)
+            | Node::NullKeyword(_) => {}
+        }
+    }
+
+    fn visit_object(&mut self, object: &Object<'_>, pointer: &str) {
+        for property in &object.properties {
+            let key = property.name.as_str();
+            let pointer = join_pointer(pointer, key);
+            let place = self.place_of(property.start());
+            if self.places.insert(pointer.clone(), place).is_some() {
+                self.duplicates.push(DuplicateKey {
+                    pointer: pointer.clone(),
+                    key: key.to_owned(),
+                    place,
+                });
+            }
+            self.visit(&property.value, &pointer);
+        }
+    }
+
+    fn add_place(&mut self, pointer: &str, offset: usize) {
+        let place = self.place_of(offset);
+        self.places.insert(pointer.to_owned(), place);
+    }
+
+    fn place_of(&self, offset: usize) -> Place {
+        let line = self.line_starts.partition_point(|start| *start <= offset);
+        let start = self.line_starts[line - 1];
+        let column = self.text[start..offset].chars().count() + 1;
+        Place { line, column }
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,4 +1,5 @@
 //! Tests of behaviour and of failures.
 
 mod key_table;
+mod options;
 mod ownership_view;
