Decide at the executing node: run, queue or refuse

Cause: only the node beside an upstream knows how many calls the upstream has at this instant. Change: Admission as a pure state machine (slots, a queue a class bounded by its target, priority with a turn for the class passed over longest, adaptive limit, ramp, load report, status). Conclusion: enough for a node to be wired; limit rules are not compared yet.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -1,3 +1,4 @@
 //! Decisions: who does what. Pure functions of state, event and time that return actions.
 
+pub mod admission;
 pub mod classification;
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,8 @@
 //! Pure data and its transitions. Nothing here reads a clock or a socket.
 
+pub mod admission_queue;
 pub mod class;
+pub mod concurrency;
 pub mod configuration;
 pub mod key_table;
 pub mod lease;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of behaviour and of failures.
 
+mod admission;
 mod key_table;
 mod options;
 mod ownership_view;
