Add stand-ins for the log service and upstreams, and the log client

Cause: every later test needs a log and upstreams that fail on demand. Change: the crate camphorturn-stand-ins serves both over HTTP with knobs changed at run time; LogClient reads and appends with attohttpc, its own timeouts, no redirects and no proxy. Found on the way: attohttpc takes a body that ends early for a whole one, so the client compares lengths; hyper drops an answer whose body fails before a pause, so the half answer pauses once. Conclusion: an append's error is 'refused' only on a 4xx; all else is unknown.

--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -5,3 +5,4 @@
 pub mod headers;
 pub mod load_report;
 pub mod outcome;
+pub mod platform_log;
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod key_table;
 pub mod lease;
+pub mod log_record;
 pub mod member;
 pub mod moment;
 pub mod names;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,4 +1,5 @@
 //! Sockets, HTTP and RPC: the edges of a process.
 
 pub mod callers;
+pub mod platform;
 pub mod upstreams;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,3 +4,4 @@
 mod key_table;
 mod options;
 mod ownership_view;
+mod platform_log;
