Check configurations and files from the command line

Cause: an operator needs the verdict on a file before a node or the log sees it. A budget for measuring may now name only some of its limits.

--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,1 +1,3 @@
 //! The subcommands of the `camphorturn` command line, one file each.
+
+pub mod check;
--- /dev/null
+++ b/src/commands/check.rs
@@ -0,0 +1,95 @@
+//! `camphorturn check`: every finding about settings files and configurations.
+
+use crate::options::{
+    checked_file::{DocumentKind, check_document},
+    exit_code::ExitCode,
+    findings::{Finding, Findings},
+    node_arguments::read_file,
+};
+use bpaf::Bpaf;
+use serde::Serialize;
+use std::{
+    io::{self, Write},
+    path::{Path, PathBuf},
+};
+
+/// Arguments of `check`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CheckArguments {
+    /// Print one JSON object in place of lines
+    pub json: bool,
+    /// Settings files of nodes or configurations to publish
+    #[bpaf(positional("FILE"), some("name at least one file"))]
+    pub files: Vec<PathBuf>,
+}
+
+/// What `check --json` prints.
+#[derive(Debug, Serialize)]
+struct CheckReport {
+    files: Vec<FileReport>,
+    findings: Vec<Finding>,
+}
+
+#[derive(Debug, Serialize)]
+struct FileReport {
+    file: String,
+    /// Absent when the file has findings.
+    kind: Option<DocumentKind>,
+}
+
+/// Checks all files and writes the findings about them to `out`.
+///
+/// # Errors
+/// Only if `out` can't be written to.
+pub fn run_check(arguments: &CheckArguments, out: &mut dyn Write) -> io::Result<ExitCode> {
+    let report = check_files(&arguments.files);
+    if arguments.json {
+        serde_json::to_writer_pretty(&mut *out, &report)?;
+        writeln!(out)?;
+    } else {
+        write_text(&report, out)?;
+    }
+    Ok(if report.findings.is_empty() {
+        ExitCode::Success
+    } else {
+        ExitCode::BadInput
+    })
+}
+
+fn check_files(files: &[PathBuf]) -> CheckReport {
+    let mut report = CheckReport {
+        files: Vec::new(),
+        findings: Vec::new(),
+    };
+    for path in files {
+        let checked = check_path(path);
+        report.files.push(FileReport {
+            file: path.display().to_string(),
+            kind: checked.as_ref().ok().copied(),
+        });
+        if let Err(Findings(findings)) = checked {
+            report.findings.extend(findings);
+        }
+    }
+    report
+}
+
+fn check_path(path: &Path) -> Result<DocumentKind, Findings> {
+    let text = read_file(path)?;
+    check_document(&path.display().to_string(), &text)
+}
+
+fn write_text(report: &CheckReport, out: &mut dyn Write) -> io::Result<()> {
+    for finding in &report.findings {
+        writeln!(out, "{finding}")?;
+    }
+    for FileReport { file, kind } in &report.files {
+        let Some(kind) = kind else { continue };
+        writeln!(out, "{file}: {kind}, no findings")?;
+    }
+    match report.findings.len() {
+        0 => Ok(()),
+        1 => writeln!(out, "1 finding"),
+        count => writeln!(out, "{count} findings"),
+    }
+}
--- /dev/null
+++ b/src/options/exit_code.rs
@@ -0,0 +1,27 @@
+//! How a process ended, as its parent sees it.
+
+use std::process;
+
+/// Exit codes of both programs. `docs/operators/exit-codes.md` lists them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum ExitCode {
+    /// Done.
+    Success = 0,
+    /// Tried and failed, for a reason without a code of its own.
+    Failed = 1,
+    /// The arguments or a file are wrong; nothing was tried.
+    BadInput = 2,
+    /// Neither a node nor the platform's log could be reached.
+    Unreachable = 3,
+    /// Another publication came first.
+    Conflict = 4,
+    /// Done, but not seen everywhere in the time given.
+    Partial = 5,
+}
+
+impl From<ExitCode> for process::ExitCode {
+    fn from(code: ExitCode) -> Self {
+        Self::from(code as u8)
+    }
+}
--- a/src/options/json_document.rs
+++ b/src/options/json_document.rs
@@ -55,17 +55,14 @@
             problem: Problem::Syntax(message),
             suggestion: "write JSON; comments and trailing commas are allowed".to_owned(),
         };
+        let mut walk = PlaceWalk::new(text);
         let parsed = parse_to_ast(text, &CollectOptions::default(), &SYNTAX).map_err(|error| {
-            let place = Place {
-                line: error.line_display().max(1),
-                column: error.column_display().max(1),
-            };
+            let place = walk.place_of(error.range().start);
             syntax_finding(place, error.kind().to_string())
         })?;
         let root = parsed
             .value
             .ok_or_else(|| syntax_finding(Place::START, "the file is empty".to_owned()))?;
-        let mut walk = PlaceWalk::new(text);
         walk.add_place("", root.start());
         walk.visit(&root, "");
         Ok(Self {
--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -27,7 +27,7 @@
 
 /// The most that measuring upstreams may cost, each a hard limit for one node and one service.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(deny_unknown_fields, default)]
 pub struct MeasuringBudget {
     /// Probes a second.
     pub probes_per_second: f64,
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Tests of behaviour and of failures.
 
 mod admission;
+mod command_line;
 mod key_table;
 mod options;
 mod ownership_view;
