Add RPC between nodes

Cause: an entry node hands calls to the node beside the chosen upstream, and has to know afterwards whether the request can have arrived.

Change: capnp-rpc over one kept TCP connection a pair, usable from both sides. A connection starts with a hello that agrees on a version and proves the shared key both ways (HMAC-SHA256 over both nonces, the side and both descriptions); only then are requests possible. A request that was not handed to a connection fails as NotSent, one that may have arrived as Lost, one for another run of the node as WrongIncarnation. What arrives is checked once, in the codec.

Conclusion: usable by the node; the cost of a call is not measured yet.

--- a/src/constants.rs
+++ b/src/constants.rs
@@ -30,3 +30,27 @@
 pub const HEAD_LIMIT: usize = 32 * 1024;
 /// How long a node waits for peers before it takes a connection as broken.
 pub const PEER_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Oldest protocol version between nodes that this release speaks.
+pub const PEER_VERSION_MIN: u16 = 1;
+/// Newest protocol version between nodes that this release speaks.
+pub const PEER_VERSION_MAX: u16 = 1;
+/// Bytes of each side's random challenge in the hello between nodes.
+pub const PEER_NONCE_BYTES: usize = 32;
+/// Connections of other nodes that may be in the middle of their hello at once.
+pub const PEER_HELLO_LIMIT: usize = 256;
+/// First pause after a failed connect to another node; doubled by each further failure.
+pub const PEER_BACKOFF_MIN: Duration = Duration::from_millis(50);
+/// Longest pause after failed connects to another node.
+pub const PEER_BACKOFF_MAX: Duration = Duration::from_secs(2);
+/// How long a node waits for a peer's word on a short request (probe, settle, cancel, gossip).
+pub const PEER_REQUEST_TIMEOUT: Duration = Duration::from_secs(1);
+/// What a message between nodes may hold beside its body, in bytes.
+pub const PEER_MESSAGE_MARGIN: usize = 1024 * 1024;
+/// Buffer of each direction of a connection between nodes, in bytes.
+pub const PEER_BUFFER: usize = 8 * 1024;
+/// Longest name (node, service, class, zone, region) taken from another node, in bytes.
+pub const NAME_LIMIT: usize = 128;
+/// Most headers taken from another node in one message.
+pub const HEADER_COUNT_LIMIT: usize = 256;
+/// Most entries of any list in a gossip taken from another node.
+pub const GOSSIP_LIST_LIMIT: usize = 1_000;
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,6 +2,7 @@
 
 pub mod attempt;
 pub mod call;
+pub mod gossip;
 pub mod headers;
 pub mod load_report;
 pub mod outcome;
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,5 +1,6 @@
 //! Sockets, HTTP and RPC: the edges of a process.
 
 pub mod callers;
+pub mod peers;
 pub mod platform;
 pub mod upstreams;
--- /dev/null
+++ b/src/transport/peers/requests.rs
@@ -0,0 +1,113 @@
+//! The requests themselves, over an open connection.
+//!
+//! NB: from the moment that a request is handed to the RPC system, a failure is
+//! [`PeerError::Lost`]; before, it is [`PeerError::NotSent`]. There is no await between the check
+//! that the connection is open and the handing over.
+
+use crate::{
+    protocol::{
+        attempt::AttemptId,
+        call::CallAttempt,
+        gossip::Gossip,
+        load_report::LoadReport,
+        outcome::{AttemptResult, Settlement},
+    },
+    transport::peers::{
+        codec::{
+            read_fault, read_gossip, read_load, read_result, read_settlement, write_attempt,
+            write_attempt_id, write_gossip,
+        },
+        connection::Connection,
+        error::{DecodeError, NotSentReason, PeerError},
+        mesh_capnp::{call_attempt, execute_reply},
+    },
+};
+use std::time::Duration;
+
+impl From<capnp::Error> for PeerError {
+    fn from(error: capnp::Error) -> Self {
+        Self::Lost(error.to_string())
+    }
+}
+
+impl From<capnp::NotInSchema> for PeerError {
+    fn from(error: capnp::NotInSchema) -> Self {
+        Self::Lost(error.to_string())
+    }
+}
+
+impl From<DecodeError> for PeerError {
+    fn from(error: DecodeError) -> Self {
+        Self::Lost(error.to_string())
+    }
+}
+
+pub async fn execute(
+    connection: &Connection,
+    attempt: &CallAttempt,
+    time_left: Duration,
+    body_limit: usize,
+) -> Result<AttemptResult, PeerError> {
+    let mut req = connection.mesh.execute_request();
+    write_with_time_left(attempt, time_left, req.get().init_attempt());
+    let response = req.send().promise.await?;
+    read_reply(response.get()?.get_reply()?, body_limit)
+}
+
+pub async fn execute_keyed(
+    connection: &Connection,
+    attempt: &CallAttempt,
+    time_left: Duration,
+    body_limit: usize,
+) -> Result<AttemptResult, PeerError> {
+    let mut req = connection.mesh.execute_keyed_request();
+    write_with_time_left(attempt, time_left, req.get().init_attempt());
+    let response = req.send().promise.await?;
+    read_reply(response.get()?.get_reply()?, body_limit)
+}
+
+pub async fn cancel(connection: &Connection, id: AttemptId) -> Result<Settlement, PeerError> {
+    let mut req = connection.mesh.cancel_request();
+    write_attempt_id(id, req.get().init_attempt());
+    let response = req.send().promise.await?;
+    Ok(read_settlement(response.get()?.get_settlement()?))
+}
+
+pub async fn settle(connection: &Connection, id: AttemptId) -> Result<Settlement, PeerError> {
+    let mut req = connection.mesh.settle_request();
+    write_attempt_id(id, req.get().init_attempt());
+    let response = req.send().promise.await?;
+    Ok(read_settlement(response.get()?.get_settlement()?))
+}
+
+pub async fn probe(connection: &Connection) -> Result<LoadReport, PeerError> {
+    let response = connection.mesh.probe_request().send().promise.await?;
+    Ok(read_load(response.get()?.get_load()?)?)
+}
+
+pub async fn gossip(connection: &Connection, gossip: &Gossip) -> Result<Gossip, PeerError> {
+    let mut req = connection.mesh.gossip_request();
+    write_gossip(gossip, req.get().init_gossip());
+    let response = req.send().promise.await?;
+    Ok(read_gossip(response.get()?.get_gossip()?)?)
+}
+
+fn write_with_time_left(
+    attempt: &CallAttempt,
+    time_left: Duration,
+    mut builder: call_attempt::Builder,
+) {
+    write_attempt(attempt, builder.reborrow());
+    let micros = u64::try_from(time_left.as_micros()).unwrap_or(u64::MAX);
+    builder.set_time_left_micros(micros);
+}
+
+fn read_reply(reply: execute_reply::Reader, body_limit: usize) -> Result<AttemptResult, PeerError> {
+    match reply.which()? {
+        execute_reply::Which::Result(result) => Ok(read_result(result?, body_limit)?),
+        execute_reply::Which::Fault(fault) => {
+            let fault = NotSentReason::Fault(read_fault(fault?));
+            Err(PeerError::NotSent(fault))
+        }
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,4 +5,5 @@
 mod key_table;
 mod options;
 mod ownership_view;
+mod peers;
 mod platform_log;
