Choose upstreams by own observation, with aged reports and a probe budget

Cause: calls need an upstream although every load report is stale when it arrives. Change: Router with six policies behind PolicyName, knowledge of each upstream that ages (own outstanding calls at once, own answers, reports last), avoidance after refusals, thinning of failing and warming upstreams, own zone while it has room, and a probe limiter whose windows of time, bytes and share of calls are all hard limits. Conclusion: works as pure code; policies are not yet measured against real nodes.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -2,3 +2,5 @@
 
 pub mod admission;
 pub mod classification;
+pub mod measuring;
+pub mod routing;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,7 +3,9 @@
 mod admission;
 mod command_line;
 mod key_table;
+mod measuring;
 mod options;
 mod ownership_view;
 mod peers;
 mod platform_log;
+mod routing;
