Settle attempts: never run, ran, or unknown

Cause: an entry node that lost an answer must learn whether the attempt ran, and a bounded memory must not turn 'forgotten' into 'never came'. Change: AttemptTable (horizon by time of issue, floor on early forgetting) and Execution, which changes it together with admission; a model check of both.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -7,11 +7,13 @@
 pub mod action;
 mod class_state;
 mod estimate;
+pub mod execution;
 mod running;
 pub mod settings;
 pub mod status;
 
 pub use action::{AdmissionAction, CancelResult, End, EndKind, Offer};
+pub use execution::{Arrival, Execution, Settled};
 pub use settings::AdmissionSettings;
 pub use status::{AdmissionStatus, ClassStatus};
 
@@ -361,7 +363,12 @@
         actions
     }
 
-    fn refuse(&mut self, index: usize, call: &QueuedCall, now: Moment) -> AdmissionAction {
+    fn refuse(
+        &mut self,
+        index: usize,
+        call: &QueuedCall<AttemptId>,
+        now: Moment,
+    ) -> AdmissionAction {
         self.classes[index].ends.count_refusal(now);
         let reason = if now >= call.deadline {
             RefusalReason::DeadlinePassed
--- a/src/coordination/admission/class_state.rs
+++ b/src/coordination/admission/class_state.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     coordination::admission::status::EndWindow,
+    protocol::attempt::AttemptId,
     state::{
         admission_queue::{ClassPlace, ClassQueue},
         class::Class,
@@ -26,7 +27,7 @@
     pub target: Duration,
     /// No longer published; kept until its calls have ended.
     pub retired: bool,
-    pub queue: ClassQueue,
+    pub queue: ClassQueue<AttemptId>,
     pub service: ServiceTime,
     pub ends: EndWindow,
     pub last_start: u64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! Pure data and its transitions. Nothing here reads a clock or a socket.
 
 pub mod admission_queue;
+pub mod attempts;
 pub mod class;
 pub mod concurrency;
 pub mod configuration;
--- a/src/state/admission_queue.rs
+++ b/src/state/admission_queue.rs
@@ -1,6 +1,6 @@
 //! First-in, first-out queues, one a class, and the choice between them.
 
-use crate::{protocol::attempt::AttemptId, state::moment::Moment};
+use crate::state::moment::Moment;
 use std::collections::VecDeque;
 
 /// One of this many starts goes to the class that was passed over longest.
@@ -11,9 +11,9 @@
 
 /// A call that waits for a slot.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct QueuedCall {
-    /// The attempt.
-    pub id: AttemptId,
+pub struct QueuedCall<I> {
+    /// Identity of the call.
+    pub id: I,
     /// When it was offered.
     pub offered: Moment,
     /// When its caller gives up.
@@ -68,12 +68,20 @@
 }
 
 /// The queue of one class.
-#[derive(Clone, Debug, Default)]
-pub struct ClassQueue {
-    calls: VecDeque<QueuedCall>,
+#[derive(Clone, Debug)]
+pub struct ClassQueue<I> {
+    calls: VecDeque<QueuedCall<I>>,
+}
+
+impl<I> Default for ClassQueue<I> {
+    fn default() -> Self {
+        Self {
+            calls: VecDeque::new(),
+        }
+    }
 }
 
-impl ClassQueue {
+impl<I: Copy + Eq> ClassQueue<I> {
     /// Number of waiting calls.
     #[must_use]
     pub fn len(&self) -> usize {
@@ -87,34 +95,37 @@
     }
 
     /// Adds a call at the end.
-    pub fn push(&mut self, call: QueuedCall) {
+    pub fn push(&mut self, call: QueuedCall<I>) {
         self.calls.push_back(call);
     }
 
     /// Takes the call that waits longest.
-    pub fn pop(&mut self) -> Option<QueuedCall> {
+    pub fn pop(&mut self) -> Option<QueuedCall<I>> {
         self.calls.pop_front()
     }
 
     /// Takes out one call.
-    pub fn remove(&mut self, id: AttemptId) -> Option<QueuedCall> {
+    pub fn remove(&mut self, id: I) -> Option<QueuedCall<I>> {
         let place = self.calls.iter().position(|call| call.id == id)?;
         self.calls.remove(place)
     }
 
     /// Whether that call waits here.
     #[must_use]
-    pub fn contains(&self, id: AttemptId) -> bool {
+    pub fn contains(&self, id: I) -> bool {
         self.calls.iter().any(|call| call.id == id)
     }
 
     /// The waiting calls, longest waiting first.
-    pub fn iter(&self) -> impl Iterator<Item = &QueuedCall> {
+    pub fn iter(&self) -> impl Iterator<Item = &QueuedCall<I>> {
         self.calls.iter()
     }
 
     /// Takes out the calls for which `keep` is false. It is given the number of kept calls ahead.
-    pub fn sift(&mut self, mut keep: impl FnMut(usize, &QueuedCall) -> bool) -> Vec<QueuedCall> {
+    pub fn sift(
+        &mut self,
+        mut keep: impl FnMut(usize, &QueuedCall<I>) -> bool,
+    ) -> Vec<QueuedCall<I>> {
         let mut removed = Vec::new();
         let mut ahead = 0;
         self.calls.retain(|call| {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,8 @@
 //! Tests of behaviour and of failures.
 
 mod admission;
+mod attempts;
+mod attempts_model;
 mod command_line;
 mod key_table;
 mod measuring;
