Check that files import once a crate

Cause: stable rustfmt can't group imports by crate, and scattered ones grow back. Change: a test reads all sources and names every crate that a file imports from in two statements of one visibility; indented statements (test modules, functions) don't count.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod attempts_model;
 mod command_line;
+mod imports;
 mod key_table;
 mod measuring;
 mod observation;
