Decide retries, moves and hedges under budgets earned by calls

Cause: further attempts multiply load when a service fails, and a wrong one runs a booking twice. Change: decide_retry tells a move (after a proven refusal, any class) from a retry (idempotent classes only); each has a bucket that starts empty and is filled by calls, and a call has three attempts at most. Advice other than `elsewhere` is passed up, so that levels of calls don't multiply. A refusal after an attempt that may have run is never told as `not run`. hedge_delay starts a second attempt at the observed 0.95 quantile, only where the observed tail shows a gain. Conclusion: pure code; the gain of hedging isn't measured yet.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -2,5 +2,7 @@
 
 pub mod admission;
 pub mod classification;
+pub mod hedging;
 pub mod measuring;
+pub mod retries;
 pub mod routing;
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 pub mod concurrency;
 pub mod configuration;
 pub mod key_table;
+pub mod latency_history;
 pub mod lease;
 pub mod load_knowledge;
 pub mod log_record;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -12,4 +12,5 @@
 mod ownership_view;
 mod peers;
 mod platform_log;
+mod retries;
 mod routing;
