Add the operators' pages of settings and exit codes

Cause: a key that no page names is found only by reading the schema. Change: one page with every key of both documents, its values, default and meaning, and one of exit codes; tests render the tables from the schemas and the enum and look for them in the pages. Conclusion: a new key fails the test until the page has it.

--- a/src/options/exit_code.rs
+++ b/src/options/exit_code.rs
@@ -20,6 +20,18 @@
     Partial = 5,
 }
 
+impl ExitCode {
+    /// All of them, in the order of their numbers.
+    pub const ALL: [Self; 6] = [
+        Self::Success,
+        Self::Failed,
+        Self::BadInput,
+        Self::Unreachable,
+        Self::Conflict,
+        Self::Partial,
+    ];
+}
+
 impl From<ExitCode> for process::ExitCode {
     fn from(code: ExitCode) -> Self {
         Self::from(code as u8)
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,3 +14,4 @@
 mod platform_log;
 mod retries;
 mod routing;
+mod settings_page;
