--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -5,5 +5,6 @@
 pub mod gossip;
 pub mod headers;
 pub mod load_report;
+pub mod operator_views;
 pub mod outcome;
 pub mod platform_log;
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -119,7 +119,8 @@
 }
 
 /// An executing node's word on an attempt it is asked about.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Settlement {
     /// The attempt did not run and never will.
     NeverRuns,
--- a/src/timers.rs
+++ b/src/timers.rs
@@ -9,7 +9,7 @@
     collections::BinaryHeap,
     sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError},
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 /// Where the time comes from.
@@ -135,6 +135,22 @@
         self.lock().now()
     }
 
+    /// Milliseconds since the Unix epoch; with a fake clock, since the clock's start.
+    ///
+    /// NB: the wall clock may step in either direction. It is for people and for logical clocks;
+    /// spans and deadlines are measured with [`Self::now`].
+    #[must_use]
+    pub fn wall_millis(&self) -> u64 {
+        match &self.lock().clock {
+            Clock::System { .. } => SystemTime::now()
+                .duration_since(UNIX_EPOCH)
+                .map_or(0, |span| {
+                    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+                }),
+            Clock::Fake { now } => now.0 / 1_000,
+        }
+    }
+
     /// One message after `span`.
     #[must_use]
     pub fn after(&self, span: Duration) -> Receiver<Moment> {
