Resolve how operators' tools reach nodes and the log

Cause: every command that talks to nodes needs their addresses and the token, from arguments, the environment or a settings file, put together in one place. Change: AccessArguments and LogArguments for bpaf, each resolved into one checked value; the token comes from a file or the settings, not from an argument that other users of the machine could read. Conclusion: commands take the two parsers and add only their own arguments.

--- a/src/options.rs
+++ b/src/options.rs
@@ -1,5 +1,6 @@
 //! What a process is told: command-line arguments and the settings file, merged once and checked.
 
+pub mod access;
 pub mod arguments;
 pub mod checked_file;
 pub mod configuration_rules;
--- a/src/options/node_arguments.rs
+++ b/src/options/node_arguments.rs
@@ -18,13 +18,13 @@
 #[bpaf(options("camphorturnd"), version)]
 pub struct NodeArguments {
     /// Settings file, JSON with comments
-    #[bpaf(env("CAMPHORTURN_SETTINGS"), argument("FILE"))]
+    #[bpaf(long, env("CAMPHORTURN_SETTINGS"), argument("FILE"))]
     pub settings: PathBuf,
     /// Form of the log's lines, json or text, in place of the file's `logging.format`
-    #[bpaf(env("CAMPHORTURN_LOG_FORMAT"), argument::<LogFormat>("FORMAT"), optional)]
+    #[bpaf(long, env("CAMPHORTURN_LOG_FORMAT"), argument::<LogFormat>("FORMAT"), optional)]
     pub log_format: Option<LogFormat>,
     /// Least severity that is logged, in place of the file's `logging.level`
-    #[bpaf(env("CAMPHORTURN_LOG_LEVEL"), argument::<LogLevel>("LEVEL"), optional)]
+    #[bpaf(long, env("CAMPHORTURN_LOG_LEVEL"), argument::<LogLevel>("LEVEL"), optional)]
     pub log_level: Option<LogLevel>,
 }
 
--- a/src/options/node_settings.rs
+++ b/src/options/node_settings.rs
@@ -293,6 +293,19 @@
     }
 }
 
+impl PlatformLogSettings {
+    /// The log at `address`, all else by default.
+    #[must_use]
+    pub fn at(address: SocketAddr) -> Self {
+        Self {
+            address,
+            stream: default_stream(),
+            poll_period: default_poll_period(),
+            timeout: default_log_timeout(),
+        }
+    }
+}
+
 impl NodeSettings {
     /// Address that other nodes are told to connect to.
     #[must_use]
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,5 +1,6 @@
 //! Tests of behaviour and of failures.
 
+mod access;
 mod admission;
 mod attempts;
 mod attempts_model;
