Describe the layout and how to contribute

Cause: a newcomer has to find the layers, a call's way through them and the checks. Change: CONTRIBUTING.md; a test finds every file it names. Conclusion: a moved file fails the test until the page follows.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod attempts;
 mod attempts_model;
 mod command_line;
+mod contributing_page;
 mod events;
 mod imports;
 mod key_table;
