--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -8,9 +8,12 @@
 mod class_state;
 mod estimate;
 pub mod execution;
+mod learning;
+mod report;
 mod running;
 pub mod settings;
 pub mod status;
+mod waiting;
 
 pub use action::{AdmissionAction, CancelResult, End, EndKind, Offer};
 pub use execution::{Arrival, Execution, Settled};
@@ -24,23 +27,20 @@
     },
     protocol::{
         attempt::AttemptId,
-        load_report::{LoadReport, UpstreamCondition},
+        load_report::UpstreamCondition,
         outcome::{Refusal, RefusalReason, RetryAdvice},
     },
     state::{
-        admission_queue::{ClassChooser, ClassPlace, QueuedCall},
-        class::Class,
-        concurrency::limit::ConcurrencyLimit,
-        moment::Moment,
-        names::ClassName,
+        admission_queue::ClassChooser, class::Class, concurrency::limit::ConcurrencyLimit,
+        moment::Moment, names::ClassName,
     },
 };
 use std::time::Duration;
 
-/// Share of a new end in the error rate.
-const ERROR_WEIGHT: f64 = 1.0 / 32.0;
-/// Shortest and longest time between two looks at the waiting calls.
-const REEXAMINE_AFTER: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(20));
+/// Share of a class's target that the expected wait and run may take up when a call is queued. The
+/// rest is for chance: without it a full queue meets the target only half of the time, and calls
+/// that were accepted have to be refused late.
+const QUEUE_SHARE: f64 = 0.6;
 
 /// Admission at one upstream.
 #[derive(Clone, Debug)]
@@ -193,50 +193,6 @@
         self.wake.filter(|_| self.queued() > 0)
     }
 
-    /// The load as told to other nodes. Its latency is the time at the upstream, without the wait.
-    #[must_use]
-    pub fn load_report(&self, now: Moment) -> LoadReport {
-        LoadReport {
-            running: u16::try_from(self.running.len()).unwrap_or(u16::MAX),
-            queued: u16::try_from(self.queued()).unwrap_or(u16::MAX),
-            limit: self.limit.current(now),
-            latency_micros: whole(self.reported_micros(now)),
-            errors_permille: u16::try_from(whole(self.error_rate * 1000.0)).unwrap_or(1000),
-            condition: self.shown_condition(now),
-        }
-    }
-
-    /// Admission as shown to operators.
-    #[must_use]
-    pub fn snapshot(&self, now: Moment) -> AdmissionStatus {
-        AdmissionStatus {
-            running: self.running.len(),
-            limit: self.limit.current(now),
-            condition: self.shown_condition(now),
-            slowdown: self.running.slowdown(now),
-            classes: self
-                .classes
-                .iter()
-                .map(|class| self.class_status(class, now))
-                .collect(),
-        }
-    }
-
-    fn class_status(&self, class: &ClassState, now: Moment) -> ClassStatus {
-        let counts = class.ends.counts(now);
-        let share = f64::from(u32::try_from(counts.on_target).unwrap_or(u32::MAX))
-            / f64::from(u32::try_from(counts.answered).unwrap_or(u32::MAX));
-        ClassStatus {
-            name: class.name.clone(),
-            queued: class.queue.len(),
-            service_micros: u64::from(whole(self.service_micros(class, now))),
-            answered: counts.answered,
-            on_target: counts.on_target,
-            refused: counts.refused,
-            share_on_target: (counts.answered > 0).then_some(share),
-        }
-    }
-
     fn decide(&self, index: usize, time_left: Duration, now: Moment) -> Offer {
         let class = &self.classes[index];
         let service = self.estimate_service(class, now);
@@ -255,7 +211,7 @@
         let total = self.estimate_wait(index, class.queue.len(), now) + service;
         if total > time_left {
             Offer::Refused(too_short(class, time_left))
-        } else if total > class.target {
+        } else if total > class.target.mul_f64(QUEUE_SHARE) {
             Offer::Refused(elsewhere(RefusalReason::QueueFull))
         } else {
             Offer::Queued
@@ -275,129 +231,6 @@
         self.running.insert(id, call);
     }
 
-    fn enqueue(&mut self, index: usize, id: AttemptId, time_left: Duration, now: Moment) {
-        let class = &mut self.classes[index];
-        class.queue.push(QueuedCall {
-            id,
-            offered: now,
-            deadline: now + time_left,
-            due: now + time_left.min(class.target),
-        });
-        if self.next_expiry().is_none() || self.queued() == 1 {
-            self.set_wake(now);
-        }
-    }
-
-    fn learn(&mut self, call: &RunningCall, end: End, full: bool, now: Moment) {
-        let running = u16::try_from(self.running.len()).unwrap_or(u16::MAX);
-        let Some(class) = self.classes.iter_mut().find(|c| c.name == call.class) else {
-            return;
-        };
-        let mut failed = true;
-        match end.kind {
-            EndKind::Answered {
-                server_error: false,
-            } => {
-                failed = false;
-                class.service.observe(end.took, now);
-                let on_target = now.since(call.offered) <= class.target;
-                class.ends.count_answer(on_target, now);
-                self.limit.observe(class.service.slowness(), full, now);
-            }
-            EndKind::Answered { server_error: true } | EndKind::Cut => {
-                class.service.observe_at_least(end.took, now);
-            }
-            EndKind::TimedOut | EndKind::Cancelled => {
-                failed = end.kind == EndKind::TimedOut;
-                class.service.observe_at_least(end.took, now);
-                self.limit.observe_lost(class.service.slowness(), now);
-            }
-            EndKind::Shed => {
-                failed = false;
-                self.limit.observe_shed(running, now);
-            }
-            EndKind::NotSent => {}
-        }
-        self.error_rate += (f64::from(u8::from(failed)) - self.error_rate) * ERROR_WEIGHT;
-    }
-
-    fn fill_slots(&mut self, now: Moment) -> Vec<AdmissionAction> {
-        let mut actions = Vec::new();
-        while self.running.len() < usize::from(self.limit.current(now)) {
-            let places: Vec<ClassPlace> = self.classes.iter().map(ClassState::place).collect();
-            let Some((index, number)) = self.chooser.choose(&places) else {
-                break;
-            };
-            let Some(call) = self.classes[index].queue.pop() else {
-                break;
-            };
-            let service = self.estimate_service(&self.classes[index], now);
-            if now + service > call.deadline {
-                actions.push(self.refuse(index, &call, now));
-                continue;
-            }
-            self.classes[index].last_start = number;
-            self.start(index, call.id, call.offered, now);
-            actions.push(AdmissionAction::Start(call.id));
-        }
-        self.classes
-            .retain(|class| !class.retired || !class.queue.is_empty());
-        actions
-    }
-
-    fn refuse_hopeless(&mut self, now: Moment) -> Vec<AdmissionAction> {
-        let slow = self.running.slowdown(now) > 1.0;
-        let mut actions = Vec::new();
-        for index in 0..self.classes.len() {
-            let mut queue = std::mem::take(&mut self.classes[index].queue);
-            let service = self.estimate_service(&self.classes[index], now);
-            let hopeless = queue.sift(|ahead, call| {
-                let end = now + self.estimate_wait(index, ahead, now) + service;
-                end <= if slow { call.due } else { call.deadline }
-            });
-            self.classes[index].queue = queue;
-            for call in hopeless {
-                actions.push(self.refuse(index, &call, now));
-            }
-        }
-        actions
-    }
-
-    fn refuse(
-        &mut self,
-        index: usize,
-        call: &QueuedCall<AttemptId>,
-        now: Moment,
-    ) -> AdmissionAction {
-        self.classes[index].ends.count_refusal(now);
-        let reason = if now >= call.deadline {
-            RefusalReason::DeadlinePassed
-        } else {
-            RefusalReason::DeadlineTooShort
-        };
-        AdmissionAction::Refuse(call.id, elsewhere(reason))
-    }
-
-    fn refuse_all(&mut self, refusal: Refusal, now: Moment) -> Vec<AdmissionAction> {
-        let mut actions = Vec::new();
-        for class in &mut self.classes {
-            while let Some(call) = class.queue.pop() {
-                class.ends.count_refusal(now);
-                actions.push(AdmissionAction::Refuse(call.id, refusal));
-            }
-        }
-        self.classes.retain(|class| !class.retired);
-        actions
-    }
-
-    fn set_wake(&mut self, now: Moment) {
-        let (shortest, longest) = REEXAMINE_AFTER;
-        let quarter = Duration::from_secs_f64(self.reported_micros(now) / 4e6);
-        let look = now + quarter.clamp(shortest, longest);
-        let rise = self.limit.next_rise(now);
-        self.wake = Some(rise.map_or(look, |rise| rise.min(look)));
-    }
-
     fn closed_refusal(&self) -> Option<Refusal> {
         match self.condition {
             UpstreamCondition::Down => Some(elsewhere(RefusalReason::UpstreamDown)),
@@ -406,14 +239,6 @@
         }
     }
 
-    fn shown_condition(&self, now: Moment) -> UpstreamCondition {
-        match self.condition {
-            UpstreamCondition::Serving if self.limit.is_warming(now) => UpstreamCondition::Warming,
-            UpstreamCondition::Warming if !self.limit.is_warming(now) => UpstreamCondition::Serving,
-            condition => condition,
-        }
-    }
-
     fn queued(&self) -> usize {
         self.classes.iter().map(|class| class.queue.len()).sum()
     }
--- a/src/coordination/admission/running.rs
+++ b/src/coordination/admission/running.rs
@@ -6,9 +6,9 @@
 };
 use std::collections::HashMap;
 
-/// Age over expectation up to which running calls count as usual. Times vary from call to call, so
-/// a factor below this is as likely chance as slowness.
-const USUAL_AGE_RATIO: f64 = 2.0;
+/// Deviations of the mean age, if times are spread exponentially, that still count as chance. With
+/// fewer, chance alone would time and again send waiting calls elsewhere that would have made it.
+const USUAL_DEVIATIONS: f64 = 3.0;
 
 /// A call at the upstream.
 #[derive(Clone, Debug)]
@@ -27,8 +27,35 @@
 #[derive(Clone, Debug, Default)]
 pub struct RunningCalls {
     calls: HashMap<AttemptId, RunningCall>,
-    started_sum: u64,
-    expected_sum: u64,
+    all: Sums,
+    /// Of the calls whose time could be estimated when they started.
+    estimated: Sums,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    calls: u64,
+    started: u64,
+    expected: u64,
+}
+
+impl Sums {
+    fn add(&mut self, call: &RunningCall) {
+        self.calls += 1;
+        self.started += call.started.0;
+        self.expected += call.expected_micros;
+    }
+
+    fn subtract(&mut self, call: &RunningCall) {
+        self.calls -= 1;
+        self.started -= call.started.0;
+        self.expected -= call.expected_micros;
+    }
+
+    fn ages(self, now: Moment) -> f64 {
+        let all_now = now.0.saturating_mul(self.calls);
+        as_float(all_now.saturating_sub(self.started))
+    }
 }
 
 impl RunningCalls {
@@ -46,16 +73,20 @@
 
     /// Adds a call.
     pub fn insert(&mut self, id: AttemptId, call: RunningCall) {
-        self.started_sum += call.started.0;
-        self.expected_sum += call.expected_micros;
+        self.all.add(&call);
+        if call.expected_micros > 0 {
+            self.estimated.add(&call);
+        }
         self.calls.insert(id, call);
     }
 
     /// Takes out a call.
     pub fn remove(&mut self, id: AttemptId) -> Option<RunningCall> {
         let call = self.calls.remove(&id)?;
-        self.started_sum -= call.started.0;
-        self.expected_sum -= call.expected_micros;
+        self.all.subtract(&call);
+        if call.expected_micros > 0 {
+            self.estimated.subtract(&call);
+        }
         Some(call)
     }
 
@@ -65,23 +96,21 @@
         if self.calls.is_empty() {
             return 0.0;
         }
-        as_float(self.age_sum(now)) / as_float(self.calls.len() as u64)
+        self.all.ages(now) / as_float(self.all.calls)
     }
 
     /// How many times slower than expected the running calls are, by their age alone. An upstream
-    /// that suddenly stands still ends no call, so that ends alone would show nothing.
+    /// that suddenly stands still ends no call, so that ends alone would show nothing. What may be
+    /// chance is left out, so that the factor grows from 1 without a jump.
     #[must_use]
     pub fn slowdown(&self, now: Moment) -> f64 {
-        if self.expected_sum == 0 {
+        if self.estimated.calls == 0 {
             return 1.0;
         }
-        let ratio = as_float(self.age_sum(now)) / as_float(self.expected_sum);
-        if ratio > USUAL_AGE_RATIO { ratio } else { 1.0 }
-    }
-
-    fn age_sum(&self, now: Moment) -> u64 {
-        let all_now = now.0.saturating_mul(self.calls.len() as u64);
-        all_now.saturating_sub(self.started_sum)
+        let ratio = self.estimated.ages(now) / as_float(self.estimated.expected);
+        let calls = as_float(self.estimated.calls);
+        let usual = 1.0 + USUAL_DEVIATIONS / calls.sqrt();
+        (ratio / usual).max(1.0)
     }
 }
 
--- a/src/state/concurrency/limit.rs
+++ b/src/state/concurrency/limit.rs
@@ -11,7 +11,7 @@
 /// Share of a new value that [`LimitRule::Gradient`] takes over at once.
 const GRADIENT_SMOOTHING: f64 = 0.2;
 /// Largest cut that one step of [`LimitRule::Gradient`] aims at.
-const GRADIENT_FLOOR: f64 = 0.5;
+const GRADIENT_FLOOR: f64 = 0.2;
 
 /// How the limit follows the time that calls take.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -20,9 +20,9 @@
     /// Always all slots.
     Fixed,
     /// One step up for each round of good calls, a tenth down for each slow one.
-    #[default]
     Aimd,
     /// In proportion to baseline over mean, plus room to grow.
+    #[default]
     Gradient,
 }
 
@@ -146,8 +146,8 @@
         if elapsed >= self.ramp {
             return self.slots;
         }
-        let share = elapsed.as_secs_f64() / self.ramp.as_secs_f64();
-        whole(share * f64::from(self.slots)).max(1)
+        let steps = elapsed.as_micros() * u128::from(self.slots) / self.ramp.as_micros();
+        u16::try_from(steps).unwrap_or(self.slots).max(1)
     }
 }
 
--- a/src/state/concurrency/service_time.rs
+++ b/src/state/concurrency/service_time.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 /// Share of a new sample in the mean.
-const MEAN_WEIGHT: f64 = 1.0 / 8.0;
+const MEAN_WEIGHT: f64 = 1.0 / 16.0;
 /// Share of the mean that the baseline takes over when the mean is lower.
-const BASELINE_FALL: f64 = 1.0 / 16.0;
+const BASELINE_FALL: f64 = 1.0 / 64.0;
 /// Share of the mean that the baseline takes over when the mean is higher: slow, so that a spell of
 /// slowness is seen as one, yet a lasting change becomes the new baseline in the end.
 const BASELINE_RISE: f64 = 1.0 / 512.0;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod admission;
+mod admission_properties;
 mod attempts;
 mod attempts_model;
 mod command_line;
