Add membership: joins, liveness, leaving, log readers

Cause: nodes have to know which upstreams there are and which can be reached, with the log up or down, at a cost a node that does not grow with the mesh.

Change: a pure state machine over a table of members.

Conclusion: usable by the node; bytes a second are not measured yet.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -4,6 +4,7 @@
 pub mod classification;
 pub mod hedging;
 pub mod measuring;
+pub mod membership;
 pub mod ownership;
 pub mod retries;
 pub mod routing;
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,7 @@
 pub mod load_knowledge;
 pub mod log_record;
 pub mod member;
+pub mod membership;
 pub mod moment;
 pub mod names;
 pub mod ownership;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -11,6 +11,7 @@
 mod imports;
 mod key_table;
 mod measuring;
+mod membership;
 mod observation;
 mod operators;
 mod options;
