--- a/src/options/access.rs
+++ b/src/options/access.rs
@@ -21,6 +21,9 @@
     /// Operator address of a node; may be repeated. Other nodes are learned from it
     #[bpaf(long("node"), argument("IP:PORT"))]
     pub nodes: Vec<SocketAddr>,
+    /// The operators' token. Other users of this VM can see arguments: prefer the file
+    #[bpaf(long, env("CAMPHORTURN_TOKEN"), argument("TOKEN"), optional)]
+    pub token: Option<String>,
     /// File with the operators' token
     #[bpaf(long, env("CAMPHORTURN_TOKEN_FILE"), argument("FILE"), optional)]
     pub token_file: Option<PathBuf>,
@@ -56,7 +59,9 @@
     #[error("no node is named; give --node IP:PORT, or --settings FILE")]
     NoNode,
     /// No token.
-    #[error("no token is given; give --token-file FILE, or --settings FILE")]
+    #[error(
+        "no token is given; set CAMPHORTURN_TOKEN, or give --token-file FILE or --settings FILE"
+    )]
     NoToken,
     /// No address of the log.
     #[error("the platform's log is not named; give --log IP:PORT, or --settings FILE")]
@@ -85,9 +90,10 @@
         if nodes.is_empty() {
             nodes.extend(settings.as_ref().map(NodeSettings::operator_address));
         }
-        let token = match &self.token_file {
-            Some(path) => Some(read_token(path)?),
-            None => settings.map(|settings| settings.operators.token),
+        let token = match (&self.token, &self.token_file) {
+            (Some(token), _) => Some(Secret::from(token.as_str())),
+            (None, Some(path)) => Some(read_token(path)?),
+            (None, None) => settings.map(|settings| settings.operators.token),
         };
         if nodes.is_empty() {
             return Err(AccessError::NoNode);
--- a/tests/integration/access.rs
+++ b/tests/integration/access.rs
@@ -47,6 +47,20 @@
     assert_eq!(access.nodes.len(), 2);
 }
 
+#[test]
+fn resolve_access_token_argument_goes_first() {
+    let arguments = [
+        "--settings",
+        SAMPLE,
+        "--token",
+        "given",
+        "--token-file",
+        "no-such-file",
+    ];
+    let access = parse_access(&arguments).resolve().expect("complete");
+    assert_eq!(access.token.expose(), "given");
+}
+
 #[test]
 fn resolve_access_incomplete() {
     assert!(matches!(
