--- a/src/state.rs
+++ b/src/state.rs
@@ -15,4 +15,5 @@
 pub mod moment;
 pub mod names;
 pub mod ownership;
+pub mod published;
 pub mod token_bucket;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod attempts;
 mod attempts_model;
 mod command_line;
+mod configuration;
 mod contributing_page;
 mod events;
 mod imports;
