Show status, the time line and explanations over all nodes

Cause: nodes record events and tell their status, but an operator had to ask each by hand.

Change: `status`, `timeline`, `explain` and `drain`. They find all nodes from one address, name those not reached, merge events by causal stamp, filter them, and write text, JSON or a page with a lane for each node. The recorder reads the wall clock every 100 ms instead of for each event.

--- a/src/bin/camphorturn.rs
+++ b/src/bin/camphorturn.rs
@@ -1,8 +1,16 @@
 //! The operators' command line.
 
 use camphorturn::{
-    commands::check::run_check,
-    options::{arguments::Command, exit_code::ExitCode},
+    commands::{
+        check::run_check, drain::run_drain, explain::run_explain, status::run_status,
+        timeline::run_timeline,
+    },
+    options::{
+        access::{AccessArguments, OperatorAccess},
+        arguments::Command,
+        exit_code::ExitCode,
+    },
+    timers::TimerService,
 };
 use std::{io, process};
 
@@ -13,11 +21,38 @@
 
 fn run(command: &Command) -> ExitCode {
     let mut out = io::stdout().lock();
+    let out = &mut out;
     let done = match command {
-        Command::Check(arguments) => run_check(arguments, &mut out),
+        Command::Check(arguments) => run_check(arguments, out),
+        Command::Status(arguments) => with_access(&arguments.access, |access| {
+            run_status(arguments, access, &TimerService::system(), out)
+        }),
+        Command::Timeline(arguments) => with_access(&arguments.access, |access| {
+            run_timeline(arguments, access, &TimerService::system(), out)
+        }),
+        Command::Explain(arguments) => with_access(&arguments.access, |access| {
+            run_explain(arguments, access, out)
+        }),
+        Command::Drain(arguments) => with_access(&arguments.access, |access| {
+            run_drain(arguments, access, out)
+        }),
     };
     done.unwrap_or_else(|error| {
         eprintln!("can't write the result: {error}");
         ExitCode::Failed
     })
 }
+
+/// Runs a command that talks to nodes, if its arguments say how.
+fn with_access(
+    arguments: &AccessArguments,
+    run: impl FnOnce(&OperatorAccess) -> io::Result<ExitCode>,
+) -> io::Result<ExitCode> {
+    match arguments.resolve() {
+        Ok(access) => run(&access),
+        Err(error) => {
+            eprintln!("{error}");
+            Ok(ExitCode::BadInput)
+        }
+    }
+}
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -1,3 +1,8 @@
 //! The subcommands of the `camphorturn` command line, one file each.
 
 pub mod check;
+pub mod drain;
+pub mod explain;
+pub mod mesh;
+pub mod status;
+pub mod timeline;
--- /dev/null
+++ b/src/commands/drain.rs
@@ -0,0 +1,133 @@
+//! `camphorturn drain`: one node takes no new work and finishes what it has.
+
+use crate::{
+    commands::mesh::{UnreachedNode, survey_nodes},
+    options::{
+        access::{AccessArguments, OperatorAccess, access_arguments},
+        exit_code::ExitCode,
+    },
+    protocol::operator_views::NodeCondition,
+    transport::operators::client::OperatorClient,
+};
+use bpaf::Bpaf;
+use serde::Serialize;
+use std::{
+    io::{self, Write},
+    net::SocketAddr,
+};
+
+/// Arguments of `drain`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct DrainArguments {
+    /// How to reach the nodes.
+    #[bpaf(external(access_arguments))]
+    pub access: AccessArguments,
+    /// Print one JSON object in place of lines
+    pub json: bool,
+    /// Name of the node, or its operators' address
+    #[bpaf(positional("NODE"))]
+    pub target: String,
+}
+
+/// What `drain` did.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DrainReport {
+    /// The node drains.
+    Draining {
+        /// Where it was told.
+        address: SocketAddr,
+        /// Its condition after that.
+        condition: NodeCondition,
+    },
+    /// No reachable node knows the name.
+    NoSuchNode {
+        /// The name.
+        target: String,
+        /// Nodes that did not answer; the one that was meant may be among them.
+        unreached: Vec<String>,
+    },
+    /// The node did not take the order.
+    NotTaken {
+        /// Where it was told.
+        address: SocketAddr,
+        /// Why not.
+        problem: String,
+    },
+}
+
+/// Finds the node and tells it to drain.
+///
+/// # Errors
+/// Only if `out` can't be written to.
+pub fn run_drain(
+    arguments: &DrainArguments,
+    access: &OperatorAccess,
+    out: &mut dyn Write,
+) -> io::Result<ExitCode> {
+    let report = drain_node(arguments, access);
+    if arguments.json {
+        serde_json::to_writer_pretty(&mut *out, &report)?;
+        writeln!(out)?;
+    } else {
+        write_text(&report, out)?;
+    }
+    Ok(match report {
+        DrainReport::Draining { .. } => ExitCode::Success,
+        DrainReport::NoSuchNode { .. } => ExitCode::BadInput,
+        DrainReport::NotTaken { .. } => ExitCode::Unreachable,
+    })
+}
+
+fn drain_node(arguments: &DrainArguments, access: &OperatorAccess) -> DrainReport {
+    let client = OperatorClient::new(access);
+    let address = match arguments.target.parse() {
+        Ok(address) => address,
+        Err(_) => match find_node(&client, arguments, access) {
+            Ok(address) => address,
+            Err(report) => return report,
+        },
+    };
+    match client.start_drain(address) {
+        Ok(condition) => DrainReport::Draining { address, condition },
+        Err(problem) => DrainReport::NotTaken {
+            address,
+            problem: problem.to_string(),
+        },
+    }
+}
+
+fn find_node(
+    client: &OperatorClient,
+    arguments: &DrainArguments,
+    access: &OperatorAccess,
+) -> Result<SocketAddr, DrainReport> {
+    let survey = survey_nodes(client, &access.nodes);
+    let target = &arguments.target;
+    let found = survey.reached.iter().find(|node| node.label() == *target);
+    found.map(|node| node.address).ok_or_else(|| {
+        let unreached = survey.unreached.iter();
+        DrainReport::NoSuchNode {
+            target: target.clone(),
+            unreached: unreached.map(UnreachedNode::label).collect(),
+        }
+    })
+}
+
+fn write_text(report: &DrainReport, out: &mut dyn Write) -> io::Result<()> {
+    match report {
+        DrainReport::Draining { address, condition } => writeln!(
+            out,
+            "{address} takes no new work; {} calls run there, {} wait",
+            condition.running, condition.queued
+        ),
+        DrainReport::NoSuchNode { target, unreached } => {
+            writeln!(out, "no node named {target} was reached")?;
+            for node in unreached {
+                writeln!(out, "not reached: {node}")?;
+            }
+            Ok(())
+        }
+        DrainReport::NotTaken { address, problem } => writeln!(out, "{address}: {problem}"),
+    }
+}
--- a/src/events/recorder.rs
+++ b/src/events/recorder.rs
@@ -11,13 +11,17 @@
     state::{member::Incarnation, moment::Moment, names::NodeName},
     timers::TimerService,
 };
-use std::{cell::RefCell, collections::VecDeque, rc::Rc};
+use std::{cell::RefCell, collections::VecDeque, rc::Rc, time::Duration};
 
 /// Steps of calls that are kept unless the settings say otherwise.
 pub const DEFAULT_CALL_EVENTS: usize = 32_768;
 /// Other events that are kept unless the settings say otherwise.
 pub const DEFAULT_OTHER_EVENTS: usize = 4_096;
 
+/// The wall clock is read again after this time; in between it is reckoned from the last reading,
+/// which saves a reading of the system's clock for each event.
+const WALL_CLOCK_PERIOD: Duration = Duration::from_millis(100);
+
 /// How many events are kept.
 ///
 /// Steps of calls have a ring of their own: there are thousands of them for each other event, and
@@ -87,10 +91,32 @@
     }
 }
 
+/// A reading of the wall clock.
+#[derive(Clone, Copy, Debug)]
+struct WallReading {
+    at: Moment,
+    millis: u64,
+}
+
+impl WallReading {
+    fn read(timers: &TimerService) -> Self {
+        Self {
+            at: timers.now(),
+            millis: timers.wall_millis(),
+        }
+    }
+
+    fn reckon(self, now: Moment) -> u64 {
+        let passed = now.since(self.at).as_millis();
+        self.millis + u64::try_from(passed).unwrap_or(u64::MAX)
+    }
+}
+
 struct Recording {
     node: NodeName,
     incarnation: Incarnation,
     timers: TimerService,
+    wall: WallReading,
     clock: CausalClock,
     sequence: u64,
     calls: Ring,
@@ -115,6 +141,7 @@
         let recording = Recording {
             node,
             incarnation,
+            wall: WallReading::read(&timers),
             timers,
             clock: CausalClock::default(),
             sequence: 0,
@@ -131,7 +158,8 @@
         let mut recording = self.recording.borrow_mut();
         let recording = &mut *recording;
         write_log(&recording.node, &event, call);
-        let wall_millis = recording.timers.wall_millis();
+        let moment = recording.timers.now();
+        let wall_millis = recording.reckon_wall(moment);
         recording.sequence += 1;
         let ring = if event.is_call_step() {
             &mut recording.calls
@@ -141,7 +169,7 @@
         ring.push(RecordedEvent {
             sequence: recording.sequence,
             stamp: recording.clock.advance(wall_millis),
-            moment: recording.timers.now(),
+            moment,
             wall_millis,
             call,
             event,
@@ -157,7 +185,8 @@
     /// Takes over the stamp that came with a message from another node.
     pub fn observe(&self, stamp: CausalStamp) {
         let mut recording = self.recording.borrow_mut();
-        let wall_millis = recording.timers.wall_millis();
+        let moment = recording.timers.now();
+        let wall_millis = recording.reckon_wall(moment);
         recording.clock.observe(stamp, wall_millis);
     }
 
@@ -194,6 +223,13 @@
 }
 
 impl Recording {
+    fn reckon_wall(&mut self, now: Moment) -> u64 {
+        if now.since(self.wall.at) >= WALL_CLOCK_PERIOD {
+            self.wall = WallReading::read(&self.timers);
+        }
+        self.wall.reckon(now)
+    }
+
     fn count_dropped(&self, since: u64) -> u64 {
         [&self.calls, &self.others]
             .iter()
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -1,7 +1,13 @@
 //! The command line of the operators' tool.
 
 use crate::{
-    commands::check::{CheckArguments, check_arguments},
+    commands::{
+        check::{CheckArguments, check_arguments},
+        drain::{DrainArguments, drain_arguments},
+        explain::{ExplainArguments, explain_arguments},
+        status::{StatusArguments, status_arguments},
+        timeline::{TimelineArguments, timeline_arguments},
+    },
     options::{exit_code::ExitCode, node_arguments::report_parse_failure},
 };
 use bpaf::Bpaf;
@@ -13,6 +19,18 @@
     /// Check settings files and configurations without using them
     #[bpaf(command)]
     Check(#[bpaf(external(check_arguments))] CheckArguments),
+    /// Show all nodes, classes against their targets, and what is wrong
+    #[bpaf(command)]
+    Status(#[bpaf(external(status_arguments))] StatusArguments),
+    /// Show the events of all nodes in causal order
+    #[bpaf(command)]
+    Timeline(#[bpaf(external(timeline_arguments))] TimelineArguments),
+    /// Tell what became of one call and why
+    #[bpaf(command)]
+    Explain(#[bpaf(external(explain_arguments))] ExplainArguments),
+    /// Let a node take no new work and finish what it has
+    #[bpaf(command)]
+    Drain(#[bpaf(external(drain_arguments))] DrainArguments),
 }
 
 impl Command {
--- a/src/transport/operators.rs
+++ b/src/transport/operators.rs
@@ -4,6 +4,7 @@
 //! never holds up a call.
 
 pub mod answer;
+pub mod client;
 pub mod request;
 pub mod server;
 pub mod token;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -24,3 +24,4 @@
 mod retries;
 mod routing;
 mod settings_page;
+mod timeline;
