Carry calls from callers through nodes to upstreams

Cause: the parts stood side by side; nothing was served. Change: the node assembled on one event loop (entry side, executing side, operators' and peers' edges, planned stop), a local mesh of real nodes and stand-ins, an audit of what callers were told against what upstreams ran, and the dev command on it. Members are found by seeds and the configuration is read by every node from the log until membership and the log reader land.

--- a/src/bin/camphorturn.rs
+++ b/src/bin/camphorturn.rs
@@ -2,7 +2,7 @@
 
 use camphorturn::{
     commands::{
-        check::run_check, drain::run_drain, explain::run_explain, status::run_status,
+        check::run_check, dev::run_dev, drain::run_drain, explain::run_explain, status::run_status,
         timeline::run_timeline,
     },
     options::{
@@ -24,6 +24,7 @@
     let out = &mut out;
     let done = match command {
         Command::Check(arguments) => run_check(arguments, out),
+        Command::Dev(arguments) => run_dev(arguments, out),
         Command::Status(arguments) => with_access(&arguments.access, |access| {
             run_status(arguments, access, &TimerService::system(), out)
         }),
--- /dev/null
+++ b/src/commands/dev/report.rs
@@ -0,0 +1,193 @@
+//! What a load on a local mesh showed.
+
+use crate::{
+    local_mesh::{
+        LocalMesh,
+        audit::Audit,
+        client::ToldOutcome,
+        load::{CallKind, CallRecord},
+    },
+    protocol::operator_views::share,
+    state::names::{ClassName, ServiceName},
+};
+use hdrhistogram::Histogram;
+use serde::Serialize;
+use std::{collections::BTreeMap, fmt, time::Duration};
+
+/// Precision of times, in decimal digits.
+const DIGITS: u8 = 3;
+
+/// Calls of one class.
+#[derive(Clone, Debug, Serialize)]
+pub struct ClassReport {
+    /// The service.
+    pub service: ServiceName,
+    /// The class.
+    pub class: ClassName,
+    /// Calls made.
+    pub calls: u64,
+    /// Told `answered`.
+    pub answered: u64,
+    /// Told `not run`.
+    pub not_run: u64,
+    /// Told `unknown`, or no reply.
+    pub unknown: u64,
+    /// Refused as malformed.
+    pub rejected: u64,
+    /// Calls of the upstreams' runs over calls made; above 1 there were second runs.
+    pub share_on_target: f64,
+    /// Median time of answered calls, in microseconds.
+    pub p50_micros: u64,
+    /// 99th percentile, in microseconds.
+    pub p99_micros: u64,
+    /// 99.9th percentile, in microseconds.
+    pub p999_micros: u64,
+    /// Reasons given for calls that were not answered, and how often.
+    pub reasons: BTreeMap<String, u64>,
+}
+
+/// The whole load.
+#[derive(Clone, Debug, Serialize)]
+pub struct DevReport {
+    /// Calls of each class.
+    pub classes: Vec<ClassReport>,
+    /// What went wrong, if anything.
+    pub audit: Audit,
+    /// Length of the run in seconds.
+    pub seconds: f64,
+    /// Calls a second.
+    pub calls_per_second: f64,
+    /// Probes sent by all nodes, over calls made.
+    pub probes_per_call: f64,
+    /// Bytes of probes and their answers, over all nodes.
+    pub probe_bytes: u64,
+}
+
+impl DevReport {
+    /// Sums up the records of a load.
+    #[must_use]
+    pub fn build(
+        kinds: &[CallKind],
+        records: &[CallRecord],
+        audit: Audit,
+        took: Duration,
+        mesh: &LocalMesh,
+    ) -> Self {
+        let classes = kinds.iter().enumerate();
+        let classes = classes
+            .map(|(i, kind)| ClassReport::build(kind, i, records))
+            .collect();
+        let measuring = mesh.measuring_totals();
+        let calls = records.len() as u64;
+        Self {
+            classes,
+            audit,
+            seconds: took.as_secs_f64(),
+            calls_per_second: share(calls, 1) / took.as_secs_f64().max(0.001),
+            probes_per_call: share(measuring.probes, calls.max(1)),
+            probe_bytes: measuring.bytes,
+        }
+    }
+
+    /// Whether nothing was lost, doubled, mixed or wrongly called not run.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        self.audit.is_clean()
+    }
+}
+
+impl ClassReport {
+    fn build(kind: &CallKind, index: usize, records: &[CallRecord]) -> Self {
+        let mut report = Self {
+            service: kind.service.clone(),
+            class: kind.class.clone(),
+            calls: 0,
+            answered: 0,
+            not_run: 0,
+            unknown: 0,
+            rejected: 0,
+            share_on_target: 1.0,
+            p50_micros: 0,
+            p99_micros: 0,
+            p999_micros: 0,
+            reasons: BTreeMap::new(),
+        };
+        // Fails only for a precision above 5 digits.
+        let Ok(mut times) = Histogram::<u32>::new(DIGITS) else {
+            return report;
+        };
+        let mut on_target = 0;
+        for record in records.iter().filter(|record| record.kind == index) {
+            report.count(record);
+            if record.outcome == ToldOutcome::Answered {
+                let micros = u64::try_from(record.took.as_micros()).unwrap_or(u64::MAX);
+                // Fails only if the histogram can't grow, and this one may.
+                let _ = times.record(micros);
+                on_target += u64::from(record.took <= kind.target);
+            }
+        }
+        report.share_on_target = share(on_target, report.calls);
+        report.p50_micros = times.value_at_quantile(0.5);
+        report.p99_micros = times.value_at_quantile(0.99);
+        report.p999_micros = times.value_at_quantile(0.999);
+        report
+    }
+
+    fn count(&mut self, record: &CallRecord) {
+        self.calls += 1;
+        match record.outcome {
+            ToldOutcome::Answered => self.answered += 1,
+            ToldOutcome::NotRun => self.not_run += 1,
+            ToldOutcome::Unknown => self.unknown += 1,
+            ToldOutcome::Rejected => self.rejected += 1,
+        }
+        if record.outcome != ToldOutcome::Answered {
+            let reason = record
+                .reason
+                .clone()
+                .unwrap_or_else(|| "no reply".to_owned());
+            *self.reasons.entry(reason).or_insert(0) += 1;
+        }
+    }
+}
+
+impl fmt::Display for DevReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            f,
+            "{:<24}{:>7}{:>9}{:>8}{:>8}{:>8}{:>8}{:>8}",
+            "class", "calls", "answered", "not run", "unknown", "target", "p50 ms", "p99 ms"
+        )?;
+        for class in &self.classes {
+            let name = format!("{}/{}", class.service, class.class);
+            writeln!(
+                f,
+                "{name:<24}{:>7}{:>9}{:>8}{:>8}{:>7.2}%{:>8.2}{:>8.2}",
+                class.calls,
+                class.answered,
+                class.not_run,
+                class.unknown,
+                class.share_on_target * 100.0,
+                to_millis(class.p50_micros),
+                to_millis(class.p99_micros),
+            )?;
+            for (reason, count) in &class.reasons {
+                writeln!(f, "    {count} x {reason}")?;
+            }
+        }
+        writeln!(
+            f,
+            "\n{:.0} calls/s for {:.1} s; {:.4} probes a call, {} bytes spent measuring",
+            self.calls_per_second, self.seconds, self.probes_per_call, self.probe_bytes
+        )?;
+        writeln!(
+            f,
+            "lost {}, doubled {}, run though told not run {}, mixed answers {}",
+            self.audit.lost, self.audit.doubled, self.audit.ran_after_all, self.audit.mixed
+        )
+    }
+}
+
+fn to_millis(micros: u64) -> f64 {
+    Duration::from_micros(micros).as_secs_f64() * 1_000.0
+}
--- a/src/constants.rs
+++ b/src/constants.rs
@@ -12,6 +12,8 @@
 pub const NODE_HEADER: &str = "camphorturn-node";
 /// Header with the upstream that answered.
 pub const UPSTREAM_HEADER: &str = "camphorturn-upstream";
+/// Header with the time after which a refused call may be repeated, in milliseconds.
+pub const RETRY_AFTER_MS_HEADER: &str = "camphorturn-retry-after-ms";
 /// Header with the time left, in milliseconds; read from callers and sent to upstreams.
 pub const DEADLINE_HEADER: &str = "camphorturn-deadline-ms";
 /// Header with the number of calls above this one in a chain.
@@ -22,6 +24,8 @@
 pub const INTERNAL_HEADER_PREFIX: &str = "camphorturn-";
 /// An upstream answers 503 with this header set to `not-run` when it refused before running.
 pub const UPSTREAM_SHED_HEADER: &str = "camphorturn-shed";
+/// Value of [`UPSTREAM_SHED_HEADER`].
+pub const UPSTREAM_SHED_VALUE: &str = "not-run";
 /// Longest chain of calls between services.
 pub const MAX_DEPTH: u8 = 8;
 /// Largest request or answer body that is carried, in bytes, unless the settings say otherwise.
@@ -54,3 +58,5 @@
 pub const HEADER_COUNT_LIMIT: usize = 256;
 /// Most entries of any list in a gossip taken from another node.
 pub const GOSSIP_LIST_LIMIT: usize = 1_000;
+/// Failed checks in a row after which an upstream that also answers no calls is taken as down.
+pub const MAX_CHECK_FAILURES: u16 = 3;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod constants;
 pub mod coordination;
 pub mod events;
+pub mod local_mesh;
 pub mod node;
 pub mod options;
 pub mod protocol;
--- /dev/null
+++ b/src/local_mesh/audit.rs
@@ -0,0 +1,68 @@
+//! Compares what callers were told with what the upstreams ran.
+
+use crate::local_mesh::{
+    LocalMesh,
+    client::ToldOutcome,
+    load::{CallKind, CallRecord},
+};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use uuid::Uuid;
+
+/// What went wrong, as counts of calls. All zero is the only good result.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Audit {
+    /// Told `answered`, but no upstream ran it.
+    pub lost: u64,
+    /// Not idempotent, and run more than once.
+    pub doubled: u64,
+    /// Told `not run`, but an upstream ran it.
+    pub ran_after_all: u64,
+    /// Got another call's answer, or a part of one.
+    pub mixed: u64,
+}
+
+impl Audit {
+    /// Whether nothing went wrong.
+    #[must_use]
+    pub fn is_clean(&self) -> bool {
+        *self == Self::default()
+    }
+}
+
+/// Number of runs of each marked call.
+pub type RunCounts = BTreeMap<Uuid, u32>;
+
+/// Runs of every marked call at all upstreams of the mesh.
+#[must_use]
+pub fn count_runs(mesh: &LocalMesh) -> RunCounts {
+    let mut counts = RunCounts::new();
+    for local in &mesh.nodes {
+        for run in local.upstream.runs() {
+            if let Some(mark) = find_mark(&run.path) {
+                *counts.entry(mark).or_insert(0) += 1;
+            }
+        }
+    }
+    counts
+}
+
+fn find_mark(path: &str) -> Option<Uuid> {
+    let (_, mark) = path.split_once("mark=")?;
+    Uuid::parse_str(mark).ok()
+}
+
+/// Judges the records of a load.
+#[must_use]
+pub fn audit_calls(kinds: &[CallKind], records: &[CallRecord], runs: &RunCounts) -> Audit {
+    let mut audit = Audit::default();
+    for record in records {
+        let ran = runs.get(&record.mark).copied().unwrap_or(0);
+        let refused = matches!(record.outcome, ToldOutcome::NotRun | ToldOutcome::Rejected);
+        audit.lost += u64::from(record.outcome == ToldOutcome::Answered && ran == 0);
+        audit.doubled += u64::from(!kinds[record.kind].idempotent && ran > 1);
+        audit.ran_after_all += u64::from(refused && ran > 0);
+        audit.mixed += u64::from(!record.own_answer);
+    }
+    audit
+}
--- a/src/node.rs
+++ b/src/node.rs
@@ -1,1 +1,19 @@
 //! One node: the process beside an upstream, assembled from the layers.
+//!
+//! All state lives on one event-loop thread. Slow edges (operators' HTTP, the platform's log) have
+//! threads of their own and talk to it by channels.
+
+pub mod caller_edge;
+pub mod core;
+pub mod entry;
+pub mod executing;
+mod log_following;
+pub mod mesh;
+pub mod operator_edge;
+pub mod peer_edge;
+mod start;
+mod stop;
+mod upstream_watch;
+
+pub use start::{NodeError, NodeHandle, run_node, start_node};
+pub use stop::StopKind;
--- /dev/null
+++ b/src/node/operator_edge/status.rs
@@ -0,0 +1,106 @@
+//! What a node tells of itself to operators' tools.
+
+use crate::{
+    node::core::NodeCore,
+    protocol::operator_views::{ClassStatus, MemberStatus, NodeStatus, UpstreamStatus},
+    state::{class::Class, names::ServiceName},
+};
+use std::time::Duration;
+
+/// The node as it sees itself and the others.
+pub fn build_status(core: &NodeCore) -> NodeStatus {
+    let configuration = core.configuration();
+    let now = core.timers.now();
+    NodeStatus {
+        node: Some(core.me.name.clone()),
+        incarnation: core.me.incarnation,
+        program_version: env!("CARGO_PKG_VERSION").to_owned(),
+        uptime_ms: to_millis(Duration::from_micros(now.0)),
+        service: Some(core.me.service.clone()),
+        region: Some(core.me.region.clone()),
+        availability_zone: Some(core.me.availability_zone.clone()),
+        upstream: core.load_report(),
+        stopping: core.stopping.get(),
+        configuration_version: configuration.version,
+        classes: list_classes(core),
+        upstreams: list_upstreams(core),
+        members: list_members(core),
+        events_recorded: core.recorder.count(),
+        ..NodeStatus::default()
+    }
+}
+
+fn to_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn list_classes(core: &NodeCore) -> Vec<ClassStatus> {
+    let configuration = core.configuration();
+    let services = &configuration.content.services;
+    let classes = services.iter().flat_map(|service| {
+        let name = &service.name;
+        service.classes.iter().map(move |class| (name, class))
+    });
+    classes
+        .map(|(service, class)| describe_class(core, service, class))
+        .collect()
+}
+
+fn describe_class(core: &NodeCore, service: &ServiceName, class: &Class) -> ClassStatus {
+    let mut status = ClassStatus {
+        service: Some(service.clone()),
+        class: Some(class.name.clone()),
+        target_ms: class.target.latency_ms,
+        target_share: class.target.share,
+        ..ClassStatus::default()
+    };
+    let mut statistics = core.statistics.borrow_mut();
+    let key = (service.clone(), class.name.clone());
+    if let Some(class) = statistics.get_mut(&key) {
+        let (counts, window) = class.window(core.timers.now());
+        status.window_ms = to_millis(window);
+        status.calls = counts.calls;
+        status.answered = counts.answered;
+        status.not_run = counts.not_run;
+        status.unknown = counts.unknown;
+        status.on_target = counts.on_target;
+        status.retries = counts.retries;
+        status.p50_micros = counts.times.value_at_quantile(0.5);
+        status.p99_micros = counts.times.value_at_quantile(0.99);
+        status.p999_micros = counts.times.value_at_quantile(0.999);
+    }
+    status
+}
+
+fn list_upstreams(core: &NodeCore) -> Vec<UpstreamStatus> {
+    let routers = core.routers.borrow();
+    let now = core.timers.now();
+    let statuses = routers.iter().flat_map(|(service, router)| {
+        let upstreams = router.snapshot(now).upstreams;
+        upstreams
+            .into_iter()
+            .map(move |upstream| (service, upstream))
+    });
+    let views = statuses.map(|(service, upstream)| UpstreamStatus {
+        upstream: Some(upstream.node),
+        service: Some(service.clone()),
+        age_ms: upstream.age_ms,
+        outstanding: upstream.outstanding,
+        avoided: upstream.avoided,
+        ..UpstreamStatus::default()
+    });
+    views.collect()
+}
+
+fn list_members(core: &NodeCore) -> Vec<MemberStatus> {
+    let members = core.members.borrow();
+    let views = members.values().map(|member| MemberStatus {
+        node: Some(member.name.clone()),
+        incarnation: member.incarnation,
+        service: Some(member.service.clone()),
+        availability_zone: Some(member.availability_zone.clone()),
+        operator_address: Some(member.operator_address),
+        ..MemberStatus::default()
+    });
+    views.collect()
+}
--- /dev/null
+++ b/src/node/peer_edge.rs
@@ -0,0 +1,67 @@
+//! The node as other nodes meet it.
+
+use crate::{
+    node::{
+        core::NodeCore,
+        executing::{cancel_attempt, execute_attempt, settle_attempt},
+    },
+    protocol::{
+        attempt::AttemptId,
+        call::CallAttempt,
+        gossip::Gossip,
+        load_report::LoadReport,
+        outcome::{AttemptResult, Settlement},
+    },
+    state::member::Member,
+    transport::peers::PeerHandler,
+};
+use futures::future::LocalBoxFuture;
+use std::rc::Rc;
+
+/// What other nodes may ask for.
+pub struct PeerEdge {
+    core: Rc<NodeCore>,
+}
+
+impl PeerEdge {
+    /// The edge of this node.
+    #[must_use]
+    pub fn new(core: Rc<NodeCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl PeerHandler for PeerEdge {
+    fn execute(
+        &self,
+        _from: &Member,
+        attempt: CallAttempt,
+    ) -> LocalBoxFuture<'static, AttemptResult> {
+        Box::pin(execute_attempt(Rc::clone(&self.core), attempt))
+    }
+
+    fn execute_keyed(
+        &self,
+        _from: &Member,
+        attempt: CallAttempt,
+    ) -> LocalBoxFuture<'static, AttemptResult> {
+        Box::pin(execute_attempt(Rc::clone(&self.core), attempt))
+    }
+
+    fn cancel(&self, attempt: AttemptId) -> LocalBoxFuture<'static, Settlement> {
+        let settlement = cancel_attempt(&self.core, attempt);
+        Box::pin(std::future::ready(settlement))
+    }
+
+    fn settle(&self, attempt: AttemptId) -> Settlement {
+        settle_attempt(&self.core, attempt)
+    }
+
+    fn probe(&self) -> LoadReport {
+        self.core.load_report()
+    }
+
+    fn gossip(&self, _from: &Member, _gossip: Gossip) -> Gossip {
+        Gossip::default()
+    }
+}
--- /dev/null
+++ b/src/node/stop.rs
@@ -0,0 +1,66 @@
+//! A planned stop: no new work, nothing in progress cut off, within the bound of the settings.
+
+use crate::{
+    events::{event::Event, reasons::ConditionSource},
+    node::{core::NodeCore, operator_edge::change_condition},
+    protocol::load_report::UpstreamCondition,
+};
+use std::{rc::Rc, time::Duration};
+
+/// How often a stopping node looks whether its calls have ended.
+const LOOK_PERIOD: Duration = Duration::from_millis(10);
+/// How long a node that has no calls left stays to refuse those that are on their way to it.
+///
+/// Others learn of the stop within this time; without it their calls would meet a closed port, and
+/// callers of this node a reset connection instead of a refusal.
+const LINGER: Duration = Duration::from_millis(500);
+
+/// How a node is to end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StopKind {
+    /// As planned: finish what there is.
+    Graceful,
+    /// At once.
+    Abrupt,
+}
+
+/// Takes no new work from now on: calls are refused as not run, waiting ones too.
+pub fn drain_node(core: &Rc<NodeCore>) {
+    if core.stopping.replace(true) {
+        return;
+    }
+    let load = core.load_report();
+    let event = Event::StopRequested {
+        running: load.running,
+        queued: load.queued,
+    };
+    core.recorder.record(event, None);
+    change_condition(core, UpstreamCondition::Draining, ConditionSource::Operator);
+    core.announce_leaving();
+}
+
+/// Drains the node and waits for its calls, at most as long as the settings allow.
+pub async fn stop_gracefully(core: &Rc<NodeCore>) {
+    let began = core.timers.now();
+    drain_node(core);
+    let bound = core.settings.stop.bound;
+    let looks = core.timers.every(LOOK_PERIOD);
+    while looks.recv_async().await.is_ok() {
+        let took = core.timers.now().since(began);
+        let idle = calls_left(core) == 0;
+        if (idle && took >= LINGER) || took >= bound {
+            break;
+        }
+    }
+    let took = core.timers.now().since(began);
+    let event = Event::NodeStopped {
+        cut: u16::try_from(calls_left(core)).unwrap_or(u16::MAX),
+        took_ms: u32::try_from(took.as_millis()).unwrap_or(u32::MAX),
+    };
+    core.recorder.record(event, None);
+}
+
+fn calls_left(core: &NodeCore) -> usize {
+    let load = core.load_report();
+    core.calls.get() + usize::from(load.running) + usize::from(load.queued)
+}
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -3,6 +3,7 @@
 use crate::{
     commands::{
         check::{CheckArguments, check_arguments},
+        dev::{DevArguments, dev_arguments},
         drain::{DrainArguments, drain_arguments},
         explain::{ExplainArguments, explain_arguments},
         status::{StatusArguments, status_arguments},
@@ -31,6 +32,9 @@
     /// Let a node take no new work and finish what it has
     #[bpaf(command)]
     Drain(#[bpaf(external(drain_arguments))] DrainArguments),
+    /// Run a whole mesh in this process, with stand-ins for upstreams and the platform's log
+    #[bpaf(command)]
+    Dev(#[bpaf(external(dev_arguments))] DevArguments),
 }
 
 impl Command {
--- a/src/state.rs
+++ b/src/state.rs
@@ -16,4 +16,5 @@
 pub mod names;
 pub mod ownership;
 pub mod published;
+pub mod statistics;
 pub mod token_bucket;
--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -5,6 +5,7 @@
     names::{ClassName, ServiceName},
 };
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Which rule chooses an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -74,6 +75,26 @@
 }
 
 impl Service {
+    /// A service without classes, all else at its default.
+    #[must_use]
+    pub fn named(name: ServiceName) -> Self {
+        Self {
+            name,
+            hosts: Vec::new(),
+            policy: PolicyName::default(),
+            measuring: MeasuringBudget::default(),
+            retry_share: default_retry_share(),
+            classes: Vec::new(),
+        }
+    }
+
+    /// The shortest target time of its classes.
+    #[must_use]
+    pub fn strictest_target(&self) -> Duration {
+        let targets = self.classes.iter().map(|class| class.target.latency());
+        targets.min().unwrap_or_default()
+    }
+
     /// The class of that name.
     #[must_use]
     pub fn find_class(&self, name: &ClassName) -> Option<&Class> {
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -51,8 +51,10 @@
 pub struct CallerLimits {
     /// Open connections.
     pub connections: usize,
-    /// Time a caller may take to send a request's head, and to send its body.
-    pub read_timeout: Duration,
+    /// Time a caller may take to send a request's head.
+    pub head_timeout: Duration,
+    /// Time a caller may take to send a request's body.
+    pub body_timeout: Duration,
     /// Largest head in bytes.
     pub head: usize,
     /// Largest body in bytes.
@@ -143,7 +145,7 @@
         if has_conflicting_lengths(&parts.headers) {
             return Err(reply_json(StatusCode::BAD_REQUEST, "conflicting lengths"));
         }
-        let timeout = self.timers.after(self.limits.read_timeout);
+        let timeout = self.timers.after(self.limits.body_timeout);
         let body = read_body(incoming, self.limits.body, timeout)
             .await
             .map_err(refuse_body)?;
@@ -183,7 +185,7 @@
     let limits = server.limits;
     let ended = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.read_timeout)
+        .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head)
         .serve_connection(TokioIo::new(stream), service)
         .await;
--- a/src/transport/upstreams.rs
+++ b/src/transport/upstreams.rs
@@ -31,6 +31,9 @@
     /// No byte of the request was handed to a connection: it did not run.
     #[error("not sent")]
     NotSent,
+    /// The upstream answered that it refused the work before running it.
+    #[error("refused by the upstream")]
+    Shed,
     /// The connection ended after the request was handed to it: it may have run.
     #[error("connection ended before the answer")]
     Cut,
--- a/src/transport/upstreams/connection.rs
+++ b/src/transport/upstreams/connection.rs
@@ -1,6 +1,7 @@
 //! One connection to an upstream.
 
 use crate::{
+    constants::{UPSTREAM_SHED_HEADER, UPSTREAM_SHED_VALUE},
     protocol::{
         headers::{clean_answer_headers, has_conflicting_lengths},
         outcome::UpstreamAnswer,
@@ -8,7 +9,7 @@
     transport::upstreams::{UpstreamError, UpstreamRequest},
 };
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, header::HOST};
+use http::{HeaderValue, Request, Response, StatusCode, header::HOST, response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     body::Incoming,
@@ -35,6 +36,8 @@
 pub enum Exchange {
     /// A whole answer; the connection may be used again.
     Whole(UpstreamAnswer),
+    /// A whole answer that says that the request was refused before it ran.
+    Shed,
     /// No byte was sent; the request may go to another connection.
     NotSent,
     /// It failed after the request was handed over.
@@ -115,6 +118,9 @@
     let Ok(body) = Limited::new(incoming, body_limit).collect().await else {
         return Exchange::Failed(UpstreamError::BadAnswer);
     };
+    if is_shed(&parts) {
+        return Exchange::Shed;
+    }
     let mut headers = parts.headers;
     clean_answer_headers(&mut headers);
     Exchange::Whole(UpstreamAnswer {
@@ -123,3 +129,11 @@
         body: body.to_bytes(),
     })
 }
+
+fn is_shed(parts: &response::Parts) -> bool {
+    parts.status == StatusCode::SERVICE_UNAVAILABLE
+        && parts
+            .headers
+            .get(UPSTREAM_SHED_HEADER)
+            .is_some_and(|value| value == UPSTREAM_SHED_VALUE)
+}
--- a/src/transport/upstreams/pool.rs
+++ b/src/transport/upstreams/pool.rs
@@ -69,12 +69,14 @@
                 // The upstream had closed it while idle; no byte was sent, so another one may try.
                 Exchange::NotSent => {}
                 Exchange::Whole(answer) => return Ok(answer),
+                Exchange::Shed => return Err(UpstreamError::Shed),
                 Exchange::Failed(error) => return Err(error),
             }
         }
         let connection = UpstreamConnection::open(self.address, self.head_limit).await?;
         match self.exchange_on(connection, req).await {
             Exchange::Whole(answer) => Ok(answer),
+            Exchange::Shed => Err(UpstreamError::Shed),
             Exchange::NotSent => Err(UpstreamError::NotSent),
             Exchange::Failed(error) => Err(error),
         }
@@ -86,7 +88,7 @@
         req: UpstreamRequest,
     ) -> Exchange {
         let exchange = connection.exchange(req, self.body_limit).await;
-        if matches!(exchange, Exchange::Whole(_)) {
+        if matches!(exchange, Exchange::Whole(_) | Exchange::Shed) {
             self.give_back(connection);
         }
         exchange
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -25,3 +25,4 @@
 mod routing;
 mod settings_page;
 mod timeline;
+mod whole_path;
