Check recorded histories

Cause: the model checks can't show that the wired node keeps to the decisions. The run over real nodes waits for the node.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod configuration;
 mod contributing_page;
 mod events;
+mod history;
 mod imports;
 mod key_table;
 mod keyed_calls;
