--- a/tests/integration/admission.rs
+++ b/tests/integration/admission.rs
@@ -403,6 +403,23 @@
     assert_eq!(actions, [AdmissionAction::Start(attempt(100))]);
 }
 
+#[test]
+fn finish_serves_equal_classes_in_turns() {
+    // Symptom: one class's burst makes another of the same priority wait for all of it.
+    // Sequence: a class fills its queue; a call of an equal class arrives.
+    // Cause: one queue for both, in the order of arrival.
+    let mut admission = serving(1);
+    admission.set_classes(&[class("high", 5, 100), class("low", 5, 100)]);
+    for number in 1..=5 {
+        offer(&mut admission, number, "low", at(20));
+    }
+    assert_eq!(offer(&mut admission, 100, "high", at(20)), Offer::Queued);
+    let first = admission.finish(attempt(1), answered(10), at(30));
+    assert_eq!(first, [AdmissionAction::Start(attempt(100))]);
+    let second = admission.finish(attempt(100), answered(10), at(40));
+    assert_eq!(second, [AdmissionAction::Start(attempt(2))]);
+}
+
 #[test]
 fn offer_after_a_pause_tries_a_class_with_a_high_estimate() {
     // Symptom: a class is refused for good although the upstream is well again.
