Import own modules by one nested statement

Cause: the check of imports took self, super and a file's own modules for crates of their own. Change: ten files import what is theirs by one statement a visibility; nothing else changes.

--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -15,10 +15,12 @@
 pub mod status;
 mod waiting;
 
-pub use action::{AdmissionAction, CancelResult, End, EndKind, Offer};
-pub use execution::{Arrival, Execution, Settled};
-pub use settings::AdmissionSettings;
-pub use status::{AdmissionStatus, ClassStatus};
+pub use self::{
+    action::{AdmissionAction, CancelResult, End, EndKind, Offer},
+    execution::{Arrival, Execution, Settled},
+    settings::AdmissionSettings,
+    status::{AdmissionStatus, ClassStatus},
+};
 
 use crate::{
     coordination::admission::{
--- a/src/coordination/retries/call_state.rs
+++ b/src/coordination/retries/call_state.rs
@@ -1,7 +1,6 @@
 //! The attempts at one call so far.
 
-use super::AttemptEnding;
-use crate::state::names::NodeName;
+use crate::{coordination::retries::AttemptEnding, state::names::NodeName};
 
 /// What a call has been through.
 #[derive(Clone, Debug, Default)]
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -14,11 +14,15 @@
 mod two_choices_peak;
 mod zone_preference;
 
-pub use self::status::{RouterStatus, UpstreamStatus};
-use self::{eligibility::collect_candidates, policy::Policy};
-pub use crate::state::load_knowledge::{AttemptEnd, AttemptEndKind, UpstreamFacts};
+pub use crate::{
+    coordination::routing::status::{RouterStatus, UpstreamStatus},
+    state::load_knowledge::{AttemptEnd, AttemptEndKind, UpstreamFacts},
+};
 use crate::{
-    coordination::measuring::ProbeLimiter,
+    coordination::{
+        measuring::ProbeLimiter,
+        routing::{eligibility::collect_candidates, policy::Policy},
+    },
     protocol::load_report::LoadReport,
     state::{
         configuration::{MeasuringBudget, PolicyName},
--- a/src/coordination/routing/eligibility.rs
+++ b/src/coordination/routing/eligibility.rs
@@ -1,10 +1,12 @@
 //! Which upstreams may be chosen at all, and which with less than their full share.
 
-use super::candidate::{Candidate, median};
-use crate::state::{
-    load_knowledge::UpstreamKnowledge,
-    moment::Moment,
-    names::{NodeName, RegionName},
+use crate::{
+    coordination::routing::candidate::{Candidate, median},
+    state::{
+        load_knowledge::UpstreamKnowledge,
+        moment::Moment,
+        names::{NodeName, RegionName},
+    },
 };
 use rand::{RngExt, rngs::StdRng};
 
--- a/src/coordination/routing/policy.rs
+++ b/src/coordination/routing/policy.rs
@@ -1,13 +1,16 @@
 //! The closed set of rules that choose an upstream.
 
-use super::{
-    RouterSettings, candidate::Candidate, eligibility::keep_healthy,
-    least_reported::choose_least_reported, probe_pool::ProbePool, random::choose_random,
-    round_robin::RoundRobin, two_choices::choose_two_choices,
-    two_choices_peak::choose_two_choices_peak, zone_preference::keep_zone,
-};
-use crate::state::{
-    configuration::PolicyName, load_knowledge::UpstreamKnowledge, moment::Moment, names::NodeName,
+use crate::{
+    coordination::routing::{
+        RouterSettings, candidate::Candidate, eligibility::keep_healthy,
+        least_reported::choose_least_reported, probe_pool::ProbePool, random::choose_random,
+        round_robin::RoundRobin, two_choices::choose_two_choices,
+        two_choices_peak::choose_two_choices_peak, zone_preference::keep_zone,
+    },
+    state::{
+        configuration::PolicyName, load_knowledge::UpstreamKnowledge, moment::Moment,
+        names::NodeName,
+    },
 };
 use rand::rngs::StdRng;
 
--- a/src/coordination/routing/probe_pool.rs
+++ b/src/coordination/routing/probe_pool.rs
@@ -4,11 +4,13 @@
 //! lowest latency is chosen; if all are hot, the fewest calls in flight. A pool entry grants few
 //! choices and then is gone, so that one report of an idle upstream can't draw all calls there.
 
-use super::{
-    candidate::{Candidate, choose_near_lowest},
-    two_choices_peak::choose_two_choices_peak,
+use crate::{
+    coordination::routing::{
+        candidate::{Candidate, choose_near_lowest},
+        two_choices_peak::choose_two_choices_peak,
+    },
+    state::{load_knowledge::UpstreamKnowledge, moment::Moment, names::NodeName},
 };
-use crate::state::{load_knowledge::UpstreamKnowledge, moment::Moment, names::NodeName};
 use rand::{RngExt, rngs::StdRng};
 use std::{collections::VecDeque, time::Duration};
 
--- a/src/coordination/routing/round_robin.rs
+++ b/src/coordination/routing/round_robin.rs
@@ -1,7 +1,6 @@
 //! Each upstream in turn.
 
-use super::candidate::Candidate;
-use crate::state::names::NodeName;
+use crate::{coordination::routing::candidate::Candidate, state::names::NodeName};
 
 /// Remembers whose turn it was.
 #[derive(Debug, Default)]
--- a/stand-ins/src/log_service.rs
+++ b/stand-ins/src/log_service.rs
@@ -8,11 +8,16 @@
 mod pages;
 mod streams;
 
-pub use faults::{AnswerLoss, LogCondition};
-pub use streams::{Retention, StoredRecord};
+pub use self::{
+    faults::{AnswerLoss, LogCondition},
+    streams::{Retention, StoredRecord},
+};
 
-use faults::Faults;
-use pages::{answer_append, answer_read};
+use self::{
+    faults::Faults,
+    pages::{answer_append, answer_read},
+    streams::{Stream, ThrottleWindow},
+};
 use rouille::{Request, Response, Server};
 use std::{
     collections::HashMap,
@@ -25,7 +30,6 @@
     thread::JoinHandle,
     time::{Duration, Instant},
 };
-use streams::{Stream, ThrottleWindow};
 
 /// Largest record taken, in bytes.
 const RECORD_LIMIT: u64 = 8 * 1024 * 1024;
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -10,13 +10,14 @@
 mod run_record;
 mod service_time;
 
-pub use behaviour::{AnswerFault, Behaviour, ColdStart, HealthAnswer, Noise, Refusing};
-pub use run_record::{Run, RunEnd};
-pub use service_time::ServiceTime;
+pub use self::{
+    behaviour::{AnswerFault, Behaviour, ColdStart, HealthAnswer, Noise, Refusing},
+    run_record::{Run, RunEnd},
+    service_time::ServiceTime,
+};
 
-use connection::accept_connections;
+use self::{connection::accept_connections, run_record::RunRecords};
 use rand::{SeedableRng, rngs::SmallRng};
-use run_record::RunRecords;
 use std::{
     io,
     net::{SocketAddr, TcpListener},
--- a/tests/integration/ownership_model.rs
+++ b/tests/integration/ownership_model.rs
@@ -6,8 +6,10 @@
 mod steps;
 mod world;
 
-use search::{expect_safe, expect_violation};
-use world::{Budget, Fault, Scenario};
+use self::{
+    search::{expect_safe, expect_violation},
+    world::{Budget, Fault, Scenario},
+};
 
 const BUDGET: Budget = Budget {
     reads: 2,
