Measure the membership, leave out news that both sides know

Cause: what the membership costs a node was not known.

Equal digests now stand for "nothing to tell" and count as three sends. Spans that operators may set are in MembershipTiming.

--- a/src/coordination/membership.rs
+++ b/src/coordination/membership.rs
@@ -11,10 +11,14 @@
 mod liveness;
 mod reconcile;
 mod rumours;
+mod sending;
+mod timing;
+
+pub use self::timing::MembershipTiming;
 
 use crate::{
-    coordination::membership::{actions::MembershipAction, rumours::RumourQueue},
-    protocol::gossip::{DeclaredState, Gossip, Health, LogKnowledge, Revision},
+    coordination::membership::{actions::MembershipAction, rumours::RumourQueue, timing::Schedule},
+    protocol::gossip::{DeclaredState, Health, LogKnowledge, Revision},
     state::{
         member::{Incarnation, Member},
         membership::{
@@ -25,40 +29,11 @@
         names::NodeName,
     },
 };
-use rand::{SeedableRng, rngs::StdRng, seq::IteratorRandom};
+use rand::{SeedableRng, rngs::StdRng};
 use std::{net::SocketAddr, time::Duration};
 
 /// How often the node calls [`Membership::on_tick`].
 pub const TICK_PERIOD: Duration = Duration::from_millis(250);
-/// Time between two heartbeats.
-const GOSSIP_PERIOD: Duration = Duration::from_secs(1);
-/// Time between two attempts to reach a dead member.
-const DEAD_RETRY_PERIOD: Duration = Duration::from_secs(10);
-/// Time between two contacts to a seed while no other member can be reached.
-const SEED_PERIOD_ALONE: Duration = Duration::from_secs(1);
-/// Time between two contacts to a seed otherwise.
-const SEED_PERIOD: Duration = Duration::from_mins(1);
-/// Members to which urgent news is sent at the next tick.
-const URGENT_FANOUT: usize = 4;
-/// Time between two appends of the own join while it does not show in the log.
-const JOIN_PERIOD: Duration = Duration::from_secs(5);
-/// A tick that comes this late means that this process was paused.
-const PAUSE: Duration = Duration::from_secs(2);
-
-/// Moments at which something is due next.
-#[derive(Debug, Default)]
-struct Schedule {
-    gossip: Moment,
-    dead_retry: Moment,
-    seed: Moment,
-    join: Moment,
-    reconcile: Moment,
-    state_request: Moment,
-    bury: Moment,
-    last_tick: Option<Moment>,
-    /// Failures before this moment say more of this process than of the others.
-    grace_until: Moment,
-}
 
 /// The membership as one node sees it.
 pub struct Membership {
@@ -77,6 +52,7 @@
     failures_in_a_row: u32,
     /// Messages sent because of another one since the last heartbeat.
     follow_ups: u32,
+    timing: MembershipTiming,
     schedule: Schedule,
 }
 
@@ -107,10 +83,17 @@
             urgent: false,
             failures_in_a_row: 0,
             follow_ups: 0,
+            timing: MembershipTiming::default(),
             schedule: Schedule::default(),
         }
     }
 
+    /// The same with other spans than the default ones.
+    #[must_use]
+    pub fn with_timing(self, timing: MembershipTiming) -> Self {
+        Self { timing, ..self }
+    }
+
     /// To be called every [`TICK_PERIOD`].
     pub fn on_tick(&mut self, now: Moment) -> Vec<MembershipAction> {
         let mut actions = Vec::new();
@@ -200,6 +183,12 @@
         others.map(move |record| (&record.member, record.state(now)))
     }
 
+    /// Digest of all members that aren't dead; equal at nodes that know the same of them.
+    #[must_use]
+    pub fn digest(&self) -> u64 {
+        self.table.digest()
+    }
+
     /// The state of this node.
     #[must_use]
     pub fn own_state(&self, now: Moment) -> MemberState {
@@ -284,96 +273,6 @@
             own.table.remove(name);
         });
     }
-
-    fn append_join(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
-        let own = self.own();
-        if self.join_logged || own.declared == DeclaredState::Draining || now < self.schedule.join {
-            return;
-        }
-        let member = own.member.clone();
-        actions.push(MembershipAction::Append(MembershipRecord::Join(member)));
-        self.schedule.join = now + JOIN_PERIOD;
-    }
-
-    fn send_heartbeat(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
-        if now < self.schedule.gossip {
-            return;
-        }
-        self.schedule.gossip = now + GOSSIP_PERIOD;
-        self.follow_ups = 0;
-        let to = self.choose(1, |record| record.health != Health::Dead);
-        self.send_to(to, now, actions);
-    }
-
-    fn send_urgent(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
-        if !std::mem::take(&mut self.urgent) {
-            return;
-        }
-        let to = self.choose(URGENT_FANOUT, |record| record.health == Health::Alive);
-        self.send_to(to, now, actions);
-    }
-
-    fn retry_dead(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
-        if now < self.schedule.dead_retry {
-            return;
-        }
-        self.schedule.dead_retry = now + DEAD_RETRY_PERIOD;
-        let to = self.choose(1, |record| {
-            record.health == Health::Dead && record.declared != DeclaredState::Draining
-        });
-        self.send_to(to, now, actions);
-    }
-
-    fn contact_seed(&mut self, now: Moment, actions: &mut Vec<MembershipAction>) {
-        if now < self.schedule.seed {
-            return;
-        }
-        let alone = self
-            .choose(1, |record| record.health == Health::Alive)
-            .is_empty();
-        let period = if alone {
-            SEED_PERIOD_ALONE
-        } else {
-            SEED_PERIOD
-        };
-        self.schedule.seed = now + period;
-        let own_address = self.own().member.peer_address;
-        let others = self.seeds.iter().filter(|seed| **seed != own_address);
-        if let Some(seed) = others.choose(&mut self.rng) {
-            actions.push(MembershipAction::ContactSeed(*seed));
-        }
-    }
-
-    fn choose(&mut self, count: usize, wanted: impl Fn(&MemberRecord) -> bool) -> Vec<Member> {
-        let others = self.table.iter();
-        let others = others.filter(|record| record.member.name != self.own_name && wanted(record));
-        let chosen = others.sample(&mut self.rng, count);
-        chosen
-            .into_iter()
-            .map(|record| record.member.clone())
-            .collect()
-    }
-
-    fn send_to(&mut self, to: Vec<Member>, now: Moment, actions: &mut Vec<MembershipAction>) {
-        for to in to {
-            let gossip = Box::new(self.new_gossip(now));
-            actions.push(MembershipAction::SendGossip { to, gossip });
-        }
-    }
-
-    fn new_gossip(&mut self, now: Moment) -> Gossip {
-        let rumours = self.rumours.take(&self.table);
-        let own = self.own();
-        Gossip {
-            incarnation: own.member.incarnation,
-            revision: own.revision,
-            declared: own.declared,
-            digest: self.table.digest(),
-            log: self.log_knowledge(now),
-            rumours,
-            ..Gossip::default()
-        }
-    }
 }
 
 fn report(
--- a/src/coordination/membership/exchange.rs
+++ b/src/coordination/membership/exchange.rs
@@ -46,7 +46,11 @@
         now: Moment,
     ) -> (Gossip, Vec<MembershipAction>) {
         let mut absorbed = self.absorb(from, gossip, now);
-        let mut reply = self.new_gossip(now);
+        let mut reply = if self.note_digest(gossip) {
+            self.new_heartbeat(now)
+        } else {
+            self.new_gossip(now)
+        };
         self.add_corrections(&absorbed.corrections, &mut reply);
         self.add_descriptions(&gossip.wanted_descriptions, &mut reply);
         self.answer_reconciling(gossip, now, &mut reply);
@@ -64,6 +68,7 @@
         now: Moment,
     ) -> Vec<MembershipAction> {
         let mut absorbed = self.absorb(from, gossip, now);
+        self.note_digest(gossip);
         let follow_up = self.ask_back(from, gossip, &absorbed, now);
         absorbed.actions.extend(follow_up);
         let reconciling = self.go_on_reconciling(from, gossip, now);
@@ -85,6 +90,15 @@
         actions
     }
 
+    /// Whether the sender's table equals this node's, so that no news needs telling.
+    fn note_digest(&mut self, gossip: &Gossip) -> bool {
+        let equal = gossip.digest == self.table.digest();
+        if equal {
+            self.rumours.damp(self.table.iter().count());
+        }
+        equal
+    }
+
     /// Counts one message that is sent because of another.
     ///
     /// Two processes that run under one name and incarnation by mistake contradict each other
--- a/src/coordination/membership/liveness.rs
+++ b/src/coordination/membership/liveness.rs
@@ -1,7 +1,7 @@
 //! From a failed exchange to a dead member, and when the dead are forgotten.
 
 use crate::{
-    coordination::membership::{Membership, PAUSE, actions::MembershipAction},
+    coordination::membership::{Membership, MembershipTiming, actions::MembershipAction},
     protocol::gossip::{DeclaredState, Health},
     state::{
         member::Incarnation,
@@ -12,12 +12,10 @@
 };
 use std::time::Duration;
 
-/// A member that enough others suspect is dead after this time, in which it can contradict.
-const CONFIRMED_TIMEOUT: Duration = Duration::from_secs(4);
-/// A member that too few others suspect is dead after this time.
-const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(15);
 /// From this many failures in a row on, a node takes itself for cut off and buries no one.
 const CUT_OFF_FROM: u32 = 4;
+/// A tick that comes this late means that this process was paused.
+const PAUSE: Duration = Duration::from_secs(2);
 /// How long after a pause of this process failures are not counted.
 const PAUSE_GRACE: Duration = Duration::from_secs(2);
 /// How long the end of a run that left by itself is remembered.
@@ -106,7 +104,7 @@
             .table
             .iter()
             .filter(|record| record.health == Health::Suspected)
-            .filter(|record| is_timed_out(record, wanted, now))
+            .filter(|record| self.timing.is_over(record, wanted, now))
             .map(|record| record.member.name.clone())
             .collect();
         for name in dead {
@@ -151,8 +149,11 @@
     }
 }
 
-fn is_timed_out(record: &MemberRecord, wanted: usize, now: Moment) -> bool {
-    let age = now.since(record.health_since);
-    let confirmed = record.suspected_by.len() >= wanted;
-    age >= UNCONFIRMED_TIMEOUT || (confirmed && age >= CONFIRMED_TIMEOUT)
+impl MembershipTiming {
+    /// Whether a suspected member has had its time, when `wanted` nodes must confirm a suspicion.
+    fn is_over(&self, record: &MemberRecord, wanted: usize, now: Moment) -> bool {
+        let age = now.since(record.health_since);
+        let confirmed = record.suspected_by.len() >= wanted;
+        age >= self.unconfirmed_timeout || (confirmed && age >= self.confirmed_timeout)
+    }
 }
--- a/src/coordination/membership/rumours.rs
+++ b/src/coordination/membership/rumours.rs
@@ -14,6 +14,9 @@
 /// Each rumour is sent this often, times the binary logarithm of the number of members.
 const SENDS_FACTOR: u32 = 2;
 
+/// Meeting a node that knows the news counts as this many sends.
+const KNOWN_WEIGHT: u32 = 3;
+
 struct News {
     sent: u32,
     /// The member's run is new, so that receivers may not know its description.
@@ -43,6 +46,15 @@
         self.news.remove(name);
     }
 
+    /// Notes that another node knows all of the news already: less need to go on telling it.
+    pub fn damp(&mut self, member_count: usize) {
+        let limit = sends_limit(member_count);
+        self.news.retain(|_, news| {
+            news.sent += KNOWN_WEIGHT;
+            news.sent < limit
+        });
+    }
+
     /// The rumours for one message, the least often sent first.
     pub fn take(&mut self, table: &MemberTable) -> Vec<Rumour> {
         let limit = sends_limit(table.iter().count());
--- a/tests/integration/membership/network.rs
+++ b/tests/integration/membership/network.rs
@@ -82,6 +82,16 @@
 
     /// Nodes that know one another and serve.
     pub fn settled(count: usize) -> Self {
+        let (mut network, _) = Self::start_all_at_once(count);
+        network.run(Duration::from_secs(10));
+        assert!(network.agrees(), "the nodes settle");
+        network.forget();
+        network
+    }
+
+    /// Nodes that learn of one another by the log and begin to serve in the same moment, and the
+    /// time until all know that of all.
+    pub fn start_all_at_once(count: usize) -> (Self, Duration) {
         let mut network = Self::new(count);
         let records: Vec<_> = network
             .nodes
@@ -94,10 +104,14 @@
             }
             node.membership.set_serving(true, network.now);
         }
-        network.run(Duration::from_secs(40));
-        assert!(network.agrees(), "the nodes settle");
-        network.forget();
-        network
+        let time = network.run_until(Duration::from_mins(5), Self::has_one_digest);
+        (network, time.expect("the nodes settle"))
+    }
+
+    fn has_one_digest(&self) -> bool {
+        let digest = self.nodes[0].membership.digest();
+        let mut nodes = self.nodes.iter();
+        nodes.all(|node| node.membership.digest() == digest)
     }
 
     pub fn add(&mut self, member: Member) {
