Wire membership, the log reader, retries, hedges and probes into the node

Cause: nodes found each other by seeds only, each read the log for itself, a refused call went on without a budget, and nothing was probed. Change: the membership runs on the event loop and decides who reads the log; reader and appender have threads of their own; a node without log learns the folded state from peers; calls are carried under the retry budget with hedges for classes that ask for them; probes under the measuring budget; a planned stop announces leaving. Status shows members, budgets, the log and what is wrong.

--- a/src/local_mesh/plan.rs
+++ b/src/local_mesh/plan.rs
@@ -4,13 +4,15 @@
     local_mesh::{LOCAL_KEY, LOCAL_TOKEN, LocalMeshError},
     options::node_settings::NodeSettings,
     state::{
-        configuration::Configuration,
+        configuration::{Configuration, ConfigurationVersion},
+        log_record::{LogRecord, LogRecordKind, Publication, RecordId, encode_record},
         names::{AvailabilityZoneName, NodeName, RegionName, ServiceName},
     },
 };
 use camphorturn_stand_ins::{log_service::LogService, upstream::UpstreamSettings};
 use serde_json::json;
 use std::net::SocketAddr;
+use uuid::Uuid;
 
 /// Stream of the stand-in log that a local mesh uses.
 pub const LOCAL_STREAM: &str = "camphorturn";
@@ -134,7 +136,7 @@
     }
 }
 
-/// Appends the configuration to the stand-in log.
+/// Appends the configuration to the stand-in log, as version 1.
 ///
 /// # Errors
 /// If the configuration can't be encoded.
@@ -142,6 +144,16 @@
     log: &LogService,
     configuration: &Configuration,
 ) -> Result<(), LocalMeshError> {
-    log.store(LOCAL_STREAM, &serde_json::to_string(configuration)?);
+    let publication = Publication {
+        author: "local mesh".to_owned(),
+        note: "first configuration".to_owned(),
+        based_on: ConfigurationVersion::default(),
+        content: configuration.clone(),
+    };
+    let record = LogRecord {
+        id: RecordId(Uuid::now_v7()),
+        kind: LogRecordKind::Publish(publication),
+    };
+    log.store(LOCAL_STREAM, &encode_record(&record)?);
     Ok(())
 }
--- a/src/node.rs
+++ b/src/node.rs
@@ -4,13 +4,16 @@
 //! threads of their own and talk to it by channels.
 
 pub mod caller_edge;
+pub mod configuring;
 pub mod core;
 pub mod entry;
 pub mod executing;
 mod log_following;
+pub mod log_threads;
 pub mod mesh;
 pub mod operator_edge;
 pub mod peer_edge;
+mod probing;
 mod start;
 mod stop;
 mod upstream_watch;
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -4,26 +4,35 @@
     constants::HEAD_LIMIT,
     coordination::{
         admission::{Admission, AdmissionSettings, execution::Execution},
+        membership::Membership,
+        retries::RetryBudget,
         routing::Router,
     },
     events::recorder::EventRecorder,
-    node::executing::ExecutingAttempts,
+    node::{
+        configuring::seed_of, executing::ExecutingAttempts, log_threads::LogThreads, stop::StopKind,
+    },
     options::node_settings::NodeSettings,
     protocol::load_report::{LoadReport, UpstreamCondition},
     state::{
         attempts::AttemptBounds,
         configuration::{Configuration, ConfigurationVersion},
+        latency_history::LatencyHistory,
         member::Member,
+        moment::Moment,
         names::{ClassName, NodeName, ServiceName},
+        published::FoldedState,
         statistics::{ClassStatistics, CountedCall},
     },
     timers::TimerService,
     transport::{peers::PeerConnections, upstreams::UpstreamConnections},
 };
+use flume::Sender;
 use std::{
     cell::{Cell, OnceCell, RefCell},
     collections::HashMap,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
@@ -50,8 +59,22 @@
     pub configuration: RefCell<Rc<ConfigurationInForce>>,
     /// One router a service.
     pub routers: RefCell<HashMap<ServiceName, Router>>,
-    /// The other nodes, and this one.
+    /// Budgets for further attempts, one a service.
+    pub retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
+    /// Latencies of answered attempts, a class.
+    pub latencies: RefCell<HashMap<(ServiceName, ClassName), LatencyHistory>>,
+    /// The nodes that calls may go to, this one among them.
     pub members: RefCell<HashMap<NodeName, Member>>,
+    /// Which nodes there are and which can be reached.
+    pub membership: RefCell<Membership>,
+    /// The state folded from the log.
+    pub folded: RefCell<Arc<FoldedState>>,
+    /// Channels to the threads of the log.
+    pub log: LogThreads,
+    /// Reads of the log that failed in a row.
+    pub log_failures: Cell<u32>,
+    /// When they began to fail.
+    pub log_failing_since: Cell<Moment>,
     /// Admission at the upstream beside the node, and what is known of attempts that reached it.
     pub execution: RefCell<Execution>,
     /// Ways to reach attempts that wait or run.
@@ -66,6 +89,8 @@
     pub calls: Cell<usize>,
     /// Whether the node takes no new work.
     pub stopping: Cell<bool>,
+    /// Asks the event loop to end.
+    pub stop_tx: Sender<StopKind>,
 }
 
 impl NodeCore {
@@ -76,6 +101,8 @@
         me: Member,
         timers: TimerService,
         recorder: EventRecorder,
+        log: LogThreads,
+        stop_tx: Sender<StopKind>,
     ) -> Rc<Self> {
         let admission = Admission::new(AdmissionSettings {
             slots: me.slots,
@@ -91,6 +118,9 @@
             settings.callers.body_limit_bytes,
             timers.clone(),
         );
+        let seed = seed_of(&me.name, me.incarnation.0);
+        let seeds = settings.peers.seeds.clone();
+        let membership = Membership::new(me.clone(), seeds, seed, timers.now());
         Rc::new(Self {
             settings,
             me,
@@ -98,7 +128,14 @@
             recorder,
             configuration: RefCell::default(),
             routers: RefCell::default(),
+            retry_budgets: RefCell::default(),
+            latencies: RefCell::default(),
             members: RefCell::default(),
+            membership: RefCell::new(membership),
+            folded: RefCell::default(),
+            log,
+            log_failures: Cell::new(0),
+            log_failing_since: Cell::default(),
             execution: RefCell::new(execution),
             executing: RefCell::default(),
             upstream,
@@ -106,6 +143,7 @@
             statistics: RefCell::default(),
             calls: Cell::new(0),
             stopping: Cell::new(false),
+            stop_tx,
         })
     }
 
@@ -148,6 +186,32 @@
         status.classes.iter().all(|class| class.answered == 0)
     }
 
-    /// Tells other nodes that this one leaves.
-    pub fn announce_leaving(&self) {}
+    /// Whether the upstream is announced and takes work.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        let condition = self.load_report().condition;
+        matches!(
+            condition,
+            UpstreamCondition::Serving | UpstreamCondition::Warming
+        )
+    }
+
+    /// The member of that name, if calls may go to it.
+    #[must_use]
+    pub fn find_member(&self, name: &NodeName) -> Option<Member> {
+        self.members.borrow().get(name).cloned()
+    }
+
+    /// Counts the latency of an answered attempt.
+    pub fn note_latency(&self, class: (ServiceName, ClassName), took: Duration) {
+        let now = self.timers.now();
+        let mut latencies = self.latencies.borrow_mut();
+        latencies.entry(class).or_default().record(took, now);
+    }
+
+    /// Asks for a planned stop of this node.
+    pub fn request_stop(&self) {
+        // The receiver goes only when the node ends anyway.
+        let _ = self.stop_tx.send(StopKind::Graceful);
+    }
 }
--- a/src/node/operator_edge/status.rs
+++ b/src/node/operator_edge/status.rs
@@ -1,9 +1,13 @@
 //! What a node tells of itself to operators' tools.
 
 use crate::{
+    coordination::retries::RetryBudget,
     node::core::NodeCore,
-    protocol::operator_views::{ClassStatus, MemberStatus, NodeStatus, UpstreamStatus},
-    state::{class::Class, names::ServiceName},
+    protocol::operator_views::{
+        BudgetStatus, ClassStatus, LogStatus, MemberCondition, MemberStatus, NodeStatus,
+        UpstreamStatus,
+    },
+    state::{class::Class, membership::MemberState, names::ServiceName},
 };
 use std::time::Duration;
 
@@ -25,6 +29,9 @@
         classes: list_classes(core),
         upstreams: list_upstreams(core),
         members: list_members(core),
+        budgets: list_budgets(core),
+        problems: list_problems(core),
+        log: describe_log(core),
         events_recorded: core.recorder.count(),
         ..NodeStatus::default()
     }
@@ -93,14 +100,78 @@
 }
 
 fn list_members(core: &NodeCore) -> Vec<MemberStatus> {
-    let members = core.members.borrow();
-    let views = members.values().map(|member| MemberStatus {
+    let membership = core.membership.borrow();
+    let members = membership.members(core.timers.now());
+    let views = members.map(|(member, state)| MemberStatus {
         node: Some(member.name.clone()),
         incarnation: member.incarnation,
         service: Some(member.service.clone()),
         availability_zone: Some(member.availability_zone.clone()),
         operator_address: Some(member.operator_address),
+        condition: describe_state(state),
         ..MemberStatus::default()
     });
     views.collect()
 }
+
+fn describe_state(state: MemberState) -> MemberCondition {
+    match state {
+        MemberState::Joining | MemberState::Serving => MemberCondition::Alive,
+        MemberState::Suspected => MemberCondition::Suspected,
+        MemberState::Draining => MemberCondition::Leaving,
+        MemberState::Dead => MemberCondition::Lost,
+    }
+}
+
+fn describe_log(core: &NodeCore) -> LogStatus {
+    let membership = core.membership.borrow();
+    let knowledge = membership.log_knowledge(core.timers.now());
+    LogStatus {
+        reader: membership.is_log_reader(),
+        offset: core.folded.borrow().next().0,
+        age_ms: (knowledge.offset > 0).then(|| to_millis(knowledge.age)),
+        failures: core.log_failures.get(),
+    }
+}
+
+/// Probes and further attempts since the node's start, beside what the budgets allowed.
+fn list_budgets(core: &NodeCore) -> Vec<BudgetStatus> {
+    let now = core.timers.now();
+    let routers = core.routers.borrow();
+    let budgets = core.retry_budgets.borrow();
+    let views = routers.iter().map(|(service, router)| {
+        let measuring = router.snapshot(now).measuring;
+        let retries = budgets
+            .get(service)
+            .map(RetryBudget::status)
+            .unwrap_or_default();
+        BudgetStatus {
+            service: Some(service.clone()),
+            window_ms: to_millis(Duration::from_micros(now.0)),
+            probes: measuring.used.probes,
+            probe_bytes: measuring.used.bytes,
+            retries: retries.retries,
+            ..BudgetStatus::default()
+        }
+    });
+    views.collect()
+}
+
+/// What an operator should look at, the worst first.
+fn list_problems(core: &NodeCore) -> Vec<String> {
+    let mut problems = Vec::new();
+    if core.configuration().version.0 == 0 {
+        problems.push("no configuration is known: no call is carried".to_owned());
+    }
+    if !core.takes_work() {
+        let condition = core.load_report().condition;
+        problems.push(format!("the upstream takes no work: {condition:?}"));
+    }
+    let failures = core.log_failures.get();
+    if failures > 0 {
+        problems.push(format!(
+            "the platform's log can't be read: {failures} failures in a row"
+        ));
+    }
+    problems
+}
--- a/src/node/peer_edge.rs
+++ b/src/node/peer_edge.rs
@@ -4,6 +4,7 @@
     node::{
         core::NodeCore,
         executing::{cancel_attempt, execute_attempt, settle_attempt},
+        mesh::answer_gossip,
     },
     protocol::{
         attempt::AttemptId,
@@ -61,7 +62,7 @@
         self.core.load_report()
     }
 
-    fn gossip(&self, _from: &Member, _gossip: Gossip) -> Gossip {
-        Gossip::default()
+    fn gossip(&self, from: &Member, gossip: Gossip) -> Gossip {
+        answer_gossip(&self.core, from, &gossip)
     }
 }
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -7,11 +7,14 @@
     },
     node::{
         caller_edge::CallerEdge,
+        configuring::seed_of,
         core::NodeCore,
         log_following::follow_log,
+        log_threads::LogThreads,
         mesh::run_mesh,
         operator_edge::answer_operators,
         peer_edge::PeerEdge,
+        probing::run_probes,
         stop::{StopKind, stop_gracefully},
         upstream_watch::watch_upstream,
     },
@@ -162,10 +165,11 @@
         .enable_all()
         .build()?;
     let me = member.clone();
+    let stop = (tx.clone(), rx);
     let thread = thread::Builder::new()
         .name(format!("node-{}", member.name))
         .spawn(move || {
-            LocalSet::new().block_on(&runtime, run_event_loop(settings, me, sides, rx));
+            LocalSet::new().block_on(&runtime, run_event_loop(settings, me, sides, stop));
         })?;
     Ok(NodeHandle {
         member,
@@ -232,8 +236,9 @@
     settings: NodeSettings,
     me: Member,
     sides: BoundSides,
-    stop_rx: Receiver<StopKind>,
+    stop: (Sender<StopKind>, Receiver<StopKind>),
 ) {
+    let (stop_tx, stop_rx) = stop;
     let timers = TimerService::system();
     let recorder = EventRecorder::new(
         me.name.clone(),
@@ -241,7 +246,15 @@
         timers.clone(),
         RingSizes::default(),
     );
-    let core = NodeCore::new(settings, me, timers.clone(), recorder);
+    let seed = seed_of(&me.name, me.incarnation.0);
+    let (log, updates) = match LogThreads::start(&settings, &timers, seed) {
+        Ok(started) => started,
+        Err(error) => {
+            tracing::error!(%error, "can't start the threads of the log");
+            return;
+        }
+    };
+    let core = NodeCore::new(settings, me, timers.clone(), recorder, log, stop_tx);
     let started = Event::NodeStarted {
         upstream_slots: core.me.slots,
     };
@@ -262,7 +275,8 @@
     spawn_local(answer_operators(Rc::clone(&core), sides.operator_rx));
     spawn_local(watch_upstream(Rc::clone(&core)));
     spawn_local(run_mesh(Rc::clone(&core)));
-    spawn_local(follow_log(Rc::clone(&core)));
+    spawn_local(run_probes(Rc::clone(&core)));
+    spawn_local(follow_log(Rc::clone(&core), updates));
     if let Ok(StopKind::Graceful) = stop_rx.recv_async().await {
         tokio::select! {
             () = stop_gracefully(&core) => {}
--- a/src/node/stop.rs
+++ b/src/node/stop.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     events::{event::Event, reasons::ConditionSource},
-    node::{core::NodeCore, operator_edge::change_condition},
+    node::{core::NodeCore, mesh::perform, operator_edge::change_condition},
     protocol::load_report::UpstreamCondition,
 };
 use std::{rc::Rc, time::Duration};
@@ -15,6 +15,9 @@
 /// callers of this node a reset connection instead of a refusal.
 const LINGER: Duration = Duration::from_millis(500);
 
+/// How long a node stays after it has told the others that it ends.
+const FAREWELL: Duration = Duration::from_millis(50);
+
 /// How a node is to end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum StopKind {
@@ -36,7 +39,8 @@
     };
     core.recorder.record(event, None);
     change_condition(core, UpstreamCondition::Draining, ConditionSource::Operator);
-    core.announce_leaving();
+    let actions = core.membership.borrow_mut().leave(core.timers.now());
+    perform(core, actions);
 }
 
 /// Drains the node and waits for its calls, at most as long as the settings allow.
@@ -52,6 +56,10 @@
             break;
         }
     }
+    let actions = core.membership.borrow_mut().finish(core.timers.now());
+    perform(core, actions);
+    // Lets the farewell be sent; what does not get through is learned from silence.
+    let _ = core.timers.after(FAREWELL).recv_async().await;
     let took = core.timers.now().since(began);
     let event = Event::NodeStopped {
         cut: u16::try_from(calls_left(core)).unwrap_or(u16::MAX),
