Let a drained upstream come back beside the same run of its node

Cause: news of a drain outweighed every later report, so an upstream that was replaced beside a node that went on running got no work again. Change: a drain holds for 1 s, longer than messages are under way; then newer messages count, and probes go to draining upstreams too.

--- a/src/state/load_knowledge.rs
+++ b/src/state/load_knowledge.rs
@@ -33,6 +33,8 @@
 const PEAK_FADE: Duration = Duration::from_millis(500);
 /// Time over which the usual latency follows what is observed.
 const USUAL_FADE: Duration = Duration::from_secs(5);
+/// Time for which the news of a drain outweighs other messages.
+const DRAIN_HOLD: Duration = Duration::from_secs(1);
 /// A server error counts as a call that took this many times the usual latency.
 const ERROR_LATENCY_FACTOR: f64 = 10.0;
 /// An upstream that announced no slots is taken to run one call at a time.
@@ -108,6 +110,7 @@
     ramp: Ramp,
     observed_at: Option<Moment>,
     probed_at: Option<Moment>,
+    drained_at: Option<Moment>,
 }
 
 impl UpstreamKnowledge {
@@ -115,6 +118,7 @@
     #[must_use]
     pub fn new(facts: UpstreamFacts, now: Moment) -> Self {
         let ramp = Ramp::new(facts.condition, now);
+        let drained_at = (facts.condition == UpstreamCondition::Draining).then_some(now);
         Self {
             facts,
             outstanding: OutstandingCalls::default(),
@@ -126,6 +130,7 @@
             ramp,
             observed_at: None,
             probed_at: None,
+            drained_at,
         }
     }
 
@@ -140,8 +145,28 @@
             self.outstanding = outstanding;
             return;
         }
-        self.ramp.enter(facts.condition, now);
-        self.facts = facts;
+        let condition = facts.condition;
+        self.facts = UpstreamFacts {
+            condition: self.facts.condition,
+            ..facts
+        };
+        self.take_condition(condition, now);
+    }
+
+    /// Takes a condition from a message that may be older than what is known.
+    ///
+    /// A message that was sent before a drain may arrive after the news of it, and a leaving
+    /// upstream would get new work again; so a drain holds for longer than messages are under way.
+    /// It ends then, since an upstream may come back beside the same run of its node.
+    fn take_condition(&mut self, condition: UpstreamCondition, now: Moment) {
+        let leaving = condition == UpstreamCondition::Draining;
+        let held = self.drained_at.is_some_and(|at| now.since(at) < DRAIN_HOLD);
+        if held && !leaving {
+            return;
+        }
+        self.drained_at = leaving.then_some(now);
+        self.facts.condition = condition;
+        self.ramp.enter(condition, now);
     }
 
     /// The facts that hold now.
@@ -191,12 +216,7 @@
     /// Takes a load report, from an answer or a probe.
     pub fn take_report(&mut self, report: LoadReport, now: Moment) {
         self.reported.take(report, self.outstanding.count(), now);
-        // A report that was sent before the drain may arrive after it: leaving is never undone
-        // by a report, or a leaving upstream would get new work again.
-        if self.facts.condition != UpstreamCondition::Draining {
-            self.facts.condition = report.condition;
-            self.ramp.enter(report.condition, now);
-        }
+        self.take_condition(report.condition, now);
     }
 
     /// What a call sent now may expect, given the usual latency and error share of the service.
@@ -268,15 +288,12 @@
         self.probed_at = Some(now);
     }
 
-    /// Whether a probe would tell something: the upstream takes work or is down, no call or report
+    /// Whether a probe would tell something: no call or report
     /// told of it for `stale_after`, and neither a call nor a probe is under way that soon will.
     #[must_use]
     pub fn is_worth_probing(&self, stale_after: Duration, now: Moment) -> bool {
         let is_old = |at: Option<Moment>| at.is_none_or(|at| now.since(at) >= stale_after);
-        self.facts.condition != UpstreamCondition::Draining
-            && self.outstanding.count() == 0
-            && is_old(self.heard_at())
-            && is_old(self.probed_at)
+        self.outstanding.count() == 0 && is_old(self.heard_at()) && is_old(self.probed_at)
     }
 
     /// Whether the upstream refused a short time ago.
@@ -304,7 +321,7 @@
 
     fn observe_refusal(&mut self, reason: RefusalReason, now: Moment) {
         if reason == RefusalReason::Draining {
-            self.facts.condition = UpstreamCondition::Draining;
+            self.take_condition(UpstreamCondition::Draining, now);
         }
         self.avoidance.refuse(reason, now);
     }
--- a/tests/integration/routing.rs
+++ b/tests/integration/routing.rs
@@ -157,6 +157,22 @@
     }
 }
 
+#[test]
+fn choose_returned_beside_same_node() {
+    // Symptom: an upstream that was replaced never gets work again.
+    // Sequence: it drains, leaves, and comes back beside the same run of its node.
+    // Cause: the news of the drain was held for good.
+    for policy in ALL {
+        let mut router = router(policy, 1);
+        let mut now = Moment(1);
+        router.upsert_upstream(facts("a", "zone-a", UpstreamCondition::Draining), now);
+        assert_eq!(router.choose(&[], now), None);
+        now = now + Duration::from_secs(2);
+        router.upsert_upstream(facts("a", "zone-a", UpstreamCondition::Warming), now);
+        assert_eq!(router.choose(&[], now), Some("a".into()), "{policy:?}");
+    }
+}
+
 #[test]
 fn choose_black_hole() {
     // Symptom: most calls fail while other upstreams are fine.
