--- a/src/state/load_knowledge.rs
+++ b/src/state/load_knowledge.rs
@@ -206,6 +206,9 @@
             AttemptEndKind::Answered { server_error: true } | AttemptEndKind::Unknown => {
                 self.observe_failure(took, typical_micros, now);
             }
+            AttemptEndKind::Refused(RefusalReason::Cancelled) => {
+                self.observe_cut_off(took, typical_micros, now);
+            }
             AttemptEndKind::Refused(reason) => self.observe_refusal(reason, now),
         }
         if let Some(report) = load {
@@ -319,6 +322,15 @@
         self.observed_at = Some(now);
     }
 
+    /// An attempt that was given up tells how long it took at the least. Without this, a hedge that
+    /// overtakes a slow attempt would hide from the router that the upstream is slow.
+    fn observe_cut_off(&mut self, took: f64, typical_micros: f64, now: Moment) {
+        if took > self.peak.read(typical_micros, now) {
+            self.peak.observe(took, now);
+            self.observed_at = Some(now);
+        }
+    }
+
     fn observe_refusal(&mut self, reason: RefusalReason, now: Moment) {
         if reason == RefusalReason::Draining {
             self.take_condition(UpstreamCondition::Draining, now);
--- a/tests/integration/routing.rs
+++ b/tests/integration/routing.rs
@@ -462,3 +462,23 @@
         refused.push(node);
     }
 }
+
+#[test]
+fn choose_slowness_seen_only_by_cut_off_attempts() {
+    // Symptom: an upstream stays in favour while each call to it needs a hedge.
+    // Sequence: its attempts are cut off after 40 ms because a second attempt elsewhere answered.
+    // Cause: only answers counted, and the slow upstream never got to answer.
+    for policy in INFORMED {
+        let mut router = router(policy, 3);
+        let mut now = Moment(1);
+        let counts = run_calls(&mut router, 600, &mut now, |node| match node.as_str() {
+            "a" => AttemptEnd {
+                took: ms(40),
+                kind: AttemptEndKind::Refused(RefusalReason::Cancelled),
+            },
+            _ => answered(ms(5)),
+        });
+        let slow = counts.get("a").copied().unwrap_or_default();
+        assert!(slow < 100, "{policy:?}: {counts:?}");
+    }
+}
