--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -12,7 +12,11 @@
 use body::{BodyError, read_body};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
-use http::{HeaderMap, Method, Request, StatusCode, Uri, header::CONNECTION};
+use http::{
+    HeaderMap, HeaderValue, Method, Request, StatusCode, Uri,
+    header::{CONNECTION, TRANSFER_ENCODING},
+    request::Parts,
+};
 use http_body_util::Full;
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -122,20 +126,21 @@
 
     async fn answer(&self, req: Request<Incoming>, too_many: bool) -> CallerReply {
         if too_many {
-            let mut reply = reply_json(StatusCode::SERVICE_UNAVAILABLE, "too many connections");
-            reply
-                .headers_mut()
-                .insert(CONNECTION, http::HeaderValue::from_static("close"));
-            return reply;
+            return close_after(reply_json(
+                StatusCode::SERVICE_UNAVAILABLE,
+                "too many connections",
+            ));
         }
-        let mut reply = match self.read_request(req).await {
+        // The library drops a Content-Length that stands beside chunks before it can be seen here.
+        // A sender that believed that length would count the next bytes as this body, so no request
+        // in chunks may be followed by another on its connection.
+        let chunked = req.headers().contains_key(TRANSFER_ENCODING);
+        let reply = match self.read_request(req).await {
             Ok(req) => self.handler.handle(req).await,
             Err(refused) => refused,
         };
-        if self.handler.is_stopping() {
-            reply
-                .headers_mut()
-                .insert(CONNECTION, http::HeaderValue::from_static("close"));
+        if chunked || self.handler.is_stopping() {
+            return close_after(reply);
         }
         reply
     }
@@ -143,7 +148,12 @@
     async fn read_request(&self, req: Request<Incoming>) -> Result<CallerRequest, CallerReply> {
         let (parts, incoming) = req.into_parts();
         if has_conflicting_lengths(&parts.headers) {
-            return Err(reply_json(StatusCode::BAD_REQUEST, "conflicting lengths"));
+            let refused = reply_json(StatusCode::BAD_REQUEST, "conflicting lengths");
+            return Err(close_after(refused));
+        }
+        if count_head_bytes(&parts) > self.limits.head {
+            let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
+            return Err(close_after(reply_json(status, "head too large")));
         }
         let timeout = self.timers.after(self.limits.body_timeout);
         let body = read_body(incoming, self.limits.body, timeout)
@@ -164,14 +174,29 @@
         BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
         BodyError::Broken => StatusCode::BAD_REQUEST,
     };
-    let mut reply = reply_json(status, &error.to_string());
     // The rest of the body was not read: the next bytes on this connection are not a request.
+    close_after(reply_json(status, &error.to_string()))
+}
+
+fn close_after(mut reply: CallerReply) -> CallerReply {
     reply
         .headers_mut()
-        .insert(CONNECTION, http::HeaderValue::from_static("close"));
+        .insert(CONNECTION, HeaderValue::from_static("close"));
     reply
 }
 
+/// Bytes of target and headers. The library bounds its buffer only, and lets a head pass that
+/// arrives in one piece above that bound.
+fn count_head_bytes(parts: &Parts) -> usize {
+    let target = parts
+        .uri
+        .path_and_query()
+        .map_or(0, |text| text.as_str().len());
+    let headers = parts.headers.iter();
+    let lengths = headers.map(|(name, value)| name.as_str().len() + value.len());
+    target + lengths.sum::<usize>()
+}
+
 async fn serve_connection(counted: OpenConnection, stream: TcpStream, too_many: bool) {
     // Answers are small and complete: waiting to fill a segment would only delay them.
     if stream.set_nodelay(true).is_err() {
