Take owners and leases from the log reader's updates

Cause: nothing joined the log reader's updates to the owner's epochs, waits and fresh views. Change: coordination::ownership::directory::OwnerDirectory, with the owners of every service and this node's own keys.

--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -3,6 +3,7 @@
 //! One [`KeyOwner`] a node, for the service of its upstream. All that happens to it comes in as
 //! events with a [`ClockReading`]; it reads no clock and sends nothing itself.
 
+pub mod directory;
 pub mod handover;
 pub mod proposal;
 mod slots;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -21,6 +21,7 @@
 mod options;
 mod overload;
 mod ownership;
+mod ownership_directory;
 mod ownership_model;
 mod ownership_view;
 mod peers;
