--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -31,6 +31,8 @@
     task::LocalSet,
 };
 
+/// Least factor on the time that work takes.
+const LEAST_FACTOR: f64 = 0.001;
 /// Most runs whose records are kept; older ones go.
 const DEFAULT_KEPT_RUNS: usize = 200_000;
 
@@ -101,6 +103,17 @@
 }
 
 impl Inner {
+    /// Factor on the time that work takes now; at least a little above 0.
+    fn slowness(&self) -> f64 {
+        let shared = self.lock();
+        let age = shared.warm_since.elapsed();
+        let cold = shared
+            .behaviour
+            .cold_start
+            .map_or(1.0, |cold| cold.factor_at(age));
+        (shared.behaviour.slow_factor * cold).max(LEAST_FACTOR)
+    }
+
     fn lock(&self) -> MutexGuard<'_, Shared> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -228,7 +241,7 @@
         &self.inner.settings.name
     }
 
-    /// Changes how it behaves, from the next call on.
+    /// Changes how it behaves: the speed of calls in progress too, all else from the next call on.
     pub fn change_behaviour(&self, change: impl FnOnce(&mut Behaviour)) {
         let mut shared = self.inner.lock();
         let was_cold = shared.behaviour.cold_start;
--- a/stand-ins/src/upstream/connection.rs
+++ b/stand-ins/src/upstream/connection.rs
@@ -38,6 +38,8 @@
 const CONDITION_HEADER: &str = "camphorturn-load-condition";
 /// Most bytes of a request's body that its answer repeats.
 const ECHO_LIMIT: usize = 1_024;
+/// Longest time after which a call looks at the upstream's speed again.
+const WORK_STEP: Duration = Duration::from_millis(5);
 /// Largest body that `?bytes=N` asks for.
 const PADDING_LIMIT: usize = 64 * 1024 * 1024;
 
@@ -155,9 +157,13 @@
     let run = RunGuard::begin(call, inner);
     let span = draw_service_time(call, inner);
     let fault = draw_fault(inner);
-    if wait_until(behaviour.honours_deadlines, call.deadline, pass_time(span))
-        .await
-        .is_none()
+    if wait_until(
+        behaviour.honours_deadlines,
+        call.deadline,
+        pass_work(inner, span),
+    )
+    .await
+    .is_none()
     {
         run.end(RunEnd::DeadlinePassed);
         return Ok(answer_status(inner, call, StatusCode::GATEWAY_TIMEOUT));
@@ -178,9 +184,17 @@
     Ok(with_headers(inner, call, Response::new(body)))
 }
 
-async fn pass_time(span: Duration) {
-    if !span.is_zero() {
-        sleep(span).await;
+/// Works until `work` is done, at the speed that the behaviour allows from moment to moment: a
+/// neighbour on the host slows the calls in progress for as long as it is noisy, and no longer.
+async fn pass_work(inner: &Inner, work: Duration) {
+    let mut left = work;
+    let mut before = Instant::now();
+    while !left.is_zero() {
+        let factor = inner.slowness();
+        sleep(left.mul_f64(factor).min(WORK_STEP)).await;
+        let now = Instant::now();
+        left = left.saturating_sub((now - before).div_f64(factor));
+        before = now;
     }
 }
 
@@ -204,13 +218,7 @@
     let mut shared = inner.lock();
     let shared = &mut *shared;
     let base = time.map_or(Duration::ZERO, |time| time.draw(&mut shared.rng));
-    let noise = shared.behaviour.draw_noise(&mut shared.rng);
-    let age = shared.warm_since.elapsed();
-    let cold = shared
-        .behaviour
-        .cold_start
-        .map_or(1.0, |cold| cold.factor_at(age));
-    base.mul_f64(shared.behaviour.slow_factor * cold) + noise
+    base + shared.behaviour.draw_noise(&mut shared.rng)
 }
 
 fn draw_fault(inner: &Inner) -> AnswerFault {
