Send a node's metrics once a second

Cause: the catalogue of metrics was written before the node and nothing sent them; five of its entries had no source in the node.

Change: a task on the event loop sends the catalogue once a second: counters as differences of sums since the start (ClassStatistics keeps them beside its window), gauges as they stand. The catalogue now lists what is sent: calls on target, p50 and p99 of the window, calls in progress, log age, failed reads in a row, suspected members are new; refused attempts, caller connections, held keys and the timer a call are out, for no sum of them is kept. The timer would also be a datagram a call.

The new test drives a real node, one call answered, one shed, one cut off, and reads every metric but retries and probes from a UDP socket.

Conclusion: every listed metric is sent. Retries and probes are not seen in that test, since a node alone makes none.

--- a/src/node.rs
+++ b/src/node.rs
@@ -11,6 +11,7 @@
 mod log_following;
 pub mod log_threads;
 pub mod mesh;
+mod metrics;
 pub mod operator_edge;
 pub mod peer_edge;
 mod probing;
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -12,6 +12,7 @@
         log_following::follow_log,
         log_threads::LogThreads,
         mesh::run_mesh,
+        metrics::send_metrics,
         operator_edge::answer_operators,
         peer_edge::PeerEdge,
         probing::run_probes,
@@ -276,6 +277,7 @@
     spawn_local(watch_upstream(Rc::clone(&core)));
     spawn_local(run_mesh(Rc::clone(&core)));
     spawn_local(run_probes(Rc::clone(&core)));
+    spawn_local(send_metrics(Rc::clone(&core)));
     spawn_local(follow_log(Rc::clone(&core), updates));
     if let Ok(StopKind::Graceful) = stop_rx.recv_async().await {
         tokio::select! {
--- a/src/state/statistics.rs
+++ b/src/state/statistics.rs
@@ -95,12 +95,41 @@
     }
 }
 
-/// Counts of one class over the last 5 to 10 seconds.
+/// Sums since the node's start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallTotals {
+    /// Calls answered.
+    pub answered: u64,
+    /// Calls not run.
+    pub not_run: u64,
+    /// Calls with an unknown outcome.
+    pub unknown: u64,
+    /// Calls answered within the target.
+    pub on_target: u64,
+    /// Attempts beyond the first.
+    pub retries: u64,
+}
+
+impl CallTotals {
+    fn count(&mut self, call: CountedCall) {
+        let sum = match call.outcome {
+            CountedOutcome::Answered => &mut self.answered,
+            CountedOutcome::NotRun => &mut self.not_run,
+            CountedOutcome::Unknown => &mut self.unknown,
+        };
+        *sum += 1;
+        self.on_target += u64::from(call.on_target);
+        self.retries += u64::from(call.retries);
+    }
+}
+
+/// Counts of one class over the last 5 to 10 seconds, and its sums.
 #[derive(Clone, Debug)]
 pub struct ClassStatistics {
     since: Moment,
     present: CallCounts,
     past: CallCounts,
+    totals: CallTotals,
 }
 
 impl ClassStatistics {
@@ -111,6 +140,7 @@
             since: now,
             present: CallCounts::new(),
             past: CallCounts::new(),
+            totals: CallTotals::default(),
         }
     }
 
@@ -118,6 +148,7 @@
     pub fn count(&mut self, call: CountedCall, now: Moment) {
         self.turn(now);
         self.present.count(call);
+        self.totals.count(call);
     }
 
     /// The counts and the length of the window that they cover.
@@ -128,6 +159,12 @@
         (counts, now.since(self.since) + HALF_WINDOW)
     }
 
+    /// Sums since the node's start.
+    #[must_use]
+    pub fn totals(&self) -> CallTotals {
+        self.totals
+    }
+
     fn turn(&mut self, now: Moment) {
         let elapsed = now.since(self.since);
         if elapsed < HALF_WINDOW {
--- a/src/transport/metrics.rs
+++ b/src/transport/metrics.rs
@@ -1,11 +1,10 @@
 //! Metrics over statsd. Sending never waits: a queue and a thread of its own stand between.
 
 use crate::{options::node_settings::MetricsSettings, state::names::NodeName};
-use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, UdpMetricSink};
 use std::{
     io,
     net::{Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket},
-    time::Duration,
 };
 
 /// Metrics that wait to be sent; further ones are dropped, so that a full queue can't stop a call.
@@ -18,8 +17,6 @@
     Counter,
     /// Value at this instant.
     Gauge,
-    /// Milliseconds that one thing took.
-    Timer,
 }
 
 impl MetricKind {
@@ -29,7 +26,6 @@
         match self {
             Self::Counter => "counter",
             Self::Gauge => "gauge",
-            Self::Timer => "timer",
         }
     }
 }
@@ -72,34 +68,36 @@
     CallsNotRun = "calls.not_run", Counter;
     /// Calls that this node took from callers and whose outcome is unknown.
     CallsUnknown = "calls.unknown", Counter;
-    /// Calls answered later than their class's target.
-    CallsLate = "calls.late", Counter;
-    /// Time from a call's head to its answer.
-    CallTime = "calls.time", Timer;
-    /// Second and further attempts, hedges included.
+    /// Calls answered within their class's target.
+    CallsOnTarget = "calls.on_target", Counter;
+    /// Median time of the calls answered in the last 5 to 10 seconds, in microseconds.
+    CallTimeP50 = "calls.p50_micros", Gauge;
+    /// 99th percentile of the same.
+    CallTimeP99 = "calls.p99_micros", Gauge;
+    /// Calls of this node's callers that are in progress.
+    CallsInProgress = "calls.in_progress", Gauge;
+    /// Second and further attempts at calls that have ended, hedges included.
     Retries = "attempts.retries", Counter;
-    /// Attempts that this node refused as executing node.
-    Refusals = "attempts.refused", Counter;
     /// Calls at the upstream.
     UpstreamRunning = "upstream.running", Gauge;
     /// Calls in the node's queue.
     UpstreamQueued = "upstream.queued", Gauge;
     /// Calls that the node lets the upstream run at once.
     UpstreamLimit = "upstream.limit", Gauge;
-    /// Probes sent to other nodes.
+    /// Probes that this node sent to learn the load of a service's upstreams.
     Probes = "measuring.probes", Counter;
-    /// Bytes of probes and their answers.
+    /// Bytes of these probes and their answers.
     ProbeBytes = "measuring.bytes", Counter;
     /// Version of the configuration in force at this node.
     ConfigurationVersion = "configuration.version", Gauge;
-    /// Nodes that this node knows.
+    /// Other nodes that this node knows, dead ones not counted.
     MembersKnown = "members.known", Gauge;
-    /// Caller connections held open.
-    CallerConnections = "callers.connections", Gauge;
-    /// Idempotency keys held in memory.
-    KeysHeld = "keys.held", Gauge;
-    /// Requests to the platform's log that failed.
-    LogFailures = "log.failures", Counter;
+    /// Of these, the ones that can't be reached at present.
+    MembersSuspected = "members.suspected", Gauge;
+    /// Milliseconds since this node, or one that it heard from, had the whole log; absent before.
+    LogAge = "log.age_ms", Gauge;
+    /// Reads of the platform's log that failed in a row.
+    LogFailures = "log.failures", Gauge;
 }
 
 /// What a value is about, beside the node. Empty parts are left out.
@@ -138,23 +136,21 @@
         })
     }
 
-    /// Sends one value: an amount to add, a value at this instant, or milliseconds, by the kind of
-    /// the metric.
+    /// Whether anything is sent at all.
+    #[must_use]
+    pub fn is_enabled(&self) -> bool {
+        self.client.is_some()
+    }
+
+    /// Sends one value: an amount to add, or a value at this instant, by the kind of the metric.
     pub fn send(&self, metric: Metric, value: u64, labels: MetricLabels<'_>) {
         let Some(client) = &self.client else { return };
         let name = metric.name();
         match metric.kind() {
             MetricKind::Counter => send_tagged(client.count_with_tags(name, value), labels),
             MetricKind::Gauge => send_tagged(client.gauge_with_tags(name, value), labels),
-            MetricKind::Timer => send_tagged(client.time_with_tags(name, value), labels),
         }
     }
-
-    /// Sends how long one thing took.
-    pub fn send_time(&self, metric: Metric, span: Duration, labels: MetricLabels<'_>) {
-        let millis = u64::try_from(span.as_millis()).unwrap_or(u64::MAX);
-        self.send(metric, millis, labels);
-    }
 }
 
 fn send_tagged<'a, T: cadence::Metric + From<String>>(
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -16,6 +16,7 @@
 mod keyed_calls;
 mod measuring;
 mod membership;
+mod node_metrics;
 mod observation;
 mod operators;
 mod options;
--- a/tests/integration/single_node.rs
+++ b/tests/integration/single_node.rs
@@ -6,6 +6,7 @@
         ready::ask_status,
     },
     node::{NodeHandle, start_node},
+    options::node_settings::NodeSettings,
     protocol::operator_views::NodeStatus,
     state::{
         class::{Class, KeyRule, MatchRule, Target},
@@ -36,6 +37,15 @@
 
 impl SingleNode {
     pub fn start(upstream: SocketAddr, slots: u16) -> Self {
+        Self::start_with(upstream, slots, |_| {})
+    }
+
+    /// The same with settings as the test wants them.
+    pub fn start_with(
+        upstream: SocketAddr,
+        slots: u16,
+        adjust: impl FnOnce(&mut NodeSettings),
+    ) -> Self {
         let log = LogService::start().expect("a loopback port is free");
         publish_first(&log, &configuration()).expect("a plain configuration");
         let plan = NodePlan {
@@ -51,6 +61,7 @@
             .node_settings(upstream, log.address(), &[])
             .expect("settings fit the schema");
         settings.callers.body_limit_bytes = 64 * 1024;
+        adjust(&mut settings);
         let node = start_node(settings).expect("loopback ports are free");
         let single = Self { node, _log: log };
         single.wait_until(|status| status.configuration_version.0 > 0);
