Carry keyed calls to the owner of their key

Cause: the node treated calls with a key like any other, so a repeat at another node could run twice. Change: node::keyed_calls: owners from the log reader's updates, proposals once the members are steady, forwarding to the owner, running there, waiting for a first call in progress; a caller that goes away leaves its run unknown. Takeover time not measured. Conclusion: at most once holds across nodes; what is given up is time after each change of owners.

--- a/src/node.rs
+++ b/src/node.rs
@@ -8,6 +8,7 @@
 pub mod core;
 pub mod entry;
 pub mod executing;
+pub mod keyed_calls;
 mod log_following;
 pub mod log_threads;
 pub mod mesh;
--- a/src/node/caller_edge.rs
+++ b/src/node/caller_edge.rs
@@ -9,6 +9,7 @@
         core::NodeCore,
         entry::{CallEnd, EntryCall, carry_call},
         executing::saturate_micros,
+        keyed_calls::carry_keyed_call,
     },
     protocol::{
         attempt::CallId,
@@ -105,7 +106,11 @@
         first_attempt: 0,
     };
     record_received(core, id, &classified);
-    let end = carry_call(core, call).await;
+    let end = if call.key.is_some() {
+        carry_keyed_call(core, call).await
+    } else {
+        carry_call(core, call).await
+    };
     drop(counted);
     count_end(
         core,
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -10,7 +10,8 @@
     },
     events::recorder::EventRecorder,
     node::{
-        configuring::seed_of, executing::ExecutingAttempts, log_threads::LogThreads, stop::StopKind,
+        configuring::seed_of, executing::ExecutingAttempts, keyed_calls::KeyedCalls,
+        log_threads::LogThreads, stop::StopKind,
     },
     options::node_settings::NodeSettings,
     protocol::load_report::{LoadReport, UpstreamCondition},
@@ -87,6 +88,8 @@
     pub statistics: RefCell<HashMap<(ServiceName, ClassName), ClassStatistics>>,
     /// Calls of callers in progress.
     pub calls: Cell<usize>,
+    /// Owners of idempotency keys, and this node's own keys.
+    pub keyed: KeyedCalls,
     /// Whether the node takes no new work.
     pub stopping: Cell<bool>,
     /// Asks the event loop to end.
@@ -121,6 +124,7 @@
         let seed = seed_of(&me.name, me.incarnation.0);
         let seeds = settings.peers.seeds.clone();
         let membership = Membership::new(me.clone(), seeds, seed, timers.now());
+        let keyed = KeyedCalls::new(&me);
         Rc::new(Self {
             settings,
             me,
@@ -142,6 +146,7 @@
             peers: OnceCell::new(),
             statistics: RefCell::default(),
             calls: Cell::new(0),
+            keyed,
             stopping: Cell::new(false),
             stop_tx,
         })
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -55,7 +55,9 @@
         (self.service.clone(), self.class.name.clone())
     }
 
-    fn build_attempt(&self, number: u16, now: Moment) -> CallAttempt {
+    /// One attempt at the call, with the time left at `now`.
+    #[must_use]
+    pub fn build_attempt(&self, number: u16, now: Moment) -> CallAttempt {
         CallAttempt {
             id: AttemptId {
                 call: self.id,
--- a/src/node/log_following.rs
+++ b/src/node/log_following.rs
@@ -6,6 +6,7 @@
     node::{
         configuring::apply_configuration,
         core::{ConfigurationInForce, NodeCore},
+        keyed_calls::{note_fresh_owners, take_ownership_update},
         mesh::perform,
     },
     protocol::gossip::{LogKnowledge, StateShare},
@@ -29,6 +30,7 @@
 }
 
 fn take_update(core: &Rc<NodeCore>, update: LogUpdate) {
+    take_ownership_update(core, &update);
     match update {
         LogUpdate::Folded { state, records } => {
             let effects: Vec<FoldEffect> =
@@ -121,6 +123,7 @@
     // Freshness is worth something only for a state that reaches as far as the peer's.
     if log.offset > 0 && folded.0 >= log.offset && now.since(as_of) < own_age {
         note_fresh(core, folded, as_of);
+        note_fresh_owners(core, as_of);
     }
 }
 
--- a/src/node/peer_edge.rs
+++ b/src/node/peer_edge.rs
@@ -4,6 +4,7 @@
     node::{
         core::NodeCore,
         executing::{cancel_attempt, execute_attempt, settle_attempt},
+        keyed_calls::execute_keyed_attempt,
         mesh::answer_gossip,
     },
     protocol::{
@@ -46,7 +47,7 @@
         _from: &Member,
         attempt: CallAttempt,
     ) -> LocalBoxFuture<'static, AttemptResult> {
-        Box::pin(execute_attempt(Rc::clone(&self.core), attempt))
+        Box::pin(execute_keyed_attempt(Rc::clone(&self.core), attempt))
     }
 
     fn cancel(&self, attempt: AttemptId) -> LocalBoxFuture<'static, Settlement> {
--- a/src/node/start.rs
+++ b/src/node/start.rs
@@ -9,6 +9,7 @@
         caller_edge::CallerEdge,
         configuring::seed_of,
         core::NodeCore,
+        keyed_calls::run_ownership,
         log_following::follow_log,
         log_threads::LogThreads,
         mesh::run_mesh,
@@ -276,6 +277,7 @@
     spawn_local(answer_operators(Rc::clone(&core), sides.operator_rx));
     spawn_local(watch_upstream(Rc::clone(&core)));
     spawn_local(run_mesh(Rc::clone(&core)));
+    spawn_local(run_ownership(Rc::clone(&core)));
     spawn_local(run_probes(Rc::clone(&core)));
     spawn_local(send_metrics(Rc::clone(&core)));
     spawn_local(follow_log(Rc::clone(&core), updates));
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod imports;
 mod key_table;
 mod keyed_calls;
+mod keyed_mesh;
 mod measuring;
 mod membership;
 mod node_metrics;
