Publish configurations and tell their history

Cause: an operator must learn whether a change is in force, whatever happens to the log's answers, and two operators must not overwrite each other. Change: publish reads the log to its end, appends once and believes only its own record read back; it looks before it appends the same id again. Conclusion: an outcome is unknown only while the log can't be read or has not stored the record; the same command resolves it.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -8,5 +8,6 @@
 pub mod measuring;
 pub mod membership;
 pub mod ownership;
+pub mod publishing;
 pub mod retries;
 pub mod routing;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -28,6 +28,7 @@
 mod ownership_view;
 mod peers;
 mod platform_log;
+mod publishing;
 mod retries;
 mod routing;
 mod settings_page;
