Give publish the exit codes of the other commands

Cause: publish had numbers of its own, which clashed with the documented ones. Change: PublishReport::exit_code returns ExitCode: Conflict, Partial, Unreachable when nothing was started, Failed when refused or unknown. Conclusion: one table of exit codes holds for every command.

--- a/src/commands/publish.rs
+++ b/src/commands/publish.rs
@@ -9,6 +9,7 @@
     coordination::publishing::{
         PublishOutcome, PublishPlan, PublishRequest, find_outcome, plan_publication,
     },
+    options::exit_code::ExitCode,
     protocol::platform_log::{AppendError, PlatformLog},
     state::log_record::{LogRecord, RecordId, encode_record},
     timers::TimerService,
@@ -42,17 +43,20 @@
 }
 
 impl PublishReport {
-    /// Exit code: 0 in force; 3 conflict; 4 refused or not started; 5 unknown; 6 accepted but not
-    /// seen in force at every node.
+    /// Exit code of the command.
     #[must_use]
-    pub fn exit_code(&self) -> u8 {
+    pub fn exit_code(&self) -> ExitCode {
         match &self.outcome {
-            PublishOutcome::Conflict { .. } => 3,
-            PublishOutcome::Refused { .. } | PublishOutcome::NotStarted { .. } => 4,
-            PublishOutcome::Unknown { .. } => 5,
+            PublishOutcome::Conflict { .. } => ExitCode::Conflict,
+            PublishOutcome::NotStarted { .. } => ExitCode::Unreachable,
+            PublishOutcome::Refused { .. } | PublishOutcome::Unknown { .. } => ExitCode::Failed,
             PublishOutcome::Accepted { .. } | PublishOutcome::AlreadyInForce { .. } => {
                 let everywhere = self.nodes.as_ref().is_none_or(InForceReport::is_everywhere);
-                if everywhere { 0 } else { 6 }
+                if everywhere {
+                    ExitCode::Success
+                } else {
+                    ExitCode::Partial
+                }
             }
         }
     }
