Let the node use the settings of membership, leases and clocks

Cause: membership.*, leases.* and clock_skew_ms were checked and never read. Their defaults differed from the ones that the membership was measured with, and from the ones that the proof of keyed calls supposes.

Change: the node builds its MembershipTiming and OwnershipSettings from the settings. Defaults are now the measured ones: heartbeat 1000 ms, suspect 4000, gone 15000, fanout 4; lease 5000 ms, clock bound 1000 ms; texts say what the spans do.

Checks changed: the rule on renew_ms is replaced by one as strict on the span that took its place, platform_log.poll_ms at most half of the lease. The rule that clock_skew_ms be at most half of the lease is removed as wrong: the bound moves the floor of a takeover and shortens no lease.

Conclusion: every key of the node settings has a reader.

--- a/src/node/configuring.rs
+++ b/src/node/configuring.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     coordination::{
+        ownership::OwnershipSettings,
         retries::RetryBudget,
         routing::{Router, RouterSettings},
     },
@@ -10,7 +11,8 @@
         core::{ConfigurationInForce, NodeCore},
         mesh::describe_upstream,
     },
-    state::{configuration::Service, membership::MemberState, names::NodeName},
+    options::node_settings::NodeSettings,
+    state::{configuration::Service, lease::LeaseTimes, membership::MemberState, names::NodeName},
 };
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
@@ -83,6 +85,20 @@
     budgets.insert(service.name.clone(), RetryBudget::new(service.retry_share));
 }
 
+/// How keys are owned, as the settings say.
+#[must_use]
+pub fn ownership_settings(settings: &NodeSettings) -> OwnershipSettings {
+    let usual = OwnershipSettings::default();
+    OwnershipSettings {
+        times: LeaseTimes {
+            lease: settings.leases.duration,
+            ..usual.times
+        },
+        clock_bound: settings.clock_skew,
+        ..usual
+    }
+}
+
 /// Nodes that start together must not choose alike, so the seed depends on the node.
 #[must_use]
 pub fn seed_of(name: &NodeName, incarnation: u64) -> u64 {
--- a/src/node/core.rs
+++ b/src/node/core.rs
@@ -4,16 +4,19 @@
     constants::HEAD_LIMIT,
     coordination::{
         admission::{Admission, AdmissionSettings, execution::Execution},
-        membership::Membership,
+        membership::{Membership, MembershipTiming},
         retries::RetryBudget,
         routing::Router,
     },
     events::recorder::EventRecorder,
     node::{
-        configuring::seed_of, executing::ExecutingAttempts, keyed_calls::KeyedCalls,
-        log_threads::LogThreads, stop::StopKind,
+        configuring::{ownership_settings, seed_of},
+        executing::ExecutingAttempts,
+        keyed_calls::KeyedCalls,
+        log_threads::LogThreads,
+        stop::StopKind,
     },
-    options::node_settings::NodeSettings,
+    options::node_settings::{MembershipSettings, NodeSettings},
     protocol::load_report::{LoadReport, UpstreamCondition},
     state::{
         attempts::AttemptBounds,
@@ -123,8 +126,9 @@
         );
         let seed = seed_of(&me.name, me.incarnation.0);
         let seeds = settings.peers.seeds.clone();
-        let membership = Membership::new(me.clone(), seeds, seed, timers.now());
-        let keyed = KeyedCalls::new(&me);
+        let membership = Membership::new(me.clone(), seeds, seed, timers.now())
+            .with_timing(membership_timing(&settings.membership));
+        let keyed = KeyedCalls::new(&me, ownership_settings(&settings));
         Rc::new(Self {
             settings,
             me,
@@ -220,3 +224,12 @@
         let _ = self.stop_tx.send(StopKind::Graceful);
     }
 }
+
+fn membership_timing(cfg: &MembershipSettings) -> MembershipTiming {
+    MembershipTiming {
+        heartbeat: cfg.heartbeat_period,
+        urgent_fanout: cfg.fanout,
+        confirmed_timeout: cfg.suspect_after,
+        unconfirmed_timeout: cfg.gone_after,
+    }
+}
--- a/src/node/keyed_calls.rs
+++ b/src/node/keyed_calls.rs
@@ -54,12 +54,8 @@
 impl KeyedCalls {
     /// A node that knows no owner yet.
     #[must_use]
-    pub fn new(me: &Member) -> Self {
-        let directory = OwnerDirectory::new(
-            me.service.clone(),
-            as_owner(me),
-            OwnershipSettings::default(),
-        );
+    pub fn new(me: &Member, settings: OwnershipSettings) -> Self {
+        let directory = OwnerDirectory::new(me.service.clone(), as_owner(me), settings);
         Self {
             directory: RefCell::new(directory),
             changed: Notify::new(),
--- a/src/options/node_rules.rs
+++ b/src/options/node_rules.rs
@@ -62,26 +62,19 @@
 
 /// Pairs of spans of which the first must be the shorter one.
 fn check_spans(settings: &NodeSettings) -> Vec<BrokenRule> {
-    let leases = &settings.leases;
     let membership = &settings.membership;
     let pairs = [
         (
-            "/leases/renew_ms",
-            leases.renew_period * 2,
-            leases.duration,
-            "at most half of `leases.duration_ms`, so that one lost renewal costs no lease",
-        ),
-        (
-            "/clock_skew_ms",
-            settings.clock_skew * 2,
-            leases.duration,
-            "at most half of `leases.duration_ms`, or a lease is over before it can be used",
+            "/platform_log/poll_ms",
+            settings.platform_log.poll_period * 2,
+            settings.leases.duration,
+            "at most half of `leases.duration_ms`, so that one lost read costs no lease",
         ),
         (
             "/membership/suspect_ms",
             membership.heartbeat_period * 2,
             membership.suspect_after,
-            "at least two of `membership.heartbeat_ms`, so that one lost heartbeat is borne",
+            "at least two of `membership.heartbeat_ms`, so that the suspected node can contradict",
         ),
         (
             "/membership/gone_ms",
--- a/src/options/node_settings.rs
+++ b/src/options/node_settings.rs
@@ -83,7 +83,7 @@
 }
 
 const fn default_clock_skew() -> Duration {
-    Duration::from_millis(250)
+    Duration::from_secs(1)
 }
 
 fn read_millis<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
--- a/src/options/node_settings/timing.rs
+++ b/src/options/node_settings/timing.rs
@@ -25,19 +25,15 @@
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct LeaseSettings {
-    /// Time for which a lease holds after its last renewal.
+    /// Time for which an owner may begin calls after a view of the log that shows it as owner.
     #[serde(rename = "duration_ms", deserialize_with = "read_millis")]
     pub duration: Duration,
-    /// Time between two renewals.
-    #[serde(rename = "renew_ms", deserialize_with = "read_millis")]
-    pub renew_period: Duration,
 }
 
 impl Default for LeaseSettings {
     fn default() -> Self {
         Self {
-            duration: Duration::from_secs(15),
-            renew_period: Duration::from_secs(5),
+            duration: Duration::from_secs(5),
         }
     }
 }
@@ -49,23 +45,23 @@
     /// Time between two heartbeats of a node.
     #[serde(rename = "heartbeat_ms", deserialize_with = "read_millis")]
     pub heartbeat_period: Duration,
-    /// Silence after which a node is avoided.
+    /// Time after which a suspected node is taken as gone if enough others suspect it too.
     #[serde(rename = "suspect_ms", deserialize_with = "read_millis")]
     pub suspect_after: Duration,
-    /// Silence after which a node is taken as gone.
+    /// Time after which a suspected node is taken as gone though too few others suspect it.
     #[serde(rename = "gone_ms", deserialize_with = "read_millis")]
     pub gone_after: Duration,
-    /// Nodes that a heartbeat goes to.
+    /// Nodes that urgent news is sent to at once.
     pub fanout: usize,
 }
 
 impl Default for MembershipSettings {
     fn default() -> Self {
         Self {
-            heartbeat_period: Duration::from_millis(500),
-            suspect_after: Duration::from_secs(2),
-            gone_after: Duration::from_secs(30),
-            fanout: 3,
+            heartbeat_period: Duration::from_secs(1),
+            suspect_after: Duration::from_secs(4),
+            gone_after: Duration::from_secs(15),
+            fanout: 4,
         }
     }
 }
