Add publish and history to the operators' command line

Cause: both existed as functions only.

LogClient::for_settings is shared with the node, AccessArguments::resolve_token with the other commands.

The new tests run the program against the log's stand-in: accepted, conflict (4), findings (2), no log (3).

--- a/src/bin/camphorturn.rs
+++ b/src/bin/camphorturn.rs
@@ -2,7 +2,8 @@
 
 use camphorturn::{
     commands::{
-        check::run_check, dev::run_dev, drain::run_drain, explain::run_explain, status::run_status,
+        check::run_check, dev::run_dev, drain::run_drain, explain::run_explain,
+        history::run_history_command, publish::run_publish_command, status::run_status,
         timeline::run_timeline,
     },
     options::{
@@ -25,6 +26,8 @@
     let done = match command {
         Command::Check(arguments) => run_check(arguments, out),
         Command::Dev(arguments) => run_dev(arguments, out),
+        Command::Publish(arguments) => run_publish_command(arguments, &TimerService::system(), out),
+        Command::History(arguments) => run_history_command(arguments, &TimerService::system(), out),
         Command::Status(arguments) => with_access(&arguments.access, |access| {
             run_status(arguments, access, &TimerService::system(), out)
         }),
--- a/src/commands/history.rs
+++ b/src/commands/history.rs
@@ -2,15 +2,27 @@
 
 use crate::{
     commands::log_session::{LogSession, LogSessionError},
+    options::{
+        access::{AccessArguments, AccessError, LogArguments, log_arguments},
+        exit_code::ExitCode,
+        node_settings::PlatformLogSettings,
+    },
     protocol::platform_log::PlatformLog,
     state::{
         configuration::ConfigurationVersion,
         published::{PublicationEntry, Verdict},
     },
     timers::TimerService,
+    transport::platform::LogClient,
 };
+use bpaf::Bpaf;
 use serde::Serialize;
-use std::{fmt, time::Duration};
+use std::{
+    fmt,
+    io::{self, Write},
+    path::PathBuf,
+    time::Duration,
+};
 
 /// What the command is told.
 #[derive(Clone, Copy, Debug)]
@@ -63,3 +75,69 @@
         publications: state.publications().recent().cloned().collect(),
     })
 }
+
+/// Arguments of `history`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct HistoryArguments {
+    /// How to reach the log.
+    #[bpaf(external(log_arguments))]
+    pub log: LogArguments,
+    /// Settings file of a node, for what isn't given by other arguments
+    #[bpaf(long, env("CAMPHORTURN_SETTINGS"), argument("FILE"), optional)]
+    pub settings: Option<PathBuf>,
+    /// Give up on the log after so many seconds
+    #[bpaf(long, argument("SECONDS"), fallback(10), display_fallback)]
+    pub limit: u32,
+    /// Print one JSON object in place of lines
+    pub json: bool,
+}
+
+/// Reads the log and writes the publications to `out`.
+///
+/// # Errors
+/// Only if `out` can't be written to.
+pub fn run_history_command(
+    arguments: &HistoryArguments,
+    timers: &TimerService,
+    out: &mut dyn Write,
+) -> io::Result<ExitCode> {
+    let log = match resolve_log(arguments) {
+        Ok(log) => LogClient::for_settings(&log),
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::BadInput);
+        }
+    };
+    let limit = Duration::from_secs(arguments.limit.into());
+    match run_history(HistoryOptions { limit }, &log, timers) {
+        Ok(report) if arguments.json => {
+            serde_json::to_writer_pretty(&mut *out, &report)?;
+            writeln!(out)?;
+            Ok(ExitCode::Success)
+        }
+        Ok(report) => {
+            write!(out, "{report}")?;
+            Ok(ExitCode::Success)
+        }
+        Err(error) => {
+            eprintln!("no history: {error}");
+            Ok(exit_code_of(&error))
+        }
+    }
+}
+
+fn resolve_log(arguments: &HistoryArguments) -> Result<PlatformLogSettings, AccessError> {
+    let access = AccessArguments {
+        settings: arguments.settings.clone(),
+        ..AccessArguments::default()
+    };
+    let settings = access.load_settings()?;
+    arguments.log.resolve(settings.as_ref())
+}
+
+fn exit_code_of(error: &LogSessionError) -> ExitCode {
+    match error {
+        LogSessionError::Unreadable(_) | LogSessionError::TooSlow => ExitCode::Unreachable,
+        LogSessionError::NoBase | LogSessionError::WentBackwards => ExitCode::Failed,
+    }
+}
--- a/src/commands/publish.rs
+++ b/src/commands/publish.rs
@@ -1,7 +1,9 @@
 //! `camphorturn publish`: puts a configuration into force and tells whether that worked.
 
+mod command;
 mod in_force;
 
+pub use command::{PublishArguments, publish_arguments, run_publish_command};
 pub use in_force::{InForceReport, NodeAnswer, WaitOptions, wait_in_force};
 
 use crate::{
--- a/src/node/log_threads.rs
+++ b/src/node/log_threads.rs
@@ -6,7 +6,7 @@
     protocol::platform_log::PlatformLog,
     state::log_record::{LogRecord, LogRecordKind, RecordId, encode_record},
     timers::TimerService,
-    transport::platform::{LogClient, LogTimeouts, ReaderCommand, run_log_reader},
+    transport::platform::{LogClient, ReaderCommand, run_log_reader},
 };
 use flume::{Receiver, Sender, TrySendError};
 use rand::{SeedableRng, rngs::StdRng};
@@ -42,7 +42,7 @@
             ..ReaderPace::default()
         };
         let reader = LogReader::new(pace, SnapshotRules::default());
-        let log = open_log(settings);
+        let log = LogClient::for_settings(&settings.platform_log);
         let timers = timers.clone();
         thread::Builder::new()
             .name("log-reader".to_owned())
@@ -50,7 +50,7 @@
                 let rng = StdRng::seed_from_u64(seed);
                 run_log_reader(&log, reader, &timers, rng, &command_rx, &update_tx);
             })?;
-        let log = open_log(settings);
+        let log = LogClient::for_settings(&settings.platform_log);
         let read_now = commands.clone();
         thread::Builder::new()
             .name("log-appender".to_owned())
@@ -75,15 +75,6 @@
     }
 }
 
-fn open_log(settings: &NodeSettings) -> LogClient {
-    let cfg = &settings.platform_log;
-    let timeouts = LogTimeouts {
-        whole: cfg.timeout,
-        ..LogTimeouts::default()
-    };
-    LogClient::new(&format!("http://{}", cfg.address), &cfg.stream, timeouts)
-}
-
 fn append_records(
     log: &impl PlatformLog,
     records: &Receiver<LogRecord>,
--- a/src/options/access.rs
+++ b/src/options/access.rs
@@ -90,18 +90,27 @@
         if nodes.is_empty() {
             nodes.extend(settings.as_ref().map(NodeSettings::operator_address));
         }
-        let token = match (&self.token, &self.token_file) {
-            (Some(token), _) => Some(Secret::from(token.as_str())),
-            (None, Some(path)) => Some(read_token(path)?),
-            (None, None) => settings.map(|settings| settings.operators.token),
-        };
         if nodes.is_empty() {
             return Err(AccessError::NoNode);
         }
-        let token = token.ok_or(AccessError::NoToken)?;
+        let token = self.resolve_token(settings.as_ref())?;
         Ok(OperatorAccess { nodes, token })
     }
 
+    /// The operators' token; `settings` are the ones of [`Self::load_settings`].
+    ///
+    /// # Errors
+    /// There is none, or its file can't be read.
+    pub fn resolve_token(&self, settings: Option<&NodeSettings>) -> Result<Secret, AccessError> {
+        match (&self.token, &self.token_file) {
+            (Some(token), _) => Ok(Secret::from(token.as_str())),
+            (None, Some(path)) => read_token(path),
+            (None, None) => settings
+                .map(|settings| settings.operators.token.clone())
+                .ok_or(AccessError::NoToken),
+        }
+    }
+
     /// The settings file that the arguments name, if they name one.
     ///
     /// # Errors
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -6,6 +6,8 @@
         dev::{DevArguments, dev_arguments},
         drain::{DrainArguments, drain_arguments},
         explain::{ExplainArguments, explain_arguments},
+        history::{HistoryArguments, history_arguments},
+        publish::{PublishArguments, publish_arguments},
         status::{StatusArguments, status_arguments},
         timeline::{TimelineArguments, timeline_arguments},
     },
@@ -20,6 +22,12 @@
     /// Check settings files and configurations without using them
     #[bpaf(command)]
     Check(#[bpaf(external(check_arguments))] CheckArguments),
+    /// Put a configuration into force by way of the platform's log
+    #[bpaf(command)]
+    Publish(#[bpaf(external(publish_arguments))] PublishArguments),
+    /// Show who published what, when and why
+    #[bpaf(command)]
+    History(#[bpaf(external(history_arguments))] HistoryArguments),
     /// Show all nodes, classes against their targets, and what is wrong
     #[bpaf(command)]
     Status(#[bpaf(external(status_arguments))] StatusArguments),
--- a/src/transport/platform/log_client.rs
+++ b/src/transport/platform/log_client.rs
@@ -1,6 +1,7 @@
 //! A blocking client of the log service.
 
 use crate::{
+    options::node_settings::PlatformLogSettings,
     protocol::platform_log::{AppendError, PlatformLog, ReadError, ReadPage, StoredBody},
     state::log_record::Offset,
 };
@@ -83,6 +84,17 @@
         }
     }
 
+    /// A client of the log that the settings name.
+    #[must_use]
+    pub fn for_settings(settings: &PlatformLogSettings) -> Self {
+        let timeouts = LogTimeouts {
+            whole: settings.timeout,
+            ..LogTimeouts::default()
+        };
+        let url = format!("http://{}", settings.address);
+        Self::new(&url, &settings.stream, timeouts)
+    }
+
     /// Sends one request exactly once and takes the whole answer.
     fn exchange<B: Body>(&self, req: RequestBuilder<B>) -> Result<WholeAnswer, ExchangeError> {
         let response = req
--- a/tests/integration/command_line.rs
+++ b/tests/integration/command_line.rs
@@ -1,7 +1,9 @@
 //! Both programs as an operator runs them.
 
+use camphorturn_stand_ins::log_service::LogService;
 use serde_json::Value;
 use std::{
+    net::TcpListener,
     path::PathBuf,
     process::{Command, Output},
 };
@@ -89,3 +91,76 @@
     assert_eq!(output.status.code(), Some(0));
     assert!(text_of(&output.stdout).contains("camphorturn"));
 }
+
+#[test]
+fn publish_then_history() {
+    let log = LogService::start().expect("a loopback port is free");
+    let address = log.address().to_string();
+    let sample = "samples/configuration.jsonc";
+    let publish = |based_on: &'static str, file: &str| {
+        run(&[
+            "publish",
+            "--log",
+            &address,
+            "--author",
+            "ana",
+            "--note",
+            "first",
+            "--based-on",
+            based_on,
+            "--json",
+            file,
+        ])
+    };
+    let first = publish("0", sample);
+    assert_eq!(first.status.code(), Some(0), "{first:?}");
+    let report: Value = serde_json::from_slice(&first.stdout).expect("JSON");
+    assert_eq!(report["outcome"], "accepted");
+    assert_eq!(report["version"], 1);
+    let changed = std::fs::read_to_string(sample).expect("the sample is there");
+    let changed = changed.replacen("\"deadline_ms\": 2000", "\"deadline_ms\": 2001", 1);
+    let changed = ScratchFile::new("changed.jsonc", &changed);
+    assert_eq!(publish("0", changed.name()).status.code(), Some(4));
+    let history = run(&["history", "--log", &address, "--json"]);
+    assert_eq!(history.status.code(), Some(0));
+    let history: Value = serde_json::from_slice(&history.stdout).expect("JSON");
+    assert_eq!(history["in_force"], 1);
+    assert_eq!(history["publications"][0]["author"], "ana");
+}
+
+#[test]
+fn publish_with_findings_asks_the_log_nothing() {
+    // Symptom: every node refuses or misreads the configuration in force.
+    // Sequence: a file with a fault is published; nodes take what the log accepted.
+    // Cause: the file is checked after the log was written, or not at all.
+    let log = LogService::start().expect("a loopback port is free");
+    let address = log.address().to_string();
+    let faulty = ScratchFile::new("faulty.jsonc", "{ \"services\": [], \"servces\": 1 }");
+    let output = run(&[
+        "publish",
+        "--log",
+        &address,
+        "--author",
+        "ana",
+        "--note",
+        "n",
+        faulty.name(),
+    ]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(text_of(&output.stderr).contains("did you mean `services`?"));
+    assert!(log.records("camphorturn").is_empty());
+}
+
+#[test]
+fn publish_and_history_without_log_exit_with_3() {
+    let closed = TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+    let closed = closed.expect("a loopback port is free").to_string();
+    let sample = "samples/configuration.jsonc";
+    let publish = [
+        "publish", "--log", &closed, "--limit", "1", "--author", "a", "--note", "n", sample,
+    ];
+    assert_eq!(run(&publish).status.code(), Some(3));
+    let history = ["history", "--log", &closed, "--limit", "1"];
+    assert_eq!(run(&history).status.code(), Some(3));
+    assert_eq!(run(&["history"]).status.code(), Some(2));
+}
