--- a/src/options/access.rs
+++ b/src/options/access.rs
@@ -7,22 +7,25 @@
     node_settings::{NodeSettings, PlatformLogSettings},
     secret::Secret,
 };
-use bpaf::Bpaf;
+use bpaf::{Bpaf, Parser, long};
 use std::{
-    fs, io,
+    env, fs, io,
     net::SocketAddr,
     path::{Path, PathBuf},
 };
 use thiserror::Error;
 
+/// Environment variable with the operators' token.
+const TOKEN_VARIABLE: &str = "CAMPHORTURN_TOKEN";
+
 /// Arguments of every command that talks to nodes.
 #[derive(Clone, Debug, Default, Bpaf)]
 pub struct AccessArguments {
     /// Operator address of a node; may be repeated. Other nodes are learned from it
     #[bpaf(long("node"), argument("IP:PORT"))]
     pub nodes: Vec<SocketAddr>,
-    /// The operators' token. Other users of this VM can see arguments: prefer the file
-    #[bpaf(long, env("CAMPHORTURN_TOKEN"), argument("TOKEN"), optional)]
+    /// The operators' token.
+    #[bpaf(external(token_argument))]
     pub token: Option<String>,
     /// File with the operators' token
     #[bpaf(long, env("CAMPHORTURN_TOKEN_FILE"), argument("FILE"), optional)]
@@ -32,6 +35,21 @@
     pub settings: Option<PathBuf>,
 }
 
+/// The token, from the argument or else the environment.
+///
+/// The parser's own support for environment variables isn't used: it prints their values with the
+/// help, and a token would stand in whatever log or screen the help goes to.
+fn token_argument() -> impl Parser<Option<String>> {
+    long("token")
+        .help(
+            "The operators' token; without it, the variable CAMPHORTURN_TOKEN is read. \
+             Other users of this VM can see arguments: prefer the file",
+        )
+        .argument::<String>("TOKEN")
+        .optional()
+        .map(|given| given.or_else(|| env::var(TOKEN_VARIABLE).ok()))
+}
+
 /// Arguments of commands that use the platform's log.
 #[derive(Clone, Debug, Default, Bpaf)]
 pub struct LogArguments {
--- a/tests/integration/command_line.rs
+++ b/tests/integration/command_line.rs
@@ -164,3 +164,29 @@
     assert_eq!(run(&history).status.code(), Some(3));
     assert_eq!(run(&["history"]).status.code(), Some(2));
 }
+
+#[test]
+fn help_does_not_show_the_token() {
+    // Symptom: the operators' token stands in a log or on a shared screen.
+    // Sequence: the token is in the environment; somebody asks for the help of a command.
+    // Cause: the parser prints the values of the variables that it reads with their names.
+    let secret = "a-secret-of-operators";
+    let closed = TcpListener::bind("127.0.0.1:0").and_then(|socket| socket.local_addr());
+    let node = closed.expect("a loopback port is free").to_string();
+    for command in ["status", "timeline", "explain", "drain", "publish"] {
+        let output = run_with_token(secret, &[command, "--help"]);
+        assert_eq!(output.status.code(), Some(0));
+        let text = text_of(&output.stdout);
+        assert!(text.contains("CAMPHORTURN_TOKEN"), "{text}");
+        assert!(!text.contains(secret), "{text}");
+    }
+    // The variable is read all the same: without a token the arguments were wrong (2).
+    let output = run_with_token(secret, &["status", "--node", &node]);
+    assert_eq!(output.status.code(), Some(3));
+}
+
+fn run_with_token(token: &str, arguments: &[&str]) -> Output {
+    let mut command = Command::new(TOOL);
+    command.env("CAMPHORTURN_TOKEN", token).args(arguments);
+    command.output().expect("the program runs")
+}
