Record why an upstream was chosen and why a retry was withheld

Cause: the entry node recorded neither attempt_chosen nor retry_withheld, so that explain told where a call ran but not why. Change: the router returns what its choice rested on (reason, candidates, estimated calls, age of knowledge); the retry decision notes what stopped it (cancelled is a new reason); the carrier records both. 'key_owner' is not recorded yet. explain says '1 attempt'. Run: explain_tells_why_call_went_where_it_did at two real nodes; the tests of retries and routing unchanged.

--- a/src/commands/explain/sentences.rs
+++ b/src/commands/explain/sentences.rs
@@ -86,8 +86,9 @@
             took_micros,
             ..
         } => format!(
-            "{node} told the caller after {} and {attempts} attempts: {outcome}.",
+            "{node} told the caller after {} and {attempts} attempt{}: {outcome}.",
             Millis(*took_micros),
+            if *attempts == 1 { "" } else { "s" },
         ),
         _ => return None,
     })
--- a/src/coordination/retries.rs
+++ b/src/coordination/retries.rs
@@ -16,6 +16,7 @@
     call_state::RetryState,
 };
 use crate::{
+    events::reasons::RetryStop,
     protocol::outcome::{Refusal, RefusalReason, RetryAdvice, UnknownCause},
     state::names::NodeName,
 };
@@ -99,7 +100,9 @@
     if state.outstanding() > 0 {
         return RetryDecision::Wait;
     }
-    if may_try_again(budget, state, ended, rules) {
+    let stop = find_stop(budget, state, ended, rules);
+    state.note_stop(stop);
+    if stop.is_none() {
         return RetryDecision::Again {
             excluding: state.tried().to_vec(),
         };
@@ -129,25 +132,35 @@
         && budget.take_retry()
 }
 
-fn may_try_again(
+/// What keeps a call from a further attempt; takes the attempt out of the budget if nothing does.
+fn find_stop(
     budget: &mut RetryBudget,
     state: &RetryState,
     ended: AttemptEnding,
     rules: RetryRules,
-) -> bool {
-    if state.attempts() >= MAX_ATTEMPTS || rules.time_left <= rules.time_needed {
-        return false;
+) -> Option<RetryStop> {
+    if state.attempts() >= MAX_ATTEMPTS {
+        return Some(RetryStop::Attempts);
     }
-    match ended {
-        AttemptEnding::NotRun(refusal) if refusal.advice == RetryAdvice::Elsewhere => {
-            state.may_repeat(rules.idempotent) && budget.take_move()
+    if rules.time_left <= rules.time_needed {
+        return Some(RetryStop::Deadline);
+    }
+    let granted = match ended {
+        AttemptEnding::NotRun(refusal) if refusal.advice != RetryAdvice::Elsewhere => {
+            return Some(RetryStop::Advice);
         }
-        AttemptEnding::NotRun(_)
-        | AttemptEnding::Unknown(UnknownCause::Cancelled | UnknownCause::DeadlinePassed) => false,
-        AttemptEnding::Answered { .. } | AttemptEnding::Unknown(_) => {
-            rules.idempotent && budget.take_retry()
+        AttemptEnding::Unknown(UnknownCause::Cancelled) => return Some(RetryStop::Cancelled),
+        AttemptEnding::Unknown(UnknownCause::DeadlinePassed) => return Some(RetryStop::Deadline),
+        AttemptEnding::NotRun(_) if !state.may_repeat(rules.idempotent) => {
+            return Some(RetryStop::MayHaveRun);
         }
-    }
+        AttemptEnding::NotRun(_) => budget.take_move(),
+        AttemptEnding::Answered { .. } | AttemptEnding::Unknown(_) if !rules.idempotent => {
+            return Some(RetryStop::MayHaveRun);
+        }
+        AttemptEnding::Answered { .. } | AttemptEnding::Unknown(_) => budget.take_retry(),
+    };
+    (!granted).then_some(RetryStop::Budget)
 }
 
 fn final_outcome(
--- a/src/coordination/retries/call_state.rs
+++ b/src/coordination/retries/call_state.rs
@@ -1,6 +1,8 @@
 //! The attempts at one call so far.
 
-use crate::{coordination::retries::AttemptEnding, state::names::NodeName};
+use crate::{
+    coordination::retries::AttemptEnding, events::reasons::RetryStop, state::names::NodeName,
+};
 
 /// What a call has been through.
 #[derive(Clone, Debug, Default)]
@@ -11,6 +13,7 @@
     /// and one that failed or fell silent is not the place for the next attempt.
     tried: Vec<NodeName>,
     may_have_run: bool,
+    stop: Option<RetryStop>,
 }
 
 impl RetryState {
@@ -28,6 +31,17 @@
         self.may_have_run |= !matches!(ended, AttemptEnding::NotRun(_));
     }
 
+    /// Notes what keeps the call from a further attempt, if anything.
+    pub fn note_stop(&mut self, stop: Option<RetryStop>) {
+        self.stop = stop;
+    }
+
+    /// What kept the call from a further attempt when the last one ended.
+    #[must_use]
+    pub fn stop(&self) -> Option<RetryStop> {
+        self.stop
+    }
+
     /// Attempts sent so far.
     #[must_use]
     pub fn attempts(&self) -> u16 {
--- a/src/coordination/routing.rs
+++ b/src/coordination/routing.rs
@@ -21,8 +21,9 @@
 use crate::{
     coordination::{
         measuring::ProbeLimiter,
-        routing::{eligibility::collect_candidates, policy::Policy},
+        routing::{candidate::Candidate, eligibility::collect_candidates, policy::Policy},
     },
+    events::reasons::ChoiceReason,
     protocol::load_report::LoadReport,
     state::{
         configuration::{MeasuringBudget, PolicyName},
@@ -56,6 +57,34 @@
     pub target: Duration,
 }
 
+impl RouterSettings {
+    fn find_reason(&self, chosen: Candidate, candidates: usize) -> ChoiceReason {
+        let near = chosen.knowledge.facts().availability_zone == self.availability_zone;
+        if candidates == 1 {
+            ChoiceReason::OnlyCandidate
+        } else if near || self.policy.is_plain() {
+            ChoiceReason::Policy
+        } else {
+            ChoiceReason::OtherZone
+        }
+    }
+}
+
+/// A chosen upstream, and what the choice rested on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The node beside it.
+    pub node: NodeName,
+    /// Why it was chosen.
+    pub reason: ChoiceReason,
+    /// Upstreams that could have been chosen.
+    pub candidates: u16,
+    /// Calls at the upstream as estimated, this one not included.
+    pub known_load: u16,
+    /// Age of the newest knowledge of it in milliseconds; 0 if nothing was heard.
+    pub known_age_ms: u32,
+}
+
 /// Chooses among the upstreams of one service.
 #[derive(Debug)]
 pub struct Router {
@@ -111,6 +140,12 @@
 
     /// The upstream for a call, or none if no upstream outside `excluded` takes work.
     pub fn choose(&mut self, excluded: &[NodeName], now: Moment) -> Option<NodeName> {
+        self.choose_with_reason(excluded, now)
+            .map(|choice| choice.node)
+    }
+
+    /// Like [`Self::choose`], and tells what the choice rested on.
+    pub fn choose_with_reason(&mut self, excluded: &[NodeName], now: Moment) -> Option<Choice> {
         self.last_call = Some(now);
         self.probes.count_call();
         let typical = self.typical_micros();
@@ -119,7 +154,13 @@
         let chosen = self
             .policy
             .choose(&candidates, &self.settings, now, &mut self.rng)?;
-        Some(chosen.node().clone())
+        Some(Choice {
+            node: chosen.node().clone(),
+            reason: self.settings.find_reason(chosen, candidates.len()),
+            candidates: u16::try_from(candidates.len()).unwrap_or(u16::MAX),
+            known_load: chosen.calls_there(),
+            known_age_ms: chosen.knowledge_age_ms(now),
+        })
     }
 
     /// Counts a call as outstanding.
--- a/src/coordination/routing/candidate.rs
+++ b/src/coordination/routing/candidate.rs
@@ -61,6 +61,25 @@
         self.estimate.latency_micros * load.max(1.0)
     }
 
+    /// Calls at the upstream as estimated, in whole calls.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "never negative, and the cast keeps within bounds"
+    )]
+    #[must_use]
+    pub fn calls_there(&self) -> u16 {
+        self.estimate.in_flight.round() as u16
+    }
+
+    /// Age of the newest knowledge, in milliseconds; 0 if nothing was heard.
+    #[must_use]
+    pub fn knowledge_age_ms(&self, now: Moment) -> u32 {
+        self.knowledge.heard_at().map_or(0, |at| {
+            u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX)
+        })
+    }
+
     fn last_report(&self) -> Option<LoadReport> {
         self.knowledge
             .last_report()
--- a/src/events/message/calls.rs
+++ b/src/events/message/calls.rs
@@ -91,9 +91,10 @@
             } => {
                 let took = Millis(*took_micros);
                 let target = Millis(*target_micros);
+                let plural = if *attempts == 1 { "" } else { "s" };
                 write!(
                     f,
-                    "call ended after {took} (target {target}, {attempts} attempts): {outcome}"
+                    "call ended after {took} (target {target}, {attempts} attempt{plural}): {outcome}"
                 )
             }
             Self::RequestRejected { status } => {
--- a/src/events/reasons.rs
+++ b/src/events/reasons.rs
@@ -72,6 +72,8 @@
     NoCandidate,
     /// The refusal said that trying again can't help.
     Advice,
+    /// The caller went away.
+    Cancelled,
 }
 
 /// What a repeated idempotency key met.
--- a/src/events/words.rs
+++ b/src/events/words.rs
@@ -69,6 +69,7 @@
         RetryStop::MayHaveRun => "the call may have run and its class is not idempotent",
         RetryStop::NoCandidate => "no other upstream was left to try",
         RetryStop::Advice => "the refusal said that trying again can't help",
+        RetryStop::Cancelled => "the caller went away",
     }
 }
 
--- a/src/node/entry/carrier.rs
+++ b/src/node/entry/carrier.rs
@@ -7,9 +7,12 @@
             AttemptEnding, FinalOutcome, RetryBudget, RetryDecision, RetryRules, RetryState,
             decide_retry, give_up_without_upstream, may_hedge,
         },
-        routing::AttemptEndKind,
+        routing::{AttemptEndKind, Choice},
+    },
+    events::{
+        event::Event,
+        reasons::{OutcomeSummary, RetryStop},
     },
-    events::{event::Event, reasons::OutcomeSummary},
     node::{
         core::NodeCore,
         entry::{
@@ -131,12 +134,13 @@
 
     /// Sends an attempt to the best upstream outside `excluding`; false if there is none.
     fn start_attempt(&mut self, excluding: &[NodeName]) -> bool {
-        let Some(to) = self.choose(excluding) else {
+        let Some((to, choice)) = self.choose(excluding) else {
             return false;
         };
         self.state.start_attempt(to.name.clone());
         let number = self.next_number;
         self.next_number += 1;
+        self.record_choice(number, choice);
         let attempt = self.call.build_attempt(number, self.core.timers.now());
         let core = Rc::clone(&self.core);
         self.under_way
@@ -144,13 +148,35 @@
         true
     }
 
-    fn choose(&self, excluding: &[NodeName]) -> Option<Member> {
+    fn choose(&self, excluding: &[NodeName]) -> Option<(Member, Choice)> {
         let now = self.core.timers.now();
         let mut routers = self.core.routers.borrow_mut();
         let chosen = routers
             .get_mut(&self.call.service)?
-            .choose(excluding, now)?;
-        self.core.find_member(&chosen)
+            .choose_with_reason(excluding, now)?;
+        Some((self.core.find_member(&chosen.node)?, chosen))
+    }
+
+    fn record_choice(&self, attempt: u16, choice: Choice) {
+        let event = Event::AttemptChosen {
+            attempt,
+            upstream: choice.node,
+            reason: choice.reason,
+            candidates: choice.candidates,
+            known_load: choice.known_load,
+            known_age_ms: choice.known_age_ms,
+        };
+        self.core.recorder.record(event, Some(self.call.id));
+    }
+
+    /// An answer, of whatever status, needs no word on why there is no further attempt.
+    fn record_withheld(&self, ended: AttemptEnding, reason: Option<RetryStop>) {
+        if let (AttemptEnding::NotRun(_) | AttemptEnding::Unknown(_), Some(reason)) =
+            (ended, reason)
+        {
+            let event = Event::RetryWithheld { reason };
+            self.core.recorder.record(event, Some(self.call.id));
+        }
     }
 
     /// What the end of an attempt means: the call's end, or none if it goes on.
@@ -171,12 +197,16 @@
                 self.keep(end);
                 self.try_again(&excluding, ending)
             }
-            RetryDecision::GiveUp(last) => Some(self.finish(last, end)),
+            RetryDecision::GiveUp(last) => {
+                self.record_withheld(ending, self.state.stop());
+                Some(self.finish(last, end))
+            }
         }
     }
 
     fn try_again(&mut self, excluding: &[NodeName], ended: AttemptEnding) -> Option<CallEnd> {
         if !self.start_attempt(excluding) {
+            self.record_withheld(ended, Some(RetryStop::NoCandidate));
             return Some(self.give_up(Some(ended)));
         }
         if let AttemptEnding::NotRun(refusal) = ended {
--- a/tests/integration/causal_stamps.rs
+++ b/tests/integration/causal_stamps.rs
@@ -3,6 +3,7 @@
 use camphorturn::{
     commands::{
         dev::deployments::booking_deployments,
+        explain::{ExplainArguments, run_explain},
         mesh::survey_nodes,
         timeline::{collect::Collector, selection::EventSelection},
     },
@@ -13,7 +14,11 @@
         plan::{MeshPlan, publish_first},
     },
     node::{NodeHandle, start_node_by},
-    options::{access::OperatorAccess, secret::Secret},
+    options::{
+        access::{AccessArguments, OperatorAccess},
+        exit_code::ExitCode,
+        secret::Secret,
+    },
     state::names::NodeName,
     timers::TimerService,
     transport::operators::client::OperatorClient,
@@ -142,3 +147,25 @@
         .abs_diff(events[order[2]].wall_millis);
     assert!(ahead > 20_000, "the clocks differ by {ahead} ms only");
 }
+
+#[test]
+fn explain_tells_why_call_went_where_it_did() {
+    // Symptom: `explain` told where a call ran but not why it was sent there.
+    // Sequence: an entry node sends a call to the one upstream of another service.
+    // Cause: the choice was not recorded.
+    let nodes = start_two_nodes();
+    let call = look_up(&nodes);
+    let access = reach(&nodes);
+    let arguments = ExplainArguments {
+        access: AccessArguments::default(),
+        json: false,
+        call,
+    };
+    let mut out = Vec::new();
+    let code = run_explain(&arguments, &access, &mut out).expect("written to memory");
+    let text = String::from_utf8(out).expect("text");
+    assert_eq!(code, ExitCode::Success, "{text}");
+    let why = "sent attempt 0 to frontdesk-1, because no other upstream was left";
+    assert!(text.contains(why), "{text}");
+    assert!(text.contains("and 1 attempt:"), "{text}");
+}
