--- a/src/state/names.rs
+++ b/src/state/names.rs
@@ -27,7 +27,8 @@
 
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-                f.write_str(&self.0)
+                // Unlike `write_str`, this keeps to the width that a table asks for.
+                f.pad(&self.0)
             }
         }
     };
@@ -53,3 +54,17 @@
     /// Name of a region.
     RegionName
 );
+
+#[cfg(test)]
+mod tests {
+    use super::NodeName;
+
+    #[test]
+    fn node_name_keeps_to_column_width() {
+        let name = NodeName::from("dock-1");
+        assert_eq!(
+            format!("{name:<8}|{name:>8}|{name}"),
+            "dock-1  |  dock-1|dock-1"
+        );
+    }
+}
