--- a/src/coordination/admission.rs
+++ b/src/coordination/admission.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Takes in how many calls the upstream can run at once. Calls beyond a lowered number end as
+    /// they would have.
+    pub fn set_slots(&mut self, slots: u16, now: Moment) -> Vec<AdmissionAction> {
+        self.settings.slots = slots.max(1);
+        self.limit.set_slots(slots);
+        self.expire(now)
+    }
+
     /// Takes in whether the upstream takes new work. If not, waiting calls are refused at once, so
     /// that their callers can go elsewhere while there is time.
     pub fn set_condition(
--- a/src/coordination/admission/execution.rs
+++ b/src/coordination/admission/execution.rs
@@ -105,6 +105,13 @@
         self.admission.set_classes(classes);
     }
 
+    /// Takes in how many calls the upstream can run at once.
+    pub fn set_slots(&mut self, slots: u16, now: Moment) -> Vec<AdmissionAction> {
+        let actions = self.admission.set_slots(slots, now);
+        self.record_all(&actions, now);
+        actions
+    }
+
     /// Takes in whether the upstream takes new work.
     pub fn set_condition(
         &mut self,
--- a/src/node/operator_edge.rs
+++ b/src/node/operator_edge.rs
@@ -65,6 +65,14 @@
         slots: announcement.slots.unwrap_or(core.me.slots),
     };
     core.recorder.record(event, None);
+    if let Some(port) = announcement.port {
+        core.upstream.move_to_port(port);
+    }
+    if let Some(slots) = announcement.slots {
+        let now = core.timers.now();
+        let actions = core.execution.borrow_mut().set_slots(slots, now);
+        apply_actions(core, actions);
+    }
     change_condition(core, announcement.condition, ConditionSource::Announced);
 }
 
--- a/src/state/concurrency/limit.rs
+++ b/src/state/concurrency/limit.rs
@@ -57,6 +57,15 @@
         }
     }
 
+    /// Takes a new number of slots. A limit that stood at the old number moves to the new one.
+    pub fn set_slots(&mut self, slots: u16) {
+        let at_most = self.value >= f64::from(self.slots);
+        self.slots = slots.max(1);
+        let most = f64::from(self.slots);
+        self.value = if at_most { most } else { self.value.min(most) };
+        self.held_limit = self.held_limit.min(self.slots);
+    }
+
     /// Starts the ramp of a cold upstream.
     pub fn start_ramp(&mut self, now: Moment) {
         self.ramp_start = Some(now);
--- a/src/transport/platform.rs
+++ b/src/transport/platform.rs
@@ -5,10 +5,8 @@
 //! `{"first_retained": N, "next": N, "records": [{"offset", "time_ms", "body"}]}`, or 410
 //! `{"first_retained": N}` when `from` is no longer retained.
 
-mod appender_thread;
 mod log_client;
 mod reader_thread;
 
-pub use appender_thread::{AppendRequest, run_log_appender};
 pub use log_client::{LogClient, LogTimeouts};
 pub use reader_thread::{ReaderCommand, ReaderRole, run_log_reader};
--- a/src/transport/upstreams/connection.rs
+++ b/src/transport/upstreams/connection.rs
@@ -23,6 +23,7 @@
 pub struct UpstreamConnection {
     tx: SendRequest<Full<Bytes>>,
     driver: AbortHandle,
+    address: SocketAddr,
     host: HeaderValue,
 }
 
@@ -67,10 +68,16 @@
         Ok(Self {
             tx,
             driver: driver.abort_handle(),
+            address,
             host,
         })
     }
 
+    /// Where it leads.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Whether the upstream has closed it, as far as is known.
     pub fn is_closed(&self) -> bool {
         self.tx.is_closed()
--- a/src/transport/upstreams/pool.rs
+++ b/src/transport/upstreams/pool.rs
@@ -9,7 +9,12 @@
         connection::{Exchange, UpstreamConnection},
     },
 };
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 /// A connection unused for longer is closed: upstreams close idle connections themselves, and a
 /// request that crosses such a close ends as unknown.
@@ -22,7 +27,7 @@
 
 /// Kept connections to one upstream, for the event-loop thread.
 pub struct UpstreamConnections {
-    address: SocketAddr,
+    address: Cell<SocketAddr>,
     head_limit: usize,
     body_limit: usize,
     kept: usize,
@@ -41,7 +46,7 @@
         timers: TimerService,
     ) -> Rc<Self> {
         Rc::new(Self {
-            address,
+            address: Cell::new(address),
             head_limit,
             body_limit,
             kept,
@@ -53,7 +58,17 @@
     /// Where the upstream listens.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.address.get()
+    }
+
+    /// The upstream listens on another port from now on. Idle connections to the old one are closed.
+    pub fn move_to_port(&self, port: u16) {
+        let mut address = self.address.get();
+        if address.port() != port {
+            address.set_port(port);
+            self.address.set(address);
+            self.idle.borrow_mut().clear();
+        }
     }
 
     /// Sends a request and reads its whole answer. Dropping the future closes its connection.
@@ -73,7 +88,7 @@
                 Exchange::Failed(error) => return Err(error),
             }
         }
-        let connection = UpstreamConnection::open(self.address, self.head_limit).await?;
+        let connection = UpstreamConnection::open(self.address.get(), self.head_limit).await?;
         match self.exchange_on(connection, req).await {
             Exchange::Whole(answer) => Ok(answer),
             Exchange::Shed => Err(UpstreamError::Shed),
@@ -116,7 +131,9 @@
 
     fn keep(&self, connection: UpstreamConnection) {
         let mut idle = self.idle.borrow_mut();
-        if idle.len() < self.kept {
+        // One that was in use while the upstream moved leads to where it no longer is.
+        let current = connection.address() == self.address.get();
+        if current && idle.len() < self.kept {
             let since = self.timers.now();
             idle.push(Idle { connection, since });
         }
--- a/tests/integration/overload.rs
+++ b/tests/integration/overload.rs
@@ -127,3 +127,37 @@
     );
     node.node.join();
 }
+
+#[test]
+fn announce_more_slots_starts_waiting_calls() {
+    // Symptom: an upstream that was given more slots still runs one call at a time.
+    // Sequence: one call runs, one waits; the upstream announces two slots.
+    // Cause: the announced number is not put in force.
+    let (upstream, node) = start(1);
+    let mut first = send_lookup(&node, 1);
+    let running = upstream.receive();
+    let mut second = send_lookup(&node, 2);
+    node.wait_until(|status| status.upstream.queued == 1);
+    node.announce(r#"{"condition":"serving","slots":2}"#);
+    upstream.receive().answer("2");
+    assert_eq!(second.read_reply().body, "2");
+    running.answer("1");
+    assert_eq!(first.read_reply().body, "1");
+}
+
+#[test]
+fn announce_other_port_moves_calls_there() {
+    // Symptom: calls end as not sent after the upstream was started again on another port.
+    // Sequence: a call is answered; the upstream announces another port; a call comes.
+    // Cause: the announced port is not put in force, or an idle connection to the old one is used.
+    let (upstream, node) = start(1);
+    let mut first = send_lookup(&node, 1);
+    upstream.receive().answer("old");
+    assert_eq!(first.read_reply().body, "old");
+    let moved = ManualUpstream::start();
+    let port = moved.address.port();
+    node.announce(&format!(r#"{{"condition":"serving","port":{port}}}"#));
+    let mut second = send_lookup(&node, 2);
+    moved.receive().answer("new");
+    assert_eq!(second.read_reply().body, "new");
+}
--- a/tests/integration/single_node.rs
+++ b/tests/integration/single_node.rs
@@ -80,6 +80,14 @@
         timers.stop();
     }
 
+    /// What the upstream posts to the node beside it.
+    pub fn announce(&self, announcement: &str) {
+        let url = format!("http://{}/upstream", self.node.member.operator_address);
+        let answer = attohttpc::post(url).text(announcement).send();
+        let status = answer.expect("the node listens").status();
+        assert!(status.is_success(), "{status}");
+    }
+
     pub fn connect(&self) -> Caller {
         let stream = TcpStream::connect(self.node.caller_address).expect("the node listens");
         stream
