Tell when keyed calls wait for owners, and start dev only when they don't

Cause: a mesh that has just started has no settled owners of keys: for some 8 s bookings end as unknown (key_too_old, key_unsettled). Change: status names the problem (owners short of the serving nodes, slots in a takeover, a floor ahead of the clock), and dev waits until no node has a problem. Ruled out: shorter leases, since the wait is what keeps a key from running twice. Conclusion: dev shows what it should; a takeover still costs the wait until handovers are sent.

--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -9,9 +9,10 @@
         audit::{audit_calls, count_runs},
         load::{LoadPlan, run_load},
         plan::MeshPlan,
-        ready::wait_until_ready,
+        ready::{wait_for_all, wait_until_ready},
     },
     options::exit_code::ExitCode,
+    protocol::operator_views::NodeStatus,
 };
 use bpaf::Bpaf;
 use deployments::{booking_deployments, call_kinds};
@@ -117,7 +118,10 @@
 
 fn start_ready(plan: &MeshPlan) -> Result<LocalMesh, DevError> {
     let mesh = LocalMesh::start(plan)?;
-    if wait_until_ready(&mesh, READY_TIMEOUT) {
+    let is_well = |status: &NodeStatus| status.problems.is_empty();
+    let ready = wait_until_ready(&mesh, READY_TIMEOUT);
+    // The first owners of keys wait as after any takeover; bookings would end as unknown.
+    if ready && wait_for_all(&mesh, READY_TIMEOUT, is_well) {
         Ok(mesh)
     } else {
         Err(DevError::NotReady)
--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -20,7 +20,7 @@
         key_table::{
             KeyTable,
             entry::{KeyStatus, RunEnd, RunNumber},
-            key::{Fingerprint, KeyId, WallMillis},
+            key::{Fingerprint, KeyId, Slot, WallMillis},
         },
         lease::{LeaseEnd, OwnerLease, Promise},
         moment::Moment,
@@ -148,6 +148,19 @@
         }
     }
 
+    /// Slots of this node whose newly issued keys are not run yet: the wait after a takeover goes on,
+    /// or the floor that it left lies ahead.
+    #[must_use]
+    pub fn unsettled_slots(&self, at: ClockReading) -> usize {
+        let places = self.slots.iter().zip(0..);
+        let unsettled = places.filter(|(state, place)| match state {
+            SlotState::Foreign => false,
+            SlotState::Waiting { .. } => true,
+            SlotState::Ready { .. } => self.table.floor(Slot(*place)) > at.wall,
+        });
+        unsettled.count()
+    }
+
     /// When the next wait ends, to call [`Self::on_time`] then.
     #[must_use]
     pub fn next_ready(&self) -> Option<Moment> {
--- a/src/node.rs
+++ b/src/node.rs
@@ -14,6 +14,7 @@
 pub mod mesh;
 mod metrics;
 pub mod operator_edge;
+mod ownership_health;
 pub mod peer_edge;
 mod probing;
 mod start;
--- a/src/node/operator_edge/status.rs
+++ b/src/node/operator_edge/status.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     coordination::retries::RetryBudget,
-    node::core::NodeCore,
+    node::{core::NodeCore, ownership_health::find_ownership_problem},
     protocol::operator_views::{
         BudgetStatus, ClassStatus, LogStatus, MemberCondition, MemberStatus, NodeStatus,
         UpstreamStatus,
@@ -167,6 +167,7 @@
         let condition = core.load_report().condition;
         problems.push(format!("the upstream takes no work: {condition:?}"));
     }
+    problems.extend(find_ownership_problem(core));
     let failures = core.log_failures.get();
     if failures > 0 {
         problems.push(format!(
--- a/src/state/class.rs
+++ b/src/state/class.rs
@@ -35,6 +35,14 @@
     Required,
 }
 
+impl KeyRule {
+    /// Whether calls with a key are kept from running twice.
+    #[must_use]
+    pub fn is_used(self) -> bool {
+        self != Self::None
+    }
+}
+
 /// What a request must look like to belong to a class. All given parts must match.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
