Say not run for a key only after asking its owner

Cause: an entry node that was stopping or full refused keyed calls as not run without asking the owner; one without a configuration answered 404. A repeated booking was so told not run after its key had run. A restarted owner without configuration refused a forwarded call as unknown class.

Change: keyed calls get key_unsettled there; others draining, queue_full or no_upstream; the restarted owner answers not owner, so that the entry node asks again.

The history run of the tests covers it; there is no test of each refusal alone.

Conclusion: not run for a key now always rests on its owner's word.

--- a/src/node/caller_edge.rs
+++ b/src/node/caller_edge.rs
@@ -3,6 +3,7 @@
 mod reply;
 
 use crate::{
+    constants::KEY_HEADER,
     coordination::classification::{ClassifiedCall, Rejection, classify_call},
     events::{event::Event, reasons::OutcomeSummary},
     node::{
@@ -14,9 +15,12 @@
     protocol::{
         attempt::CallId,
         headers::clean_request_headers,
-        outcome::{Outcome, Refusal, RefusalReason, RetryAdvice},
+        outcome::{Outcome, Refusal, RefusalReason, RetryAdvice, UnknownCause},
+    },
+    state::{
+        configuration::ConfigurationVersion,
+        statistics::{CountedCall, CountedOutcome},
     },
-    state::statistics::{CountedCall, CountedOutcome},
     transport::callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
 };
 use futures::future::LocalBoxFuture;
@@ -75,18 +79,28 @@
 }
 
 async fn carry_request(core: &Rc<NodeCore>, id: CallId, req: CallerRequest) -> CallerReply {
-    if core.stopping.get() {
-        return build_reply(&refuse(RefusalReason::Draining, RetryAdvice::Elsewhere));
-    }
     let configuration = core.configuration();
+    if configuration.version == ConfigurationVersion::default() {
+        // A node that has just started knows no service yet. Refusing the request as malformed would
+        // tell its caller not to repeat it.
+        let keyed = req.headers.contains_key(KEY_HEADER);
+        let refusal = refuse(RefusalReason::NoUpstream, RetryAdvice::Elsewhere, keyed);
+        return build_reply(&refusal);
+    }
     let classified = classify_call(&configuration.content, &req.method, &req.uri, &req.headers);
+    if core.stopping.get() {
+        let keyed = classified.as_ref().is_ok_and(|call| call.key.is_some());
+        let refusal = refuse(RefusalReason::Draining, RetryAdvice::Elsewhere, keyed);
+        return build_reply(&refusal);
+    }
     let classified = match classified {
         Ok(classified) => classified,
         Err(rejection) => return reject(core, id, rejection),
     };
     if core.calls.get() >= core.settings.callers.max_calls {
         let advice = RetryAdvice::After(BUSY_RETRY);
-        return build_reply(&refuse(RefusalReason::QueueFull, advice));
+        let keyed = classified.key.is_some();
+        return build_reply(&refuse(RefusalReason::QueueFull, advice, keyed));
     }
     let counted = CallInProgress::count(core);
     let arrived = core.timers.now();
@@ -122,9 +136,18 @@
     build_reply(&end)
 }
 
-fn refuse(reason: RefusalReason, advice: RetryAdvice) -> CallEnd {
+/// Refuses a call before anybody was asked about its key.
+///
+/// An earlier call with the key may have run. A caller told `not run` for a repeated booking could book
+/// again with a new key, and would have two.
+fn refuse(reason: RefusalReason, advice: RetryAdvice, keyed: bool) -> CallEnd {
+    let outcome = if keyed {
+        Outcome::Unknown(UnknownCause::KeyUnsettled)
+    } else {
+        Outcome::NotRun(Refusal { reason, advice })
+    };
     CallEnd {
-        outcome: Outcome::NotRun(Refusal { reason, advice }),
+        outcome,
         upstream: None,
         attempts: 0,
     }
--- a/src/node/keyed_calls.rs
+++ b/src/node/keyed_calls.rs
@@ -210,10 +210,8 @@
     let carried = Rc::clone(&core.keyed.carried);
     let outcome = match (attempt.key.and_then(key_id), entry_call(&core, attempt)) {
         (Some(key), Some(call)) => run_owned(&core, call, key).await.outcome,
-        _ => Outcome::NotRun(Refusal {
-            reason: RefusalReason::UnknownClass,
-            advice: RetryAdvice::Never,
-        }),
+        // A node restarted at the owner's address knows no class yet, and nothing of the key.
+        _ => refuse_as_not_owner(),
     };
     drop(carried);
     let load = core.load_report();
