Run real nodes with seeded faults and check the history

Cause: the checker judged recordings, and nothing recorded one.

Change: examples/history runs nine nodes with callers, keys repeated at other nodes, and a seeded schedule of faults; a short run is part of the tests. Upstreams tell when they were started, to put their runs on the recorder's clock.

Longer and release runs were not made.

--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -235,6 +235,12 @@
         self.address
     }
 
+    /// When it was started; times of its runs count from here.
+    #[must_use]
+    pub fn started(&self) -> Instant {
+        self.inner.started
+    }
+
     /// Its name.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/tests/integration/history.rs
+++ b/tests/integration/history.rs
@@ -1,9 +1,9 @@
 //! The checker of recorded histories: one bad history for each thing that it must find.
 
 #[path = "../../examples/history/checker.rs"]
-mod checker;
+pub mod checker;
 #[path = "../../examples/history/event.rs"]
-mod event;
+pub mod event;
 #[path = "../../examples/history/key_register.rs"]
 mod key_register;
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -13,6 +13,7 @@
 mod events;
 mod handovers;
 mod history;
+mod history_run;
 mod imports;
 mod key_table;
 mod keyed_calls;
