Pay for probes at what they take

Cause: the budget for measuring paid 256 bytes for a probe, the node reported 400 and named a measurement that did not exist. Change: one constant, 560 bytes, held by a test that counts the bytes of 100 probes on a kept connection. Run: probe_stays_within_what_is_paid_for_it: 240 bytes of messages, 552 with headers at worst; it fails with the former 256. Tests of measuring and routing unchanged. Conclusion: a budget in bytes grants fewer probes than before, and now holds.

--- a/src/coordination/measuring.rs
+++ b/src/coordination/measuring.rs
@@ -11,8 +11,9 @@
 use crate::state::{configuration::MeasuringBudget, moment::Moment, token_bucket::TokenBucket};
 use serde::Serialize;
 
-/// Most bytes that one probe and its answer may take; what the sender has to keep to.
-pub const PROBE_BYTES_LIMIT: u32 = 256;
+/// Most bytes that one probe and its answer take on a kept connection: 240 bytes of messages, and
+/// the headers of at most 6 segments. The test `probe_stays_within_what_is_paid_for_it` measures it.
+pub const PROBE_BYTES_LIMIT: u32 = 560;
 /// Probes that calls may earn ahead.
 const EARNED_PROBES: f64 = 2.0;
 
--- a/src/node/probing.rs
+++ b/src/node/probing.rs
@@ -1,6 +1,7 @@
 //! Probes other nodes for their load, where own calls tell too little, within the budget.
 
 use crate::{
+    coordination::measuring::PROBE_BYTES_LIMIT,
     events::event::Event,
     node::{core::NodeCore, executing::saturate_micros},
     protocol::load_report::LoadReport,
@@ -11,9 +12,6 @@
 
 /// How often routers are asked whether a probe is worth it.
 const LOOK_PERIOD: Duration = Duration::from_millis(20);
-/// Bytes of a probe and its answer on the wire, with the headers of their segments. Measured on a
-/// kept connection; see `docs/design/peers.md`.
-const PROBE_BYTES: u32 = 400;
 
 /// Probes until dropped.
 pub async fn run_probes(core: Rc<NodeCore>) {
@@ -46,7 +44,7 @@
     let load = ask_load(&core, &node).await;
     let now = core.timers.now();
     if let Some(router) = core.routers.borrow_mut().get_mut(&service) {
-        router.record_probe(&node, load, PROBE_BYTES, now);
+        router.record_probe(&node, load, PROBE_BYTES_LIMIT, now);
     }
     let event = match load {
         Some(load) => Event::ProbeAnswered {
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -31,6 +31,7 @@
 mod ownership_view;
 mod peers;
 mod platform_log;
+mod probe_bytes;
 mod publishing;
 mod recovery;
 mod retries;
