--- a/tests/integration/events.rs
+++ b/tests/integration/events.rs
@@ -12,7 +12,7 @@
     state::{member::Incarnation, names::NodeName},
     timers::TimerService,
 };
-use std::{collections::HashSet, time::Duration};
+use std::{collections::HashSet, fs, path::Path, time::Duration};
 use uuid::Uuid;
 
 const EVERYTHING: EventQuery = EventQuery {
@@ -58,6 +58,52 @@
     );
 }
 
+/// The text of all sources of the library but those that define, show or explain events.
+fn read_recording_sources() -> String {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut left = vec![root.clone()];
+    let mut text = String::new();
+    while let Some(path) = left.pop() {
+        if path.is_dir() && path != root.join("events") && path != root.join("commands") {
+            let entries = fs::read_dir(&path).expect("a directory");
+            left.extend(entries.map(|entry| entry.expect("an entry").path()));
+        } else if path.is_file() {
+            text += &fs::read_to_string(&path).expect("a source");
+        }
+    }
+    text
+}
+
+/// `call_received` as the variant is written: `CallReceived`.
+fn variant_of(name: &str) -> String {
+    let words = name.split('_').map(|word| {
+        let (first, rest) = word.split_at(1);
+        first.to_uppercase() + rest
+    });
+    words.collect()
+}
+
+#[test]
+fn catalogue_page_names_what_is_not_recorded() {
+    let page = include_str!("../../docs/EVENTS.md");
+    let (_, list) = page
+        .split_once("No code records these yet:")
+        .expect("a list");
+    let (list, _) = list.split_once('.').expect("an end");
+    let named: Vec<&str> = list.split('`').skip(1).step_by(2).collect();
+    let sources = read_recording_sources();
+    let is_recorded = |entry: &&CatalogueEntry| {
+        let variant = format!("Event::{}", variant_of(entry.name));
+        let mut places = sources.match_indices(&variant);
+        places.any(|(at, _)| !sources[at + variant.len()..].starts_with(char::is_alphanumeric))
+    };
+    let missing = CATALOGUE.iter().filter(|entry| !is_recorded(entry));
+    let missing: Vec<&str> = missing.map(|entry| entry.name).collect();
+    let unnamed = missing.iter().filter(|name| !named.contains(name));
+    let unnamed: Vec<&&str> = unnamed.collect();
+    assert!(unnamed.is_empty(), "docs/EVENTS.md must list {unnamed:?}");
+}
+
 #[test]
 fn catalogue_numbers_are_unique() {
     let numbers: HashSet<u16> = CATALOGUE.iter().map(|entry| entry.number).collect();
