Let the measured node answer a handover

Cause: the handler of nodes got a method while the probe's test was written. Change: the test's handler has it, and answers that it is stale.

--- a/tests/integration/probe_bytes.rs
+++ b/tests/integration/probe_bytes.rs
@@ -2,7 +2,11 @@
 
 use camphorturn::{
     constants::DEFAULT_BODY_LIMIT,
-    coordination::measuring::PROBE_BYTES_LIMIT,
+    coordination::{
+        keyed_calls::HeldAnswer,
+        measuring::PROBE_BYTES_LIMIT,
+        ownership::handover::{HandoverAnswer, SlotHandover},
+    },
     events::stamp::CausalStamp,
     protocol::{
         attempt::AttemptId,
@@ -66,6 +70,10 @@
         }
     }
 
+    fn hand_over(&self, _: &Member, _: SlotHandover<HeldAnswer>) -> HandoverAnswer {
+        HandoverAnswer::Stale
+    }
+
     fn gossip(&self, _: &Member, gossip: Gossip) -> Gossip {
         gossip
     }
