Measure until a version is in force at all nodes

Cause: only the time until one reader of the log had folded a version was measured, not that of the nodes of a mesh.

--- a/examples/publishing.rs
+++ b/examples/publishing.rs
@@ -2,6 +2,11 @@
 //! healthy, slow, and returning from an outage.
 //!
 //! `cargo run --release --example publishing -- [--json] [--rounds N]`
+//!
+//! With `--mesh NODES` in place of that: until the version is in force at every node of a local mesh.
+
+#[path = "publishing/mesh.rs"]
+mod mesh;
 
 use bpaf::{OptionParser, Parser, construct, long};
 use camphorturn::{
@@ -28,6 +33,7 @@
 struct Options {
     json: bool,
     rounds: usize,
+    mesh: Option<usize>,
 }
 
 #[derive(Serialize)]
@@ -57,7 +63,11 @@
         .help("Publications to a healthy log; a third of them to a slow one, a sixth after outages")
         .argument("N")
         .fallback(60);
-    construct!(Options { json, rounds }).to_options()
+    let mesh = long("mesh")
+        .help("Measure a local mesh of so many nodes in place of one reader")
+        .argument("NODES")
+        .optional();
+    construct!(Options { json, rounds, mesh }).to_options()
 }
 
 fn content(latency_ms: u32) -> Configuration {
@@ -167,8 +177,36 @@
     spans.get(place - 1).map_or(0, Duration::as_millis)
 }
 
+fn measure_in_force(nodes: usize, options: &Options) -> io::Result<()> {
+    let spans = mesh::measure_mesh(nodes, options.rounds.max(1))?;
+    let (p50, p99, worst) = (
+        quantile(&spans, 50),
+        quantile(&spans, 99),
+        quantile(&spans, 100),
+    );
+    if options.json {
+        let report = serde_json::json!({
+            "nodes": nodes,
+            "publications": spans.len(),
+            "in_force_p50_ms": p50,
+            "in_force_p99_ms": p99,
+            "in_force_worst_ms": worst,
+        });
+        println!("{report}");
+    } else {
+        println!(
+            "{nodes} nodes, {} publications: in force everywhere p50 {p50} ms, p99 {p99} ms, worst {worst} ms",
+            spans.len()
+        );
+    }
+    Ok(())
+}
+
 fn main() -> io::Result<()> {
     let options = options().run();
+    if let Some(nodes) = options.mesh {
+        return measure_in_force(nodes, &options);
+    }
     // The reader runs until the sender of its commands is gone.
     let (mut bench, _commands) = Bench::start()?;
     let rounds = options.rounds.max(1);
