Look at a key's floor before its distance from the clock

Cause: a key issued ahead of this node's clock was told not run before anything else was looked at: also below the floor of a takeover, during the wait of one, and by a node that does not own it. The former owner, its clock ahead, may have run it. Found by reading; no run had shown it. Change: the floor goes first, and only an owner whose wait is over and whose lease holds says that a key from the future was not run. Conclusion: not run is said for a key only by its present owner, above its floor.

--- a/src/coordination/ownership.rs
+++ b/src/coordination/ownership.rs
@@ -187,11 +187,12 @@
             KeyStatus::AnswerGone => Begin::AnswerGone,
             KeyStatus::Unknown => Begin::Unknown,
             KeyStatus::DifferentRequest => Begin::DifferentRequest,
-            KeyStatus::FromTheFuture => Begin::FromTheFuture,
-            status @ (KeyStatus::New | KeyStatus::TooOld) => {
-                let too_old = matches!(status, KeyStatus::TooOld);
-                self.begin_absent(key, fingerprint, too_old, at)
+            KeyStatus::TooOld => self.begin_absent(key, fingerprint, Some(Begin::TooOld), at),
+            // Only the present owner can say so: another one may run the key by its own clock.
+            KeyStatus::FromTheFuture => {
+                self.begin_absent(key, fingerprint, Some(Begin::FromTheFuture), at)
             }
+            KeyStatus::New => self.begin_absent(key, fingerprint, None, at),
         }
     }
 
@@ -237,7 +238,7 @@
         &mut self,
         key: KeyId,
         fingerprint: Fingerprint,
-        too_old: bool,
+        refused: Option<Begin<A>>,
         at: ClockReading,
     ) -> Begin<A> {
         let slot = self.table.slot_of(key);
@@ -248,12 +249,15 @@
             Some(SlotState::Waiting { until, .. }) => return Begin::NotReady(*until),
             Some(SlotState::Ready { .. }) => {}
         }
-        if too_old {
+        if matches!(refused, Some(Begin::TooOld)) {
             return Begin::TooOld;
         }
         if self.lease_end(at.now).is_none_or(|end| end.0 <= at.now) {
             return Begin::Lapsed;
         }
+        if let Some(refused) = refused {
+            return refused;
+        }
         let run = self.table.start(key, fingerprint, at.wall);
         run.map_or(Begin::TooOld, Begin::Run)
     }
--- a/src/state/key_table.rs
+++ b/src/state/key_table.rs
@@ -91,13 +91,15 @@
         if let Some(entry) = self.entries.get(&key) {
             return entry.status(fingerprint);
         }
-        if key.issued() > wall + self.limits.future_bound {
-            return KeyStatus::FromTheFuture;
-        }
+        // The floor goes first: below it the former owner may have run the key, also if it was issued
+        // ahead of this node's clock, and "from the future" would say that it never ran.
         let memory_floor = wall - self.limits.key_memory;
         if key.issued() < self.floor(self.slot_of(key)).max(memory_floor) {
             return KeyStatus::TooOld;
         }
+        if key.issued() > wall + self.limits.future_bound {
+            return KeyStatus::FromTheFuture;
+        }
         KeyStatus::New
     }
 
--- a/tests/integration/key_table.rs
+++ b/tests/integration/key_table.rs
@@ -106,6 +106,18 @@
     assert_eq!(table.inspect(key_a, REQUEST, NOW), KeyStatus::TooOld);
 }
 
+#[test]
+fn inspect_calls_a_key_below_the_floor_too_old_also_if_it_is_ahead_of_the_clock() {
+    // Symptom: a caller is told that a booking was not run, and it was.
+    // Sequence: the former owner, its clock ahead, runs the key; the next owner, its floor above the
+    // key and its clock behind, is asked for it.
+    // Cause: the bound on keys from the future is looked at before the floor.
+    let mut table = table();
+    let ahead = key(NOW.0 + 1_000, 1);
+    table.set_floor(table.slot_of(ahead), WallMillis(NOW.0 + 2_000));
+    assert_eq!(table.inspect(ahead, REQUEST, NOW), KeyStatus::TooOld);
+}
+
 #[test]
 fn inspect_refuses_a_key_from_the_future() {
     let table = table();
