--- /dev/null
+++ b/src/coordination/placement.rs
@@ -0,0 +1,80 @@
+//! In which order an entry node asks the nodes of a service for a slot.
+//!
+//! What it knows of them is old: load changes within milliseconds. So it asks for a slot at once or
+//! none; a refusal takes a message each way and settles that nothing ran. Only a request that found
+//! no slot anywhere waits, at the node with the shortest wait.
+
+use crate::state::{
+    moment::Moment,
+    names::{AvailabilityZoneName, ServiceName},
+    placement_view::NodeView,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// Age at which a told load says nothing any more.
+const LOAD_LIFETIME: Duration = Duration::from_secs(1);
+
+/// A node that may be asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementCandidate {
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// It is in the availability zone of the entry node.
+    pub near: bool,
+    /// Expected load as a share of its limit, the request included; lower is better.
+    pub cost: f64,
+}
+
+/// The nodes of a service, the ones to ask first in front. `chance` (0 up to 1) gives the start
+/// among equal ones, so that entry nodes with the same knowledge don't ask the same node.
+#[must_use]
+pub fn order_candidates<'a>(
+    views: impl Iterator<Item = &'a NodeView>,
+    service: &ServiceName,
+    zone: &AvailabilityZoneName,
+    mut chance: impl FnMut() -> f64,
+    now: Moment,
+) -> Vec<PlacementCandidate> {
+    let mut candidates: Vec<(PlacementCandidate, f64)> = views
+        .filter(|view| view.record.service == *service && !view.record.leaving)
+        .filter(|view| view.paused_until <= now)
+        .map(|view| {
+            let candidate = PlacementCandidate {
+                address: view.record.address,
+                near: view.record.availability_zone == *zone,
+                cost: estimate_cost(view, now),
+            };
+            (candidate, chance())
+        })
+        .collect();
+    candidates.sort_by(|(a, chance_a), (b, chance_b)| {
+        let near = b.near.cmp(&a.near);
+        let cost = a.cost.total_cmp(&b.cost);
+        near.then(cost).then(chance_a.total_cmp(chance_b))
+    });
+    candidates
+        .into_iter()
+        .map(|(candidate, _)| candidate)
+        .collect()
+}
+
+/// Requests there as a share of what runs at once, weighed by how slow the VM said it is.
+fn estimate_cost(view: &NodeView, now: Moment) -> f64 {
+    let fresh = view
+        .load
+        .filter(|(_, at)| now.since(*at) < LOAD_LIFETIME)
+        .map(|(load, at)| {
+            let age = now.since(at).as_secs_f64() / LOAD_LIFETIME.as_secs_f64();
+            (load, 1.0 - age)
+        });
+    let slots = f64::from(view.record.slots.max(1));
+    let own = f64::from(view.outstanding);
+    let Some((load, weight)) = fresh else {
+        return (own + 1.0) / slots;
+    };
+    let told = f64::from(load.running) + f64::from(load.queued);
+    let limit = f64::from(load.limit.max(1));
+    let slowdown = f64::from(load.slowdown_percent.max(100)) / 100.0;
+    let busy = own.max(told * weight) + 1.0;
+    busy / limit * (1.0 + (slowdown - 1.0) * weight)
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod node;
 pub mod options;
 pub mod protocol;
+pub mod proxy;
 pub mod state;
 pub mod timers;
 pub mod transport;
--- a/src/options.rs
+++ b/src/options.rs
@@ -10,5 +10,6 @@
 pub mod node_arguments;
 pub mod node_rules;
 pub mod node_settings;
+pub mod proxy_settings;
 mod schema_check;
 pub mod secret;
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -4,6 +4,7 @@
 pub mod call;
 pub mod gossip;
 pub mod headers;
+pub mod hop;
 pub mod load_report;
 pub mod operator_views;
 pub mod outcome;
--- /dev/null
+++ b/src/protocol/hop.rs
@@ -0,0 +1,180 @@
+//! What nodes tell each other beside a request that one passes on to another, as one header.
+//!
+//! The request itself travels unchanged. The header is short on purpose: bytes between availability
+//! zones are paid for.
+
+use crate::{
+    protocol::outcome::{RefusalReason, UnknownCause},
+    state::{
+        configuration::ConfigurationVersion,
+        names::{ClassName, ServiceName},
+        placement_view::NodeLoad,
+    },
+};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use std::{net::SocketAddr, time::Duration};
+
+/// Name of the header, on requests and answers between nodes.
+pub const HOP_HEADER: &str = "x-hop";
+/// Header that marks a message with state instead of a request.
+pub const STATE_HEADER: &str = "x-state";
+
+/// Sent with a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HopRequest {
+    /// Service whose upstream is to run it.
+    pub service: ServiceName,
+    /// Class of work.
+    pub class: ClassName,
+    /// Service on the VM where the request began.
+    pub caller: ServiceName,
+    /// Time until the deadline.
+    pub time_left: Duration,
+    /// Longest time to wait for a slot.
+    pub patience: Duration,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// Version of the routing table that the sender has in force.
+    pub version: ConfigurationVersion,
+    /// Where the sender takes messages from nodes.
+    pub from: SocketAddr,
+}
+
+/// How the attempt ended, as the node beside the upstream knows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The message is the upstream's answer.
+    Answered,
+    /// It did not run.
+    Refused(RefusalReason),
+    /// It may have run.
+    Unknown(UnknownCause),
+}
+
+/// Sent with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HopAnswer {
+    /// How the attempt ended.
+    pub verdict: Verdict,
+    /// Load of the upstream now.
+    pub load: NodeLoad,
+    /// Version of the routing table that the answering node has in force.
+    pub version: ConfigurationVersion,
+    /// After a refusal, the expected wait for a slot.
+    pub wait: Duration,
+}
+
+impl HopRequest {
+    /// The header's value.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        format!(
+            "{};{};{};{};{};{};{};{};{}",
+            self.service,
+            self.class,
+            self.caller,
+            self.time_left.as_millis(),
+            self.patience.as_millis(),
+            self.priority,
+            u8::from(self.idempotent),
+            self.version.0,
+            self.from,
+        )
+    }
+
+    /// Reads the header's value; none if it is malformed.
+    #[must_use]
+    pub fn decode(text: &str) -> Option<Self> {
+        let mut parts = text.split(';');
+        let request = Self {
+            service: parts.next()?.into(),
+            class: parts.next()?.into(),
+            caller: parts.next()?.into(),
+            time_left: Duration::from_millis(parts.next()?.parse().ok()?),
+            patience: Duration::from_millis(parts.next()?.parse().ok()?),
+            priority: parts.next()?.parse().ok()?,
+            idempotent: parts.next()? == "1",
+            version: ConfigurationVersion(parts.next()?.parse().ok()?),
+            from: parts.next()?.parse().ok()?,
+        };
+        parts.next().is_none().then_some(request)
+    }
+}
+
+impl HopAnswer {
+    /// The header's value.
+    #[must_use]
+    pub fn encode(&self) -> String {
+        let load = self.load;
+        format!(
+            "{};{};{};{};{};{};{}",
+            encode_verdict(self.verdict),
+            load.running,
+            load.queued,
+            load.limit,
+            load.slowdown_percent,
+            self.version.0,
+            self.wait.as_millis(),
+        )
+    }
+
+    /// Reads the header's value; none if it is malformed.
+    #[must_use]
+    pub fn decode(text: &str) -> Option<Self> {
+        let mut parts = text.split(';');
+        let answer = Self {
+            verdict: decode_verdict(parts.next()?)?,
+            load: NodeLoad {
+                running: parts.next()?.parse().ok()?,
+                queued: parts.next()?.parse().ok()?,
+                limit: parts.next()?.parse().ok()?,
+                slowdown_percent: parts.next()?.parse().ok()?,
+            },
+            version: ConfigurationVersion(parts.next()?.parse().ok()?),
+            wait: Duration::from_millis(parts.next()?.parse().ok()?),
+        };
+        parts.next().is_none().then_some(answer)
+    }
+}
+
+fn encode_verdict(verdict: Verdict) -> String {
+    match verdict {
+        Verdict::Answered => "a".to_owned(),
+        Verdict::Refused(reason) => format!("r:{}", name_of(&reason)),
+        Verdict::Unknown(cause) => format!("u:{}", name_of(&cause)),
+    }
+}
+
+fn decode_verdict(text: &str) -> Option<Verdict> {
+    if text == "a" {
+        return Some(Verdict::Answered);
+    }
+    match text.split_once(':')? {
+        ("r", name) => Some(Verdict::Refused(by_name(name)?)),
+        ("u", name) => Some(Verdict::Unknown(by_name(name)?)),
+        _ => None,
+    }
+}
+
+/// The name that a variant has in JSON.
+#[must_use]
+pub fn name_of(value: &impl Serialize) -> String {
+    let json = serde_json::to_value(value).ok();
+    let name = json.as_ref().and_then(serde_json::Value::as_str);
+    name.unwrap_or("other").to_owned()
+}
+
+fn by_name<T: DeserializeOwned>(name: &str) -> Option<T> {
+    serde_json::from_value(serde_json::Value::from(name)).ok()
+}
+
+/// State that a node sends to one that has an older version.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StateMessage {
+    /// The routing table in force.
+    pub table: Option<crate::state::routing_table::RoutingTable>,
+    /// The nodes that the sender knows.
+    pub nodes: Vec<crate::state::placement_view::NodeRecord>,
+}
--- /dev/null
+++ b/src/proxy.rs
@@ -0,0 +1,16 @@
+//! A node of the routed mesh: takes requests of the clients on its VM, finds the node beside an
+//! upstream that runs them, and decides what the upstream beside itself runs.
+//!
+//! All state lives on one event-loop thread. `docs/design/platform.md` tells the way of a request.
+
+pub mod announcing;
+pub mod core;
+pub mod directory;
+mod entry;
+mod executing;
+mod peers;
+mod reply;
+mod start;
+mod stop;
+
+pub use start::{ProxyListeners, run_proxy};
--- /dev/null
+++ b/src/proxy/announcing.rs
@@ -0,0 +1,84 @@
+//! Takes in what the upstream beside the node announces, and has it recorded in the store.
+
+use crate::{
+    coordination::own_upstream::{Announcement, AnnouncementEffect},
+    proxy::{
+        core::ProxyCore,
+        directory::RecordSource,
+        executing::{limit_for, set_limit},
+    },
+    state::placement_view::NodeRecord,
+};
+use flume::Sender;
+use std::{rc::Rc, time::Duration};
+
+/// Longest time that an acknowledgement waits for the store. The node itself already keeps to what
+/// was announced; the record only matters if it is restarted.
+const STORE_PATIENCE: Duration = Duration::from_millis(400);
+
+/// A record to be kept in the store, and where to say that it is.
+#[derive(Debug)]
+pub struct RecordOrder {
+    /// The record of this node.
+    pub record: NodeRecord,
+    /// Gets a message once the store has it.
+    pub done: Sender<()>,
+}
+
+/// Takes in an announcement; returns once it may be acknowledged.
+pub async fn take_announcement(
+    core: &Rc<ProxyCore>,
+    announcement: Announcement,
+    store: &Sender<RecordOrder>,
+) {
+    let now = core.timers.now();
+    let instance = announcement.instance.clone();
+    let leaving = announcement.leaving;
+    let effect = core.own.borrow_mut().announce(announcement, now);
+    if effect == AnnouncementEffect::Changed {
+        tracing::info!(event = 401, %instance, leaving, "upstream announced");
+        take_change(core, store).await;
+    }
+}
+
+/// Takes in that a run of the upstream leaves; returns once it may be acknowledged.
+pub async fn take_departure(core: &Rc<ProxyCore>, instance: &str, store: &Sender<RecordOrder>) {
+    let news = core.own.borrow_mut().depart(instance);
+    if news {
+        tracing::info!(event = 402, %instance, "upstream departed");
+        take_change(core, store).await;
+    }
+}
+
+async fn take_change(core: &Rc<ProxyCore>, store: &Sender<RecordOrder>) {
+    let Some(record) = describe_own(core) else {
+        return;
+    };
+    set_limit(core, limit_for(record.slots));
+    core.take_record(record.clone(), RecordSource::Own);
+    let (done, recorded) = flume::bounded(1);
+    if store.send(RecordOrder { record, done }).is_err() {
+        return;
+    }
+    let patience = core.timers.after(STORE_PATIENCE);
+    tokio::select! {
+        _ = recorded.recv_async() => {}
+        _ = patience.recv_async() => {}
+    }
+}
+
+/// The record of this node, if its upstream has announced itself.
+#[must_use]
+pub fn describe_own(core: &ProxyCore) -> Option<NodeRecord> {
+    let own = core.own.borrow();
+    let run = own.current()?;
+    Some(NodeRecord {
+        name: core.settings.name.clone(),
+        address: core.settings.peers,
+        service: run.service.clone(),
+        availability_zone: core.settings.availability_zone.clone(),
+        instance: run.instance.clone(),
+        slots: run.slots,
+        leaving: run.leaving,
+    })
+}
--- /dev/null
+++ b/src/proxy/core.rs
@@ -0,0 +1,129 @@
+//! What the parts of a node share on its event-loop thread.
+
+use crate::{
+    coordination::{own_upstream::OwnUpstream, repeat_budget::RepeatBudget},
+    options::proxy_settings::ProxySettings,
+    proxy::{
+        directory::{Directory, RecordSource},
+        executing::Slots,
+    },
+    state::{
+        moment::Moment,
+        names::ServiceName,
+        placement_view::NodeRecord,
+        routing_table::{RouteIndex, RoutingTable},
+    },
+    timers::TimerService,
+    transport::outgoing::OutgoingConnections,
+};
+use rand::RngExt;
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+};
+
+/// Counts since the start, for the metrics page.
+#[derive(Debug, Default)]
+pub struct ProxyCounters {
+    /// Requests of clients.
+    pub requests: Cell<u64>,
+    /// Of these, answered by an upstream.
+    pub answered: Cell<u64>,
+    /// Of these, refused without having run.
+    pub refused: Cell<u64>,
+    /// Of these, ended without it being known whether they ran.
+    pub unknown: Cell<u64>,
+    /// Requests run at the upstream beside the node.
+    pub executed: Cell<u64>,
+    /// Requests sent to a second upstream.
+    pub repeats: Cell<u64>,
+}
+
+/// Adds one.
+pub fn count(counter: &Cell<u64>) {
+    counter.set(counter.get() + 1);
+}
+
+/// State and edges of one node. No borrow is held over an `await`.
+pub struct ProxyCore {
+    /// What the node was told.
+    pub settings: ProxySettings,
+    /// Time and wake-ups.
+    pub timers: TimerService,
+    /// The routing table in force and the nodes that are known.
+    pub directory: RefCell<Directory>,
+    /// The upstream beside the node, by its announcements.
+    pub own: RefCell<OwnUpstream>,
+    /// Its slots.
+    pub slots: Slots,
+    /// Budgets for second upstreams, by service.
+    pub repeats: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    /// Connections to the upstream and to other nodes.
+    pub outgoing: Rc<OutgoingConnections>,
+    /// Requests of clients in progress.
+    pub in_progress: Cell<usize>,
+    /// The node has been told to stop.
+    pub stopping: Cell<bool>,
+    /// Counts since the start.
+    pub counters: ProxyCounters,
+    /// When the node started.
+    pub started: Moment,
+    /// Requests picked a service by weight so far; spreads them evenly.
+    pub picks: Cell<u32>,
+}
+
+impl ProxyCore {
+    /// The state of a node that knows nothing yet.
+    #[must_use]
+    pub fn new(settings: ProxySettings, timers: TimerService) -> Rc<Self> {
+        Rc::new(Self {
+            directory: RefCell::new(Directory::default()),
+            own: RefCell::default(),
+            slots: Slots::default(),
+            repeats: RefCell::default(),
+            outgoing: OutgoingConnections::new(timers.clone()),
+            in_progress: Cell::new(0),
+            stopping: Cell::new(false),
+            counters: ProxyCounters::default(),
+            started: timers.now(),
+            picks: Cell::new(rand::rng().random_range(0..1_000)),
+            settings,
+            timers,
+        })
+    }
+
+    /// The routing table in force.
+    #[must_use]
+    pub fn routes(&self) -> Option<Rc<RouteIndex>> {
+        self.directory.borrow().routes()
+    }
+
+    /// Puts a routing table in force if it is newer than the present one.
+    pub fn take_table(&self, table: RoutingTable, source: RecordSource) {
+        let version = table.version.0;
+        let routes = table.routes.len();
+        if self.directory.borrow_mut().take_table(table) {
+            tracing::info!(
+                event = 410,
+                version,
+                routes,
+                ?source,
+                "routing table in force"
+            );
+        }
+    }
+
+    /// Takes in a record of a node. This node's own is not taken from others.
+    pub fn take_record(&self, record: NodeRecord, source: RecordSource) {
+        if record.address != self.settings.peers || source == RecordSource::Own {
+            self.directory.borrow_mut().take_record(record, source);
+        }
+    }
+
+    /// Whether clients may bring their requests here.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.routes().is_some()
+    }
+}
--- /dev/null
+++ b/src/proxy/entry.rs
@@ -0,0 +1,124 @@
+//! The node as the clients on its VM meet it.
+
+mod carrier;
+
+use crate::{
+    protocol::outcome::{RefusalReason, UnknownCause},
+    proxy::{
+        core::{ProxyCore, count},
+        entry::carrier::{Carrier, ClientCall},
+        reply::{ClientEnd, build_reply},
+    },
+    transport::callers::{CallerHandler, CallerReply, CallerRequest},
+};
+use futures::future::LocalBoxFuture;
+use http::{Uri, header::HOST, uri::Authority};
+use std::{rc::Rc, time::Duration};
+
+/// When to come back to a node that knows no routes yet.
+const NO_ROUTES_RETRY: Duration = Duration::from_millis(200);
+/// Spreads picks of a service evenly: successive multiples of the golden ratio, modulo 1.
+const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
+
+/// The edge towards clients.
+pub struct ClientEdge {
+    core: Rc<ProxyCore>,
+}
+
+impl ClientEdge {
+    /// The edge of this node.
+    #[must_use]
+    pub fn new(core: Rc<ProxyCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl CallerHandler for ClientEdge {
+    fn handle(&self, req: CallerRequest) -> LocalBoxFuture<'static, CallerReply> {
+        let core = Rc::clone(&self.core);
+        Box::pin(async move {
+            let _counted = InProgress::count(&core);
+            let end = carry_request(&core, req).await;
+            count_end(&core, &end);
+            build_reply(end)
+        })
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.core.stopping.get()
+    }
+}
+
+/// Counts a request in progress for as long as it lives, also when its client goes away.
+struct InProgress(Rc<ProxyCore>);
+
+impl InProgress {
+    fn count(core: &Rc<ProxyCore>) -> Self {
+        core.in_progress.set(core.in_progress.get() + 1);
+        count(&core.counters.requests);
+        Self(Rc::clone(core))
+    }
+}
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+    }
+}
+
+fn count_end(core: &ProxyCore, end: &ClientEnd) {
+    let counters = &core.counters;
+    match end {
+        ClientEnd::Answered(_) => count(&counters.answered),
+        ClientEnd::Refused(..) | ClientEnd::NoRoute => count(&counters.refused),
+        ClientEnd::Unknown(_) => count(&counters.unknown),
+    }
+}
+
+async fn carry_request(core: &Rc<ProxyCore>, req: CallerRequest) -> ClientEnd {
+    let arrived = core.timers.now();
+    let Some(routes) = core.routes() else {
+        return ClientEnd::Refused(RefusalReason::NoUpstream, NO_ROUTES_RETRY);
+    };
+    let host = find_host(&req);
+    let Some(route) = routes.find(host, req.uri.path()).cloned() else {
+        return ClientEnd::NoRoute;
+    };
+    drop(routes);
+    let asked = read_time_left(core, &req);
+    let time_left = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
+    if time_left.is_zero() {
+        return ClientEnd::Unknown(UnknownCause::DeadlinePassed);
+    }
+    let pick = core.picks.get().wrapping_add(1);
+    core.picks.set(pick);
+    let position = (f64::from(pick) * GOLDEN_RATIO).fract();
+    let Some(service) = route.pick_service(position).cloned() else {
+        return ClientEnd::NoRoute;
+    };
+    let call = ClientCall {
+        req,
+        route,
+        service,
+        arrived,
+        deadline: arrived + time_left,
+    };
+    let timeout = core.timers.after(time_left);
+    let mut carrier = Carrier::new(core, call);
+    tokio::select! {
+        end = carrier.run() => end,
+        _ = timeout.recv_async() => carrier.end_at_deadline(),
+    }
+}
+
+fn find_host(req: &CallerRequest) -> &str {
+    let header = req.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let authority = Uri::authority(&req.uri).map(Authority::as_str);
+    authority.or(header).unwrap_or_default()
+}
+
+fn read_time_left(core: &ProxyCore, req: &CallerRequest) -> Option<Duration> {
+    let text = req.headers.get(&core.settings.headers.time_left)?;
+    let millis: f64 = text.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(millis / 1_000.0).ok()
+}
--- /dev/null
+++ b/src/proxy/executing/dispatch.rs
@@ -0,0 +1,161 @@
+//! Hands a request to the upstream and judges what comes back.
+
+use crate::{
+    options::proxy_settings::HeaderNames,
+    protocol::{
+        headers::remove_hop_by_hop,
+        hop::{HOP_HEADER, HopRequest, Verdict},
+        outcome::{RefusalReason, UnknownCause},
+    },
+    proxy::{core::ProxyCore, executing::HeldSlot},
+    transport::{
+        callers::CallerRequest,
+        outgoing::{SendError, SendRules},
+    },
+};
+use bytes::Bytes;
+use http::{
+    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
+    header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT},
+    response::Parts,
+};
+use http_body_util::Full;
+use std::{rc::Rc, time::Duration};
+
+/// Longest time to open a connection to the upstream on the same VM.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest time that a kept connection may have been idle. Upstreams close them after some seconds,
+/// at times without notice; a request that crosses the close has to be repeated.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+/// Largest body of an answer, in bytes.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+/// Pause after a connect to the upstream failed.
+const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Sends a request to the upstream in a slot and gives the slot back when it ends.
+pub async fn dispatch(
+    core: &Rc<ProxyCore>,
+    hop: &HopRequest,
+    req: CallerRequest,
+    time_left: Duration,
+    mut slot: HeldSlot,
+) -> (Verdict, Option<Response<Bytes>>) {
+    let Some(instance) = core.own.borrow().serving().map(|run| run.instance.clone()) else {
+        return (Verdict::Refused(RefusalReason::Draining), None);
+    };
+    let names = &core.settings.headers;
+    let id = req.headers.get(&names.request_id).cloned();
+    let Some(request) = build_request(names, req, hop, &instance, time_left) else {
+        return (Verdict::Refused(RefusalReason::NotSent), None);
+    };
+    let rules = SendRules {
+        fresh: !hop.idempotent,
+        connect_timeout: CONNECT_TIMEOUT.min(time_left),
+        idle_limit: IDLE_LIMIT,
+        body_limit: BODY_LIMIT,
+    };
+    let started = core.timers.now();
+    let deadline = core.timers.after(time_left);
+    let address = core.settings.upstream;
+    let is_answer = |parts: &Parts| belongs_to(names, parts, id.as_ref());
+    let sent = tokio::select! {
+        sent = core.outgoing.send(address, request, rules, is_answer) => sent,
+        _ = deadline.recv_async() => {
+            return (Verdict::Unknown(UnknownCause::DeadlinePassed), None);
+        }
+    };
+    let now = core.timers.now();
+    let result = judge(core, sent, &instance);
+    if matches!(result.0, Verdict::Answered) {
+        slot.took = Some(now.since(started));
+    }
+    result
+}
+
+fn judge(
+    core: &ProxyCore,
+    sent: Result<Response<Bytes>, SendError>,
+    instance: &str,
+) -> (Verdict, Option<Response<Bytes>>) {
+    match sent {
+        Ok(response) => judge_response(core, response, instance),
+        Err(SendError::NotSent) => {
+            let now = core.timers.now();
+            core.slots.paused_until.set(now + CONNECT_PAUSE);
+            (Verdict::Refused(RefusalReason::NotSent), None)
+        }
+        Err(SendError::Cut) => (Verdict::Unknown(UnknownCause::UpstreamCut), None),
+        Err(SendError::BadAnswer) => (Verdict::Unknown(UnknownCause::BadAnswer), None),
+    }
+}
+
+fn judge_response(
+    core: &ProxyCore,
+    response: Response<Bytes>,
+    instance: &str,
+) -> (Verdict, Option<Response<Bytes>>) {
+    let names = &core.settings.headers;
+    note_load(core, response.headers());
+    if response.status() == StatusCode::MISDIRECTED_REQUEST {
+        // Another run has the address: what is known of the former one holds no longer.
+        tracing::info!(event = 403, %instance, "another run answers in place of the upstream");
+        core.own.borrow_mut().disown(instance);
+        return (Verdict::Refused(RefusalReason::UpstreamShed), None);
+    }
+    if response.headers().contains_key(&names.not_executed) {
+        return (Verdict::Refused(RefusalReason::UpstreamShed), None);
+    }
+    let signed = response.headers().contains_key(&names.signature);
+    let encoded = response.headers().contains_key(CONTENT_ENCODING);
+    if encoded || (response.status().is_success() && !signed) {
+        return (Verdict::Unknown(UnknownCause::BadAnswer), None);
+    }
+    (Verdict::Answered, Some(response))
+}
+
+/// Whether an answer is that of the request with `id`. An answer to an earlier request may still
+/// arrive on a kept connection; it bears the id of that one.
+fn belongs_to(names: &HeaderNames, parts: &Parts, id: Option<&HeaderValue>) -> bool {
+    match parts.headers.get(&names.request_id) {
+        Some(told) => Some(told) == id,
+        None => {
+            parts.status == StatusCode::MISDIRECTED_REQUEST
+                || parts.headers.contains_key(&names.not_executed)
+        }
+    }
+}
+
+fn note_load(core: &ProxyCore, headers: &HeaderMap) {
+    let text = headers
+        .get(&core.settings.headers.load)
+        .and_then(|value| value.to_str().ok());
+    let slowdown = text.and_then(|text| text.split(',').nth(3)?.trim().parse().ok());
+    if let Some(slowdown) = slowdown {
+        core.slots.slowdown.set(slowdown);
+    }
+}
+
+fn build_request(
+    names: &HeaderNames,
+    req: CallerRequest,
+    hop: &HopRequest,
+    instance: &str,
+    time_left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = req.headers;
+    remove_hop_by_hop(&mut headers);
+    for name in [CONTENT_LENGTH, EXPECT, HeaderName::from_static(HOP_HEADER)] {
+        headers.remove(name);
+    }
+    let millis = time_left.as_millis().max(1).to_string();
+    headers.insert(&names.time_left, HeaderValue::from_str(&millis).ok()?);
+    let instance = HeaderValue::from_str(instance).ok()?;
+    headers.insert(&names.target_instance, instance);
+    let caller = HeaderValue::from_str(hop.caller.as_str()).ok()?;
+    headers.insert(&names.caller_service, caller);
+    let mut request = Request::new(Full::new(req.body));
+    *request.method_mut() = req.method;
+    *request.uri_mut() = req.uri;
+    *request.headers_mut() = headers;
+    Some(request)
+}
--- /dev/null
+++ b/src/proxy/peers.rs
@@ -0,0 +1,190 @@
+//! Requests and state between nodes, over HTTP/1.1.
+//!
+//! Each request under way has a connection of its own: one that falls silent holds up nothing else,
+//! and closing it cancels just that request at the other node.
+
+use crate::{
+    protocol::hop::{HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER, StateMessage, Verdict},
+    proxy::{
+        core::ProxyCore,
+        directory::RecordSource,
+        executing::{Executed, execute},
+    },
+    state::configuration::ConfigurationVersion,
+    transport::{
+        callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
+        outgoing::{SendError, SendRules},
+    },
+};
+use bytes::Bytes;
+use futures::future::LocalBoxFuture;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::task::spawn_local;
+
+/// Longest time to open a connection to another node; above a round trip between zones with one
+/// lost packet it is better to ask another node.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Longest time that a kept connection to another node may have been idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Largest body between nodes, in bytes.
+const BODY_LIMIT: usize = 64 * 1024 * 1024;
+
+/// Has another node run a request at its upstream.
+///
+/// # Errors
+/// If no answer came; only [`SendError::NotSent`] proves that the request did not run.
+pub async fn send_hop(
+    core: &Rc<ProxyCore>,
+    to: SocketAddr,
+    hop: &HopRequest,
+    req: &CallerRequest,
+) -> Result<Executed, SendError> {
+    let request = build_hop(hop, req).ok_or(SendError::NotSent)?;
+    let rules = SendRules {
+        fresh: !hop.idempotent,
+        connect_timeout: CONNECT_TIMEOUT,
+        idle_limit: IDLE_LIMIT,
+        body_limit: BODY_LIMIT,
+    };
+    let is_answer = |parts: &http::response::Parts| parts.headers.contains_key(HOP_HEADER);
+    let mut response = core.outgoing.send(to, request, rules, is_answer).await?;
+    let header = response.headers_mut().remove(HOP_HEADER);
+    let answer = header
+        .as_ref()
+        .and_then(|value| HopAnswer::decode(value.to_str().ok()?))
+        .ok_or(SendError::BadAnswer)?;
+    share_state(core, to, answer.version);
+    let response = (answer.verdict == Verdict::Answered).then_some(response);
+    Ok(Executed { answer, response })
+}
+
+fn build_hop(hop: &HopRequest, req: &CallerRequest) -> Option<Request<Full<Bytes>>> {
+    let mut headers = req.headers.clone();
+    crate::protocol::headers::remove_hop_by_hop(&mut headers);
+    headers.remove(http::header::CONTENT_LENGTH);
+    headers.remove(http::header::EXPECT);
+    headers.insert(
+        HeaderName::from_static(HOP_HEADER),
+        HeaderValue::from_str(&hop.encode()).ok()?,
+    );
+    let mut request = Request::new(Full::new(req.body.clone()));
+    *request.method_mut() = req.method.clone();
+    *request.uri_mut() = req.uri.clone();
+    *request.headers_mut() = headers;
+    Some(request)
+}
+
+/// Sends the routing table and the known nodes to a node that has an older table.
+pub fn share_state(core: &Rc<ProxyCore>, to: SocketAddr, version: ConfigurationVersion) {
+    let now = core.timers.now();
+    let message = core.directory.borrow_mut().share_with(to, version, now);
+    let Some(message) = message else {
+        return;
+    };
+    tracing::info!(event = 411, %to, version = version.0, "sending state to a node that is behind");
+    let core = Rc::clone(core);
+    spawn_local(async move {
+        let Some(request) = build_state(&message) else {
+            return;
+        };
+        let rules = SendRules {
+            fresh: true,
+            connect_timeout: CONNECT_TIMEOUT,
+            idle_limit: IDLE_LIMIT,
+            body_limit: BODY_LIMIT,
+        };
+        if let Err(error) = core.outgoing.send(to, request, rules, |_| true).await {
+            tracing::debug!(%error, %to, "state not taken");
+        }
+    });
+}
+
+fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
+    let body = serde_json::to_vec(message).ok()?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static("/state");
+    let mark = HeaderValue::from_static("1");
+    request
+        .headers_mut()
+        .insert(HeaderName::from_static(STATE_HEADER), mark);
+    Some(request)
+}
+
+/// The node as other nodes meet it.
+pub struct PeerEdge {
+    core: Rc<ProxyCore>,
+}
+
+impl PeerEdge {
+    /// The edge of this node.
+    #[must_use]
+    pub fn new(core: Rc<ProxyCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl CallerHandler for PeerEdge {
+    fn handle(&self, req: CallerRequest) -> LocalBoxFuture<'static, CallerReply> {
+        let core = Rc::clone(&self.core);
+        Box::pin(async move {
+            if req.headers.contains_key(STATE_HEADER) {
+                return take_state(&core, &req.body);
+            }
+            answer_hop(&core, req).await
+        })
+    }
+
+    fn is_stopping(&self) -> bool {
+        self.core.stopping.get()
+    }
+}
+
+async fn answer_hop(core: &Rc<ProxyCore>, mut req: CallerRequest) -> CallerReply {
+    let header = req.headers.remove(HOP_HEADER);
+    let hop = header
+        .as_ref()
+        .and_then(|value| HopRequest::decode(value.to_str().ok()?));
+    let Some(hop) = hop else {
+        return reply_json(StatusCode::BAD_REQUEST, "not a message between nodes");
+    };
+    share_state(core, hop.from, hop.version);
+    let executed = execute(core, &hop, req).await;
+    let mut reply = match executed.response {
+        Some(response) => pass_on(response),
+        None => Response::new(Full::default()),
+    };
+    if let Ok(value) = HeaderValue::from_str(&executed.answer.encode()) {
+        let name = HeaderName::from_static(HOP_HEADER);
+        reply.headers_mut().insert(name, value);
+    }
+    reply
+}
+
+/// An upstream's answer without what concerns its connection only.
+pub fn pass_on(response: Response<Bytes>) -> CallerReply {
+    let (mut parts, body) = response.into_parts();
+    crate::protocol::headers::remove_hop_by_hop(&mut parts.headers);
+    parts.headers.remove(http::header::CONTENT_LENGTH);
+    parts.headers.remove(http::header::DATE);
+    Response::from_parts(parts, Full::new(body))
+}
+
+fn take_state(core: &Rc<ProxyCore>, body: &[u8]) -> CallerReply {
+    let message: StateMessage = match serde_json::from_slice(body) {
+        Ok(message) => message,
+        Err(error) => {
+            tracing::warn!(event = 412, %error, "malformed state from another node");
+            return reply_json(StatusCode::BAD_REQUEST, "malformed state");
+        }
+    };
+    if let Some(table) = message.table {
+        core.take_table(table, RecordSource::Peer);
+    }
+    for record in message.nodes {
+        core.take_record(record, RecordSource::Peer);
+    }
+    Response::new(Full::default())
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -15,6 +15,8 @@
 pub mod moment;
 pub mod names;
 pub mod ownership;
+pub mod placement_view;
 pub mod published;
+pub mod routing_table;
 pub mod statistics;
 pub mod token_bucket;
--- /dev/null
+++ b/src/state/placement_view.rs
@@ -0,0 +1,89 @@
+//! What an entry node knows of the nodes that it may send requests to.
+
+use crate::state::{
+    moment::Moment,
+    names::{AvailabilityZoneName, NodeName, ServiceName},
+};
+use serde::{Deserialize, Serialize};
+use std::{net::SocketAddr, time::Duration};
+
+/// Pause after the first failure to reach a node.
+const FIRST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause between two tries to reach a node. Bounds how late a returned node is used.
+const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+
+/// What a node tells of itself and the upstream beside it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecord {
+    /// Name of the node.
+    pub name: NodeName,
+    /// Where other nodes connect.
+    pub address: SocketAddr,
+    /// Service of the upstream.
+    pub service: ServiceName,
+    /// Availability zone of the VM.
+    pub availability_zone: AvailabilityZoneName,
+    /// Identity of the upstream's run.
+    pub instance: String,
+    /// Requests that the upstream runs at once.
+    pub slots: u16,
+    /// The upstream has said that it leaves.
+    pub leaving: bool,
+}
+
+/// Load of an upstream as told by the node beside it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NodeLoad {
+    /// Requests at the upstream.
+    pub running: u16,
+    /// Requests that wait at the node.
+    pub queued: u16,
+    /// Requests that the node lets run at once.
+    pub limit: u16,
+    /// How long work takes at this moment, in percent of the usual.
+    pub slowdown_percent: u16,
+}
+
+/// What is known of one node.
+#[derive(Clone, Debug)]
+pub struct NodeView {
+    /// What it told of itself.
+    pub record: NodeRecord,
+    /// Own requests that are out there.
+    pub outstanding: u16,
+    /// The last load told, own requests included, and when.
+    pub load: Option<(NodeLoad, Moment)>,
+    /// Not used before; set when the node could not be reached or refused for longer.
+    pub paused_until: Moment,
+    /// Failures to reach it in a row.
+    pub failures: u32,
+}
+
+impl NodeView {
+    /// Nothing known but the record.
+    #[must_use]
+    pub fn new(record: NodeRecord) -> Self {
+        Self {
+            record,
+            outstanding: 0,
+            load: None,
+            paused_until: Moment::default(),
+            failures: 0,
+        }
+    }
+
+    /// Notes that the node could not be reached; returns the pause until the next try.
+    pub fn note_unreachable(&mut self, now: Moment) -> Duration {
+        let doubled = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        let pause = doubled.min(LONGEST_PAUSE);
+        self.paused_until = now + pause;
+        pause
+    }
+
+    /// Notes that the node answered.
+    pub fn note_reached(&mut self) {
+        self.failures = 0;
+        self.paused_until = Moment::default();
+    }
+}
--- /dev/null
+++ b/src/state/routing_table.rs
@@ -0,0 +1,129 @@
+//! Which service a request belongs to: routes by host and longest path prefix.
+
+use crate::state::{
+    configuration::ConfigurationVersion,
+    names::{ClassName, ServiceName},
+};
+use arcstr::ArcStr;
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+/// One of the services that share a route's requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WeightedService {
+    /// The service.
+    pub service: ServiceName,
+    /// Its part of the sum of all weights.
+    pub weight: u32,
+}
+
+/// One route: the class of work of the requests below a path prefix of a host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Route {
+    /// Name of the class of work, unique in the table.
+    pub class: ClassName,
+    /// Value of the Host header, without port, in lower case.
+    pub host: ArcStr,
+    /// Start of the path; begins and ends with a slash.
+    pub path_prefix: ArcStr,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// Longest time that a client is kept waiting.
+    pub timeout: Duration,
+    /// Time within which an answer is worth its full value.
+    pub target: Duration,
+    /// Rank among the classes of a service; 0 is served first.
+    pub priority: u8,
+    /// Most upstreams that one request may be sent to.
+    pub max_attempts: u16,
+    /// Where requests go; never empty.
+    pub services: Vec<WeightedService>,
+}
+
+impl Route {
+    /// The service at `position` of the sum of weights; `position` is from 0 up to 1.
+    #[must_use]
+    pub fn pick_service(&self, position: f64) -> Option<&ServiceName> {
+        let sum: f64 = self
+            .services
+            .iter()
+            .map(|part| f64::from(part.weight))
+            .sum();
+        let mut rest = position.clamp(0.0, 1.0) * sum;
+        let found = self.services.iter().find(|part| {
+            rest -= f64::from(part.weight);
+            rest < 0.0
+        });
+        let last = || self.services.iter().rfind(|part| part.weight > 0);
+        found.or_else(last).map(|part| &part.service)
+    }
+}
+
+/// Bounds on what clients send and how long they take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClientLimits {
+    /// Largest head in bytes.
+    pub head_bytes: usize,
+    /// Largest body in bytes.
+    pub body_bytes: usize,
+    /// Time in which a head must be complete.
+    pub head_timeout: Duration,
+    /// Time that a connection may be idle.
+    pub idle_timeout: Duration,
+}
+
+/// A whole configuration as nodes pass it on.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RoutingTable {
+    /// Rises with every change.
+    pub version: ConfigurationVersion,
+    /// All routes, in no particular order.
+    pub routes: Vec<Rc<Route>>,
+    /// Bounds on clients.
+    pub limits: ClientLimits,
+}
+
+/// A table made ready for looking up routes.
+#[derive(Clone, Debug)]
+pub struct RouteIndex {
+    table: RoutingTable,
+    /// By host; the routes of one host are sorted by the length of their prefix, longest first.
+    hosts: HashMap<ArcStr, Vec<Rc<Route>>>,
+}
+
+impl RouteIndex {
+    /// Sorts the routes of a table by host and length of prefix.
+    #[must_use]
+    pub fn new(table: RoutingTable) -> Self {
+        let mut hosts: HashMap<ArcStr, Vec<Rc<Route>>> = HashMap::new();
+        for route in &table.routes {
+            hosts
+                .entry(route.host.clone())
+                .or_default()
+                .push(Rc::clone(route));
+        }
+        for routes in hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+        }
+        Self { table, hosts }
+    }
+
+    /// The table it was made from.
+    #[must_use]
+    pub fn table(&self) -> &RoutingTable {
+        &self.table
+    }
+
+    /// The route with the longest prefix of `path` among those of `host`. A port is ignored.
+    #[must_use]
+    pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+        let routes = match self.hosts.get(name) {
+            Some(routes) => routes,
+            None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
+        };
+        routes
+            .iter()
+            .find(|route| path.starts_with(route.path_prefix.as_str()))
+    }
+}
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -4,6 +4,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod operators;
+pub mod outgoing;
 pub mod peers;
 pub mod platform;
 pub mod upstreams;
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -218,6 +218,7 @@
     let limits = server.limits;
     let ended = http1::Builder::new()
         .timer(TokioTimer::new())
+        .auto_date_header(false)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.head)
         .serve_connection(TokioIo::new(stream), service)
