Start no work at a slow moment of a VM; queue by forecast; price bytes between zones

Trial with a question each 25 ms: the load header's fourth figure flips between 100 and 400 every 300 ms, and the time of work is proportional to the figure at its start (took / figure at start 200 and 124 ms for starts at 100 and 400; the model of progress at the present pace gives 190 against 280 ms). Ruled out: progress at the present pace (above); hedging out of slow starts, which costs the budget. Change: slot queue with forecast of the end, ranks by priority and by being on time, pace of the VM from answers and, where older than 25 ms, from a question; the entry waits in its own zone if that ends soon enough for the bytes of the class.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -2,39 +2,80 @@
 //!
 //! Pure: every event carries its moment. The node is the only way to its upstream, so the count of
 //! running requests is exact, and an upstream that is never given more than its limit never rejects.
+//!
+//! VMs are shared with others, and work that starts while the VM is slow stays slow to its end: it
+//! holds its slot for several times as long. So a start waits for the VM to recover if that is the
+//! sooner end, and other nodes are asked meanwhile.
+
+mod forecast;
 
 use crate::state::moment::Moment;
+use forecast::forecast_start;
 use std::time::Duration;
 
-/// Time that a request is taken to need before any has ended here.
-const FIRST_SERVICE_TIME: Duration = Duration::from_millis(100);
-/// Weight of the newest service time in the moving average.
-const SERVICE_TIME_WEIGHT: f64 = 0.1;
+/// Slowdown in percent up to which a VM counts as usual.
+const USUAL_PERCENT: u16 = 150;
 
-/// Number of a request that waits.
+/// Number of a request in the queue or at the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct WaitNumber(pub u64);
+pub struct SlotNumber(pub u64);
 
 /// What a request asks for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SlotRequest {
     /// Rank; 0 goes first.
     pub priority: u8,
-    /// Longest time that it may wait for a slot; zero if it wants one at once or none.
-    pub patience: Duration,
+    /// Time in which it should have ended; zero if it wants a slot at once or none.
+    pub within: Duration,
+    /// Time until its deadline.
+    pub time_left: Duration,
+    /// Time that it takes at the usual pace.
+    pub expected: Duration,
+}
+
+/// How fast the VM of the upstream works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// How long work that starts now takes, in percent of the usual.
+    pub percent: u16,
+    /// How much longer that lasts, as a guess.
+    pub lasts: Duration,
+}
+
+impl Pace {
+    /// The usual pace.
+    pub const USUAL: Self = Self {
+        percent: 100,
+        lasts: Duration::ZERO,
+    };
+
+    /// Whether work should rather start later.
+    #[must_use]
+    pub fn is_slow(self) -> bool {
+        self.percent > USUAL_PERCENT
+    }
+
+    fn stretch(self, span: Duration) -> Duration {
+        span * u32::from(self.percent) / 100
+    }
+
+    /// Whether work that starts now ends sooner than if it waits for the usual pace.
+    fn pays_to_start(self, expected: Duration) -> bool {
+        !self.is_slow() || self.stretch(expected) <= self.lasts + expected
+    }
 }
 
 /// The decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotDecision {
     /// It runs now.
-    Run,
+    Run(SlotNumber),
     /// It waits.
-    Wait(WaitNumber),
-    /// It would wait longer than it may; the estimate is for requests of its priority.
+    Wait(SlotNumber),
+    /// It would not end in time.
     Refuse {
-        /// Expected wait.
-        wait: Duration,
+        /// Time in which it would have ended.
+        finish: Duration,
     },
 }
 
@@ -42,27 +83,45 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotAction {
     /// It runs now.
-    Start(WaitNumber),
-    /// Its patience has ended.
-    Expire(WaitNumber),
+    Start(SlotNumber),
+    /// It can't end before its deadline any more.
+    Expire(SlotNumber),
 }
 
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
-    number: WaitNumber,
+    number: SlotNumber,
     priority: u8,
+    expected: Duration,
+    /// Started later, it ends later than it should.
+    on_time_until: Moment,
+    /// Started later, it does not end before its deadline.
     until: Moment,
 }
 
+impl Waiting {
+    /// Requests that can still be on time go before those of their priority that can't: work for an
+    /// answer that is late already would make the next one late as well.
+    fn rank(&self, now: Moment) -> (u8, bool) {
+        (self.priority, now > self.on_time_until)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    number: SlotNumber,
+    ends: Moment,
+}
+
 /// The slots of one upstream.
 #[derive(Clone, Debug)]
 pub struct SlotQueue {
     limit: usize,
-    running: usize,
-    /// Sorted by priority, then by arrival.
+    running: Vec<Running>,
+    /// In the order of arrival.
     waiting: Vec<Waiting>,
     next_number: u64,
-    service_micros: f64,
+    pace: Pace,
 }
 
 impl SlotQueue {
@@ -71,17 +130,17 @@
     pub fn new(limit: usize) -> Self {
         Self {
             limit: limit.max(1),
-            running: 0,
+            running: Vec::new(),
             waiting: Vec::new(),
             next_number: 0,
-            service_micros: FIRST_SERVICE_TIME.as_secs_f64() * 1e6,
+            pace: Pace::USUAL,
         }
     }
 
     /// Requests at the upstream.
     #[must_use]
     pub fn running(&self) -> usize {
-        self.running
+        self.running.len()
     }
 
     /// Requests that wait.
@@ -96,64 +155,65 @@
         self.limit
     }
 
+    /// How fast the VM works, as last told.
+    #[must_use]
+    pub fn pace(&self) -> Pace {
+        self.pace
+    }
+
     /// Takes a new limit; requests beyond a lowered one end as they would have.
     pub fn set_limit(&mut self, limit: usize, now: Moment) -> Vec<SlotAction> {
         self.limit = limit.max(1);
         self.fill(now)
     }
 
+    /// Takes in how fast the VM works now.
+    pub fn set_pace(&mut self, pace: Pace, now: Moment) -> Vec<SlotAction> {
+        self.pace = pace;
+        self.fill(now)
+    }
+
     /// Decides on a new request.
     pub fn offer(&mut self, request: SlotRequest, now: Moment) -> SlotDecision {
-        if self.running < self.limit && self.waiting.is_empty() {
-            self.running += 1;
-            return SlotDecision::Run;
-        }
-        let wait = self.expected_wait(request.priority);
-        if wait > request.patience {
-            return SlotDecision::Refuse { wait };
-        }
-        let number = WaitNumber(self.next_number);
-        self.next_number += 1;
-        let place = self
-            .waiting
-            .partition_point(|waiting| waiting.priority <= request.priority);
         let waiting = Waiting {
-            number,
+            number: SlotNumber(self.next_number),
             priority: request.priority,
-            until: now + request.patience,
+            expected: request.expected,
+            on_time_until: now + request.within.saturating_sub(request.expected),
+            until: now + request.time_left.saturating_sub(request.expected),
         };
-        self.waiting.insert(place, waiting);
-        SlotDecision::Wait(number)
+        let has_room = self.running.len() < self.limit && self.waiting.is_empty();
+        let starts_now = has_room && self.pace.pays_to_start(request.expected);
+        if starts_now && !(self.pace.is_slow() && request.within.is_zero()) {
+            self.next_number += 1;
+            self.start(&waiting, now);
+            return SlotDecision::Run(waiting.number);
+        }
+        let finish = self.forecast(&waiting, now);
+        if finish > request.within {
+            return SlotDecision::Refuse { finish };
+        }
+        self.next_number += 1;
+        self.waiting.push(waiting);
+        SlotDecision::Wait(waiting.number)
     }
 
-    /// Takes in that a request at the upstream ended after `took`, if it ran to its end.
-    pub fn finish(&mut self, took: Option<Duration>, now: Moment) -> Vec<SlotAction> {
-        self.running = self.running.saturating_sub(1);
-        if let Some(took) = took {
-            let micros = took.as_secs_f64() * 1e6;
-            self.service_micros += (micros - self.service_micros) * SERVICE_TIME_WEIGHT;
-        }
+    /// Takes in that a request at the upstream ended.
+    pub fn finish(&mut self, number: SlotNumber, now: Moment) -> Vec<SlotAction> {
+        self.running.retain(|running| running.number != number);
         self.fill(now)
     }
 
     /// Takes out a request that waits; false if it does not wait any longer.
-    pub fn withdraw(&mut self, number: WaitNumber) -> bool {
+    pub fn withdraw(&mut self, number: SlotNumber) -> bool {
         let before = self.waiting.len();
         self.waiting.retain(|waiting| waiting.number != number);
         self.waiting.len() < before
     }
 
-    /// Refuses what has waited too long.
+    /// Looks at the waiting requests again.
     pub fn expire(&mut self, now: Moment) -> Vec<SlotAction> {
-        let mut actions = Vec::new();
-        self.waiting.retain(|waiting| {
-            let kept = now < waiting.until;
-            if !kept {
-                actions.push(SlotAction::Expire(waiting.number));
-            }
-            kept
-        });
-        actions
+        self.fill(now)
     }
 
     /// When [`Self::expire`] has something to do.
@@ -162,35 +222,62 @@
         self.waiting.iter().map(|waiting| waiting.until).min()
     }
 
-    /// Time until a request of that priority would start.
-    #[must_use]
-    pub fn expected_wait(&self, priority: u8) -> Duration {
-        if self.running < self.limit && self.waiting.is_empty() {
-            return Duration::ZERO;
-        }
+    /// Time in which a request would have ended that is offered now.
+    fn forecast(&self, request: &Waiting, now: Moment) -> Duration {
+        let rank = request.rank(now);
         let ahead = self
             .waiting
-            .partition_point(|waiting| waiting.priority <= priority);
-        let over = (self.running + 1).saturating_sub(self.limit).max(1);
-        let turns = as_float(ahead + over) / as_float(self.limit);
-        Duration::from_secs_f64(self.service_micros * turns / 1e6)
+            .iter()
+            .filter(|waiting| waiting.rank(now) <= rank)
+            .map(|waiting| waiting.expected);
+        let ends = self.running.iter().map(|running| running.ends.since(now));
+        let pause = if self.pace.is_slow() {
+            self.pace.lasts
+        } else {
+            Duration::ZERO
+        };
+        let later = forecast_start(self.limit, ends, ahead, pause) + request.expected;
+        let has_room = self.running.len() < self.limit && self.waiting.is_empty();
+        if has_room {
+            later.min(self.pace.stretch(request.expected))
+        } else {
+            later
+        }
+    }
+
+    fn start(&mut self, waiting: &Waiting, now: Moment) {
+        self.running.push(Running {
+            number: waiting.number,
+            ends: now + self.pace.stretch(waiting.expected),
+        });
     }
 
     fn fill(&mut self, now: Moment) -> Vec<SlotAction> {
-        let mut actions = self.expire(now);
-        while self.running < self.limit && !self.waiting.is_empty() {
-            let first = self.waiting.remove(0);
-            self.running += 1;
-            actions.push(SlotAction::Start(first.number));
+        let mut actions = Vec::new();
+        self.waiting.retain(|waiting| {
+            let kept = now < waiting.until;
+            if !kept {
+                actions.push(SlotAction::Expire(waiting.number));
+            }
+            kept
+        });
+        while self.running.len() < self.limit {
+            let Some(index) = self.find_next(now) else {
+                break;
+            };
+            let next = self.waiting.remove(index);
+            self.start(&next, now);
+            actions.push(SlotAction::Start(next.number));
         }
         actions
     }
-}
 
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "counts of requests at one upstream are small"
-)]
-fn as_float(count: usize) -> f64 {
-    count as f64
+    fn find_next(&self, now: Moment) -> Option<usize> {
+        let startable = |waiting: &Waiting| self.pace.pays_to_start(waiting.expected);
+        let indexed = self.waiting.iter().enumerate();
+        indexed
+            .filter(|(_, waiting)| startable(waiting))
+            .min_by_key(|(index, waiting)| (waiting.rank(now), *index))
+            .map(|(index, _)| index)
+    }
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -30,8 +30,8 @@
     pub caller: ServiceName,
     /// Time until the deadline.
     pub time_left: Duration,
-    /// Longest time to wait for a slot.
-    pub patience: Duration,
+    /// Time in which it should have ended; zero if it wants a slot at once or none.
+    pub within: Duration,
     /// Rank; 0 goes first.
     pub priority: u8,
     /// Whether running it twice does no harm.
@@ -62,8 +62,8 @@
     pub load: NodeLoad,
     /// Version of the routing table that the answering node has in force.
     pub version: ConfigurationVersion,
-    /// After a refusal, the expected wait for a slot.
-    pub wait: Duration,
+    /// After a refusal, the time in which it would have ended.
+    pub finish: Duration,
 }
 
 impl HopRequest {
@@ -76,7 +76,7 @@
             self.class,
             self.caller,
             self.time_left.as_millis(),
-            self.patience.as_millis(),
+            self.within.as_millis(),
             self.priority,
             u8::from(self.idempotent),
             self.version.0,
@@ -93,7 +93,7 @@
             class: parts.next()?.into(),
             caller: parts.next()?.into(),
             time_left: Duration::from_millis(parts.next()?.parse().ok()?),
-            patience: Duration::from_millis(parts.next()?.parse().ok()?),
+            within: Duration::from_millis(parts.next()?.parse().ok()?),
             priority: parts.next()?.parse().ok()?,
             idempotent: parts.next()? == "1",
             version: ConfigurationVersion(parts.next()?.parse().ok()?),
@@ -116,7 +116,7 @@
             load.limit,
             load.slowdown_percent,
             self.version.0,
-            self.wait.as_millis(),
+            self.finish.as_millis(),
         )
     }
 
@@ -133,7 +133,7 @@
                 slowdown_percent: parts.next()?.parse().ok()?,
             },
             version: ConfigurationVersion(parts.next()?.parse().ok()?),
-            wait: Duration::from_millis(parts.next()?.parse().ok()?),
+            finish: Duration::from_millis(parts.next()?.parse().ok()?),
         };
         parts.next().is_none().then_some(answer)
     }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -9,7 +9,7 @@
     },
     state::{
         moment::Moment,
-        names::ServiceName,
+        names::{ClassName, ServiceName},
         placement_view::NodeRecord,
         routing_table::{RouteIndex, RoutingTable},
     },
@@ -23,6 +23,11 @@
     rc::Rc,
 };
 
+/// Bytes that a class is taken to need before any were seen.
+const FIRST_BYTES: f64 = 1_500.0;
+/// Weight of the newest in the moving average of bytes.
+const BYTES_WEIGHT: f64 = 0.1;
+
 /// Counts since the start, for the metrics page.
 #[derive(Debug, Default)]
 pub struct ProxyCounters {
@@ -69,6 +74,8 @@
     pub counters: ProxyCounters,
     /// When the node started.
     pub started: Moment,
+    /// Moving averages of the bytes of a request and its answer, by class.
+    pub class_bytes: RefCell<HashMap<ClassName, f64>>,
     /// Requests picked a service by weight so far; spreads them evenly.
     pub picks: Cell<u32>,
 }
@@ -87,6 +94,7 @@
             stopping: Cell::new(false),
             counters: ProxyCounters::default(),
             started: timers.now(),
+            class_bytes: RefCell::default(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
             timers,
@@ -121,6 +129,22 @@
         }
     }
 
+    /// Usual bytes of a request of a class with its answer.
+    #[must_use]
+    pub fn class_bytes(&self, class: &ClassName) -> f64 {
+        let known = self.class_bytes.borrow().get(class).copied();
+        known.unwrap_or(FIRST_BYTES)
+    }
+
+    /// Learns the bytes of a request and its answer, without heads.
+    pub fn note_bytes(&self, class: &ClassName, bytes: usize) {
+        #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
+        let bytes = bytes as f64;
+        let mut known = self.class_bytes.borrow_mut();
+        let average = known.entry(class.clone()).or_insert(bytes);
+        *average += (bytes - *average) * BYTES_WEIGHT;
+    }
+
     /// Whether clients may bring their requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -21,12 +21,20 @@
 use rand::RngExt;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
-/// Nodes asked for a slot at once before a request waits or is refused.
-const MAX_ASKED: usize = 6;
+/// Nodes of the own availability zone asked for a slot at once.
+const NEAR_ASKED: usize = 4;
+/// Nodes of other zones asked for a slot at once; each question is paid for by its bytes.
+const FAR_ASKED: usize = 2;
 /// Share of the target after which an idempotent request is sent to a second node.
 const HEDGE_SHARE: f64 = 0.6;
-/// Share of the target that a request may wait for a slot; the rest is for the work itself.
-const PATIENCE_SHARE: f64 = 0.5;
+/// Share of the target within which an answer from the own zone is awaited rather than asked for
+/// elsewhere, for a class without bytes; and what each KB of a class adds to it, since its way
+/// between zones is paid for.
+const NEAR_SHARE: (f64, f64) = (0.55, 0.08);
+/// Most of the target that an answer from the own zone may take to be awaited.
+const NEAR_SHARE_MOST: f64 = 0.95;
+/// Times a request may be sent to wait for a slot.
+const MAX_WAITS: u32 = 2;
 /// When to come back after a refusal, at the least and at the most.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
 
@@ -59,38 +67,62 @@
     Repeat,
 }
 
+/// Where in its search for a slot a request is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Nodes of the own zone are asked for a slot at once.
+    Near,
+    /// Nodes of other zones are.
+    Far,
+    /// It waits where it ends soonest.
+    Wait,
+}
+
+/// A node that refused, and when the request would have ended there.
+#[derive(Clone, Copy, Debug)]
+struct Offer {
+    address: SocketAddr,
+    near: bool,
+    finish: Duration,
+}
+
 /// Carries one request.
 pub struct Carrier {
     core: Rc<ProxyCore>,
     call: Rc<ClientCall>,
     under_way: FuturesUnordered<LocalBoxFuture<'static, Returned>>,
-    candidates: std::vec::IntoIter<PlacementCandidate>,
-    asked: usize,
+    near: std::vec::IntoIter<PlacementCandidate>,
+    far: std::vec::IntoIter<PlacementCandidate>,
+    phase: Phase,
     /// Attempts that reached an upstream or may have.
     arrivals: u16,
-    /// The node with the shortest wait for a slot so far.
-    shortest: Option<(SocketAddr, Duration)>,
+    offers: Vec<Offer>,
     /// What an upstream answered, or why it is not known whether one ran the request.
     earlier: Option<ClientEnd>,
     last_refusal: RefusalReason,
-    waited: bool,
+    waits: u32,
 }
 
 impl Carrier {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall) -> Self {
-        let candidates = find_candidates(core, &call.service).into_iter();
+        let candidates = find_candidates(core, &call.service);
         count_request(core, &call.service);
+        let (near, far): (Vec<_>, Vec<_>) =
+            candidates.into_iter().partition(|candidate| candidate.near);
+        let near: Vec<_> = near.into_iter().take(NEAR_ASKED).collect();
+        let far: Vec<_> = far.into_iter().take(FAR_ASKED).collect();
         Self {
             core: Rc::clone(core),
             call: Rc::new(call),
             under_way: FuturesUnordered::new(),
-            candidates,
-            asked: 0,
+            near: near.into_iter(),
+            far: far.into_iter(),
+            phase: Phase::Near,
             arrivals: 0,
-            shortest: None,
+            offers: Vec::new(),
             earlier: None,
             last_refusal: RefusalReason::NoUpstream,
-            waited: false,
+            waits: 0,
         }
     }
 
@@ -133,7 +165,7 @@
         let goes_on = match step {
             Step::End(end) => return Some(end),
             Step::Elsewhere | Step::Repeat if !self.under_way.is_empty() => true,
-            Step::Elsewhere => self.ask_next() || self.wait_at_shortest(),
+            Step::Elsewhere => self.ask_next(),
             Step::Repeat => self.repeat(),
         };
         (!goes_on).then(|| self.give_up())
@@ -144,13 +176,14 @@
     }
 
     fn hedge(&mut self) {
-        if self.under_way.len() == 1 && self.take_repeat() && !self.ask_next() {
+        // One that waits for a slot is better off waiting than at two upstreams.
+        if self.under_way.len() == 1 && self.waits == 0 && self.take_repeat() && !self.ask_next() {
             tracing::debug!("no second node to ask");
         }
     }
 
     fn repeat(&mut self) -> bool {
-        self.may_repeat() && self.take_repeat() && (self.ask_next() || self.wait_at_shortest())
+        self.may_repeat() && self.take_repeat() && self.ask_next()
     }
 
     fn may_repeat(&self) -> bool {
@@ -179,49 +212,79 @@
         granted
     }
 
-    /// Asks the next node for a slot at once; false if there is none to ask.
+    /// Asks the next node; false if there is none to ask.
     fn ask_next(&mut self) -> bool {
-        if self.asked >= MAX_ASKED || !self.may_reach_another() {
+        if !self.may_reach_another() {
             return false;
         }
-        let Some(next) = self.candidates.next() else {
-            return false;
-        };
-        self.asked += 1;
-        self.send(next.address, Duration::ZERO);
-        true
+        if self.phase == Phase::Near {
+            if let Some(next) = self.near.next() {
+                self.send(next.address, Duration::ZERO);
+                return true;
+            }
+            self.phase = if self.is_near_soon_enough() {
+                Phase::Wait
+            } else {
+                Phase::Far
+            };
+        }
+        if self.phase == Phase::Far {
+            if let Some(next) = self.far.next() {
+                self.send(next.address, Duration::ZERO);
+                return true;
+            }
+            self.phase = Phase::Wait;
+        }
+        self.wait_at_soonest()
+    }
+
+    /// Whether the own zone would answer soon enough that asking another is not worth the bytes.
+    fn is_near_soon_enough(&self) -> bool {
+        let soonest = self.offers.iter().map(|offer| offer.finish).min();
+        let (share, each_kb) = NEAR_SHARE;
+        let kilobytes = self.core.class_bytes(&self.call.route.class) / 1_000.0;
+        let share = (share + each_kb * kilobytes).min(NEAR_SHARE_MOST);
+        soonest.is_some_and(|finish| self.spent() + finish <= self.call.route.target.mul_f64(share))
     }
 
-    /// Waits for a slot where the wait is shortest, if it is short enough.
-    fn wait_at_shortest(&mut self) -> bool {
-        if self.waited || !self.may_reach_another() {
+    fn spent(&self) -> Duration {
+        self.core.timers.now().since(self.call.arrived)
+    }
+
+    /// Waits for a slot where the request ends soonest.
+    fn wait_at_soonest(&mut self) -> bool {
+        if self.waits >= MAX_WAITS {
             return false;
         }
-        let Some((address, wait)) = self.shortest else {
+        let penalty = self.call.route.target.mul_f64(1.0 - NEAR_SHARE_MOST);
+        let cost = |offer: &Offer| offer.finish + if offer.near { Duration::ZERO } else { penalty };
+        let soonest = (0..self.offers.len()).min_by_key(|index| cost(&self.offers[*index]));
+        let Some(index) = soonest else {
             return false;
         };
-        let patience = self.patience();
-        if wait > patience {
+        let offer = self.offers.swap_remove(index);
+        let target_left = self.call.route.target.saturating_sub(self.spent());
+        let time_left = self.call.deadline.since(self.core.timers.now());
+        let within = if offer.finish <= target_left {
+            target_left
+        } else {
+            time_left
+        };
+        if offer.finish > within {
             return false;
         }
-        self.waited = true;
-        self.send(address, patience);
+        self.waits += 1;
+        self.send(offer.address, within);
         true
     }
 
-    fn patience(&self) -> Duration {
-        let spent = self.core.timers.now().since(self.call.arrived);
-        let most = self.call.route.target.mul_f64(PATIENCE_SHARE);
-        most.saturating_sub(spent)
-    }
-
-    fn send(&mut self, to: SocketAddr, patience: Duration) {
+    fn send(&mut self, to: SocketAddr, within: Duration) {
         let hop = HopRequest {
             service: self.call.service.clone(),
             class: self.call.route.class.clone(),
             caller: self.core.settings.service.clone(),
             time_left: self.call.deadline.since(self.core.timers.now()),
-            patience,
+            within,
             priority: self.call.route.priority,
             idempotent: self.call.route.idempotent,
             version: self.core.directory.borrow().version(),
@@ -274,16 +337,27 @@
             }
             (Verdict::Refused(reason), _) => {
                 self.last_refusal = reason;
-                if reason == RefusalReason::QueueFull
-                    && self.shortest.is_none_or(|(_, wait)| answer.wait < wait)
-                {
-                    self.shortest = Some((to, answer.wait));
+                if reason == RefusalReason::QueueFull {
+                    self.note_offer(to, answer.finish);
                 }
                 Step::Elsewhere
             }
         }
     }
 
+    fn note_offer(&mut self, address: SocketAddr, finish: Duration) {
+        let directory = self.core.directory.borrow();
+        let near = directory.nodes.get(&address).is_some_and(|view| {
+            view.record.availability_zone == self.core.settings.availability_zone
+        });
+        drop(directory);
+        self.offers.push(Offer {
+            address,
+            near,
+            finish,
+        });
+    }
+
     /// A server error of an idempotent request may be a matter of that upstream only.
     fn judge_response(&mut self, response: Response<Bytes>) -> Step {
         let failed = response.status().is_server_error();
@@ -315,7 +389,10 @@
 
     fn refuse(&self) -> ClientEnd {
         let (least, most) = COME_BACK;
-        let wait = self.shortest.map_or(least, |(_, wait)| wait);
+        let soonest = self.offers.iter().map(|offer| offer.finish).min();
+        let wait = soonest.map_or(least, |finish| {
+            finish.saturating_sub(self.call.route.target)
+        });
         let spread = rand::rng().random_range(0.8..1.2);
         let after = wait.clamp(least, most).mul_f64(spread);
         ClientEnd::Refused(self.last_refusal, after)
@@ -355,6 +432,13 @@
         send_hop(&core, to, &hop, &call.req).await
     };
     outstanding.learn(&result);
+    if let Ok(Executed {
+        response: Some(response),
+        ..
+    }) = &result
+    {
+        core.note_bytes(&hop.class, call.req.body.len() + response.body().len());
+    }
     Returned { to, result }
 }
 
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -7,7 +7,7 @@
         hop::{HOP_HEADER, HopRequest, Verdict},
         outcome::{RefusalReason, UnknownCause},
     },
-    proxy::{core::ProxyCore, executing::HeldSlot},
+    proxy::{core::ProxyCore, executing::pace::note_load},
     transport::{
         callers::CallerRequest,
         outgoing::{SendError, SendRules},
@@ -15,7 +15,7 @@
 };
 use bytes::Bytes;
 use http::{
-    HeaderMap, HeaderName, HeaderValue, Request, Response, StatusCode,
+    HeaderName, HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT},
     response::Parts,
 };
@@ -32,13 +32,12 @@
 /// Pause after a connect to the upstream failed.
 const CONNECT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Sends a request to the upstream in a slot and gives the slot back when it ends.
+/// Sends a request to the upstream; the caller holds a slot for it.
 pub async fn dispatch(
     core: &Rc<ProxyCore>,
     hop: &HopRequest,
     req: CallerRequest,
     time_left: Duration,
-    mut slot: HeldSlot,
 ) -> (Verdict, Option<Response<Bytes>>) {
     let Some(instance) = core.own.borrow().serving().map(|run| run.instance.clone()) else {
         return (Verdict::Refused(RefusalReason::Draining), None);
@@ -55,6 +54,7 @@
         body_limit: BODY_LIMIT,
     };
     let started = core.timers.now();
+    let percent = core.slots.load().slowdown_percent;
     let deadline = core.timers.after(time_left);
     let address = core.settings.upstream;
     let is_answer = |parts: &Parts| belongs_to(names, parts, id.as_ref());
@@ -66,14 +66,18 @@
     };
     let now = core.timers.now();
     let result = judge(core, sent, &instance);
-    if matches!(result.0, Verdict::Answered) {
-        slot.took = Some(now.since(started));
+    let succeeded = result
+        .1
+        .as_ref()
+        .is_some_and(|response| response.status().is_success());
+    if succeeded {
+        core.slots.observe(&hop.class, now.since(started), percent);
     }
     result
 }
 
 fn judge(
-    core: &ProxyCore,
+    core: &Rc<ProxyCore>,
     sent: Result<Response<Bytes>, SendError>,
     instance: &str,
 ) -> (Verdict, Option<Response<Bytes>>) {
@@ -90,7 +94,7 @@
 }
 
 fn judge_response(
-    core: &ProxyCore,
+    core: &Rc<ProxyCore>,
     response: Response<Bytes>,
     instance: &str,
 ) -> (Verdict, Option<Response<Bytes>>) {
@@ -125,16 +129,6 @@
     }
 }
 
-fn note_load(core: &ProxyCore, headers: &HeaderMap) {
-    let text = headers
-        .get(&core.settings.headers.load)
-        .and_then(|value| value.to_str().ok());
-    let slowdown = text.and_then(|text| text.split(',').nth(3)?.trim().parse().ok());
-    if let Some(slowdown) = slowdown {
-        core.slots.slowdown.set(slowdown);
-    }
-}
-
 fn build_request(
     names: &HeaderNames,
     req: CallerRequest,
--- /dev/null
+++ b/src/proxy/executing/pace.rs
@@ -0,0 +1,142 @@
+//! How fast the VM of the upstream works: read from answers, and asked for where answers are old.
+//!
+//! The pace changes several times a second, and work that starts at a slow moment stays slow. A
+//! question costs the upstream about a millisecond and no slot.
+
+use crate::{
+    coordination::slot_queue::Pace,
+    proxy::{core::ProxyCore, executing::slots::apply},
+    state::moment::Moment,
+    transport::outgoing::SendRules,
+};
+use http::{HeaderMap, Request, Uri};
+use http_body_util::Full;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::task::spawn_local;
+
+/// Age up to which the pace counts as known. A start at a slow moment costs some three times the
+/// work; VMs seen so far change at most every 300 ms, so one in 12 has changed within this time.
+const FRESH: Duration = Duration::from_millis(25);
+/// How long a slow moment lasts, as a guess: VMs seen so far draw anew every 300 ms, so half of
+/// that is left at an arbitrary instant.
+const SLOW_LASTS: Duration = Duration::from_millis(200);
+/// Pause between questions while requests wait for the VM to recover.
+const WATCH_PAUSE: Duration = Duration::from_millis(40);
+/// Longest time for an answer. An upstream that takes longer is taken to work at its last pace.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Largest answer, in bytes.
+const BODY_LIMIT: usize = 64 * 1024;
+
+/// What is known of the pace, and how.
+#[derive(Default)]
+pub struct PaceKnowledge {
+    /// When it was last told; never by an upstream that does not tell its load.
+    told_at: Cell<Option<Moment>>,
+    asking: RefCell<Option<flume::Receiver<()>>>,
+    watching: Cell<bool>,
+}
+
+impl PaceKnowledge {
+    fn is_stale(&self, now: Moment) -> bool {
+        self.told_at.get().is_some_and(|at| now.since(at) > FRESH)
+    }
+
+    /// Asks again and again while requests wait at a slow moment.
+    pub fn watch(&self, core: &Rc<ProxyCore>) {
+        if self.watching.replace(true) {
+            return;
+        }
+        let core = Rc::clone(core);
+        spawn_local(async move {
+            while core.slots.has_waiting() && core.slots.queue.borrow().pace().is_slow() {
+                let _ = core.timers.after(WATCH_PAUSE).recv_async().await;
+                refresh_pace(&core).await;
+            }
+            core.slots.pace.watching.set(false);
+        });
+    }
+}
+
+/// Takes in the load that an upstream told beside an answer.
+pub fn note_load(core: &Rc<ProxyCore>, headers: &HeaderMap) {
+    let text = headers
+        .get(&core.settings.headers.load)
+        .and_then(|value| value.to_str().ok());
+    let percent = text.and_then(|text| text.split(',').nth(3)?.trim().parse().ok());
+    let Some(percent) = percent else {
+        return;
+    };
+    let now = core.timers.now();
+    core.slots.pace.told_at.set(Some(now));
+    let pace = Pace {
+        percent,
+        lasts: SLOW_LASTS,
+    };
+    let actions = core.slots.queue.borrow_mut().set_pace(pace, now);
+    apply(core, actions);
+    if core.slots.has_waiting() {
+        core.slots.pace.watch(core);
+    }
+}
+
+/// Asks for the pace unless it is known well enough. Several requests share one question.
+pub async fn refresh_pace(core: &Rc<ProxyCore>) {
+    if !core.slots.pace.is_stale(core.timers.now()) {
+        return;
+    }
+    let under_way = core.slots.pace.asking.borrow().clone();
+    if let Some(done) = under_way {
+        // The sender goes once the answer is there.
+        let _ = done.recv_async().await;
+        return;
+    }
+    let (tx, done) = flume::bounded::<()>(1);
+    *core.slots.pace.asking.borrow_mut() = Some(done.clone());
+    let core_copy = Rc::clone(core);
+    // Goes on when the request that started it is given up: others may wait for it.
+    spawn_local(async move {
+        ask(&core_copy).await;
+        core_copy.slots.pace.asking.borrow_mut().take();
+        drop(tx);
+    });
+    let _ = done.recv_async().await;
+}
+
+fn find_health_uri(core: &ProxyCore) -> Option<Uri> {
+    let routes = core.routes()?;
+    let own = core.own.borrow();
+    let path = routes.health_path(&own.serving()?.service)?;
+    path.parse().ok()
+}
+
+async fn ask(core: &Rc<ProxyCore>) {
+    let Some(uri) = find_health_uri(core) else {
+        return;
+    };
+    let mut request = Request::new(Full::default());
+    *request.uri_mut() = uri;
+    let rules = SendRules {
+        fresh: false,
+        connect_timeout: ANSWER_TIMEOUT,
+        idle_limit: Duration::from_secs(2),
+        body_limit: BODY_LIMIT,
+    };
+    let timeout = core.timers.after(ANSWER_TIMEOUT);
+    let address = core.settings.upstream;
+    let names = &core.settings.headers;
+    // A late answer to a request would bear its id.
+    let is_answer = |parts: &http::response::Parts| !parts.headers.contains_key(&names.request_id);
+    let sent = tokio::select! {
+        sent = core.outgoing.send(address, request, rules, is_answer) => sent.ok(),
+        _ = timeout.recv_async() => None,
+    };
+    match sent {
+        Some(answer) => note_load(core, answer.headers()),
+        // Asked again after the usual pause, not by every request that comes meanwhile.
+        None => core.slots.pace.told_at.set(Some(core.timers.now())),
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,5 +18,6 @@
 pub mod placement_view;
 pub mod published;
 pub mod routing_table;
+pub mod service_times;
 pub mod statistics;
 pub mod token_bucket;
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -59,6 +59,15 @@
     }
 }
 
+/// What operators tell of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceFacts {
+    /// The service.
+    pub name: ServiceName,
+    /// Path on which its upstreams answer whether they are well, and with what load.
+    pub health_path: ArcStr,
+}
+
 /// Bounds on what clients send and how long they take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
@@ -79,6 +88,8 @@
     pub version: ConfigurationVersion,
     /// All routes, in no particular order.
     pub routes: Vec<Rc<Route>>,
+    /// All services.
+    pub services: Vec<ServiceFacts>,
     /// Bounds on clients.
     pub limits: ClientLimits,
 }
@@ -114,6 +125,14 @@
         &self.table
     }
 
+    /// Path on which the upstreams of a service answer with their load.
+    #[must_use]
+    pub fn health_path(&self, service: &ServiceName) -> Option<&ArcStr> {
+        let services = self.table.services.iter();
+        let mut found = services.filter(|facts| facts.name == *service);
+        found.next().map(|facts| &facts.health_path)
+    }
+
     /// The route with the longest prefix of `path` among those of `host`. A port is ignored.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
