Let few nodes of a zone read the store; know the upstream again right after a restart

Ruled out: longer reads alone; a read that a silent store leaves unanswered then delays a change. Change: two readers a zone by rank, told to the zone in messages of state; records carry the store's order; a node takes its upstream from its own stored record once the upstream's health confirms identity and that it does not leave.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -15,3 +15,4 @@
 pub mod retries;
 pub mod routing;
 pub mod slot_queue;
+pub mod store_reading;
--- /dev/null
+++ b/src/coordination/store_reading.rs
@@ -0,0 +1,61 @@
+//! Which nodes read the platform's store, and how often the others make sure.
+//!
+//! Each call to the store is paid for, so a few nodes of each availability zone read it and tell the
+//! others of their zone; bytes within a zone cost nothing. Nobody is appointed: each node works out
+//! the readers from the nodes it knows. Two that know different nodes may both read, or neither; the
+//! slow reads of all others and the versions on requests between nodes make up for the latter.
+
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// Readers of a zone. With two, the loss of one delays nothing.
+const READERS: usize = 2;
+/// Longest wait of one read of a reader. A store that falls silent and comes back may leave a read
+/// unanswered, and a change must be in force within seconds of its return.
+const READER_WAIT: Duration = Duration::from_secs(4);
+/// Pause between the reads of all other nodes.
+const OTHERS_PAUSE: Duration = Duration::from_secs(14);
+
+/// How a node reads a topic next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadingPlan {
+    /// Longest time that the read waits for a record.
+    pub wait: Duration,
+    /// Pause before it, ended at once when the node becomes a reader.
+    pub pause: Duration,
+}
+
+/// Whether `own` is among the readers of its zone; `others` are the other nodes of the zone that can
+/// be reached.
+#[must_use]
+pub fn is_reader(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> bool {
+    let own_rank = rank(own);
+    let before = others.filter(|other| rank(*other) < own_rank).count();
+    before < READERS
+}
+
+/// How to read next.
+#[must_use]
+pub fn plan_reading(reader: bool) -> ReadingPlan {
+    if reader {
+        ReadingPlan {
+            wait: READER_WAIT,
+            pause: Duration::ZERO,
+        }
+    } else {
+        ReadingPlan {
+            wait: Duration::ZERO,
+            pause: OTHERS_PAUSE,
+        }
+    }
+}
+
+/// Even over the nodes, and the same at each of them.
+fn rank(address: SocketAddr) -> (u64, SocketAddr) {
+    let mut hasher = DefaultHasher::new();
+    address.hash(&mut hasher);
+    (hasher.finish(), address)
+}
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -8,7 +8,8 @@
     state::{
         configuration::ConfigurationVersion,
         names::{ClassName, ServiceName},
-        placement_view::NodeLoad,
+        placement_view::{NodeLoad, StoredRecord},
+        routing_table::RoutingTable,
     },
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -171,10 +172,10 @@
 }
 
 /// State that a node sends to one that has an older version.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateMessage {
     /// The routing table in force.
-    pub table: Option<crate::state::routing_table::RoutingTable>,
+    pub table: Option<RoutingTable>,
     /// The nodes that the sender knows.
-    pub nodes: Vec<crate::state::placement_view::NodeRecord>,
+    pub nodes: Vec<StoredRecord>,
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -13,4 +13,5 @@
 mod start;
 mod stop;
 
+pub use peers::share_with_zone;
 pub use start::{ProxyListeners, run_proxy};
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -4,8 +4,7 @@
     coordination::own_upstream::{Announcement, AnnouncementEffect},
     proxy::{
         core::ProxyCore,
-        directory::RecordSource,
-        executing::{limit_for, set_limit},
+        executing::{confirm_instance, limit_for, set_limit},
     },
     state::placement_view::NodeRecord,
 };
@@ -55,7 +54,10 @@
         return;
     };
     set_limit(core, limit_for(record.slots));
-    core.take_record(record.clone(), RecordSource::Own);
+    core.directory.borrow_mut().take_own(record.clone());
+    if core.stored.borrow().as_ref() == Some(&record) {
+        return;
+    }
     let (done, recorded) = flume::bounded(1);
     if store.send(RecordOrder { record, done }).is_err() {
         return;
@@ -67,6 +69,35 @@
     }
 }
 
+/// Takes in what the store holds of this node: written by an earlier run of it, or by this one.
+///
+/// After a restart the upstream is known from it before it announces itself again, which it does
+/// only every second or two. It must confirm its identity and that it does not leave: it may have been
+/// told to the earlier run that it leaves while the store was away.
+pub async fn take_stored(core: &Rc<ProxyCore>, record: NodeRecord) {
+    let unknown = core.own.borrow().current().is_none();
+    let unchanged = core.stored.replace(Some(record.clone())).as_ref() == Some(&record);
+    if record.leaving {
+        core.own.borrow_mut().depart(&record.instance);
+    } else if unknown && !unchanged && confirm_instance(core, &record).await {
+        let announcement = Announcement {
+            instance: record.instance.clone(),
+            service: record.service.clone(),
+            slots: record.slots,
+            leaving: false,
+            warmup_left: Duration::ZERO,
+            sequence: 0,
+        };
+        let now = core.timers.now();
+        if core.own.borrow().current().is_none() {
+            core.own.borrow_mut().announce(announcement, now);
+            set_limit(core, limit_for(record.slots));
+            core.directory.borrow_mut().take_own(record.clone());
+            tracing::info!(event = 405, instance = %record.instance, "upstream known from the store");
+        }
+    }
+}
+
 /// The record of this node, if its upstream has announced itself.
 #[must_use]
 pub fn describe_own(core: &ProxyCore) -> Option<NodeRecord> {
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -1,16 +1,20 @@
 //! What the parts of a node share on its event-loop thread.
 
 use crate::{
-    coordination::{own_upstream::OwnUpstream, repeat_budget::RepeatBudget},
+    coordination::{
+        own_upstream::OwnUpstream,
+        repeat_budget::RepeatBudget,
+        store_reading::{ReadingPlan, is_reader, plan_reading},
+    },
     options::proxy_settings::ProxySettings,
     proxy::{
-        directory::{Directory, RecordSource},
+        directory::{Directory, StateSource},
         executing::Slots,
     },
     state::{
         moment::Moment,
         names::{ClassName, ServiceName},
-        placement_view::NodeRecord,
+        placement_view::{NodeRecord, StoredRecord},
         routing_table::{RouteIndex, RoutingTable},
     },
     timers::TimerService,
@@ -20,6 +24,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
 };
 
@@ -58,6 +63,8 @@
     pub timers: TimerService,
     /// The routing table in force and the nodes that are known.
     pub directory: RefCell<Directory>,
+    /// What the store holds of this node, as far as is known.
+    pub stored: RefCell<Option<NodeRecord>>,
     /// The upstream beside the node, by its announcements.
     pub own: RefCell<OwnUpstream>,
     /// Its slots.
@@ -86,6 +93,7 @@
     pub fn new(settings: ProxySettings, timers: TimerService) -> Rc<Self> {
         Rc::new(Self {
             directory: RefCell::new(Directory::default()),
+            stored: RefCell::default(),
             own: RefCell::default(),
             slots: Slots::default(),
             repeats: RefCell::default(),
@@ -107,11 +115,12 @@
         self.directory.borrow().routes()
     }
 
-    /// Puts a routing table in force if it is newer than the present one.
-    pub fn take_table(&self, table: RoutingTable, source: RecordSource) {
+    /// Puts a routing table in force if it is newer than the present one; true if it was.
+    pub fn take_table(&self, table: RoutingTable, source: StateSource) -> bool {
         let version = table.version.0;
         let routes = table.routes.len();
-        if self.directory.borrow_mut().take_table(table) {
+        let news = self.directory.borrow_mut().take_table(table);
+        if news {
             tracing::info!(
                 event = 410,
                 version,
@@ -120,13 +129,33 @@
                 "routing table in force"
             );
         }
+        news
     }
 
-    /// Takes in a record of a node. This node's own is not taken from others.
-    pub fn take_record(&self, record: NodeRecord, source: RecordSource) {
-        if record.address != self.settings.peers || source == RecordSource::Own {
-            self.directory.borrow_mut().take_record(record, source);
-        }
+    /// Takes in a record of another node; true if it was news.
+    pub fn take_record(&self, stored: StoredRecord) -> bool {
+        stored.record.address != self.settings.peers
+            && self.directory.borrow_mut().take_record(stored)
+    }
+
+    /// How this node reads the store next.
+    #[must_use]
+    pub fn plan_reading(&self) -> ReadingPlan {
+        plan_reading(is_reader(self.settings.peers, self.list_zone().into_iter()))
+    }
+
+    /// The other nodes of the zone that can be reached.
+    #[must_use]
+    pub fn list_zone(&self) -> Vec<SocketAddr> {
+        let now = self.timers.now();
+        let directory = self.directory.borrow();
+        let views = directory.nodes.values();
+        views
+            .filter(|view| view.record.availability_zone == self.settings.availability_zone)
+            .filter(|view| view.failures == 0 && view.paused_until <= now)
+            .map(|view| view.record.address)
+            .filter(|address| *address != self.settings.peers)
+            .collect()
     }
 
     /// Usual bytes of a request of a class with its answer.
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -5,7 +5,7 @@
     state::{
         configuration::ConfigurationVersion,
         moment::Moment,
-        placement_view::{NodeRecord, NodeView},
+        placement_view::{NodeRecord, NodeView, StoredRecord},
         routing_table::{RouteIndex, RoutingTable},
     },
 };
@@ -14,15 +14,13 @@
 /// Pause before the same version is sent to the same node again.
 const SHARE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Where a record came from.
+/// Where a piece of state came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RecordSource {
-    /// The platform's store, in its order: always newer than what came before.
+pub enum StateSource {
+    /// The platform's store.
     Store,
-    /// Another node, which may know less than this one.
+    /// Another node.
     Peer,
-    /// This node itself.
-    Own,
 }
 
 /// The routing table in force and the nodes that are known.
@@ -63,20 +61,68 @@
         true
     }
 
-    /// Takes in what is told of a node.
-    pub fn take_record(&mut self, record: NodeRecord, source: RecordSource) {
-        match self.nodes.get_mut(&record.address) {
-            Some(view) if source == RecordSource::Peer => {
-                // The other node may know less; only what it saw fresh would be news.
-                let _ = view;
+    /// Takes in what is told of a node, unless what is known comes from a later record. True if it was
+    /// news.
+    pub fn take_record(&mut self, stored: StoredRecord) -> bool {
+        match self.nodes.get_mut(&stored.record.address) {
+            Some(view) if stored.revision <= view.revision => false,
+            Some(view) if view.record.instance == stored.record.instance => {
+                let news = view.record != stored.record;
+                view.record = stored.record;
+                view.revision = stored.revision;
+                news
             }
-            Some(view) if view.record.instance == record.instance => view.record = record,
             _ => {
-                self.nodes.insert(record.address, NodeView::new(record));
+                let address = stored.record.address;
+                self.nodes.insert(address, NodeView::new(stored));
+                true
             }
         }
     }
 
+    /// Takes in what this node itself has to tell; the store gives it a revision later.
+    pub fn take_own(&mut self, record: NodeRecord) {
+        if let Some(view) = self.nodes.get_mut(&record.address) {
+            view.record = record;
+            return;
+        }
+        let stored = StoredRecord {
+            revision: 0,
+            record,
+        };
+        self.nodes
+            .insert(stored.record.address, NodeView::new(stored));
+    }
+
+    /// All records that are known.
+    #[must_use]
+    pub fn list_records(&self) -> Vec<StoredRecord> {
+        let views = self.nodes.values();
+        views
+            .map(|view| StoredRecord {
+                revision: view.revision,
+                record: view.record.clone(),
+            })
+            .collect()
+    }
+
+    /// Notes that a node is known to have a version, so that it is not sent to it.
+    pub fn note_version(
+        &mut self,
+        address: SocketAddr,
+        version: ConfigurationVersion,
+        now: Moment,
+    ) {
+        self.shared.insert(address, (version, now));
+    }
+
+    /// Whether a node is known to have the version in force.
+    #[must_use]
+    pub fn has_version(&self, address: SocketAddr) -> bool {
+        let known = self.shared.get(&address);
+        known.is_some_and(|(version, _)| *version >= self.version())
+    }
+
     /// What to send to a node that has `version`, if that is older and it was not sent just now.
     pub fn share_with(
         &mut self,
@@ -91,13 +137,16 @@
             return None;
         }
         self.shared.insert(address, (own, now));
+        // Only a node that knows nothing yet needs to be told of the other nodes: the store's records
+        // reach the others by its readers.
+        let nodes = if version == ConfigurationVersion::default() {
+            self.list_records()
+        } else {
+            Vec::new()
+        };
         Some(StateMessage {
             table: self.routes.as_ref().map(|routes| routes.table().clone()),
-            nodes: self
-                .nodes
-                .values()
-                .map(|view| view.record.clone())
-                .collect(),
+            nodes,
         })
     }
 }
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use dispatch::dispatch;
 use http::Response;
+pub use pace::confirm_instance;
 use pace::refresh_pace;
 use slots::{HeldSlot, wait_for_slot};
 pub use slots::{Slots, limit_for, set_limit};
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -6,10 +6,11 @@
 use crate::{
     coordination::slot_queue::Pace,
     proxy::{core::ProxyCore, executing::slots::apply},
-    state::moment::Moment,
+    state::{moment::Moment, names::ServiceName, placement_view::NodeRecord},
     transport::outgoing::SendRules,
 };
-use http::{HeaderMap, Request, Uri};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, Uri, response::Parts};
 use http_body_util::Full;
 use std::{
     cell::{Cell, RefCell},
@@ -28,6 +29,8 @@
 const WATCH_PAUSE: Duration = Duration::from_millis(40);
 /// Longest time for an answer. An upstream that takes longer is taken to work at its last pace.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Longest time that a connection for questions may have been idle.
+const IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Largest answer, in bytes.
 const BODY_LIMIT: usize = 64 * 1024;
 
@@ -106,37 +109,51 @@
     let _ = done.recv_async().await;
 }
 
-fn find_health_uri(core: &ProxyCore) -> Option<Uri> {
-    let routes = core.routes()?;
-    let own = core.own.borrow();
-    let path = routes.health_path(&own.serving()?.service)?;
-    path.parse().ok()
+/// Whether the upstream says that it is the run of that record, and takes work.
+pub async fn confirm_instance(core: &Rc<ProxyCore>, record: &NodeRecord) -> bool {
+    let Some(uri) = find_health_uri(core, &record.service) else {
+        return false;
+    };
+    let Some(answer) = send_question(core, uri).await else {
+        return false;
+    };
+    let told = answer.headers().get(&core.settings.headers.instance);
+    let same = told.is_some_and(|told| told.as_bytes() == record.instance.as_bytes());
+    same && answer.status().is_success()
+}
+
+fn find_health_uri(core: &ProxyCore, service: &ServiceName) -> Option<Uri> {
+    core.routes()?.health_path(service)?.parse().ok()
 }
 
 async fn ask(core: &Rc<ProxyCore>) {
-    let Some(uri) = find_health_uri(core) else {
+    let service = core.own.borrow().serving().map(|run| run.service.clone());
+    let Some(uri) = service.and_then(|service| find_health_uri(core, &service)) else {
         return;
     };
+    match send_question(core, uri).await {
+        Some(answer) => note_load(core, answer.headers()),
+        // Asked again after the usual pause, not by every request that comes meanwhile.
+        None => core.slots.pace.told_at.set(Some(core.timers.now())),
+    }
+}
+
+async fn send_question(core: &Rc<ProxyCore>, uri: Uri) -> Option<Response<Bytes>> {
     let mut request = Request::new(Full::default());
     *request.uri_mut() = uri;
     let rules = SendRules {
         fresh: false,
         connect_timeout: ANSWER_TIMEOUT,
-        idle_limit: Duration::from_secs(2),
+        idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
     };
     let timeout = core.timers.after(ANSWER_TIMEOUT);
-    let address = core.settings.upstream;
     let names = &core.settings.headers;
     // A late answer to a request would bear its id.
-    let is_answer = |parts: &http::response::Parts| !parts.headers.contains_key(&names.request_id);
-    let sent = tokio::select! {
-        sent = core.outgoing.send(address, request, rules, is_answer) => sent.ok(),
+    let is_answer = |parts: &Parts| !parts.headers.contains_key(&names.request_id);
+    let upstream = core.settings.upstream;
+    tokio::select! {
+        sent = core.outgoing.send(upstream, request, rules, is_answer) => sent.ok(),
         _ = timeout.recv_async() => None,
-    };
-    match sent {
-        Some(answer) => note_load(core, answer.headers()),
-        // Asked again after the usual pause, not by every request that comes meanwhile.
-        None => core.slots.pace.told_at.set(Some(core.timers.now())),
     }
 }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -7,17 +7,17 @@
     protocol::hop::{HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER, StateMessage, Verdict},
     proxy::{
         core::ProxyCore,
-        directory::RecordSource,
+        directory::StateSource,
         executing::{Executed, execute},
     },
-    state::configuration::ConfigurationVersion,
+    state::{configuration::ConfigurationVersion, placement_view::StoredRecord},
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
         outgoing::{SendError, SendRules},
     },
 };
 use bytes::Bytes;
-use futures::future::LocalBoxFuture;
+use futures::{StreamExt, future::LocalBoxFuture};
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
 use http_body_util::Full;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -28,6 +28,11 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time that a kept connection to another node may have been idle.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Messages with state that are under way at once: a large table to all nodes of a zone would
+/// otherwise hold up requests on a narrow link.
+const SENDS_AT_ONCE: usize = 4;
+/// Longest time for a message with state.
+const STATE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body between nodes, in bytes.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
 
@@ -83,24 +88,75 @@
     let Some(message) = message else {
         return;
     };
-    tracing::info!(event = 411, %to, version = version.0, "sending state to a node that is behind");
+    tracing::info!(
+        event = 411, %to, version = version.0, "sending state to a node that is behind"
+    );
+    let core = Rc::clone(core);
+    spawn_local(async move { send_state(&core, to, &message).await });
+}
+
+/// Tells the nodes of the zone what this one has read from the store: a routing table that is in
+/// force now, and records of nodes.
+pub fn share_with_zone(core: &Rc<ProxyCore>, new_table: bool, records: Vec<StoredRecord>) {
+    if !new_table && records.is_empty() {
+        return;
+    }
+    let zone = core.list_zone();
+    let directory = core.directory.borrow();
+    let table = directory.routes().filter(|_| new_table);
+    let message = Rc::new(StateMessage {
+        table: table.map(|routes| routes.table().clone()),
+        nodes: records,
+    });
+    let missing = |to: &SocketAddr| !new_table || !directory.has_version(*to);
+    let receivers: Vec<SocketAddr> = zone.into_iter().filter(missing).collect();
+    drop(directory);
+    tracing::info!(
+        event = 413,
+        nodes = receivers.len(),
+        new_table,
+        "telling the zone"
+    );
     let core = Rc::clone(core);
     spawn_local(async move {
-        let Some(request) = build_state(&message) else {
-            return;
-        };
-        let rules = SendRules {
-            fresh: true,
-            connect_timeout: CONNECT_TIMEOUT,
-            idle_limit: IDLE_LIMIT,
-            body_limit: BODY_LIMIT,
-        };
-        if let Err(error) = core.outgoing.send(to, request, rules, |_| true).await {
-            tracing::debug!(%error, %to, "state not taken");
-        }
+        let sends = receivers.into_iter().map(|to| {
+            let core = Rc::clone(&core);
+            let message = Rc::clone(&message);
+            async move { send_state(&core, to, &message).await }
+        });
+        futures::stream::iter(sends)
+            .buffer_unordered(SENDS_AT_ONCE)
+            .collect::<()>()
+            .await;
     });
 }
 
+async fn send_state(core: &Rc<ProxyCore>, to: SocketAddr, message: &StateMessage) {
+    let Some(request) = build_state(message) else {
+        return;
+    };
+    let rules = SendRules {
+        fresh: false,
+        connect_timeout: CONNECT_TIMEOUT,
+        idle_limit: IDLE_LIMIT,
+        body_limit: BODY_LIMIT,
+    };
+    let timeout = core.timers.after(STATE_TIMEOUT);
+    let sent = tokio::select! {
+        sent = core.outgoing.send(to, request, rules, |_| true) => sent.map(|_| ()),
+        _ = timeout.recv_async() => Err(SendError::Cut),
+    };
+    match (sent, &message.table) {
+        (Ok(()), Some(table)) => {
+            let now = core.timers.now();
+            let mut directory = core.directory.borrow_mut();
+            directory.note_version(to, table.version, now);
+        }
+        (Ok(()), None) => {}
+        (Err(error), _) => tracing::debug!(%error, %to, "state not taken"),
+    }
+}
+
 fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
     let body = serde_json::to_vec(message).ok()?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
@@ -181,10 +237,10 @@
         }
     };
     if let Some(table) = message.table {
-        core.take_table(table, RecordSource::Peer);
+        core.take_table(table, StateSource::Peer);
     }
-    for record in message.nodes {
-        core.take_record(record, RecordSource::Peer);
+    for stored in message.nodes {
+        core.take_record(stored);
     }
     Response::new(Full::default())
 }
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -31,6 +31,15 @@
     pub leaving: bool,
 }
 
+/// A record with its place in the order in which the store took the records.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRecord {
+    /// Rises with each record of the store; 0 for one that the store does not have yet.
+    pub revision: u64,
+    /// The record.
+    pub record: NodeRecord,
+}
+
 /// Load of an upstream as told by the node beside it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct NodeLoad {
@@ -49,6 +58,8 @@
 pub struct NodeView {
     /// What it told of itself.
     pub record: NodeRecord,
+    /// Place of that in the order of the store.
+    pub revision: u64,
     /// Own requests that are out there.
     pub outstanding: u16,
     /// The last load told, own requests included, and when.
@@ -62,9 +73,10 @@
 impl NodeView {
     /// Nothing known but the record.
     #[must_use]
-    pub fn new(record: NodeRecord) -> Self {
+    pub fn new(stored: StoredRecord) -> Self {
         Self {
-            record,
+            record: stored.record,
+            revision: stored.revision,
             outstanding: 0,
             load: None,
             paused_until: Moment::default(),
