Keep to less of the repeats; leave upstreams that fail beyond the usual

One upstream sheds half of its requests, each shed request goes to a second one, and repeated booking requests repeat their calls, which the node where the calls begin can't tell from first ones. Ruled out: counting at the executing node; the nodes would have to tell each other. Change: 0.6 of the allowance instead of 0.8; nodes tell the share of failures of their upstream, and what lies above the lowest of the service makes an upstream the later choice.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -14,6 +14,9 @@
 /// Age at which a told load says nothing any more.
 const LOAD_LIFETIME: Duration = Duration::from_secs(1);
 
+/// Cost of an upstream where all requests fail beyond the usual, added to 1.
+const FAILURE_COST: f64 = 8.0;
+
 /// A node that may be asked.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementCandidate {
@@ -29,12 +32,14 @@
 /// among equal ones, so that entry nodes with the same knowledge don't ask the same node.
 #[must_use]
 pub fn order_candidates<'a>(
-    views: impl Iterator<Item = &'a NodeView>,
+    views: impl Iterator<Item = &'a NodeView> + Clone,
     service: &ServiceName,
     zone: &AvailabilityZoneName,
     mut chance: impl FnMut() -> f64,
     now: Moment,
 ) -> Vec<PlacementCandidate> {
+    let of_service = views.clone().filter(|view| view.record.service == *service);
+    let usual_failures = find_usual_failures(of_service);
     let mut candidates: Vec<(PlacementCandidate, f64)> = views
         .filter(|view| view.record.service == *service && !view.record.leaving)
         .filter(|view| view.paused_until <= now)
@@ -42,7 +47,7 @@
             let candidate = PlacementCandidate {
                 address: view.record.address,
                 near: view.record.availability_zone == *zone,
-                cost: estimate_cost(view, now),
+                cost: estimate_cost(view, usual_failures, now),
             };
             (candidate, chance())
         })
@@ -58,8 +63,9 @@
         .collect()
 }
 
-/// Requests there as a share of what runs at once, weighed by how slow the VM said it is.
-fn estimate_cost(view: &NodeView, now: Moment) -> f64 {
+/// Requests there as a share of what runs at once, weighed by how slow the VM said it is and by what
+/// fails there beyond the usual.
+fn estimate_cost(view: &NodeView, usual_failures: u8, now: Moment) -> f64 {
     let fresh = view
         .load
         .filter(|(_, at)| now.since(*at) < LOAD_LIFETIME)
@@ -76,5 +82,14 @@
     let limit = f64::from(load.limit.max(1));
     let slowdown = f64::from(load.slowdown_percent.max(100)) / 100.0;
     let busy = own.max(told * weight) + 1.0;
-    busy / limit * (1.0 + (slowdown - 1.0) * weight)
+    let failures = load.failed_percent.saturating_sub(usual_failures);
+    let failing = 1.0 + FAILURE_COST * f64::from(failures) / 100.0;
+    busy / limit * (1.0 + (slowdown - 1.0) * weight) * failing
+}
+
+/// The lowest share among the nodes of a service: what fails everywhere, for instance because calls
+/// of the upstreams fail, says nothing against one of them.
+fn find_usual_failures<'a>(views: impl Iterator<Item = &'a NodeView>) -> u8 {
+    let shares = views.filter_map(|view| view.load.map(|(load, _)| load.failed_percent));
+    shares.min().unwrap_or(0)
 }
--- a/src/coordination/repeat_budget.rs
+++ b/src/coordination/repeat_budget.rs
@@ -18,8 +18,9 @@
     pub window: Duration,
 }
 
-/// Part of the allowance that is used, for windows that nodes see shifted against each other.
-const SAFETY: f64 = 0.8;
+/// Part of the allowance that is used. The calls that a repeated request makes again count as repeats
+/// at the service that is called, and the node where they begin can't tell them from first calls.
+const SAFETY: f64 = 0.6;
 
 /// One node's part of the budget of one service.
 #[derive(Clone, Debug, Default)]
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -110,12 +110,13 @@
     pub fn encode(&self) -> String {
         let load = self.load;
         format!(
-            "{};{};{};{};{};{};{}",
+            "{};{};{};{};{};{};{};{}",
             encode_verdict(self.verdict),
             load.running,
             load.queued,
             load.limit,
             load.slowdown_percent,
+            load.failed_percent,
             self.version.0,
             self.finish.as_millis(),
         )
@@ -132,6 +133,7 @@
                 queued: parts.next()?.parse().ok()?,
                 limit: parts.next()?.parse().ok()?,
                 slowdown_percent: parts.next()?.parse().ok()?,
+                failed_percent: parts.next()?.parse().ok()?,
             },
             version: ConfigurationVersion(parts.next()?.parse().ok()?),
             finish: Duration::from_millis(parts.next()?.parse().ok()?),
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -61,16 +61,16 @@
     let sent = tokio::select! {
         sent = core.outgoing.send(address, request, rules, is_answer) => sent,
         _ = deadline.recv_async() => {
+            core.slots.observe_end(true);
             return (Verdict::Unknown(UnknownCause::DeadlinePassed), None);
         }
     };
     let now = core.timers.now();
     let result = judge(core, sent, &instance);
-    let succeeded = result
-        .1
-        .as_ref()
-        .is_some_and(|response| response.status().is_success());
-    if succeeded {
+    let status = result.1.as_ref().map(Response::status);
+    core.slots
+        .observe_end(status.is_none_or(|status| status.is_server_error()));
+    if status.is_some_and(|status| status.is_success()) {
         core.slots.observe(&hop.class, now.since(started), percent);
     }
     result
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -4,7 +4,8 @@
     coordination::slot_queue::{SlotAction, SlotNumber, SlotQueue},
     proxy::{core::ProxyCore, executing::pace::PaceKnowledge},
     state::{
-        moment::Moment, names::ClassName, placement_view::NodeLoad, service_times::ServiceTimes,
+        failure_share::FailureShare, moment::Moment, names::ClassName, placement_view::NodeLoad,
+        service_times::ServiceTimes,
     },
 };
 use flume::Sender;
@@ -29,6 +30,7 @@
     /// Not tried before: connects to the upstream failed.
     pub(super) paused_until: Cell<Moment>,
     times: RefCell<ServiceTimes>,
+    failures: Cell<FailureShare>,
     waiting: RefCell<HashMap<SlotNumber, Sender<bool>>>,
     expiry_armed: Cell<Option<Moment>>,
 }
@@ -40,6 +42,7 @@
             pace: PaceKnowledge::default(),
             paused_until: Cell::default(),
             times: RefCell::default(),
+            failures: Cell::default(),
             waiting: RefCell::default(),
             expiry_armed: Cell::default(),
         }
@@ -56,6 +59,7 @@
             queued: saturate(queue.queued()),
             limit: saturate(queue.limit()),
             slowdown_percent: queue.pace().percent,
+            failed_percent: self.failures.get().percent(),
         }
     }
 
@@ -70,6 +74,13 @@
         self.times.borrow_mut().observe(class, took, percent);
     }
 
+    /// Learns whether a request failed at the upstream.
+    pub fn observe_end(&self, failed: bool) {
+        let mut failures = self.failures.get();
+        failures.observe(failed);
+        self.failures.set(failures);
+    }
+
     /// Whether requests wait.
     #[must_use]
     pub fn has_waiting(&self) -> bool {
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,6 +5,7 @@
 pub mod class;
 pub mod concurrency;
 pub mod configuration;
+pub mod failure_share;
 pub mod key_table;
 pub mod latency_history;
 pub mod lease;
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -51,6 +51,8 @@
     pub limit: u16,
     /// How long work takes at this moment, in percent of the usual.
     pub slowdown_percent: u16,
+    /// Share of the last requests that failed at the upstream, in percent.
+    pub failed_percent: u8,
 }
 
 /// What is known of one node.
