Refuse requests that a stopping node could not end

Change: after 0.45 of the grace requests are refused with the time to come back; the end waits for three idle looks in a row.

--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -75,8 +75,8 @@
     pub outgoing: Rc<OutgoingConnections>,
     /// Requests of clients in progress.
     pub in_progress: Cell<usize>,
-    /// The node has been told to stop.
-    pub stopping: Cell<bool>,
+    /// When the node was told to stop.
+    pub stopping_since: Cell<Option<Moment>>,
     /// Counts since the start.
     pub counters: ProxyCounters,
     /// When the node started.
@@ -99,7 +99,7 @@
             repeats: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
             in_progress: Cell::new(0),
-            stopping: Cell::new(false),
+            stopping_since: Cell::new(None),
             counters: ProxyCounters::default(),
             started: timers.now(),
             class_bytes: RefCell::default(),
@@ -177,6 +177,12 @@
     /// Whether clients may bring their requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.stopping.get() && self.routes().is_some()
+        !self.is_stopping() && self.routes().is_some()
+    }
+
+    /// Whether the node has been told to stop.
+    #[must_use]
+    pub fn is_stopping(&self) -> bool {
+        self.stopping_since.get().is_some()
     }
 }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -9,6 +9,7 @@
         entry::carrier::{Carrier, ClientCall},
         reply::{ClientEnd, build_reply},
     },
+    state::moment::Moment,
     transport::callers::{CallerHandler, CallerReply, CallerRequest},
 };
 use futures::future::LocalBoxFuture;
@@ -17,6 +18,11 @@
 
 /// When to come back to a node that knows no routes yet.
 const NO_ROUTES_RETRY: Duration = Duration::from_millis(200);
+/// Part of the time before the node is killed in which it takes requests. Clients send on while too
+/// few other nodes are ready; a request that is still under way at the end would be cut off.
+const ACCEPTED_SHARE: f64 = 0.45;
+/// When to come back to a node that stops: another one or its next run answers.
+const STOPPING_RETRY: Duration = Duration::from_millis(200);
 /// Spreads picks of a service evenly: successive multiples of the golden ratio, modulo 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
@@ -45,7 +51,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.core.stopping.get()
+        self.core.is_stopping()
     }
 }
 
@@ -75,8 +81,17 @@
     }
 }
 
+/// Whether a request taken now might not have ended before the node is killed.
+fn stops_soon(core: &ProxyCore, now: Moment) -> bool {
+    let since = core.stopping_since.get();
+    since.is_some_and(|since| now.since(since) > core.settings.grace.mul_f64(ACCEPTED_SHARE))
+}
+
 async fn carry_request(core: &Rc<ProxyCore>, req: CallerRequest) -> ClientEnd {
     let arrived = core.timers.now();
+    if stops_soon(core, arrived) {
+        return ClientEnd::Refused(RefusalReason::Draining, STOPPING_RETRY);
+    }
     let Some(routes) = core.routes() else {
         return ClientEnd::Refused(RefusalReason::NoUpstream, NO_ROUTES_RETRY);
     };
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -76,7 +76,7 @@
 }
 
 fn find_refusal(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
-    if core.stopping.get() {
+    if core.is_stopping() {
         return Some(RefusalReason::Draining);
     }
     let own = core.own.borrow();
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -194,7 +194,7 @@
     }
 
     fn is_stopping(&self) -> bool {
-        self.core.stopping.get()
+        self.core.is_stopping()
     }
 }
 
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -12,18 +12,28 @@
 /// How often to look whether all has ended.
 const STEP: Duration = Duration::from_millis(50);
 
+/// Looks in a row that find nothing in progress. An answer counts as ended when it is handed to its
+/// connection; one look later it is written.
+const IDLE_LOOKS: u32 = 3;
+
 /// Stops the node.
 pub async fn stop_gracefully(core: &Rc<ProxyCore>) {
-    core.stopping.set(true);
     let since = core.timers.now();
+    core.stopping_since.set(Some(since));
     tracing::info!(
         event = 430,
         in_progress = core.in_progress.get(),
         "node stops"
     );
     let latest = since + core.settings.grace.saturating_sub(MARGIN);
-    while !may_end(core, since) && core.timers.now() < latest {
+    let mut idle_looks = 0;
+    while idle_looks < IDLE_LOOKS && core.timers.now() < latest {
         let _ = core.timers.after(STEP).recv_async().await;
+        idle_looks = if may_end(core, since) {
+            idle_looks + 1
+        } else {
+            0
+        };
     }
     tracing::info!(
         event = 431,
