Log numbered events as JSON lines; 0.4 of the repeats

Repeats at booking make their 1.4 calls at dock again, on top of dock's own repeats. Change: ProxyEvent with number, name, weight and fields; a budget of lines, ordinary ones dropped first; 0.4.

--- a/src/coordination/repeat_budget.rs
+++ b/src/coordination/repeat_budget.rs
@@ -20,7 +20,7 @@
 
 /// Part of the allowance that is used. The calls that a repeated request makes again count as repeats
 /// at the service that is called, and the node where they begin can't tell them from first calls.
-const SAFETY: f64 = 0.6;
+const SAFETY: f64 = 0.4;
 
 /// One node's part of the budget of one service.
 #[derive(Clone, Debug, Default)]
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod directory;
 mod entry;
+pub mod events;
 mod executing;
 mod peers;
 mod reply;
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -4,6 +4,7 @@
     coordination::own_upstream::{Announcement, AnnouncementEffect},
     proxy::{
         core::ProxyCore,
+        events::ProxyEvent,
         executing::{confirm_instance, limit_for, set_limit},
     },
     state::placement_view::NodeRecord,
@@ -33,9 +34,14 @@
     let now = core.timers.now();
     let instance = announcement.instance.clone();
     let leaving = announcement.leaving;
+    let sequence = announcement.sequence;
     let effect = core.own.borrow_mut().announce(announcement, now);
     if effect == AnnouncementEffect::Changed {
-        tracing::info!(event = 401, %instance, leaving, "upstream announced");
+        core.log(&ProxyEvent::UpstreamAnnounced {
+            instance,
+            sequence,
+            leaving,
+        });
         take_change(core, store).await;
     }
 }
@@ -44,7 +50,9 @@
 pub async fn take_departure(core: &Rc<ProxyCore>, instance: &str, store: &Sender<RecordOrder>) {
     let news = core.own.borrow_mut().depart(instance);
     if news {
-        tracing::info!(event = 402, %instance, "upstream departed");
+        core.log(&ProxyEvent::UpstreamDeparted {
+            instance: instance.to_owned(),
+        });
         take_change(core, store).await;
     }
 }
@@ -93,7 +101,9 @@
             core.own.borrow_mut().announce(announcement, now);
             set_limit(core, limit_for(record.slots));
             core.directory.borrow_mut().take_own(record.clone());
-            tracing::info!(event = 405, instance = %record.instance, "upstream known from the store");
+            core.log(&ProxyEvent::UpstreamRecalled {
+                instance: record.instance.clone(),
+            });
         }
     }
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -9,6 +9,7 @@
     options::proxy_settings::ProxySettings,
     proxy::{
         directory::{Directory, StateSource},
+        events::{LineBudget, ProxyEvent},
         executing::Slots,
     },
     state::{
@@ -20,6 +21,7 @@
     timers::TimerService,
     transport::outgoing::OutgoingConnections,
 };
+use http::HeaderMap;
 use rand::RngExt;
 use std::{
     cell::{Cell, RefCell},
@@ -79,6 +81,8 @@
     pub stopping_since: Cell<Option<Moment>>,
     /// Counts since the start.
     pub counters: ProxyCounters,
+    /// Bounds the lines of the log.
+    pub lines: LineBudget,
     /// When the node started.
     pub started: Moment,
     /// Moving averages of the bytes of a request and its answer, by class.
@@ -101,6 +105,7 @@
             in_progress: Cell::new(0),
             stopping_since: Cell::new(None),
             counters: ProxyCounters::default(),
+            lines: LineBudget::default(),
             started: timers.now(),
             class_bytes: RefCell::default(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
@@ -109,6 +114,19 @@
         })
     }
 
+    /// The identity that a client gave a request; empty if it gave none.
+    #[must_use]
+    pub fn read_request_id(&self, headers: &HeaderMap) -> String {
+        let id = headers.get(&self.settings.headers.request_id);
+        let text = id.and_then(|value| value.to_str().ok());
+        text.unwrap_or_default().to_owned()
+    }
+
+    /// Writes an event to the log.
+    pub fn log(&self, event: &ProxyEvent) {
+        self.lines.write(event, self.timers.now());
+    }
+
     /// The routing table in force.
     #[must_use]
     pub fn routes(&self) -> Option<Rc<RouteIndex>> {
@@ -117,25 +135,36 @@
 
     /// Puts a routing table in force if it is newer than the present one; true if it was.
     pub fn take_table(&self, table: RoutingTable, source: StateSource) -> bool {
-        let version = table.version.0;
-        let routes = table.routes.len();
+        let event = ProxyEvent::TableInForce {
+            version: table.version.0,
+            before: self.directory.borrow().version().0,
+            routes: table.routes.len(),
+            source: source.name(),
+        };
         let news = self.directory.borrow_mut().take_table(table);
         if news {
-            tracing::info!(
-                event = 410,
-                version,
-                routes,
-                ?source,
-                "routing table in force"
-            );
+            self.log(&event);
         }
         news
     }
 
     /// Takes in a record of another node; true if it was news.
     pub fn take_record(&self, stored: StoredRecord) -> bool {
-        stored.record.address != self.settings.peers
-            && self.directory.borrow_mut().take_record(stored)
+        if stored.record.address == self.settings.peers {
+            return false;
+        }
+        let event = ProxyEvent::NodeKnown {
+            node: stored.record.name.clone(),
+            service: stored.record.service.clone(),
+            instance: stored.record.instance.clone(),
+            leaving: stored.record.leaving,
+            revision: stored.revision,
+        };
+        let news = self.directory.borrow_mut().take_record(stored);
+        if news {
+            self.log(&event);
+        }
+        news
     }
 
     /// How this node reads the store next.
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -23,6 +23,17 @@
     Peer,
 }
 
+impl StateSource {
+    /// The word for the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+        }
+    }
+}
+
 /// The routing table in force and the nodes that are known.
 #[derive(Default)]
 pub struct Directory {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -1,15 +1,19 @@
 //! The node as the clients on its VM meet it.
 
 mod carrier;
+mod request_line;
 
 use crate::{
     protocol::outcome::{RefusalReason, UnknownCause},
     proxy::{
         core::{ProxyCore, count},
-        entry::carrier::{Carrier, ClientCall},
+        entry::{
+            carrier::{Carrier, ClientCall},
+            request_line::RequestLine,
+        },
         reply::{ClientEnd, build_reply},
     },
-    state::moment::Moment,
+    state::{moment::Moment, names::ServiceName, routing_table::Route},
     transport::callers::{CallerHandler, CallerReply, CallerRequest},
 };
 use futures::future::LocalBoxFuture;
@@ -44,8 +48,10 @@
         let core = Rc::clone(&self.core);
         Box::pin(async move {
             let _counted = InProgress::count(&core);
-            let end = carry_request(&core, req).await;
+            let mut line = RequestLine::begin(&core, &req);
+            let end = carry_request(&core, req, &mut line).await;
             count_end(&core, &end);
+            line.end(&end);
             build_reply(end)
         })
     }
@@ -87,7 +93,11 @@
     since.is_some_and(|since| now.since(since) > core.settings.grace.mul_f64(ACCEPTED_SHARE))
 }
 
-async fn carry_request(core: &Rc<ProxyCore>, req: CallerRequest) -> ClientEnd {
+async fn carry_request(
+    core: &Rc<ProxyCore>,
+    req: CallerRequest,
+    line: &mut RequestLine,
+) -> ClientEnd {
     let arrived = core.timers.now();
     if stops_soon(core, arrived) {
         return ClientEnd::Refused(RefusalReason::Draining, STOPPING_RETRY);
@@ -102,15 +112,13 @@
     drop(routes);
     let asked = read_time_left(core, &req);
     let time_left = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
+    let Some(service) = pick_service(core, &route) else {
+        return ClientEnd::NoRoute;
+    };
+    line.note_route(&route, &service, time_left);
     if time_left.is_zero() {
         return ClientEnd::Unknown(UnknownCause::DeadlinePassed);
     }
-    let pick = core.picks.get().wrapping_add(1);
-    core.picks.set(pick);
-    let position = (f64::from(pick) * GOLDEN_RATIO).fract();
-    let Some(service) = route.pick_service(position).cloned() else {
-        return ClientEnd::NoRoute;
-    };
     let call = ClientCall {
         req,
         route,
@@ -120,10 +128,19 @@
     };
     let timeout = core.timers.after(time_left);
     let mut carrier = Carrier::new(core, call);
-    tokio::select! {
+    let end = tokio::select! {
         end = carrier.run() => end,
         _ = timeout.recv_async() => carrier.end_at_deadline(),
-    }
+    };
+    line.note_attempts(&carrier);
+    end
+}
+
+fn pick_service(core: &ProxyCore, route: &Route) -> Option<ServiceName> {
+    let pick = core.picks.get().wrapping_add(1);
+    core.picks.set(pick);
+    let position = (f64::from(pick) * GOLDEN_RATIO).fract();
+    route.pick_service(position).cloned()
 }
 
 fn find_host(req: &CallerRequest) -> &str {
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -8,6 +8,7 @@
     },
     proxy::{
         core::{ProxyCore, count},
+        events::{LoggedEnd, ProxyEvent, in_millis},
         executing::{Executed, execute},
         peers::send_hop,
         reply::ClientEnd,
@@ -101,6 +102,7 @@
     earlier: Option<ClientEnd>,
     last_refusal: RefusalReason,
     waits: u32,
+    asked: u32,
 }
 
 impl Carrier {
@@ -123,9 +125,15 @@
             earlier: None,
             last_refusal: RefusalReason::NoUpstream,
             waits: 0,
+            asked: 0,
         }
     }
 
+    /// Nodes asked so far, and attempts that reached an upstream or may have.
+    pub fn counts(&self) -> (u32, u16) {
+        (self.asked, self.arrivals)
+    }
+
     /// Ends with the first answer, or with what is known when no node is left to ask.
     pub async fn run(&mut self) -> ClientEnd {
         if !self.ask_next() {
@@ -206,8 +214,14 @@
         let mut budgets = self.core.repeats.borrow_mut();
         let budget = budgets.entry(self.call.service.clone()).or_default();
         let granted = budget.take(now, self.core.settings.repeats, nodes);
+        drop(budgets);
         if granted {
             count(&self.core.counters.repeats);
+        } else {
+            self.core.log(&ProxyEvent::RepeatWithheld {
+                request: self.core.read_request_id(&self.call.req.headers),
+                service: self.call.service.clone(),
+            });
         }
         granted
     }
@@ -279,6 +293,7 @@
     }
 
     fn send(&mut self, to: SocketAddr, within: Duration) {
+        self.asked += 1;
         let hop = HopRequest {
             service: self.call.service.clone(),
             class: self.call.route.class.clone(),
@@ -426,12 +441,25 @@
     hop: HopRequest,
 ) -> Returned {
     let outstanding = Outstanding::count(&core, to);
+    let sent = core.timers.now();
+    let known_age = outstanding.known_age(sent);
     let result = if to == core.settings.peers {
         Ok(execute(&core, &hop, copy_request(&call.req)).await)
     } else {
         send_hop(&core, to, &hop, &call.req).await
     };
     outstanding.learn(&result);
+    core.log(&ProxyEvent::AttemptReturned {
+        request: core.read_request_id(&call.req.headers),
+        to,
+        within_ms: in_millis(hop.within),
+        known_age_ms: known_age.map(in_millis),
+        end: describe_end(&result),
+        finish_ms: result
+            .as_ref()
+            .map_or(0, |executed| in_millis(executed.answer.finish)),
+        took_ms: in_millis(core.timers.now().since(sent)),
+    });
     if let Ok(Executed {
         response: Some(response),
         ..
@@ -442,6 +470,19 @@
     Returned { to, result }
 }
 
+fn describe_end(result: &Result<Executed, SendError>) -> LoggedEnd {
+    match result {
+        Ok(executed) => match (executed.answer.verdict, &executed.response) {
+            (Verdict::Answered, Some(response)) => LoggedEnd::Answered(response.status().as_u16()),
+            (Verdict::Answered, None) => LoggedEnd::Unknown(UnknownCause::BadAnswer),
+            (Verdict::Refused(reason), _) => LoggedEnd::Refused(reason),
+            (Verdict::Unknown(cause), _) => LoggedEnd::Unknown(cause),
+        },
+        Err(SendError::NotSent) => LoggedEnd::NotSent,
+        Err(_) => LoggedEnd::Unknown(UnknownCause::NodeLost),
+    }
+}
+
 fn copy_request(req: &CallerRequest) -> CallerRequest {
     CallerRequest {
         method: req.method.clone(),
@@ -468,6 +509,13 @@
         }
     }
 
+    /// Age of what is known of the node's load.
+    fn known_age(&self, now: Moment) -> Option<Duration> {
+        let directory = self.core.directory.borrow();
+        let (_, at) = directory.nodes.get(&self.to)?.load?;
+        Some(now.since(at))
+    }
+
     fn learn(&self, result: &Result<Executed, SendError>) {
         let now = self.core.timers.now();
         let mut directory = self.core.directory.borrow_mut();
@@ -476,7 +524,13 @@
         };
         let Ok(executed) = result else {
             let pause = view.note_unreachable(now);
-            tracing::info!(event = 420, to = %self.to, pause_ms = pause.as_millis(), "node not reached");
+            let failures = view.failures;
+            drop(directory);
+            self.core.log(&ProxyEvent::NodeUnreachable {
+                to: self.to,
+                failures,
+                pause_ms: in_millis(pause),
+            });
             return;
         };
         view.note_reached();
--- /dev/null
+++ b/src/proxy/entry/request_line.rs
@@ -0,0 +1,94 @@
+//! The line of the log about a client's request.
+
+use crate::{
+    proxy::{
+        core::ProxyCore,
+        entry::carrier::Carrier,
+        events::{LoggedEnd, ProxyEvent, in_millis},
+        reply::ClientEnd,
+    },
+    state::{
+        moment::Moment,
+        names::{ClassName, ServiceName},
+        routing_table::Route,
+    },
+    transport::callers::CallerRequest,
+};
+use std::{rc::Rc, time::Duration};
+
+/// Collects what decided about a request. One that is dropped before its end tells that the client
+/// went away.
+pub struct RequestLine {
+    core: Rc<ProxyCore>,
+    request: String,
+    arrived: Moment,
+    version: u64,
+    service: Option<ServiceName>,
+    class: Option<ClassName>,
+    time_left: Duration,
+    asked: u32,
+    arrivals: u16,
+    ended: bool,
+}
+
+impl RequestLine {
+    pub fn begin(core: &Rc<ProxyCore>, req: &CallerRequest) -> Self {
+        Self {
+            request: core.read_request_id(&req.headers),
+            arrived: core.timers.now(),
+            version: core.directory.borrow().version().0,
+            service: None,
+            class: None,
+            time_left: Duration::ZERO,
+            asked: 0,
+            arrivals: 0,
+            ended: false,
+            core: Rc::clone(core),
+        }
+    }
+
+    /// Notes the route and the service that was picked.
+    pub fn note_route(&mut self, route: &Route, service: &ServiceName, time_left: Duration) {
+        self.class = Some(route.class.clone());
+        self.service = Some(service.clone());
+        self.time_left = time_left;
+    }
+
+    /// Notes how many nodes were asked.
+    pub fn note_attempts(&mut self, carrier: &Carrier) {
+        (self.asked, self.arrivals) = carrier.counts();
+    }
+
+    /// Writes the line.
+    pub fn end(mut self, end: &ClientEnd) {
+        self.write(match end {
+            ClientEnd::Answered(response) => LoggedEnd::Answered(response.status().as_u16()),
+            ClientEnd::Refused(reason, _) => LoggedEnd::Refused(*reason),
+            ClientEnd::Unknown(cause) => LoggedEnd::Unknown(*cause),
+            ClientEnd::NoRoute => LoggedEnd::NoRoute,
+        });
+    }
+
+    fn write(&mut self, end: LoggedEnd) {
+        self.ended = true;
+        self.core.log(&ProxyEvent::RequestEnded {
+            request: std::mem::take(&mut self.request),
+            service: self.service.take(),
+            class: self.class.take(),
+            version: self.version,
+            end,
+            asked: self.asked,
+            arrivals: self.arrivals,
+            took_ms: in_millis(self.core.timers.now().since(self.arrived)),
+            time_left_ms: in_millis(self.time_left),
+        });
+    }
+}
+
+impl Drop for RequestLine {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.write(LoggedEnd::ClientLeft);
+        }
+    }
+}
--- /dev/null
+++ b/src/proxy/events.rs
@@ -0,0 +1,324 @@
+//! The numbered events of a node: one line of its log each.
+//!
+//! `docs/EVENTS.md` has the catalogue; a test holds it to this file. A number never changes its meaning.
+
+mod budget;
+
+pub use budget::LineBudget;
+
+use crate::{
+    protocol::outcome::{RefusalReason, UnknownCause},
+    state::names::{ClassName, NodeName, ServiceName},
+};
+use serde::Serialize;
+use std::{net::SocketAddr, time::Duration};
+
+/// Whole milliseconds for an event.
+#[must_use]
+pub fn in_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// How much an event matters when not all lines can be written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Weight {
+    /// A request that went as it should.
+    Ordinary,
+    /// A failure, a refusal, or a change of what the node believes.
+    Telling,
+}
+
+/// How a request or an attempt ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LoggedEnd {
+    /// The upstream answered with this status.
+    Answered(u16),
+    /// It did not run.
+    Refused(RefusalReason),
+    /// It may have run.
+    Unknown(UnknownCause),
+    /// No route leads anywhere.
+    NoRoute,
+    /// No answer came from the other node, and nothing was sent to it.
+    NotSent,
+    /// The client went away.
+    ClientLeft,
+}
+
+/// One event. Times are in milliseconds.
+#[derive(Clone, Debug, Serialize)]
+#[serde(untagged)]
+pub enum ProxyEvent {
+    /// A client's request ended at the node that took it.
+    RequestEnded {
+        /// Identity that the client gave it.
+        request: String,
+        /// Its service.
+        service: Option<ServiceName>,
+        /// Its class of work.
+        class: Option<ClassName>,
+        /// Version of the routing table that decided.
+        version: u64,
+        /// How it ended.
+        end: LoggedEnd,
+        /// Nodes asked, those that refused included.
+        asked: u32,
+        /// Attempts that reached an upstream or may have.
+        arrivals: u16,
+        /// Time since it came.
+        took_ms: u64,
+        /// Time that its client gave it.
+        time_left_ms: u64,
+    },
+    /// An entry node learned how one attempt ended.
+    AttemptReturned {
+        /// Identity of the request.
+        request: String,
+        /// The node asked.
+        to: SocketAddr,
+        /// Time within which it was to end there; 0 asks for a slot at once or none.
+        within_ms: u64,
+        /// Age of what was known of the node's load.
+        known_age_ms: Option<u64>,
+        /// How it ended.
+        end: LoggedEnd,
+        /// Time in which it would have ended, after a refusal for lack of slots.
+        finish_ms: u64,
+        /// Time since it was sent.
+        took_ms: u64,
+    },
+    /// The node beside an upstream decided on an attempt and saw its end.
+    AttemptExecuted {
+        /// Identity of the request.
+        request: String,
+        /// Its class of work.
+        class: ClassName,
+        /// The upstream's run.
+        instance: Option<String>,
+        /// How it ended.
+        end: LoggedEnd,
+        /// Requests at the upstream when it came.
+        running: u16,
+        /// Requests that waited when it came.
+        queued: u16,
+        /// Requests let run at once.
+        limit: u16,
+        /// Pace of the VM when it was decided, in percent of the usual time.
+        pace_percent: u16,
+        /// Age of that.
+        pace_age_ms: Option<u64>,
+        /// Time that it was expected to take.
+        expected_ms: u64,
+        /// Time that it waited.
+        waited_ms: u64,
+        /// Time since it came.
+        took_ms: u64,
+    },
+    /// A second attempt is not made for lack of budget.
+    RepeatWithheld {
+        /// Identity of the request.
+        request: String,
+        /// Its service.
+        service: ServiceName,
+    },
+    /// Lines were left out to keep to the budget.
+    LinesDropped {
+        /// How many.
+        lines: u64,
+    },
+    /// The upstream beside the node told another state.
+    UpstreamAnnounced {
+        /// Its run.
+        instance: String,
+        /// Number of the announcement.
+        sequence: u64,
+        /// It takes no new work.
+        leaving: bool,
+    },
+    /// The upstream beside the node leaves for good.
+    UpstreamDeparted {
+        /// Its run.
+        instance: String,
+    },
+    /// Another run answered in place of the one that was known.
+    UpstreamReplaced {
+        /// The run that was known.
+        instance: String,
+    },
+    /// After a restart the upstream is known from the store.
+    UpstreamRecalled {
+        /// Its run.
+        instance: String,
+    },
+    /// An announcement could not be understood.
+    AnnouncementRejected {
+        /// What is wrong.
+        error: String,
+        /// Target of the call.
+        target: String,
+    },
+    /// A newer routing table is in force.
+    TableInForce {
+        /// Its version.
+        version: u64,
+        /// The version before.
+        before: u64,
+        /// Its routes.
+        routes: usize,
+        /// Where it came from.
+        source: &'static str,
+    },
+    /// A node that is behind is sent the routing table.
+    StateSent {
+        /// The node.
+        to: SocketAddr,
+        /// The version sent.
+        version: u64,
+    },
+    /// The zone is told what was read from the store.
+    ZoneTold {
+        /// Nodes told.
+        nodes: usize,
+        /// Whether a routing table is among it.
+        table: bool,
+        /// Records of nodes among it.
+        records: usize,
+    },
+    /// A message with state could not be understood.
+    StateRejected {
+        /// What is wrong.
+        error: String,
+    },
+    /// Another node could not be reached.
+    NodeUnreachable {
+        /// The node.
+        to: SocketAddr,
+        /// Failures in a row.
+        failures: u32,
+        /// Pause until it is asked again.
+        pause_ms: u64,
+    },
+    /// A record of a node is news.
+    NodeKnown {
+        /// The node.
+        node: NodeName,
+        /// Service of its upstream.
+        service: ServiceName,
+        /// The upstream's run.
+        instance: String,
+        /// It takes no new work.
+        leaving: bool,
+        /// Place in the order of the store.
+        revision: u64,
+    },
+    /// A configuration in the store could not be understood; the one in force stays.
+    ConfigurationRejected {
+        /// What is wrong.
+        error: String,
+    },
+    /// A record in the store could not be understood.
+    RecordRejected {
+        /// Its key.
+        key: String,
+        /// What is wrong.
+        error: String,
+    },
+    /// The store stopped answering.
+    StoreLost {
+        /// What was asked of it.
+        what: &'static str,
+        /// What came.
+        error: String,
+    },
+    /// The store answers again.
+    StoreRegained {
+        /// What was asked of it.
+        what: &'static str,
+        /// Failures in a row before.
+        failures: u32,
+    },
+    /// The process began to serve.
+    NodeStarted {
+        /// The node.
+        node: NodeName,
+        /// Service of the upstream beside it.
+        service: ServiceName,
+    },
+    /// The process was told to stop.
+    StopRequested {
+        /// Requests of clients in progress.
+        in_progress: usize,
+        /// Requests at the upstream.
+        running: u16,
+    },
+    /// The process ends.
+    NodeStopped {
+        /// Requests of clients cut off.
+        in_progress: usize,
+        /// Time since it was told.
+        took_ms: u64,
+    },
+    /// The settings were read again.
+    SettingsRead {
+        /// Whether anything differs from what is in force; it takes effect at the next start.
+        changed: bool,
+    },
+    /// The settings can't be used; those in force stay.
+    SettingsRejected {
+        /// All findings.
+        findings: String,
+    },
+}
+
+impl ProxyEvent {
+    /// Number, name and weight.
+    #[must_use]
+    pub fn describe(&self) -> (u16, &'static str, Weight) {
+        use Weight::{Ordinary, Telling};
+        match self {
+            Self::RequestEnded { end, .. } => (801, "request_ended", end.weight()),
+            Self::AttemptReturned { end, .. } => (802, "attempt_returned", end.weight()),
+            Self::AttemptExecuted { end, .. } => (803, "attempt_executed", end.weight()),
+            Self::RepeatWithheld { .. } => (804, "repeat_withheld", Ordinary),
+            Self::LinesDropped { .. } => (805, "lines_dropped", Telling),
+            Self::UpstreamAnnounced { .. } => (811, "upstream_announced", Telling),
+            Self::UpstreamDeparted { .. } => (812, "upstream_departed", Telling),
+            Self::UpstreamReplaced { .. } => (813, "upstream_replaced", Telling),
+            Self::UpstreamRecalled { .. } => (814, "upstream_recalled", Telling),
+            Self::AnnouncementRejected { .. } => (815, "announcement_rejected", Telling),
+            Self::TableInForce { .. } => (821, "table_in_force", Telling),
+            Self::StateSent { .. } => (822, "state_sent", Telling),
+            Self::ZoneTold { .. } => (823, "zone_told", Telling),
+            Self::StateRejected { .. } => (824, "state_rejected", Telling),
+            Self::NodeUnreachable { .. } => (831, "node_unreachable", Telling),
+            Self::NodeKnown { .. } => (832, "node_known", Telling),
+            Self::ConfigurationRejected { .. } => (841, "configuration_rejected", Telling),
+            Self::RecordRejected { .. } => (842, "record_rejected", Telling),
+            Self::StoreLost { .. } => (843, "store_lost", Telling),
+            Self::StoreRegained { .. } => (844, "store_regained", Telling),
+            Self::NodeStarted { .. } => (851, "node_started", Telling),
+            Self::StopRequested { .. } => (852, "stop_requested", Telling),
+            Self::NodeStopped { .. } => (853, "node_stopped", Telling),
+            Self::SettingsRead { .. } => (854, "settings_read", Telling),
+            Self::SettingsRejected { .. } => (855, "settings_rejected", Telling),
+        }
+    }
+
+    /// The fields as JSON.
+    #[must_use]
+    pub fn fields(&self) -> String {
+        serde_json::to_string(self).unwrap_or_default()
+    }
+}
+
+impl LoggedEnd {
+    /// A refusal for lack of slots is how nodes look for a free one: nothing failed yet.
+    const fn weight(&self) -> Weight {
+        match self {
+            Self::Answered(status) if *status < 500 => Weight::Ordinary,
+            Self::Refused(RefusalReason::QueueFull) => Weight::Ordinary,
+            _ => Weight::Telling,
+        }
+    }
+}
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -1,5 +1,6 @@
 //! Runs requests at the upstream beside the node, within its slots.
 
+mod attempt_line;
 mod dispatch;
 mod pace;
 mod slots;
@@ -11,8 +12,10 @@
         outcome::RefusalReason,
     },
     proxy::core::{ProxyCore, count},
+    state::moment::Moment,
     transport::callers::CallerRequest,
 };
+use attempt_line::AttemptLine;
 use bytes::Bytes;
 use dispatch::dispatch;
 use http::Response;
@@ -34,20 +37,25 @@
 /// Runs a request at the upstream beside this node, or refuses it. Dropping the future takes it out
 /// of the queue, or closes its connection to the upstream.
 pub async fn execute(core: &Rc<ProxyCore>, hop: &HopRequest, req: CallerRequest) -> Executed {
+    let mut line = AttemptLine::begin(core, hop, &req);
+    let executed = execute_logged(core, hop, req, &mut line).await;
+    line.end(&executed);
+    executed
+}
+
+async fn execute_logged(
+    core: &Rc<ProxyCore>,
+    hop: &HopRequest,
+    req: CallerRequest,
+    line: &mut AttemptLine,
+) -> Executed {
     let arrived = core.timers.now();
     if let Some(reason) = find_refusal(core, hop) {
         return refuse(core, reason, Duration::ZERO);
     }
     refresh_pace(core).await;
-    let now = core.timers.now();
-    let request = SlotRequest {
-        priority: hop.priority,
-        within: hop.within.saturating_sub(now.since(arrived)),
-        time_left: hop.time_left.saturating_sub(now.since(arrived)),
-        expected: core.slots.expect(&hop.class),
-    };
-    let decision = core.slots.queue.borrow_mut().offer(request, now);
-    let number = match decision {
+    line.note_decision();
+    let number = match offer(core, hop, arrived) {
         SlotDecision::Run(number) => number,
         SlotDecision::Refuse { finish } => return refuse(core, RefusalReason::QueueFull, finish),
         SlotDecision::Wait(number) => {
@@ -63,6 +71,7 @@
         return refuse(core, reason, Duration::ZERO);
     }
     let waited = core.timers.now().since(arrived);
+    line.note_start(waited);
     let Some(time_left) = hop.time_left.checked_sub(waited) else {
         return refuse(core, RefusalReason::DeadlinePassed, Duration::ZERO);
     };
@@ -75,6 +84,18 @@
     }
 }
 
+fn offer(core: &ProxyCore, hop: &HopRequest, arrived: Moment) -> SlotDecision {
+    let now = core.timers.now();
+    let spent = now.since(arrived);
+    let request = SlotRequest {
+        priority: hop.priority,
+        within: hop.within.saturating_sub(spent),
+        time_left: hop.time_left.saturating_sub(spent),
+        expected: core.slots.expect(&hop.class),
+    };
+    core.slots.queue.borrow_mut().offer(request, now)
+}
+
 fn find_refusal(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
     if core.is_stopping() {
         return Some(RefusalReason::Draining);
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -7,7 +7,7 @@
         hop::{HOP_HEADER, HopRequest, Verdict},
         outcome::{RefusalReason, UnknownCause},
     },
-    proxy::{core::ProxyCore, executing::pace::note_load},
+    proxy::{core::ProxyCore, events::ProxyEvent, executing::pace::note_load},
     transport::{
         callers::CallerRequest,
         outgoing::{SendError, SendRules},
@@ -102,7 +102,9 @@
     note_load(core, response.headers());
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         // Another run has the address: what is known of the former one holds no longer.
-        tracing::info!(event = 403, %instance, "another run answers in place of the upstream");
+        core.log(&ProxyEvent::UpstreamReplaced {
+            instance: instance.to_owned(),
+        });
         core.own.borrow_mut().disown(instance);
         return (Verdict::Refused(RefusalReason::UpstreamShed), None);
     }
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -44,6 +44,12 @@
 }
 
 impl PaceKnowledge {
+    /// Time since it was told.
+    #[must_use]
+    pub fn age(&self, now: Moment) -> Option<Duration> {
+        self.told_at.get().map(|at| now.since(at))
+    }
+
     fn is_stale(&self, now: Moment) -> bool {
         self.told_at.get().is_some_and(|at| now.since(at) > FRESH)
     }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -8,6 +8,7 @@
     proxy::{
         core::ProxyCore,
         directory::StateSource,
+        events::ProxyEvent,
         executing::{Executed, execute},
     },
     state::{configuration::ConfigurationVersion, placement_view::StoredRecord},
@@ -88,9 +89,10 @@
     let Some(message) = message else {
         return;
     };
-    tracing::info!(
-        event = 411, %to, version = version.0, "sending state to a node that is behind"
-    );
+    core.log(&ProxyEvent::StateSent {
+        to,
+        version: core.directory.borrow().version().0,
+    });
     let core = Rc::clone(core);
     spawn_local(async move { send_state(&core, to, &message).await });
 }
@@ -111,12 +113,11 @@
     let missing = |to: &SocketAddr| !new_table || !directory.has_version(*to);
     let receivers: Vec<SocketAddr> = zone.into_iter().filter(missing).collect();
     drop(directory);
-    tracing::info!(
-        event = 413,
-        nodes = receivers.len(),
-        new_table,
-        "telling the zone"
-    );
+    core.log(&ProxyEvent::ZoneTold {
+        nodes: receivers.len(),
+        table: new_table,
+        records: message.nodes.len(),
+    });
     let core = Rc::clone(core);
     spawn_local(async move {
         let sends = receivers.into_iter().map(|to| {
@@ -232,7 +233,9 @@
     let message: StateMessage = match serde_json::from_slice(body) {
         Ok(message) => message,
         Err(error) => {
-            tracing::warn!(event = 412, %error, "malformed state from another node");
+            core.log(&ProxyEvent::StateRejected {
+                error: error.to_string(),
+            });
             return reply_json(StatusCode::BAD_REQUEST, "malformed state");
         }
     };
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -1,7 +1,10 @@
 //! Runs a node on the present event loop until it has stopped.
 
 use crate::{
-    proxy::{core::ProxyCore, entry::ClientEdge, peers::PeerEdge, stop::stop_gracefully},
+    proxy::{
+        core::ProxyCore, entry::ClientEdge, events::ProxyEvent, peers::PeerEdge,
+        stop::stop_gracefully,
+    },
     transport::callers::{CallerLimits, serve_callers},
 };
 use flume::Receiver;
@@ -43,7 +46,10 @@
         core.timers.clone(),
         Rc::new(PeerEdge::new(Rc::clone(core))),
     ));
-    tracing::info!(event = 400, node = %core.settings.name, "node started");
+    core.log(&ProxyEvent::NodeStarted {
+        node: core.settings.name.clone(),
+        service: core.settings.service.clone(),
+    });
     // The sender goes only with the process.
     let _ = stop.recv_async().await;
     stop_gracefully(core).await;
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -1,7 +1,13 @@
 //! A planned stop: no new work for the upstream, clients are served by other nodes until they have
 //! gone, what runs is ended.
 
-use crate::{proxy::core::ProxyCore, state::moment::Moment};
+use crate::{
+    proxy::{
+        core::ProxyCore,
+        events::{ProxyEvent, in_millis},
+    },
+    state::moment::Moment,
+};
 use std::{rc::Rc, time::Duration};
 
 /// Clients notice that a node is not ready at the second question, one each second, and may send
@@ -20,11 +26,10 @@
 pub async fn stop_gracefully(core: &Rc<ProxyCore>) {
     let since = core.timers.now();
     core.stopping_since.set(Some(since));
-    tracing::info!(
-        event = 430,
-        in_progress = core.in_progress.get(),
-        "node stops"
-    );
+    core.log(&ProxyEvent::StopRequested {
+        in_progress: core.in_progress.get(),
+        running: core.slots.load().running,
+    });
     let latest = since + core.settings.grace.saturating_sub(MARGIN);
     let mut idle_looks = 0;
     while idle_looks < IDLE_LOOKS && core.timers.now() < latest {
@@ -35,11 +40,10 @@
             0
         };
     }
-    tracing::info!(
-        event = 431,
-        in_progress = core.in_progress.get(),
-        "node ends"
-    );
+    core.log(&ProxyEvent::NodeStopped {
+        in_progress: core.in_progress.get(),
+        took_ms: in_millis(core.timers.now().since(since)),
+    });
 }
 
 fn may_end(core: &ProxyCore, since: Moment) -> bool {
--- a/src/transport.rs
+++ b/src/transport.rs
@@ -1,6 +1,7 @@
 //! Sockets, HTTP and RPC: the edges of a process.
 
 pub mod callers;
+pub mod json_lines;
 pub mod logging;
 pub mod metrics;
 pub mod operators;
