--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -13,6 +13,7 @@
         executing::Slots,
     },
     state::{
+        latency_buckets::LatencyBuckets,
         moment::Moment,
         names::{ClassName, ServiceName},
         placement_view::{NodeRecord, StoredRecord},
@@ -50,6 +51,8 @@
     pub executed: Cell<u64>,
     /// Requests sent to a second upstream.
     pub repeats: Cell<u64>,
+    /// Times of the answered ones.
+    pub latency: Cell<LatencyBuckets>,
 }
 
 /// Adds one.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -48,9 +48,10 @@
         let core = Rc::clone(&self.core);
         Box::pin(async move {
             let _counted = InProgress::count(&core);
+            let arrived = core.timers.now();
             let mut line = RequestLine::begin(&core, &req);
             let end = carry_request(&core, req, &mut line).await;
-            count_end(&core, &end);
+            count_end(&core, &end, arrived);
             line.end(&end);
             build_reply(end)
         })
@@ -78,10 +79,15 @@
     }
 }
 
-fn count_end(core: &ProxyCore, end: &ClientEnd) {
+fn count_end(core: &ProxyCore, end: &ClientEnd, arrived: Moment) {
     let counters = &core.counters;
     match end {
-        ClientEnd::Answered(_) => count(&counters.answered),
+        ClientEnd::Answered(_) => {
+            count(&counters.answered);
+            let mut latency = counters.latency.get();
+            latency.observe(core.timers.now().since(arrived));
+            counters.latency.set(latency);
+        }
         ClientEnd::Refused(..) | ClientEnd::NoRoute => count(&counters.refused),
         ClientEnd::Unknown(_) => count(&counters.unknown),
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -7,6 +7,7 @@
 pub mod configuration;
 pub mod failure_share;
 pub mod key_table;
+pub mod latency_buckets;
 pub mod latency_history;
 pub mod lease;
 pub mod load_knowledge;
