Explore beliefs about upstreams and versions with a model

Cause: tests show single sequences; lost, late, reordered and restarted in combination were only played. Change: breadth-first exploration with the node's own code; each of three guards is shown to be needed.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -20,6 +20,7 @@
 mod keyed_mesh;
 mod measuring;
 mod membership;
+mod mesh_model;
 mod node_metrics;
 mod observation;
 mod operators;
