Pass state on from node to node

Ruled out: more readers (each is a call to the store a change). Change: a node sends to four, each with the part of the receivers that it passes the message on to; the next of a part is taken where one does not answer. State between nodes has a module of its own.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -15,4 +15,5 @@
 pub mod retries;
 pub mod routing;
 pub mod slot_queue;
+pub mod spreading;
 pub mod store_reading;
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -173,11 +173,14 @@
     serde_json::from_value(serde_json::Value::from(name)).ok()
 }
 
-/// State that a node sends to one that has an older version.
+/// State that a node sends to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateMessage {
     /// The routing table in force.
     pub table: Option<RoutingTable>,
-    /// The nodes that the sender knows.
+    /// Records of nodes.
     pub nodes: Vec<StoredRecord>,
+    /// Nodes that the receiver is to pass the message on to.
+    #[serde(default)]
+    pub pass_on: Vec<SocketAddr>,
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -12,7 +12,10 @@
 mod peers;
 mod reply;
 mod start;
+mod state_sharing;
 mod stop;
 
-pub use peers::share_with_zone;
-pub use start::{ProxyListeners, run_proxy};
+pub use self::{
+    start::{ProxyListeners, run_proxy},
+    state_sharing::share_with_zone,
+};
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -160,6 +160,7 @@
         Some(StateMessage {
             table: self.routes.as_ref().map(|routes| routes.table().clone()),
             nodes,
+            pass_on: Vec::new(),
         })
     }
 }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -1,39 +1,31 @@
-//! Requests and state between nodes, over HTTP/1.1.
+//! Requests between nodes, over HTTP/1.1.
 //!
 //! Each request under way has a connection of its own: one that falls silent holds up nothing else,
 //! and closing it cancels just that request at the other node.
 
 use crate::{
-    protocol::hop::{HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER, StateMessage, Verdict},
+    protocol::hop::{HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER, Verdict},
     proxy::{
         core::ProxyCore,
-        directory::StateSource,
-        events::ProxyEvent,
         executing::{Executed, execute},
+        state_sharing::{share_state, take_state},
     },
-    state::{configuration::ConfigurationVersion, placement_view::StoredRecord},
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
         outgoing::{SendError, SendRules},
     },
 };
 use bytes::Bytes;
-use futures::{StreamExt, future::LocalBoxFuture};
-use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use futures::future::LocalBoxFuture;
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::task::spawn_local;
 
 /// Longest time to open a connection to another node; above a round trip between zones with one
 /// lost packet it is better to ask another node.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest time that a kept connection to another node may have been idle.
 const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// Messages with state that are under way at once: a large table to all nodes of a zone would
-/// otherwise hold up requests on a narrow link.
-const SENDS_AT_ONCE: usize = 4;
-/// Longest time for a message with state.
-const STATE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Largest body between nodes, in bytes.
 const BODY_LIMIT: usize = 64 * 1024 * 1024;
 
@@ -82,94 +74,6 @@
     Some(request)
 }
 
-/// Sends the routing table and the known nodes to a node that has an older table.
-pub fn share_state(core: &Rc<ProxyCore>, to: SocketAddr, version: ConfigurationVersion) {
-    let now = core.timers.now();
-    let message = core.directory.borrow_mut().share_with(to, version, now);
-    let Some(message) = message else {
-        return;
-    };
-    core.log(&ProxyEvent::StateSent {
-        to,
-        version: core.directory.borrow().version().0,
-    });
-    let core = Rc::clone(core);
-    spawn_local(async move { send_state(&core, to, &message).await });
-}
-
-/// Tells the nodes of the zone what this one has read from the store: a routing table that is in
-/// force now, and records of nodes.
-pub fn share_with_zone(core: &Rc<ProxyCore>, new_table: bool, records: Vec<StoredRecord>) {
-    if !new_table && records.is_empty() {
-        return;
-    }
-    let zone = core.list_zone();
-    let directory = core.directory.borrow();
-    let table = directory.routes().filter(|_| new_table);
-    let message = Rc::new(StateMessage {
-        table: table.map(|routes| routes.table().clone()),
-        nodes: records,
-    });
-    let missing = |to: &SocketAddr| !new_table || !directory.has_version(*to);
-    let receivers: Vec<SocketAddr> = zone.into_iter().filter(missing).collect();
-    drop(directory);
-    core.log(&ProxyEvent::ZoneTold {
-        nodes: receivers.len(),
-        table: new_table,
-        records: message.nodes.len(),
-    });
-    let core = Rc::clone(core);
-    spawn_local(async move {
-        let sends = receivers.into_iter().map(|to| {
-            let core = Rc::clone(&core);
-            let message = Rc::clone(&message);
-            async move { send_state(&core, to, &message).await }
-        });
-        futures::stream::iter(sends)
-            .buffer_unordered(SENDS_AT_ONCE)
-            .collect::<()>()
-            .await;
-    });
-}
-
-async fn send_state(core: &Rc<ProxyCore>, to: SocketAddr, message: &StateMessage) {
-    let Some(request) = build_state(message) else {
-        return;
-    };
-    let rules = SendRules {
-        fresh: false,
-        connect_timeout: CONNECT_TIMEOUT,
-        idle_limit: IDLE_LIMIT,
-        body_limit: BODY_LIMIT,
-    };
-    let timeout = core.timers.after(STATE_TIMEOUT);
-    let sent = tokio::select! {
-        sent = core.outgoing.send(to, request, rules, |_| true) => sent.map(|_| ()),
-        _ = timeout.recv_async() => Err(SendError::Cut),
-    };
-    match (sent, &message.table) {
-        (Ok(()), Some(table)) => {
-            let now = core.timers.now();
-            let mut directory = core.directory.borrow_mut();
-            directory.note_version(to, table.version, now);
-        }
-        (Ok(()), None) => {}
-        (Err(error), _) => tracing::debug!(%error, %to, "state not taken"),
-    }
-}
-
-fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
-    let body = serde_json::to_vec(message).ok()?;
-    let mut request = Request::new(Full::new(Bytes::from(body)));
-    *request.method_mut() = Method::POST;
-    *request.uri_mut() = Uri::from_static("/state");
-    let mark = HeaderValue::from_static("1");
-    request
-        .headers_mut()
-        .insert(HeaderName::from_static(STATE_HEADER), mark);
-    Some(request)
-}
-
 /// The node as other nodes meet it.
 pub struct PeerEdge {
     core: Rc<ProxyCore>,
@@ -228,22 +132,3 @@
     parts.headers.remove(http::header::DATE);
     Response::from_parts(parts, Full::new(body))
 }
-
-fn take_state(core: &Rc<ProxyCore>, body: &[u8]) -> CallerReply {
-    let message: StateMessage = match serde_json::from_slice(body) {
-        Ok(message) => message,
-        Err(error) => {
-            core.log(&ProxyEvent::StateRejected {
-                error: error.to_string(),
-            });
-            return reply_json(StatusCode::BAD_REQUEST, "malformed state");
-        }
-    };
-    if let Some(table) = message.table {
-        core.take_table(table, StateSource::Peer);
-    }
-    for stored in message.nodes {
-        core.take_record(stored);
-    }
-    Response::new(Full::default())
-}
--- /dev/null
+++ b/src/proxy/state_sharing.rs
@@ -0,0 +1,144 @@
+//! The routing table and records of nodes, told from node to node.
+
+use crate::{
+    coordination::spreading::split_receivers,
+    protocol::hop::{STATE_HEADER, StateMessage},
+    proxy::{core::ProxyCore, directory::StateSource, events::ProxyEvent},
+    state::{configuration::ConfigurationVersion, placement_view::StoredRecord},
+    transport::{
+        callers::{CallerReply, reply_json},
+        outgoing::{SendError, SendRules},
+    },
+};
+use bytes::Bytes;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, Uri};
+use http_body_util::Full;
+use rand::seq::SliceRandom;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::task::spawn_local;
+
+/// How a message with state is sent. A node that can't be reached in time is passed over; it learns the
+/// version from the next request.
+const RULES: SendRules = SendRules {
+    fresh: false,
+    connect_timeout: Duration::from_millis(250),
+    idle_limit: Duration::from_secs(20),
+    body_limit: 64 * 1024,
+};
+/// Longest time for a message with state.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Sends the routing table, and to a node that has none the known nodes too, to a node that is behind.
+pub fn share_state(core: &Rc<ProxyCore>, to: SocketAddr, version: ConfigurationVersion) {
+    let now = core.timers.now();
+    let message = core.directory.borrow_mut().share_with(to, version, now);
+    let Some(message) = message else {
+        return;
+    };
+    core.log(&ProxyEvent::StateSent {
+        to,
+        version: core.directory.borrow().version().0,
+    });
+    let core = Rc::clone(core);
+    spawn_local(async move { send_state(&core, to, &message).await });
+}
+
+/// Tells the nodes of the zone what this one has read from the store: a routing table that is in
+/// force now, and records of nodes.
+pub fn share_with_zone(core: &Rc<ProxyCore>, new_table: bool, records: Vec<StoredRecord>) {
+    if !new_table && records.is_empty() {
+        return;
+    }
+    let zone = core.list_zone();
+    let directory = core.directory.borrow();
+    let table = directory.routes().filter(|_| new_table);
+    let message = StateMessage {
+        table: table.map(|routes| routes.table().clone()),
+        nodes: records,
+        pass_on: Vec::new(),
+    };
+    let missing = |to: &SocketAddr| !new_table || !directory.has_version(*to);
+    let mut receivers: Vec<SocketAddr> = zone.into_iter().filter(missing).collect();
+    drop(directory);
+    // The other reader of the zone tells it too; with another order the loss of a node that passes on
+    // is made up for.
+    receivers.shuffle(&mut rand::rng());
+    core.log(&ProxyEvent::ZoneTold {
+        nodes: receivers.len(),
+        table: new_table,
+        records: message.nodes.len(),
+    });
+    spread(core, &receivers, &message);
+}
+
+/// Sends a message to a few of the receivers, which pass it on to the rest.
+fn spread(core: &Rc<ProxyCore>, receivers: &[SocketAddr], message: &StateMessage) {
+    for part in split_receivers(receivers) {
+        let core = Rc::clone(core);
+        let message = message.clone();
+        spawn_local(async move { send_to_first(&core, part, message).await });
+    }
+}
+
+/// Sends a message to the first of the receivers that takes it.
+async fn send_to_first(core: &ProxyCore, receivers: Vec<SocketAddr>, mut message: StateMessage) {
+    let mut rest = receivers;
+    while let Some(to) = rest.pop() {
+        message.pass_on.clone_from(&rest);
+        if send_state(core, to, &message).await {
+            return;
+        }
+    }
+}
+
+/// Whether the other node has taken the message.
+async fn send_state(core: &ProxyCore, to: SocketAddr, message: &StateMessage) -> bool {
+    let Some(request) = build_state(message) else {
+        return false;
+    };
+    let timeout = core.timers.after(TIMEOUT);
+    let sent = tokio::select! {
+        sent = core.outgoing.send(to, request, RULES, |_| true) => sent,
+        _ = timeout.recv_async() => Err(SendError::Cut),
+    };
+    if let (Ok(_), Some(table)) = (&sent, &message.table) {
+        let now = core.timers.now();
+        let mut directory = core.directory.borrow_mut();
+        directory.note_version(to, table.version, now);
+    }
+    sent.is_ok_and(|answer| answer.status().is_success())
+}
+
+fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
+    let body = serde_json::to_vec(message).ok()?;
+    let mut request = Request::new(Full::new(Bytes::from(body)));
+    *request.method_mut() = Method::POST;
+    *request.uri_mut() = Uri::from_static("/state");
+    let mark = HeaderValue::from_static("1");
+    request
+        .headers_mut()
+        .insert(HeaderName::from_static(STATE_HEADER), mark);
+    Some(request)
+}
+
+/// Takes in a message of another node and passes it on as told.
+pub fn take_state(core: &Rc<ProxyCore>, body: &[u8]) -> CallerReply {
+    let mut message: StateMessage = match serde_json::from_slice(body) {
+        Ok(message) => message,
+        Err(error) => {
+            core.log(&ProxyEvent::StateRejected {
+                error: error.to_string(),
+            });
+            return reply_json(StatusCode::BAD_REQUEST, "malformed state");
+        }
+    };
+    let receivers = std::mem::take(&mut message.pass_on);
+    spread(core, &receivers, &message);
+    if let Some(table) = message.table {
+        core.take_table(table, StateSource::Peer);
+    }
+    for stored in message.nodes {
+        core.take_record(stored);
+    }
+    Response::new(Full::default())
+}
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -5,6 +5,7 @@
         own_upstream::{Announcement, AnnouncementEffect, OwnUpstream},
         placement::order_candidates,
         repeat_budget::{RepeatBudget, RepeatRules},
+        spreading::split_receivers,
         store_reading::is_reader,
     },
     proxy::{
@@ -288,6 +289,16 @@
     assert!(is_reader(address(1), std::iter::empty()));
 }
 
+#[test]
+fn split_receivers_all_once() {
+    for count in 0..=40_u8 {
+        let receivers: Vec<SocketAddr> = (0..count).map(address).collect();
+        let parts = split_receivers(&receivers);
+        assert!(parts.len() <= 4);
+        assert_eq!(parts.concat(), receivers);
+    }
+}
+
 /// Symptom: the line that explains a failure is missing. Sequence: many ordinary requests end, then one
 /// fails within the same second. Cause: the budget of lines was spent on the ordinary ones.
 #[test]
