--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -16,8 +16,21 @@
 /// Longest wait of one read of a reader. A store that falls silent and comes back may leave a read
 /// unanswered, and a change must be in force within seconds of its return.
 const READER_WAIT: Duration = Duration::from_secs(4);
-/// Pause between the reads of all other nodes.
-const OTHERS_PAUSE: Duration = Duration::from_secs(14);
+/// Pause between the reads of all other nodes, at the least, for each node that is known, and at the
+/// most. Their reads together cost the same however many nodes there are, up to the longest pause.
+const OTHERS_PAUSE: (Duration, Duration, Duration) = (
+    Duration::from_secs(14),
+    Duration::from_millis(500),
+    Duration::from_mins(1),
+);
+/// Pause between two reads of the nodes' records by a reader, in the same way. At a common start all
+/// announce themselves within a second or two, and each read is paid for; after a loss of power it is the
+/// time in which nodes go by what was true before.
+const RECORDS_PAUSE: (Duration, Duration, Duration) = (
+    Duration::from_millis(400),
+    Duration::from_millis(30),
+    Duration::from_secs(2),
+);
 
 /// How a node reads a topic next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +39,14 @@
     pub wait: Duration,
     /// Pause before it, ended at once when the node becomes a reader.
     pub pause: Duration,
+    /// Pause after a read of the nodes' records.
+    pub records_pause: Duration,
+}
+
+fn scale(pause: (Duration, Duration, Duration), nodes: usize) -> Duration {
+    let (least, each, most) = pause;
+    let nodes = u32::try_from(nodes).unwrap_or(u32::MAX);
+    each.saturating_mul(nodes).clamp(least, most)
 }
 
 /// Whether `own` is among the readers of its zone; `others` are the other nodes of the zone that can
@@ -37,19 +58,18 @@
     before < READERS
 }
 
-/// How to read next.
+/// How to read next, with that many nodes known.
 #[must_use]
-pub fn plan_reading(reader: bool) -> ReadingPlan {
-    if reader {
-        ReadingPlan {
-            wait: READER_WAIT,
-            pause: Duration::ZERO,
-        }
+pub fn plan_reading(reader: bool, nodes: usize) -> ReadingPlan {
+    let (wait, pause) = if reader {
+        (READER_WAIT, Duration::ZERO)
     } else {
-        ReadingPlan {
-            wait: Duration::ZERO,
-            pause: OTHERS_PAUSE,
-        }
+        (Duration::ZERO, scale(OTHERS_PAUSE, nodes))
+    };
+    ReadingPlan {
+        wait,
+        pause,
+        records_pause: scale(RECORDS_PAUSE, nodes),
     }
 }
 
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -173,7 +173,8 @@
     /// How this node reads the store next.
     #[must_use]
     pub fn plan_reading(&self) -> ReadingPlan {
-        plan_reading(is_reader(self.settings.peers, self.list_zone().into_iter()))
+        let reader = is_reader(self.settings.peers, self.list_zone().into_iter());
+        plan_reading(reader, self.directory.borrow().nodes.len())
     }
 
     /// The other nodes of the zone that can be reached.
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -6,7 +6,7 @@
         placement::order_candidates,
         repeat_budget::{RepeatBudget, RepeatRules},
         spreading::split_receivers,
-        store_reading::is_reader,
+        store_reading::{is_reader, plan_reading},
     },
     proxy::{
         directory::Directory,
@@ -289,6 +289,17 @@
     assert!(is_reader(address(1), std::iter::empty()));
 }
 
+#[test]
+fn plan_reading_by_nodes() {
+    let plan = |reader, nodes| plan_reading(reader, nodes);
+    assert_eq!(plan(true, 12).pause, Duration::ZERO);
+    assert_eq!(plan(false, 12).pause, Duration::from_secs(14));
+    assert_eq!(plan(false, 60).pause, Duration::from_secs(30));
+    assert_eq!(plan(false, 870).pause, Duration::from_mins(1));
+    assert_eq!(plan(true, 12).records_pause, Duration::from_millis(400));
+    assert_eq!(plan(true, 870).records_pause, Duration::from_secs(2));
+}
+
 #[test]
 fn split_receivers_all_once() {
     for count in 0..=40_u8 {
