--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -138,7 +138,7 @@
         end = carrier.run() => end,
         _ = timeout.recv_async() => carrier.end_at_deadline(),
     };
-    line.note_attempts(&carrier);
+    line.note_attempts(&mut carrier);
     end
 }
 
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -57,6 +57,7 @@
 struct Returned {
     to: SocketAddr,
     result: Result<Executed, SendError>,
+    line: ProxyEvent,
 }
 
 /// What an attempt's end means for the request.
@@ -103,6 +104,7 @@
     last_refusal: RefusalReason,
     waits: u32,
     asked: u32,
+    lines: Vec<ProxyEvent>,
 }
 
 impl Carrier {
@@ -126,6 +128,7 @@
             last_refusal: RefusalReason::NoUpstream,
             waits: 0,
             asked: 0,
+            lines: Vec::new(),
         }
     }
 
@@ -134,6 +137,11 @@
         (self.asked, self.arrivals)
     }
 
+    /// The lines of the log on the attempts so far.
+    pub fn take_lines(&mut self) -> Vec<ProxyEvent> {
+        std::mem::take(&mut self.lines)
+    }
+
     /// Ends with the first answer, or with what is known when no node is left to ask.
     pub async fn run(&mut self) -> ClientEnd {
         if !self.ask_next() {
@@ -312,7 +320,8 @@
     }
 
     fn judge(&mut self, returned: Returned) -> Step {
-        let Returned { to, result } = returned;
+        let Returned { to, result, line } = returned;
+        self.lines.push(line);
         match result {
             Ok(Executed { answer, response }) => self.judge_answer(to, answer, response),
             Err(SendError::NotSent) => {
@@ -449,7 +458,7 @@
         send_hop(&core, to, &hop, &call.req).await
     };
     outstanding.learn(&result);
-    core.log(&ProxyEvent::AttemptReturned {
+    let line = ProxyEvent::AttemptReturned {
         request: core.read_request_id(&call.req.headers),
         to,
         within_ms: in_millis(hop.within),
@@ -459,7 +468,7 @@
             .as_ref()
             .map_or(0, |executed| in_millis(executed.answer.finish)),
         took_ms: in_millis(core.timers.now().since(sent)),
-    });
+    };
     if let Ok(Executed {
         response: Some(response),
         ..
@@ -467,7 +476,7 @@
     {
         core.note_bytes(&hop.class, call.req.body.len() + response.body().len());
     }
-    Returned { to, result }
+    Returned { to, result, line }
 }
 
 fn describe_end(result: &Result<Executed, SendError>) -> LoggedEnd {
--- a/src/proxy/entry/request_line.rs
+++ b/src/proxy/entry/request_line.rs
@@ -28,6 +28,7 @@
     time_left: Duration,
     asked: u32,
     arrivals: u16,
+    attempts: Vec<ProxyEvent>,
     ended: bool,
 }
 
@@ -42,6 +43,7 @@
             time_left: Duration::ZERO,
             asked: 0,
             arrivals: 0,
+            attempts: Vec::new(),
             ended: false,
             core: Rc::clone(core),
         }
@@ -55,8 +57,9 @@
     }
 
     /// Notes how many nodes were asked.
-    pub fn note_attempts(&mut self, carrier: &Carrier) {
+    pub fn note_attempts(&mut self, carrier: &mut Carrier) {
         (self.asked, self.arrivals) = carrier.counts();
+        self.attempts = carrier.take_lines();
     }
 
     /// Writes the line.
@@ -71,6 +74,12 @@
 
     fn write(&mut self, end: LoggedEnd) {
         self.ended = true;
+        // The attempts of a request are as telling as its end.
+        let weight = end.weight_of_request();
+        let now = self.core.timers.now();
+        for attempt in self.attempts.drain(..) {
+            self.core.lines.write_as(weight, &attempt, now);
+        }
         self.core.log(&ProxyEvent::RequestEnded {
             request: std::mem::take(&mut self.request),
             service: self.service.take(),
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -277,7 +277,7 @@
     pub fn describe(&self) -> (u16, &'static str, Weight) {
         use Weight::{Ordinary, Telling};
         match self {
-            Self::RequestEnded { end, .. } => (801, "request_ended", end.weight()),
+            Self::RequestEnded { end, .. } => (801, "request_ended", end.weight_of_request()),
             Self::AttemptReturned { end, .. } => (802, "attempt_returned", end.weight()),
             Self::AttemptExecuted { end, .. } => (803, "attempt_executed", end.weight()),
             Self::RepeatWithheld { .. } => (804, "repeat_withheld", Ordinary),
@@ -313,12 +313,24 @@
 }
 
 impl LoggedEnd {
-    /// A refusal for lack of slots is how nodes look for a free one: nothing failed yet.
-    const fn weight(&self) -> Weight {
+    /// How much the end tells. A refusal for lack of slots is how nodes look for a free one: nothing
+    /// failed yet.
+    #[must_use]
+    pub const fn weight(&self) -> Weight {
         match self {
             Self::Answered(status) if *status < 500 => Weight::Ordinary,
             Self::Refused(RefusalReason::QueueFull) => Weight::Ordinary,
             _ => Weight::Telling,
         }
     }
+
+    /// The same for the end of a whole request: a refusal ends it unserved, whatever the reason.
+    #[must_use]
+    pub const fn weight_of_request(&self) -> Weight {
+        match self {
+            Self::Answered(status) if *status < 500 => Weight::Ordinary,
+            Self::ClientLeft | Self::NoRoute => Weight::Ordinary,
+            _ => Weight::Telling,
+        }
+    }
 }
--- a/src/proxy/events/budget.rs
+++ b/src/proxy/events/budget.rs
@@ -9,38 +9,69 @@
 };
 use std::cell::{Cell, RefCell};
 
-/// Lines a second. A line takes some 10 microseconds of processor time, so the budget is 0.2% of a
-/// core.
-const LINES_PER_SECOND: f64 = 200.0;
-/// Lines that may come at once.
-const BURST: f64 = 400.0;
-/// Part of the burst that is kept for telling lines.
-const KEPT: f64 = 200.0;
+/// Telling lines a second, and how many may come at once.
+const TELLING: (f64, f64) = (200.0, 400.0);
+/// The same of ordinary ones: a sample, since a line costs some 70 microseconds with its write, a
+/// third of what a node spends on a request.
+const ORDINARY: (f64, f64) = (5.0, 20.0);
 
-/// Counts lines and leaves out those that the budget does not hold, ordinary ones first.
+/// Tokens of one weight, earned by time.
+struct Tokens {
+    bucket: TokenBucket,
+    since: Moment,
+    per_second: f64,
+}
+
+impl Tokens {
+    fn new((per_second, burst): (f64, f64)) -> RefCell<Self> {
+        let mut bucket = TokenBucket::empty(burst);
+        bucket.deposit(burst);
+        RefCell::new(Self {
+            bucket,
+            since: Moment::default(),
+            per_second,
+        })
+    }
+
+    fn take(&mut self, now: Moment) -> bool {
+        let span = now.since(self.since).as_secs_f64();
+        self.bucket.deposit(span * self.per_second);
+        self.since = now;
+        self.bucket.withdraw(1.0)
+    }
+}
+
+/// Counts lines and leaves out those that the budget does not hold.
 pub struct LineBudget {
-    bucket: RefCell<(TokenBucket, Moment)>,
+    telling: RefCell<Tokens>,
+    ordinary: RefCell<Tokens>,
     dropped: Cell<u64>,
 }
 
 impl Default for LineBudget {
     fn default() -> Self {
-        let mut bucket = TokenBucket::empty(BURST);
-        bucket.deposit(BURST);
         Self {
-            bucket: RefCell::new((bucket, Moment::default())),
+            telling: Tokens::new(TELLING),
+            ordinary: Tokens::new(ORDINARY),
             dropped: Cell::default(),
         }
     }
 }
 
 impl LineBudget {
-    /// Writes a line if the budget holds it. Lines left out are counted, and told with the next one.
+    /// Writes a line if the budget holds it.
     pub fn write(&self, event: &ProxyEvent, now: Moment) {
         let (_, _, weight) = event.describe();
-        if !self.take(weight, now) {
-            self.dropped.set(self.dropped.get() + 1);
-            return;
+        self.write_as(weight, event, now);
+    }
+
+    /// Writes a line with another weight than its own: what led to a failure tells as much as the
+    /// failure. Telling lines left out are counted, and told with the next one.
+    pub fn write_as(&self, weight: Weight, event: &ProxyEvent, now: Moment) {
+        match (self.take(weight, now), weight) {
+            (true, _) => {}
+            (false, Weight::Telling) => return self.dropped.set(self.dropped.get() + 1),
+            (false, Weight::Ordinary) => return,
         }
         let lines = self.dropped.take();
         if lines > 0 {
@@ -51,15 +82,10 @@
 
     /// Takes one line out of the budget, if it holds it.
     pub fn take(&self, weight: Weight, now: Moment) -> bool {
-        let mut state = self.bucket.borrow_mut();
-        let (bucket, since) = &mut *state;
-        bucket.deposit(now.since(*since).as_secs_f64() * LINES_PER_SECOND);
-        *since = now;
-        let kept = match weight {
-            Weight::Ordinary => KEPT,
-            Weight::Telling => 0.0,
-        };
-        bucket.holds(1.0 + kept) && bucket.withdraw(1.0)
+        match weight {
+            Weight::Telling => self.telling.borrow_mut().take(now),
+            Weight::Ordinary => self.ordinary.borrow_mut().take(now),
+        }
     }
 }
 
