--- a/tests/integration/imports.rs
+++ b/tests/integration/imports.rs
@@ -7,8 +7,10 @@
     path::{Path, PathBuf},
 };
 
-const ROOTS: [&str; 5] = [
+const ROOTS: [&str; 7] = [
     "src",
+    "platform/src",
+    "platform/tests",
     "stand-ins/src",
     "stand-ins/tests",
     "tests",
