--- a/src/bin/camphorturn.rs
+++ b/src/bin/camphorturn.rs
@@ -3,7 +3,7 @@
 use camphorturn::{
     commands::{
         check::run_check, dev::run_dev, drain::run_drain, explain::run_explain,
-        history::run_history_command, publish::run_publish_command, status::run_status,
+        history::run_history, logs::run_logs, publish::run_publish, status::run_status,
         timeline::run_timeline,
     },
     options::{
@@ -26,17 +26,18 @@
     let done = match command {
         Command::Check(arguments) => run_check(arguments, out),
         Command::Dev(arguments) => run_dev(arguments, out),
-        Command::Publish(arguments) => run_publish_command(arguments, &TimerService::system(), out),
-        Command::History(arguments) => run_history_command(arguments, &TimerService::system(), out),
-        Command::Status(arguments) => with_access(&arguments.access, |access| {
-            run_status(arguments, access, &TimerService::system(), out)
+        Command::Publish(arguments) => with_access(&arguments.access, |access| {
+            run_publish(arguments, access, &TimerService::system(), out)
         }),
-        Command::Timeline(arguments) => with_access(&arguments.access, |access| {
-            run_timeline(arguments, access, &TimerService::system(), out)
+        Command::History(arguments) => with_access(&arguments.access, |access| {
+            run_history(arguments, access, out)
         }),
-        Command::Explain(arguments) => with_access(&arguments.access, |access| {
-            run_explain(arguments, access, out)
+        Command::Status(arguments) => with_access(&arguments.access, |access| {
+            run_status(arguments, access, &TimerService::system(), out)
         }),
+        Command::Timeline(arguments) => run_timeline(arguments, &TimerService::system(), out),
+        Command::Explain(arguments) => run_explain(arguments, out),
+        Command::Logs(arguments) => run_logs(arguments, out),
         Command::Drain(arguments) => with_access(&arguments.access, |access| {
             run_drain(arguments, access, out)
         }),
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -1,10 +1,9 @@
-//! `camphorturn check`: every finding about settings files and configurations.
+//! `camphorturn check`: every finding about configurations.
 
 use crate::options::{
-    checked_file::{DocumentKind, check_document},
+    checked_file::{check_configuration, read_file},
     exit_code::ExitCode,
     findings::{Finding, Findings},
-    node_arguments::read_file,
 };
 use bpaf::Bpaf;
 use serde::Serialize;
@@ -18,7 +17,7 @@
 pub struct CheckArguments {
     /// Print one JSON object in place of lines
     pub json: bool,
-    /// Settings files of nodes or configurations to publish
+    /// Configurations to publish, JSON with comments
     #[bpaf(positional("FILE"), some("name at least one file"))]
     pub files: Vec<PathBuf>,
 }
@@ -33,8 +32,8 @@
 #[derive(Debug, Serialize)]
 struct FileReport {
     file: String,
-    /// Absent when the file has findings.
-    kind: Option<DocumentKind>,
+    /// Whether it can be published.
+    usable: bool,
 }
 
 /// Checks all files and writes the findings about them to `out`.
@@ -65,7 +64,7 @@
         let checked = check_path(path);
         report.files.push(FileReport {
             file: path.display().to_string(),
-            kind: checked.as_ref().ok().copied(),
+            usable: checked.is_ok(),
         });
         if let Err(Findings(findings)) = checked {
             report.findings.extend(findings);
@@ -74,18 +73,17 @@
     report
 }
 
-fn check_path(path: &Path) -> Result<DocumentKind, Findings> {
+fn check_path(path: &Path) -> Result<(), Findings> {
     let text = read_file(path)?;
-    check_document(&path.display().to_string(), &text)
+    check_configuration(&path.display().to_string(), &text).map(drop)
 }
 
 fn write_text(report: &CheckReport, out: &mut dyn Write) -> io::Result<()> {
     for finding in &report.findings {
         writeln!(out, "{finding}")?;
     }
-    for FileReport { file, kind } in &report.files {
-        let Some(kind) = kind else { continue };
-        writeln!(out, "{file}: {kind}, no findings")?;
+    for report in report.files.iter().filter(|report| report.usable) {
+        writeln!(out, "{}: no findings", report.file)?;
     }
     match report.findings.len() {
         0 => Ok(()),
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -9,10 +9,9 @@
         audit::{audit_calls, count_runs},
         load::{LoadPlan, run_load},
         plan::MeshPlan,
-        ready::{wait_for_all, wait_until_ready},
+        ready::wait_until_ready,
     },
     options::exit_code::ExitCode,
-    protocol::operator_views::NodeStatus,
 };
 use bpaf::Bpaf;
 use deployments::{booking_deployments, call_kinds};
@@ -26,7 +25,6 @@
     time::{Duration, Instant},
 };
 use thiserror::Error;
-use uuid::Uuid;
 
 /// How long the mesh may take until every node knows every other one and the configuration.
 const READY_TIMEOUT: Duration = Duration::from_secs(20);
@@ -118,10 +116,7 @@
 
 fn start_ready(plan: &MeshPlan) -> Result<LocalMesh, DevError> {
     let mesh = LocalMesh::start(plan)?;
-    let is_well = |status: &NodeStatus| status.problems.is_empty();
-    let ready = wait_until_ready(&mesh, READY_TIMEOUT);
-    // The first owners of keys wait as after any takeover; bookings would end as unknown.
-    if ready && wait_for_all(&mesh, READY_TIMEOUT, is_well) {
+    if wait_until_ready(&mesh, READY_TIMEOUT) {
         Ok(mesh)
     } else {
         Err(DevError::NotReady)
@@ -149,33 +144,31 @@
         out,
         "camphorturn dev: {nodes} nodes on loopback, Ctrl-C ends them"
     )?;
-    for local in &mesh.nodes {
-        if let Some(node) = &local.node {
-            let member = &node.member;
-            writeln!(
-                out,
-                "  {:<13} {:<10} callers {}  operators {}",
-                member.name, member.availability_zone, node.caller_address, member.operator_address
-            )?;
-        }
+    for node in &mesh.nodes {
+        writeln!(
+            out,
+            "  {:<13} {:<10} callers {}  operators {}",
+            node.name(),
+            node.plan.availability_zone,
+            node.clients,
+            node.operators
+        )?;
     }
-    let Some(first) = mesh.nodes.first().and_then(|local| local.node.as_ref()) else {
+    let Some(first) = mesh.nodes.first() else {
         return Ok(());
     };
-    let callers = first.caller_address;
-    let operators = first.member.operator_address;
-    let key = Uuid::now_v7();
+    let (callers, operators) = (first.clients, first.operators);
     writeln!(
         out,
-        "\nA lookup:\n  curl -i 'http://{callers}/frontdesk/slots?day=tuesday'"
+        "\nA lookup:\n  curl -i -H 'Host: frontdesk.example' 'http://{callers}/slots/?day=tuesday'"
     )?;
     writeln!(
         out,
-        "A booking, run at most once however often it is sent with this key:"
+        "A booking, sent to a second upstream only on proof that the first did not run it:"
     )?;
     writeln!(
         out,
-        "  curl -i -H 'Idempotency-Key: {key}' -d '{{\"slot\":7}}' http://{callers}/frontdesk/bookings"
+        "  curl -i -H 'Host: frontdesk.example' -d '{{\"slot\":7}}' http://{callers}/bookings/"
     )?;
     writeln!(out, "What the nodes say:")?;
     writeln!(
@@ -184,6 +177,10 @@
     )?;
     writeln!(
         out,
-        "  camphorturn timeline --node {operators} --token {LOCAL_TOKEN}\n"
+        "  camphorturn timeline --node {operators} --token {LOCAL_TOKEN}"
+    )?;
+    writeln!(
+        out,
+        "  camphorturn explain --node {operators} --token {LOCAL_TOKEN} REQUEST\n"
     )
 }
--- a/src/commands/dev/deployments.rs
+++ b/src/commands/dev/deployments.rs
@@ -3,43 +3,42 @@
 use crate::{
     local_mesh::{
         load::CallKind,
-        plan::{MeshPlan, ServicePlan, ServiceTimePlan},
+        plan::{MeshPlan, ServicePlan},
     },
     state::{
-        class::{Class, KeyRule, MatchRule, Target},
-        configuration::{Configuration, Service},
-        names::{AvailabilityZoneName, ClassName, RegionName, ServiceName},
+        configuration::{ClassEntry, Configuration, ServiceEntry, ServiceShare},
+        names::{AvailabilityZoneName, ClassName, ServiceName},
     },
 };
+use camphorturn_stand_ins::upstream::ServiceTime;
 use http::Method;
+use std::time::Duration;
 
 /// Slots of every upstream.
 const SLOTS: u16 = 6;
 
-/// Two services in two regions with three availability zones each.
+/// Two services with three availability zones each.
 #[must_use]
 pub fn booking_deployments(seed: u64) -> MeshPlan {
     let frontdesk = ServicePlan {
         service: ServiceName::from("frontdesk"),
         upstreams: 6,
         slots: SLOTS,
-        region: RegionName::from("prairie-west"),
         availability_zones: name_zones(["yxe-a", "yxe-b", "yqr-a"]),
         service_times: vec![
-            service_time("/slots", 3_000, 0.4),
-            service_time("/bookings", 8_000, 0.4),
+            service_time("/slots/", 3, 0.4),
+            service_time("/bookings/", 8, 0.4),
         ],
     };
     let dock = ServicePlan {
         service: ServiceName::from("dock"),
         upstreams: 3,
         slots: SLOTS,
-        region: RegionName::from("qc-east"),
         availability_zones: name_zones(["qc-east-a", "qc-east-b", "qc-east-c"]),
         service_times: vec![
-            service_time("/berths", 3_000, 0.4),
-            service_time("/tides", 1_000, 0.2),
-            service_time("/confirmations", 8_000, 0.4),
+            service_time("/berths/", 3, 0.4),
+            service_time("/tides/", 1, 0.2),
+            service_time("/confirmations/", 8, 0.4),
         ],
     };
     let mut nodes = frontdesk.nodes(seed.wrapping_add(1));
@@ -54,10 +53,10 @@
     names.into_iter().map(AvailabilityZoneName::from).collect()
 }
 
-fn service_time(path_prefix: &str, median_micros: u64, spread: f64) -> ServiceTimePlan {
-    ServiceTimePlan {
+fn service_time(path_prefix: &str, median_ms: u64, spread: f64) -> ServiceTime {
+    ServiceTime {
         path_prefix: path_prefix.to_owned(),
-        median_micros,
+        median: Duration::from_millis(median_ms),
         spread,
     }
 }
@@ -65,77 +64,61 @@
 /// The classes of both services.
 #[must_use]
 pub fn booking_configuration() -> Configuration {
-    let frontdesk = vec![
-        build_class("booking", "POST", "/bookings", 100, 3),
-        build_class("lookup", "GET", "/slots", 50, 2),
-    ];
-    let dock = vec![
-        build_class("confirmation", "POST", "/confirmations", 100, 3),
-        build_class("tide", "GET", "/tides", 25, 2),
-        build_class("availability", "GET", "/berths", 50, 1),
-    ];
+    let services = ["frontdesk", "dock"].map(|name| ServiceEntry {
+        name: name.into(),
+        health_path: arcstr::literal!("/health"),
+    });
     Configuration {
-        services: vec![
-            build_service("frontdesk", frontdesk),
-            build_service("dock", dock),
+        services: services.into(),
+        classes: vec![
+            build_class("booking", "frontdesk", "/bookings/", 100, 0, false),
+            build_class("lookup", "frontdesk", "/slots/", 50, 1, true),
+            build_class("confirmation", "dock", "/confirmations/", 100, 0, false),
+            build_class("tide", "dock", "/tides/", 25, 1, true),
+            build_class("availability", "dock", "/berths/", 50, 2, true),
         ],
     }
 }
 
-fn build_service(name: &str, classes: Vec<Class>) -> Service {
-    Service {
-        hosts: vec![format!("{name}.example")],
-        classes,
-        ..Service::named(ServiceName::from(name))
-    }
-}
-
-fn build_class(name: &str, method: &str, path: &str, target_ms: u32, priority: u8) -> Class {
-    let reads = method == "GET";
-    Class {
+fn build_class(
+    name: &str,
+    service: &str,
+    path: &str,
+    target_ms: u32,
+    priority: u8,
+    idempotent: bool,
+) -> ClassEntry {
+    ClassEntry {
         name: ClassName::from(name),
-        rules: vec![MatchRule {
-            method: Some(method.to_owned()),
-            path_prefix: Some(path.to_owned()),
-            header: None,
+        host: format!("{service}.example").into(),
+        path_prefix: path.into(),
+        services: vec![ServiceShare {
+            name: service.into(),
+            weight: 1,
         }],
-        target: Target {
-            latency_ms: target_ms,
-            share: 0.99,
-        },
-        deadline_ms: 2_000,
+        idempotent,
+        target_ms,
+        timeout_ms: 2_000,
         priority,
-        idempotent: reads,
-        key: if reads {
-            KeyRule::None
-        } else {
-            KeyRule::Required
-        },
-        hedge: false,
+        max_attempts: 2,
     }
 }
 
 /// A kind of call for every class, reads four times as often as writes.
 #[must_use]
 pub fn call_kinds(configuration: &Configuration) -> Vec<CallKind> {
-    let kinds = configuration.services.iter().flat_map(|service| {
-        let build = |class: &Class| build_kind(service, class);
-        service.classes.iter().map(build).collect::<Vec<_>>()
-    });
-    kinds.collect()
-}
-
-fn build_kind(service: &Service, class: &Class) -> CallKind {
-    let rule = class.rules.first().cloned().unwrap_or_default();
-    let method = rule.method.unwrap_or_else(|| Method::GET.to_string());
-    CallKind {
-        service: service.name.clone(),
+    let build = |class: &ClassEntry| CallKind {
         class: class.name.clone(),
-        method: method.parse().unwrap_or(Method::GET),
-        path: rule.path_prefix.unwrap_or_else(|| "/".to_owned()),
-        keyed: class.key != KeyRule::None,
+        host: class.host.clone(),
+        method: if class.idempotent {
+            Method::GET
+        } else {
+            Method::POST
+        },
+        path: class.path_prefix.to_string(),
         idempotent: class.idempotent,
-        target: class.target.latency(),
+        target: Duration::from_millis(class.target_ms.into()),
         weight: if class.idempotent { 4 } else { 1 },
-    }
+    };
+    configuration.classes.iter().map(build).collect()
 }
--- a/src/commands/dev/report.rs
+++ b/src/commands/dev/report.rs
@@ -8,7 +8,7 @@
         load::{CallKind, CallRecord},
     },
     protocol::operator_views::share,
-    state::names::{ClassName, ServiceName},
+    state::names::ClassName,
 };
 use hdrhistogram::Histogram;
 use serde::Serialize;
@@ -20,8 +20,6 @@
 /// Calls of one class.
 #[derive(Clone, Debug, Serialize)]
 pub struct ClassReport {
-    /// The service.
-    pub service: ServiceName,
     /// The class.
     pub class: ClassName,
     /// Calls made.
@@ -34,7 +32,7 @@
     pub unknown: u64,
     /// Refused as malformed.
     pub rejected: u64,
-    /// Calls of the upstreams' runs over calls made; above 1 there were second runs.
+    /// Share of the calls made that were answered within the target.
     pub share_on_target: f64,
     /// Median time of answered calls, in microseconds.
     pub p50_micros: u64,
@@ -59,8 +57,6 @@
     pub calls_per_second: f64,
     /// Probes sent by all nodes, over calls made.
     pub probes_per_call: f64,
-    /// Bytes of probes and their answers, over all nodes.
-    pub probe_bytes: u64,
 }
 
 impl DevReport {
@@ -77,15 +73,13 @@
         let classes = classes
             .map(|(i, kind)| ClassReport::build(kind, i, records))
             .collect();
-        let measuring = mesh.measuring_totals();
         let calls = records.len() as u64;
         Self {
             classes,
             audit,
             seconds: took.as_secs_f64(),
             calls_per_second: share(calls, 1) / took.as_secs_f64().max(0.001),
-            probes_per_call: share(measuring.probes, calls.max(1)),
-            probe_bytes: measuring.bytes,
+            probes_per_call: share(mesh.count_probes(), calls.max(1)),
         }
     }
 
@@ -99,7 +93,6 @@
 impl ClassReport {
     fn build(kind: &CallKind, index: usize, records: &[CallRecord]) -> Self {
         let mut report = Self {
-            service: kind.service.clone(),
             class: kind.class.clone(),
             calls: 0,
             answered: 0,
@@ -159,10 +152,10 @@
             "class", "calls", "answered", "not run", "unknown", "target", "p50 ms", "p99 ms"
         )?;
         for class in &self.classes {
-            let name = format!("{}/{}", class.service, class.class);
             writeln!(
                 f,
-                "{name:<24}{:>7}{:>9}{:>8}{:>8}{:>7.2}%{:>8.2}{:>8.2}",
+                "{:<24}{:>7}{:>9}{:>8}{:>8}{:>7.2}%{:>8.2}{:>8.2}",
+                class.class,
                 class.calls,
                 class.answered,
                 class.not_run,
@@ -177,8 +170,8 @@
         }
         writeln!(
             f,
-            "\n{:.0} calls/s for {:.1} s; {:.4} probes a call, {} bytes spent measuring",
-            self.calls_per_second, self.seconds, self.probes_per_call, self.probe_bytes
+            "\n{:.0} calls/s for {:.1} s; {:.4} questions for load a call",
+            self.calls_per_second, self.seconds, self.probes_per_call
         )?;
         writeln!(
             f,
--- a/src/commands/drain.rs
+++ b/src/commands/drain.rs
@@ -118,7 +118,7 @@
     match report {
         DrainReport::Draining { address, condition } => writeln!(
             out,
-            "{address} takes no new work; {} calls run there, {} wait",
+            "{address} takes no new work; {} requests run there, {} wait",
             condition.running, condition.queued
         ),
         DrainReport::NoSuchNode { target, unreached } => {
--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,78 +1,131 @@
-//! `camphorturn explain`: what became of one call and why, in sentences.
-
-pub mod account;
-pub mod sentences;
+//! `camphorturn explain`: what became of one request and why, from the lines of all nodes.
 
 use crate::{
     commands::{
-        explain::account::{CallAccount, give_account},
-        mesh::survey_nodes,
-        status::judge_survey,
-        timeline::{collect::Collector, selection::EventSelection, write_unreached},
+        log_source::SourceArguments,
+        timeline::{page::write_page, write_missing},
+    },
+    log_reading::{
+        order::{TimedLine, order_lines},
+        request_story::{RequestStory, StoryStep, tell_request},
+        runs::NodeRun,
+        sentence::NodeNames,
     },
     options::{
-        access::{AccessArguments, OperatorAccess, access_arguments},
+        access::{AccessArguments, access_arguments},
         exit_code::ExitCode,
     },
-    transport::operators::client::OperatorClient,
 };
 use bpaf::Bpaf;
-use std::io::{self, Write};
-use uuid::Uuid;
+use std::{
+    fs::File,
+    io::{self, BufWriter, Write},
+    path::{Path, PathBuf},
+};
 
 /// Arguments of `explain`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct ExplainArguments {
-    /// How to reach the nodes.
+    /// How to reach nodes; without one, files or standard input are read.
     #[bpaf(external(access_arguments))]
     pub access: AccessArguments,
     /// Print one JSON object in place of sentences
     pub json: bool,
-    /// The call, as in the header camphorturn-call of its answer
-    #[bpaf(positional("CALL_ID"))]
-    pub call: Uuid,
+    /// Write a page with a lane for each node to this file as well
+    #[bpaf(argument("FILE"))]
+    pub html: Option<PathBuf>,
+    /// Identity of the request, as its client sent it or its answer bears it
+    #[bpaf(positional("REQUEST"))]
+    pub request: String,
+    /// Files with the lines of nodes; without any, and without --node, standard input
+    #[bpaf(positional("FILE"))]
+    pub files: Vec<PathBuf>,
 }
 
-/// Tells what became of a call.
+/// Tells what became of a request.
 ///
 /// # Errors
-/// If `out` can't be written to.
-pub fn run_explain(
-    arguments: &ExplainArguments,
-    access: &OperatorAccess,
-    out: &mut dyn Write,
-) -> io::Result<ExitCode> {
-    let client = OperatorClient::new(access);
-    let mut survey = survey_nodes(&client, &access.nodes);
-    let selection = EventSelection {
-        call: Some(arguments.call),
-        ..EventSelection::default()
+/// If `out` or the page can't be written to.
+pub fn run_explain(arguments: &ExplainArguments, out: &mut dyn Write) -> io::Result<ExitCode> {
+    let source = SourceArguments {
+        access: arguments.access.clone(),
+        files: arguments.files.clone(),
     };
-    let mut collector = Collector::new(client, &selection);
-    let events = collector.collect(&mut survey);
-    let account = give_account(&events);
-    write_unreached(&survey)?;
+    let collected = match source.collect() {
+        Ok(collected) => collected,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::BadInput);
+        }
+    };
+    write_missing(&collected)?;
+    let story = tell_request(&collected.read.runs, &arguments.request);
+    if let Some(path) = &arguments.html {
+        write_story_page(path, &collected.read.runs, &arguments.request)?;
+    }
     if arguments.json {
-        serde_json::to_writer_pretty(&mut *out, &account)?;
+        serde_json::to_writer_pretty(&mut *out, &story)?;
         writeln!(out)?;
     } else {
-        write_account(&account, out)?;
+        write_story(&story, out)?;
     }
-    let judged = judge_survey(&survey);
-    let unknown = account.steps.is_empty() && judged == ExitCode::Success;
-    Ok(if unknown { ExitCode::Failed } else { judged })
+    Ok(if story.steps.is_empty() {
+        ExitCode::Failed
+    } else {
+        ExitCode::Success
+    })
 }
 
-fn write_account(account: &CallAccount, out: &mut dyn Write) -> io::Result<()> {
-    for sentence in account.answers.iter().chain(&account.steps) {
-        writeln!(out, "{sentence}")?;
+fn write_story(story: &RequestStory, out: &mut dyn Write) -> io::Result<()> {
+    if story.steps.is_empty() {
+        writeln!(out, "No line tells of request {}.", story.request)?;
+        return writeln!(
+            out,
+            "Of requests that go as they should only a sample is written, and nodes leave out lines above \
+             their bounds."
+        );
     }
-    if account.steps.is_empty() {
-        writeln!(out, "No reached node holds events of this call.")?;
+    let end = if story.end.is_empty() {
+        "end not told"
+    } else {
+        &story.end
+    };
+    writeln!(out, "Request {}: {end}", story.request)?;
+    for cause in &story.causes {
+        writeln!(out, "  {cause}")?;
+    }
+    writeln!(out, "\nSteps, in milliseconds since it came:")?;
+    write_steps(&story.steps, out)?;
+    if !story.beliefs.is_empty() {
+        writeln!(out, "\nWhat the nodes told of themselves at that time:")?;
+        write_steps(&story.beliefs, out)?;
+    }
+    if !story.calls.is_empty() {
+        writeln!(out, "\nCalls made for it: {}", story.calls.join(", "))?;
+    }
+    Ok(())
+}
+
+fn write_steps(steps: &[StoryStep], out: &mut dyn Write) -> io::Result<()> {
+    for step in steps {
         writeln!(
             out,
-            "It may be older than what nodes keep, or its node was restarted."
+            "  {:>7} {:<18} {} {}",
+            step.at_ms,
+            step.node.as_str(),
+            step.event,
+            step.text
         )?;
     }
     Ok(())
 }
+
+fn write_story_page(path: &Path, runs: &[NodeRun], request: &str) -> io::Result<()> {
+    let lines: Vec<TimedLine> = order_lines(runs)
+        .into_iter()
+        .filter(|timed| timed.line.request() == Some(request))
+        .collect();
+    let mut file = BufWriter::new(File::create(path)?);
+    write_page(&lines, &NodeNames::collect(runs), &[], &mut file)?;
+    file.flush()
+}
--- /dev/null
+++ b/src/commands/log_source.rs
@@ -0,0 +1,168 @@
+//! Where the lines come from that a command reads: files, standard input, or nodes that run.
+
+use crate::{
+    commands::mesh::{MeshSurvey, ask_all, survey_nodes},
+    log_reading::runs::{ReadLines, split_runs},
+    options::access::{AccessArguments, AccessError, access_arguments},
+    protocol::operator_views::LinePage,
+    transport::operators::client::{AskError, OperatorClient},
+};
+use bpaf::Bpaf;
+use std::{
+    collections::HashMap,
+    fs, io,
+    io::Read,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+};
+use thiserror::Error;
+
+/// Arguments of every command that reads lines.
+#[derive(Clone, Debug, Default, Bpaf)]
+pub struct SourceArguments {
+    /// How to reach nodes; without one, files or standard input are read.
+    #[bpaf(external(access_arguments))]
+    pub access: AccessArguments,
+    /// Files with the lines of nodes; without any, and without --node, standard input
+    #[bpaf(positional("FILE"))]
+    pub files: Vec<PathBuf>,
+}
+
+/// The lines can't be read.
+#[derive(Debug, Error)]
+pub enum SourceError {
+    /// A file can't be read.
+    #[error("can't read {path}: {error}", path = .path.display())]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// Why not.
+        error: io::Error,
+    },
+    /// Standard input can't be read.
+    #[error("can't read standard input: {0}")]
+    Input(io::Error),
+    /// The arguments don't say how to reach nodes.
+    #[error(transparent)]
+    Access(#[from] AccessError),
+}
+
+/// Lines, and what is missing from them.
+#[derive(Clone, Debug, Default)]
+pub struct CollectedLines {
+    /// The lines by run.
+    pub read: ReadLines,
+    /// Nodes that could not be asked, with the reason.
+    pub unreached: Vec<String>,
+    /// Lines that nodes no longer hold.
+    pub dropped: u64,
+}
+
+impl SourceArguments {
+    /// Whether lines come from nodes that run.
+    #[must_use]
+    pub fn asks_nodes(&self) -> bool {
+        !self.access.nodes.is_empty()
+    }
+
+    /// Reads all lines there are.
+    ///
+    /// # Errors
+    /// If a file can't be read, or the arguments don't say how to reach nodes.
+    pub fn collect(&self) -> Result<CollectedLines, SourceError> {
+        if self.asks_nodes() {
+            return Ok(NodeLines::new(&self.access)?.collect());
+        }
+        let texts = match self.files.as_slice() {
+            [] => vec![read_input()?],
+            files => {
+                let read = files.iter().map(|path| read_lossy(path));
+                read.collect::<Result<_, _>>()?
+            }
+        };
+        let lines = texts.iter().flat_map(|text| text.lines());
+        Ok(CollectedLines {
+            read: split_runs(lines),
+            ..CollectedLines::default()
+        })
+    }
+}
+
+fn read_lossy(path: &Path) -> Result<String, SourceError> {
+    // A process that was killed may have left half a character.
+    let bytes = fs::read(path).map_err(|error| SourceError::File {
+        path: path.to_owned(),
+        error,
+    })?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+fn read_input() -> Result<String, SourceError> {
+    let mut bytes = Vec::new();
+    io::stdin()
+        .read_to_end(&mut bytes)
+        .map_err(SourceError::Input)?;
+    Ok(String::from_utf8_lossy(&bytes).into_owned())
+}
+
+/// Reads the lines that nodes keep, and remembers how far each was read.
+pub struct NodeLines {
+    client: OperatorClient,
+    seeds: Vec<SocketAddr>,
+    next: HashMap<SocketAddr, u64>,
+}
+
+impl NodeLines {
+    /// A reader that has read nothing yet.
+    ///
+    /// # Errors
+    /// If the arguments don't say how to reach nodes.
+    pub fn new(access: &AccessArguments) -> Result<Self, AccessError> {
+        let access = access.resolve()?;
+        Ok(Self {
+            client: OperatorClient::new(&access),
+            seeds: access.nodes,
+            next: HashMap::new(),
+        })
+    }
+
+    /// The lines since the last look.
+    pub fn collect(&mut self) -> CollectedLines {
+        let survey = survey_nodes(&self.client, &self.seeds);
+        let mut collected = CollectedLines {
+            unreached: describe_unreached(&survey),
+            ..CollectedLines::default()
+        };
+        let addresses: Vec<SocketAddr> = survey.reached.iter().map(|node| node.address).collect();
+        let mut texts = Vec::new();
+        for (address, answer) in ask_all(&addresses, |address| self.read_node(address)) {
+            match answer {
+                Ok(page) => {
+                    self.next.insert(address, page.next);
+                    collected.dropped += page.dropped;
+                    texts.extend(page.lines);
+                }
+                Err(problem) => collected.unreached.push(format!("{address}: {problem}")),
+            }
+        }
+        collected.read = split_runs(texts.iter().map(String::as_str));
+        collected
+    }
+
+    fn read_node(&self, address: SocketAddr) -> Result<LinePage, AskError> {
+        let from = self.next.get(&address).copied().unwrap_or_default();
+        let page = self.client.fetch_lines(address, from)?;
+        if page.next < from {
+            // Another run of the node counts from the beginning.
+            return self.client.fetch_lines(address, 0);
+        }
+        Ok(page)
+    }
+}
+
+fn describe_unreached(survey: &MeshSurvey) -> Vec<String> {
+    let unreached = survey.unreached.iter();
+    unreached
+        .map(|node| format!("{}: {}", node.label(), node.problem))
+        .collect()
+}
--- /dev/null
+++ b/src/commands/logs.rs
@@ -0,0 +1,50 @@
+//! `camphorturn logs`: what the lines of a whole run say.
+
+use crate::{
+    commands::{
+        log_source::{SourceArguments, source_arguments},
+        timeline::write_missing,
+    },
+    log_reading::{order::order_lines, summary::summarize_lines},
+    options::exit_code::ExitCode,
+};
+use bpaf::Bpaf;
+use std::io::{self, Write};
+
+/// Arguments of `logs`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct LogsArguments {
+    /// Print one JSON object in place of text
+    pub json: bool,
+    /// Where lines come from.
+    #[bpaf(external(source_arguments))]
+    pub source: SourceArguments,
+}
+
+/// Sums up lines.
+///
+/// # Errors
+/// If `out` can't be written to.
+pub fn run_logs(arguments: &LogsArguments, out: &mut dyn Write) -> io::Result<ExitCode> {
+    let collected = match arguments.source.collect() {
+        Ok(collected) => collected,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::BadInput);
+        }
+    };
+    write_missing(&collected)?;
+    let runs = &collected.read.runs;
+    let summary = summarize_lines(runs, &order_lines(runs));
+    if arguments.json {
+        serde_json::to_writer_pretty(&mut *out, &summary)?;
+        writeln!(out)?;
+    } else {
+        write!(out, "{summary}")?;
+    }
+    Ok(if summary.lines == 0 {
+        ExitCode::Failed
+    } else {
+        ExitCode::Success
+    })
+}
--- a/src/commands/mesh.rs
+++ b/src/commands/mesh.rs
@@ -1,7 +1,7 @@
 //! Reaching all nodes from the few addresses that an operator gives.
 
 use crate::{
-    protocol::operator_views::{MemberCondition, NodeStatus},
+    protocol::operator_views::NodeStatus,
     state::names::NodeName,
     transport::operators::client::{AskError, OperatorClient},
 };
@@ -66,14 +66,14 @@
     pub unreached: Vec<UnreachedNode>,
 }
 
-/// What the members' lists say of an address that was not asked yet.
+/// What the nodes' lists say of an address that was not asked yet.
 #[derive(Clone, Debug, Default)]
 struct Lead {
     node: Option<NodeName>,
     leaving: bool,
 }
 
-/// Asks the given nodes, then the members they tell of, until no new address turns up.
+/// Asks the given nodes, then the ones they know, until no new address turns up.
 #[must_use]
 pub fn survey_nodes(client: &OperatorClient, seeds: &[SocketAddr]) -> MeshSurvey {
     let mut survey = MeshSurvey::default();
@@ -121,12 +121,12 @@
 }
 
 fn read_members(status: &NodeStatus) -> impl Iterator<Item = (SocketAddr, Lead)> {
-    status.members.iter().filter_map(|member| {
+    status.peers.iter().filter_map(|peer| {
         let lead = Lead {
-            node: member.node.clone(),
-            leaving: member.condition == MemberCondition::Leaving,
+            node: peer.node.clone(),
+            leaving: peer.leaving,
         };
-        member.operator_address.map(|address| (address, lead))
+        peer.operators.map(|address| (address, lead))
     })
 }
 
--- a/src/commands/publish.rs
+++ b/src/commands/publish.rs
@@ -1,44 +1,67 @@
-//! `camphorturn publish`: puts a configuration into force and tells whether that worked.
+//! `camphorturn publish`: puts a configuration in force and tells whether that worked.
 
-mod command;
 mod in_force;
 
-pub use command::{PublishArguments, publish_arguments, run_publish_command};
-pub use in_force::{InForceReport, NodeAnswer, WaitOptions, wait_in_force};
+pub use in_force::{InForceReport, NodeAnswer, wait_in_force};
 
 use crate::{
-    commands::log_session::LogSession,
-    coordination::publishing::{
-        PublishOutcome, PublishPlan, PublishRequest, find_outcome, plan_publication,
+    coordination::publishing::{PublicationOutcome, PublicationRequest},
+    options::{
+        access::{AccessArguments, OperatorAccess, access_arguments},
+        checked_file::{check_configuration, read_file},
+        exit_code::ExitCode,
     },
-    options::exit_code::ExitCode,
-    protocol::platform_log::{AppendError, PlatformLog},
-    state::log_record::{LogRecord, RecordId, encode_record},
+    state::configuration::ConfigurationVersion,
     timers::TimerService,
+    transport::operators::client::{AskError, OperatorClient},
 };
+use bpaf::Bpaf;
 use serde::Serialize;
-use std::{fmt, time::Duration};
-
-/// Looks for an own record before it is appended once more.
-const LOOKS: u32 = 4;
+use std::{
+    fmt,
+    io::{self, Write},
+    net::SocketAddr,
+    path::PathBuf,
+    time::Duration,
+};
+use uuid::Uuid;
 
-/// What the command is told.
-#[derive(Clone, Debug)]
-pub struct PublishOptions {
-    /// What to publish.
-    pub request: PublishRequest,
-    /// Time for the log, all reads and appends together.
-    pub limit: Duration,
-    /// Wait until nodes have the version, if wanted.
-    pub wait: Option<WaitOptions>,
+/// Arguments of `publish`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct PublishArguments {
+    /// How to reach the nodes.
+    #[bpaf(external(access_arguments))]
+    pub access: AccessArguments,
+    /// Who publishes, as the history is to show it
+    #[bpaf(long, env("CAMPHORTURN_AUTHOR"), argument("NAME"))]
+    pub author: String,
+    /// Why, as the history is to show it
+    #[bpaf(long, argument("TEXT"))]
+    pub note: String,
+    /// Version that the file was made from; if another one is in force, nothing is published
+    #[bpaf(long, argument("VERSION"), optional)]
+    pub based_on: Option<u64>,
+    /// Identity of an earlier try, to find out what became of it and publish at most once
+    #[bpaf(long, argument("UUID"), optional)]
+    pub id: Option<Uuid>,
+    /// Wait so many seconds until all nodes have the version
+    #[bpaf(long, argument("SECONDS"), optional)]
+    pub wait: Option<u32>,
+    /// Print one JSON object in place of lines
+    pub json: bool,
+    /// The whole configuration, JSON with comments
+    #[bpaf(positional("FILE"))]
+    pub file: PathBuf,
 }
 
 /// What the command did.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct PublishReport {
+    /// Identity of the publication.
+    pub id: Uuid,
     /// How the publication ended.
     #[serde(flatten)]
-    pub outcome: PublishOutcome,
+    pub outcome: PublicationOutcome,
     /// Where it is in force, if that was asked for and it was accepted.
     #[serde(skip_serializing_if = "Option::is_none")]
     pub nodes: Option<InForceReport>,
@@ -49,10 +72,10 @@
     #[must_use]
     pub fn exit_code(&self) -> ExitCode {
         match &self.outcome {
-            PublishOutcome::Conflict { .. } => ExitCode::Conflict,
-            PublishOutcome::NotStarted { .. } => ExitCode::Unreachable,
-            PublishOutcome::Refused { .. } | PublishOutcome::Unknown { .. } => ExitCode::Failed,
-            PublishOutcome::Accepted { .. } | PublishOutcome::AlreadyInForce { .. } => {
+            PublicationOutcome::Conflict { .. } => ExitCode::Conflict,
+            PublicationOutcome::NotStored { .. } => ExitCode::Unreachable,
+            PublicationOutcome::Unknown { .. } => ExitCode::Failed,
+            PublicationOutcome::Accepted { .. } | PublicationOutcome::AlreadyInForce { .. } => {
                 let everywhere = self.nodes.as_ref().is_none_or(InForceReport::is_everywhere);
                 if everywhere {
                     ExitCode::Success
@@ -66,25 +89,18 @@
 
 impl fmt::Display for PublishReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let id = self.id;
         match &self.outcome {
-            PublishOutcome::Accepted {
-                id,
-                version,
-                in_force,
-            } => {
-                writeln!(f, "accepted as version {} (record {id})", version.0)?;
+            PublicationOutcome::Accepted { version, in_force } => {
+                writeln!(f, "accepted as version {}", version.0)?;
                 if in_force > version {
-                    writeln!(
-                        f,
-                        "version {} has replaced it since; to publish it again, give --based-on {0}",
-                        in_force.0
-                    )?;
+                    writeln!(f, "version {} has replaced it since", in_force.0)?;
                 }
             }
-            PublishOutcome::AlreadyInForce { version } => {
+            PublicationOutcome::AlreadyInForce { version } => {
                 writeln!(f, "already in force as version {}", version.0)?;
             }
-            PublishOutcome::Conflict {
+            PublicationOutcome::Conflict {
                 based_on,
                 in_force,
                 meanwhile,
@@ -106,17 +122,14 @@
                     in_force.0
                 )?;
             }
-            PublishOutcome::Refused { reason } => {
-                writeln!(f, "the log refused the record, nothing changed: {reason}")?;
-            }
-            PublishOutcome::NotStarted { reason } => {
+            PublicationOutcome::NotStored { reason } => {
                 writeln!(f, "nothing was published: {reason}")?;
             }
-            PublishOutcome::Unknown { id, reason } => {
-                writeln!(f, "unknown whether record {id} was stored: {reason}")?;
+            PublicationOutcome::Unknown { reason } => {
+                writeln!(f, "unknown whether it was published: {reason}")?;
                 writeln!(
                     f,
-                    "run the same command again, or with --id {id}: it tells, and never publishes twice"
+                    "run the same command with --id {id}: it tells, and never publishes twice"
                 )?;
             }
         }
@@ -127,92 +140,94 @@
     }
 }
 
-/// Publishes, and waits for the nodes if asked to.
+/// Checks the file, publishes it and tells how that ended.
+///
+/// # Errors
+/// Only if `out` can't be written to.
 pub fn run_publish(
-    options: &PublishOptions,
-    log: &impl PlatformLog,
+    arguments: &PublishArguments,
+    access: &OperatorAccess,
+    timers: &TimerService,
+    out: &mut dyn Write,
+) -> io::Result<ExitCode> {
+    let name = arguments.file.display().to_string();
+    let checked = read_file(&arguments.file).and_then(|text| check_configuration(&name, &text));
+    let configuration = match checked {
+        Ok(configuration) => configuration,
+        Err(findings) => {
+            eprintln!("{findings}");
+            return Ok(ExitCode::BadInput);
+        }
+    };
+    let request = PublicationRequest {
+        id: arguments.id.unwrap_or_else(Uuid::new_v4),
+        author: arguments.author.clone(),
+        note: arguments.note.clone(),
+        based_on: arguments.based_on.map(ConfigurationVersion),
+        configuration,
+    };
+    let report = publish(arguments, access, &request, timers);
+    if arguments.json {
+        serde_json::to_writer_pretty(&mut *out, &report)?;
+        writeln!(out)?;
+    } else {
+        write!(out, "{report}")?;
+    }
+    Ok(report.exit_code())
+}
+
+fn publish(
+    arguments: &PublishArguments,
+    access: &OperatorAccess,
+    request: &PublicationRequest,
     timers: &TimerService,
 ) -> PublishReport {
-    let mut session = LogSession::new(log, timers, options.limit);
-    let outcome = publish(&options.request, &mut session);
+    let client = OperatorClient::new(access);
+    let outcome = ask_first(access, |node| client.publish(node, request));
+    let outcome = outcome.unwrap_or_else(|problem| describe_failure(&problem));
     let version = match outcome {
-        PublishOutcome::Accepted { version, .. } | PublishOutcome::AlreadyInForce { version } => {
-            Some(version)
-        }
+        PublicationOutcome::Accepted { version, .. }
+        | PublicationOutcome::AlreadyInForce { version } => Some(version),
         _ => None,
     };
-    let nodes = options.wait.as_ref().zip(version).map(|(wait, version)| {
-        let members = session.state().members();
-        wait_in_force(wait, members, version, timers)
+    let nodes = arguments.wait.zip(version).map(|(seconds, version)| {
+        let limit = Duration::from_secs(seconds.into());
+        wait_in_force(&client, &access.nodes, version, limit, timers)
     });
-    PublishReport { outcome, nodes }
-}
-
-fn publish<L: PlatformLog>(
-    request: &PublishRequest,
-    session: &mut LogSession<'_, L>,
-) -> PublishOutcome {
-    if let Err(error) = session.read_to_end() {
-        let reason = error.to_string();
-        return PublishOutcome::NotStarted { reason };
-    }
-    match plan_publication(session.state(), request) {
-        PublishPlan::Done(outcome) => outcome,
-        PublishPlan::Append(record) => append_until_seen(&record, session),
+    PublishReport {
+        id: request.id,
+        outcome,
+        nodes,
     }
 }
 
-/// Appends and looks for the record until its fate is known or the time is up.
-///
-/// An answer proves nothing: it may be lost after the write, or belong to another append. Only the
-/// record in the log does. It is appended again only after looking for it, with the same id, which
-/// the fold takes once however many copies arrive, and in whatever order.
-fn append_until_seen<L: PlatformLog>(
-    record: &LogRecord,
-    session: &mut LogSession<'_, L>,
-) -> PublishOutcome {
-    let text = match encode_record(record) {
-        Ok(text) => text,
-        Err(error) => return refused(error.to_string()),
-    };
-    let mut may_be_stored = false;
-    let mut reason = "the record is not in the log yet".to_owned();
-    while !session.is_over() {
-        match session.log().append(&text) {
-            Ok(_) => may_be_stored = true,
-            Err(AppendError::Refused(reason)) if !may_be_stored => return refused(reason),
-            Err(error) => {
-                may_be_stored = true;
-                reason = error.to_string();
-            }
-        }
-        match look_for(record.id, session) {
-            Ok(Some(outcome)) => return outcome,
-            Ok(None) => {}
-            Err(unreadable) => reason = unreadable,
+/// A node that was reached and did not answer may have published.
+fn describe_failure(problem: &AskError) -> PublicationOutcome {
+    let reason = problem.to_string();
+    match problem {
+        AskError::Refused { .. } | AskError::Unreached(_) => {
+            PublicationOutcome::NotStored { reason }
         }
+        AskError::Cut(_) | AskError::Unreadable(_) => PublicationOutcome::Unknown { reason },
     }
-    let id = record.id;
-    PublishOutcome::Unknown { id, reason }
 }
 
-fn look_for<L: PlatformLog>(
-    id: RecordId,
-    session: &mut LogSession<'_, L>,
-) -> Result<Option<PublishOutcome>, String> {
-    for _ in 0..LOOKS {
-        session.read_to_end().map_err(|e| e.to_string())?;
-        if let Some(outcome) = find_outcome(session.state(), id) {
-            return Ok(Some(outcome));
-        }
-        if session.is_over() {
-            break;
+/// Asks the given nodes in turn until one can be reached.
+///
+/// # Errors
+/// The problem of the last node asked.
+pub fn ask_first<T>(
+    access: &OperatorAccess,
+    ask: impl Fn(SocketAddr) -> Result<T, AskError>,
+) -> Result<T, AskError> {
+    let mut problem = AskError::Unreached("no node is named".to_owned());
+    for node in &access.nodes {
+        match ask(*node) {
+            Err(AskError::Unreached(cause)) => {
+                problem = AskError::Unreached(format!("{node}: {cause}"));
+            }
+            answer => return answer,
         }
-        session.pause();
     }
-    Ok(None)
-}
-
-fn refused(reason: String) -> PublishOutcome {
-    PublishOutcome::Refused { reason }
+    Err(problem)
 }
--- a/src/commands/status/report.rs
+++ b/src/commands/status/report.rs
@@ -2,21 +2,15 @@
 
 use crate::{
     commands::mesh::{MeshSurvey, ReachedNode},
-    protocol::{
-        load_report::UpstreamCondition,
-        operator_views::{ClassStatus, MemberCondition, share},
-    },
+    protocol::operator_views::{ClassStatus, WANTED_SHARE, share},
     state::{
         configuration::ConfigurationVersion,
-        names::{ClassName, ServiceName},
+        names::{ClassName, NodeName},
     },
 };
 use serde::Serialize;
 use std::collections::BTreeMap;
 
-/// The log is called old when nothing was read from it for this long, in milliseconds.
-const OLD_LOG_MS: u64 = 30_000;
-
 /// Kinds of problems, the worst first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -25,18 +19,14 @@
     TargetMissed,
     /// A node was not reached.
     NodeUnreached,
-    /// An upstream is down.
-    UpstreamDown,
-    /// Keys of a service have no owner.
-    NoOwner,
+    /// A node takes no requests of clients.
+    NotReady,
+    /// A node knows no upstream beside it.
+    UpstreamMissing,
     /// Nodes apply different configurations.
     VersionsDiffer,
-    /// The log has not been read for long.
-    LogOld,
-    /// A node does not hear another.
-    MemberSuspected,
-    /// A node reports it of itself.
-    Reported,
+    /// A node can't reach another.
+    PeerUnreachable,
 }
 
 /// One thing that is wrong.
@@ -56,7 +46,7 @@
     /// NB: percentiles of several nodes can't be added up; the worst node's are an upper bound.
     #[serde(flatten)]
     pub status: ClassStatus,
-    /// Calls a second.
+    /// Requests a second since the nodes' start.
     pub rate: f64,
 }
 
@@ -110,48 +100,37 @@
 }
 
 fn summarize_classes(nodes: &[ReachedNode]) -> Vec<ClassSummary> {
-    type Key = (Option<ServiceName>, Option<ClassName>);
-    let mut sums: BTreeMap<Key, ClassSummary> = BTreeMap::new();
-    for class in nodes.iter().flat_map(|node| &node.status.classes) {
-        let key = (class.service.clone(), class.class.clone());
-        if let Some(sum) = sums.get_mut(&key) {
-            add_class(sum, class);
-        } else {
-            let sum = ClassSummary {
-                status: class.clone(),
-                rate: rate(class),
-            };
-            sums.insert(key, sum);
+    let mut sums: BTreeMap<Option<ClassName>, ClassSummary> = BTreeMap::new();
+    for node in nodes {
+        for class in &node.status.classes {
+            let rate = share(class.requests * 1_000, node.status.up_ms.max(1));
+            if let Some(sum) = sums.get_mut(&class.class) {
+                add_class(sum, class, rate);
+            } else {
+                let status = class.clone();
+                sums.insert(class.class.clone(), ClassSummary { status, rate });
+            }
         }
     }
     sums.into_values().collect()
 }
 
-fn rate(class: &ClassStatus) -> f64 {
-    if class.window_ms == 0 {
-        return 0.0;
-    }
-    share(class.calls * 1_000, class.window_ms)
-}
-
-fn add_class(sum: &mut ClassSummary, class: &ClassStatus) {
-    sum.rate += rate(class);
+fn add_class(sum: &mut ClassSummary, class: &ClassStatus, rate: f64) {
+    sum.rate += rate;
     let status = &mut sum.status;
-    status.calls += class.calls;
+    status.requests += class.requests;
     status.answered += class.answered;
-    status.not_run += class.not_run;
-    status.unknown += class.unknown;
     status.on_target += class.on_target;
-    status.retries += class.retries;
-    status.p50_micros = status.p50_micros.max(class.p50_micros);
-    status.p99_micros = status.p99_micros.max(class.p99_micros);
-    status.p999_micros = status.p999_micros.max(class.p999_micros);
+    status.refused += class.refused;
+    status.unknown += class.unknown;
+    status.p50_ms = status.p50_ms.max(class.p50_ms);
+    status.p99_ms = status.p99_ms.max(class.p99_ms);
 }
 
 fn count_versions(nodes: &[ReachedNode]) -> Vec<VersionCount> {
     let mut counts: BTreeMap<ConfigurationVersion, usize> = BTreeMap::new();
     for node in nodes {
-        *counts.entry(node.status.configuration_version).or_default() += 1;
+        *counts.entry(node.status.version).or_default() += 1;
     }
     let counts = counts.into_iter().rev();
     counts
@@ -165,11 +144,11 @@
         .map(|class| {
             let status = &class.status;
             let message = format!(
-                "{} on target for {:.2}% of {} calls, wanted {:.2}% within {} ms",
+                "{} on target for {:.2}% of {} requests, wanted {:.0}% within {} ms",
                 class.label(),
                 status.on_target_share() * 100.0,
-                status.calls,
-                status.target_share * 100.0,
+                status.requests,
+                WANTED_SHARE * 100.0,
                 status.target_ms,
             );
             new_problem(ProblemKind::TargetMissed, message)
@@ -178,16 +157,10 @@
 }
 
 impl ClassSummary {
-    /// Service and class.
+    /// Its name.
     #[must_use]
-    pub fn label(&self) -> String {
-        let service = self
-            .status
-            .service
-            .as_ref()
-            .map_or("?", ServiceName::as_str);
-        let class = self.status.class.as_ref().map_or("?", ClassName::as_str);
-        format!("{service}/{class}")
+    pub fn label(&self) -> &str {
+        self.status.class.as_ref().map_or("?", ClassName::as_str)
     }
 }
 
@@ -208,35 +181,26 @@
 
 fn find_node_problems(node: &ReachedNode, problems: &mut Vec<Problem>) {
     let (label, status) = (node.label(), &node.status);
-    for reported in &status.problems {
-        problems.push(new_problem(
-            ProblemKind::Reported,
-            format!("{label}: {reported}"),
-        ));
-    }
-    if status.upstream.condition == UpstreamCondition::Down {
-        problems.push(new_problem(
-            ProblemKind::UpstreamDown,
-            format!("{label}: upstream down"),
-        ));
-    }
-    if let Some(age_ms) = status.log.age_ms.filter(|age_ms| *age_ms > OLD_LOG_MS) {
-        let message = format!("{label}: log last read {} s ago", age_ms / 1_000);
-        problems.push(new_problem(ProblemKind::LogOld, message));
+    let mut add = |kind, message| problems.push(new_problem(kind, message));
+    if status.stopping {
+        add(ProblemKind::NotReady, format!("{label} is stopping"));
+    } else if !status.ready {
+        add(
+            ProblemKind::NotReady,
+            format!("{label} knows no configuration"),
+        );
     }
-    for owner in status.owners.iter().filter(|owner| owner.owner.is_none()) {
-        let service = owner.service.as_ref().map_or("?", ServiceName::as_str);
-        let message = format!("{service}: part {} of the keys has no owner", owner.part);
-        problems.push(new_problem(ProblemKind::NoOwner, message));
+    if status.upstream.is_none() {
+        add(
+            ProblemKind::UpstreamMissing,
+            format!("{label}: its upstream has not announced itself"),
+        );
     }
-    for member in &status.members {
-        let doubted = matches!(
-            member.condition,
-            MemberCondition::Suspected | MemberCondition::Lost
+    for peer in status.peers.iter().filter(|peer| peer.failures > 0) {
+        let name = peer.node.as_ref().map_or("?", NodeName::as_str);
+        add(
+            ProblemKind::PeerUnreachable,
+            format!("{label} can't reach {name}"),
         );
-        if let Some(name) = member.node.as_ref().filter(|_| doubted) {
-            let message = format!("{label} does not hear {name}");
-            problems.push(new_problem(ProblemKind::MemberSuspected, message));
-        }
     }
 }
--- a/src/commands/status/text.rs
+++ b/src/commands/status/text.rs
@@ -5,11 +5,8 @@
         mesh::{MeshSurvey, ReachedNode},
         status::report::{ClassSummary, StatusReport},
     },
-    protocol::{
-        load_report::UpstreamCondition,
-        operator_views::{BudgetStatus, OwnerStatus},
-    },
-    state::names::{AvailabilityZoneName, NodeName, ServiceName},
+    protocol::operator_views::UpstreamStatus,
+    state::names::{AvailabilityZoneName, ServiceName},
 };
 use std::io::{self, Write};
 
@@ -30,8 +27,6 @@
     write_problems(report, out)?;
     write_classes(report, out)?;
     write_nodes(survey, out)?;
-    write_budgets(survey, out)?;
-    write_owners(survey, out)?;
     write_versions(report, out)
 }
 
@@ -64,11 +59,11 @@
 fn write_classes(report: &StatusReport, out: &mut dyn Write) -> io::Result<()> {
     writeln!(
         out,
-        "\nCLASSES, all nodes; times in ms, of the slowest node"
+        "\nCLASSES, all nodes, since their start; times of the slowest node"
     )?;
     write_line(
         out,
-        "  CLASS                 CALLS/S NOT RUN UNKNOWN ON TARGET  WANTED    P50   P99  P999",
+        "  CLASS                REQUESTS/S REFUSED UNKNOWN ON TARGET TARGET    P50    P99",
     )?;
     for class in &report.classes {
         write_line(out, &format_class(class))?;
@@ -79,27 +74,22 @@
 fn format_class(class: &ClassSummary) -> String {
     let status = &class.status;
     format!(
-        "{} {:<21.21} {:>7.1} {:>7} {:>7} {:>8.2}% {:>6.2}% {:>6} {:>5} {:>5}",
+        "{} {:<20.20} {:>10.1} {:>7} {:>7} {:>8.2}% {:>6} {:>6} {:>6}",
         if status.meets_target() { ' ' } else { '!' },
         class.label(),
         class.rate,
-        status.not_run,
+        status.refused,
         status.unknown,
         status.on_target_share() * 100.0,
-        status.target_share * 100.0,
-        format_millis(status.p50_micros),
-        format_millis(status.p99_micros),
-        format_millis(status.p999_micros),
+        status.target_ms,
+        format_bound(status.p50_ms),
+        format_bound(status.p99_ms),
     )
 }
 
-/// Milliseconds in at most five characters.
-fn format_millis(micros: u64) -> String {
-    if micros < 100_000 {
-        format!("{}.{}", micros / 1_000, micros % 1_000 / 100)
-    } else {
-        (micros / 1_000).to_string()
-    }
+/// Histograms tell the least bound that a share of the times lies within.
+fn format_bound(bound: Option<u64>) -> String {
+    bound.map_or_else(|| "-".to_owned(), |bound| format!("<={bound}"))
 }
 
 fn write_nodes(survey: &MeshSurvey, out: &mut dyn Write) -> io::Result<()> {
@@ -121,94 +111,27 @@
 
 fn format_node(node: &ReachedNode) -> String {
     let status = &node.status;
-    let load = &status.upstream;
     let zone = status.availability_zone.as_ref();
-    let down = load.condition == UpstreamCondition::Down;
+    let missing = UpstreamStatus::default();
+    let upstream = status.upstream.as_ref();
+    let load = upstream.unwrap_or(&missing);
+    let condition = match upstream {
+        None => "missing",
+        Some(upstream) if upstream.leaving => "leaving",
+        Some(_) => "serving",
+    };
     format!(
-        "{} {:<16.16} {:<12.12} {:<12.12} {:<8} {:>9} {:>6} {:>7}",
-        if down { '!' } else { ' ' },
+        "{} {:<16.16} {:<12.12} {:<12.12} {condition:<8} {:>9} {:>6} {:>7}",
+        if upstream.is_none() { '!' } else { ' ' },
         node.label(),
         zone.map_or("", AvailabilityZoneName::as_str),
         status.service.as_ref().map_or("", ServiceName::as_str),
-        name_condition(load.condition),
         format!("{}/{}", load.running, load.limit),
         load.queued,
-        status.configuration_version.0,
+        status.version.0,
     )
 }
 
-const fn name_condition(condition: UpstreamCondition) -> &'static str {
-    match condition {
-        UpstreamCondition::Down => "down",
-        UpstreamCondition::Warming => "warming",
-        UpstreamCondition::Serving => "serving",
-        UpstreamCondition::Draining => "draining",
-    }
-}
-
-fn write_budgets(survey: &MeshSurvey, out: &mut dyn Write) -> io::Result<()> {
-    let budgets = survey.reached.iter().flat_map(|node| {
-        let label = node.label();
-        node.status
-            .budgets
-            .iter()
-            .map(move |budget| (label.clone(), budget))
-    });
-    let used: Vec<(String, &BudgetStatus)> = budgets
-        .filter(|(_, budget)| budget.probes + budget.retries > 0)
-        .collect();
-    if used.is_empty() {
-        return writeln!(out, "\nBUDGETS: none used");
-    }
-    writeln!(out, "\nBUDGETS, used / allowed in the last window")?;
-    for (label, budget) in used {
-        let service = budget.service.as_ref().map_or("?", ServiceName::as_str);
-        write_line(
-            out,
-            &format!(
-                "  {label:<16.16} {service:<12.12} probes {}/{}, bytes {}/{}, retries {}/{}",
-                budget.probes,
-                budget.probes_allowed,
-                budget.probe_bytes,
-                budget.probe_bytes_allowed,
-                budget.retries,
-                budget.retries_allowed,
-            ),
-        )?;
-    }
-    Ok(())
-}
-
-fn write_owners(survey: &MeshSurvey, out: &mut dyn Write) -> io::Result<()> {
-    let mut owners: Vec<&OwnerStatus> = survey
-        .reached
-        .iter()
-        .flat_map(|node| &node.status.owners)
-        .collect();
-    if owners.is_empty() {
-        return Ok(());
-    }
-    // All nodes tell of all owners; the highest epoch is the latest, and the longest lease its own.
-    owners.sort_by_key(|owner| {
-        let latest = std::cmp::Reverse((owner.epoch, owner.lease_left_ms));
-        (owner.service.clone(), owner.part, latest)
-    });
-    owners.dedup_by_key(|owner| (owner.service.clone(), owner.part));
-    writeln!(out, "\nKEY OWNERS")?;
-    for owner in owners {
-        let service = owner.service.as_ref().map_or("?", ServiceName::as_str);
-        let name = owner.owner.as_ref().map_or("nobody", NodeName::as_str);
-        write_line(
-            out,
-            &format!(
-                "  {service:<12.12} part {:<4} {name:<16.16} epoch {:<6} lease {} ms",
-                owner.part, owner.epoch, owner.lease_left_ms
-            ),
-        )?;
-    }
-    Ok(())
-}
-
 fn write_versions(report: &StatusReport, out: &mut dyn Write) -> io::Result<()> {
     let versions: Vec<String> = report
         .versions
--- a/src/commands/timeline.rs
+++ b/src/commands/timeline.rs
@@ -1,28 +1,24 @@
-//! `camphorturn timeline`: the events of all reachable nodes in causal order.
+//! `camphorturn timeline`: the lines of all nodes in causal order.
 
-pub mod collect;
 pub mod page;
 pub mod selection;
 pub mod text;
 
 use crate::{
     commands::{
-        mesh::{MeshSurvey, survey_nodes},
-        status::judge_survey,
+        log_source::{CollectedLines, NodeLines, SourceArguments, source_arguments},
         timeline::{
-            collect::Collector,
             page::write_page,
-            selection::{EventSelection, event_selection},
-            text::{write_event_json, write_event_line},
+            selection::{LineSelection, line_selection},
+            text::{write_line_json, write_line_text},
         },
     },
-    events::view::EventView,
-    options::{
-        access::{AccessArguments, OperatorAccess, access_arguments},
-        exit_code::ExitCode,
+    log_reading::{
+        order::{TimedLine, order_lines},
+        sentence::NodeNames,
     },
+    options::exit_code::ExitCode,
     timers::TimerService,
-    transport::operators::client::OperatorClient,
 };
 use bpaf::Bpaf;
 use std::{
@@ -38,19 +34,19 @@
 /// Arguments of `timeline`.
 #[derive(Clone, Debug, Bpaf)]
 pub struct TimelineArguments {
-    /// How to reach the nodes.
-    #[bpaf(external(access_arguments))]
-    pub access: AccessArguments,
-    /// Which events.
-    #[bpaf(external(event_selection))]
-    pub selection: EventSelection,
-    /// Go on with new events until interrupted
+    /// Which lines.
+    #[bpaf(external(line_selection))]
+    pub selection: LineSelection,
+    /// Go on with new lines of nodes until interrupted
     pub follow: bool,
     /// Print one JSON object a line in place of text
     pub json: bool,
     /// Write a page with a lane for each node to this file
     #[bpaf(argument("FILE"))]
     pub html: Option<PathBuf>,
+    /// Where lines come from.
+    #[bpaf(external(source_arguments))]
+    pub source: SourceArguments,
 }
 
 /// Shows the time line.
@@ -59,76 +55,113 @@
 /// If `out` or the page can't be written to.
 pub fn run_timeline(
     arguments: &TimelineArguments,
-    access: &OperatorAccess,
     timers: &TimerService,
     out: &mut dyn Write,
 ) -> io::Result<ExitCode> {
-    let client = OperatorClient::new(access);
-    let mut survey = survey_nodes(&client, &access.nodes);
-    let mut collector = Collector::new(client.clone(), &arguments.selection);
-    let events = collect(&mut collector, &mut survey, &arguments.selection);
-    write_unreached(&survey)?;
-    write_dropped(&collector)?;
-    if let Some(path) = &arguments.html {
-        write_page_file(path, &events, &survey)?;
-    } else {
-        write_events(&events, arguments.json, out)?;
-    }
     if arguments.follow {
-        for _ in timers.every(FOLLOW_PERIOD) {
-            survey = survey_nodes(&client, &access.nodes);
-            let events = collect(&mut collector, &mut survey, &arguments.selection);
-            write_events(&events, arguments.json, out)?;
+        return follow(arguments, timers, out);
+    }
+    let collected = match arguments.source.collect() {
+        Ok(collected) => collected,
+        Err(error) => {
+            eprintln!("{error}");
+            return Ok(ExitCode::BadInput);
         }
+    };
+    write_missing(&collected)?;
+    show(arguments, &collected, out)?;
+    Ok(judge(&collected))
+}
+
+/// Shows lines of nodes as they come.
+fn follow(
+    arguments: &TimelineArguments,
+    timers: &TimerService,
+    out: &mut dyn Write,
+) -> io::Result<ExitCode> {
+    let mut nodes = match NodeLines::new(&arguments.source.access) {
+        Ok(nodes) => nodes,
+        Err(error) => {
+            eprintln!("--follow asks nodes that run: {error}");
+            return Ok(ExitCode::BadInput);
+        }
+    };
+    for _ in timers.every(FOLLOW_PERIOD) {
+        let collected = nodes.collect();
+        write_missing(&collected)?;
+        show(arguments, &collected, out)?;
     }
-    Ok(judge_survey(&survey))
+    Ok(ExitCode::Success)
 }
 
-fn collect(
-    collector: &mut Collector,
-    survey: &mut MeshSurvey,
-    selection: &EventSelection,
-) -> Vec<EventView> {
-    let events = collector.collect(survey);
-    selection.select(events)
+fn show(
+    arguments: &TimelineArguments,
+    collected: &CollectedLines,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    let runs = &collected.read.runs;
+    let names = NodeNames::collect(runs);
+    let lines = arguments.selection.select(order_lines(runs));
+    match &arguments.html {
+        Some(path) => write_page_file(path, &lines, &names, &collected.unreached),
+        None => write_lines(&lines, &names, arguments.json, out),
+    }
 }
 
-fn write_events(events: &[EventView], json: bool, out: &mut dyn Write) -> io::Result<()> {
-    for event in events {
+fn judge(collected: &CollectedLines) -> ExitCode {
+    match (
+        collected.read.runs.is_empty(),
+        collected.unreached.is_empty(),
+    ) {
+        (_, true) => ExitCode::Success,
+        (true, false) => ExitCode::Unreachable,
+        (false, false) => ExitCode::Partial,
+    }
+}
+
+fn write_lines(
+    lines: &[TimedLine],
+    names: &NodeNames,
+    json: bool,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    for line in lines {
         if json {
-            write_event_json(event, out)?;
+            write_line_json(line, out)?;
         } else {
-            write_event_line(event, out)?;
+            write_line_text(line, names, out)?;
         }
     }
     out.flush()
 }
 
-/// Names the nodes that are missing from the time line, apart from it, so that programs can read it.
+/// Says what is missing, apart from the lines, so that programs can read these.
 ///
 /// # Errors
 /// If standard error can't be written to.
-pub fn write_unreached(survey: &MeshSurvey) -> io::Result<()> {
+pub fn write_missing(collected: &CollectedLines) -> io::Result<()> {
     let mut err = io::stderr().lock();
-    for node in &survey.unreached {
-        writeln!(err, "not reached: {}: {}", node.label(), node.problem)?;
+    for node in &collected.unreached {
+        writeln!(err, "not reached: {node}")?;
     }
-    Ok(())
-}
-
-fn write_dropped(collector: &Collector) -> io::Result<()> {
-    if collector.dropped() == 0 {
-        return Ok(());
+    if collected.dropped > 0 {
+        let dropped = collected.dropped;
+        writeln!(err, "nodes no longer hold {dropped} older lines")?;
     }
-    let dropped = collector.dropped();
-    writeln!(
-        io::stderr().lock(),
-        "nodes no longer hold {dropped} older events"
-    )
+    if collected.read.other_lines > 0 {
+        let other = collected.read.other_lines;
+        writeln!(err, "passed over {other} lines that no node numbered")?;
+    }
+    Ok(())
 }
 
-fn write_page_file(path: &Path, events: &[EventView], survey: &MeshSurvey) -> io::Result<()> {
+fn write_page_file(
+    path: &Path,
+    lines: &[TimedLine],
+    names: &NodeNames,
+    unreached: &[String],
+) -> io::Result<()> {
     let mut file = BufWriter::new(File::create(path)?);
-    write_page(events, survey, &mut file)?;
+    write_page(lines, names, unreached, &mut file)?;
     file.flush()
 }
--- a/src/commands/timeline/page.rs
+++ b/src/commands/timeline/page.rs
@@ -1,9 +1,11 @@
 //! The time line as one HTML page that needs nothing besides itself.
 
 use crate::{
-    commands::{mesh::MeshSurvey, timeline::text::format_time_of_day},
-    events::{reasons::Severity, view::EventView},
-    protocol::attempt::CallId,
+    commands::timeline::text::format_time_of_day,
+    log_reading::{
+        order::TimedLine,
+        sentence::{NodeNames, describe_line},
+    },
 };
 use std::{
     collections::{BTreeSet, HashMap},
@@ -24,9 +26,8 @@
 
 const STYLE: &str = "body{font:14px sans-serif;margin:1em}div{overflow-x:auto}\
 table{border-collapse:collapse;margin-top:1em}td,th{padding:2px 8px;text-align:left;\
-border-bottom:1px solid #ddd;vertical-align:top}.debug{fill:#888}.info{fill:#27c}\
-.warning{fill:#e90}.error{fill:#d22}svg text{font:11px sans-serif}tr.warning{background:#fff3dd}\
-tr.error{background:#fdd}";
+border-bottom:1px solid #ddd;vertical-align:top}.usual{fill:#27c}.telling{fill:#d22}\
+svg text{font:11px sans-serif}tr.telling{background:#fdd}";
 
 /// Text within HTML.
 struct Escaped<'a>(&'a str);
@@ -53,13 +54,14 @@
     y: usize,
 }
 
-/// Writes the page. Events must be in causal order already.
+/// Writes the page. The lines must be in causal order already.
 ///
 /// # Errors
 /// If `out` can't be written to.
 pub fn write_page(
-    events: &[EventView],
-    survey: &MeshSurvey,
+    lines: &[TimedLine],
+    names: &NodeNames,
+    unreached: &[String],
     out: &mut dyn Write,
 ) -> io::Result<()> {
     writeln!(
@@ -72,26 +74,23 @@
     )?;
     writeln!(
         out,
-        "<h1>Time line</h1><p>{} events in causal order; times are each node's own, in UTC.</p>",
-        events.len()
+        "<h1>Time line</h1><p>{} lines in causal order; times on one clock, in UTC.</p>",
+        lines.len()
     )?;
-    for node in &survey.unreached {
-        let (label, problem) = (node.label(), &node.problem);
-        writeln!(
-            out,
-            "<p>Not reached: {}: {}</p>",
-            Escaped(&label),
-            Escaped(problem)
-        )?;
+    for problem in unreached {
+        writeln!(out, "<p>Not reached: {}</p>", Escaped(problem))?;
     }
-    write_picture(events, out)?;
-    write_table(events, out)
+    write_picture(lines, names, out)?;
+    write_table(lines, names, out)
 }
 
-fn write_picture(events: &[EventView], out: &mut dyn Write) -> io::Result<()> {
+fn write_picture(events: &[TimedLine], names: &NodeNames, out: &mut dyn Write) -> io::Result<()> {
     // The latest ones: an operator looks for what has just happened.
     let events = &events[events.len().saturating_sub(PICTURE_LIMIT)..];
-    let nodes: BTreeSet<&str> = events.iter().map(|event| event.node.as_str()).collect();
+    let nodes: BTreeSet<&str> = events
+        .iter()
+        .map(|event| event.line.node.as_str())
+        .collect();
     let lanes: HashMap<&str, usize> = nodes
         .iter()
         .zip(0..)
@@ -116,7 +115,7 @@
             "<line x1=\"{NAMES_WIDTH}\" y1=\"{y}\" x2=\"{width}\" y2=\"{y}\" stroke=\"#ccc\"/>"
         )?;
     }
-    write_marks(events, &lanes, out)?;
+    write_marks(events, &lanes, names, out)?;
     writeln!(out, "</svg></div>")
 }
 
@@ -125,31 +124,36 @@
 }
 
 fn write_marks(
-    events: &[EventView],
+    events: &[TimedLine],
     lanes: &HashMap<&str, usize>,
+    names: &NodeNames,
     out: &mut dyn Write,
 ) -> io::Result<()> {
-    let mut last: HashMap<CallId, Place> = HashMap::new();
+    let mut last: HashMap<&str, Place> = HashMap::new();
     for (number, event) in events.iter().enumerate() {
-        let lane = lanes.get(event.node.as_str()).copied().unwrap_or_default();
+        let lane = lanes
+            .get(event.line.node.as_str())
+            .copied()
+            .unwrap_or_default();
         let place = Place {
             x: NAMES_WIDTH + (number + 1) * STEP,
             y: place_lane(lane),
         };
         if number % LABEL_EVERY == 0 {
-            let time = format_time_of_day(event.wall_millis);
+            let time = format_time_of_day(event.at_ms);
             writeln!(out, "<text x=\"{}\" y=\"12\">{time}</text>", place.x)?;
         }
-        let before = event.call.and_then(|call| last.insert(call, place));
+        let request = event.line.request();
+        let before = request.and_then(|request| last.insert(request, place));
         if let Some(before) = before.filter(|before| before.y != place.y) {
             write_arrow(before, place, out)?;
         }
-        write_mark(event, place, out)?;
+        write_mark(event, place, names, out)?;
     }
     Ok(())
 }
 
-/// A line from one node's step of a call to the next step at another node.
+/// From one node's step of a request to the next step at another node.
 fn write_arrow(from: Place, to: Place, out: &mut dyn Write) -> io::Result<()> {
     writeln!(
         out,
@@ -158,39 +162,50 @@
     )
 }
 
-fn write_mark(event: &EventView, place: Place, out: &mut dyn Write) -> io::Result<()> {
-    let radius = if event.severity >= Severity::Warning {
-        6
-    } else {
-        4
-    };
+fn write_mark(
+    timed: &TimedLine,
+    place: Place,
+    names: &NodeNames,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    let line = &timed.line;
     writeln!(
         out,
-        "<circle cx=\"{}\" cy=\"{}\" r=\"{radius}\" class=\"{}\"><title>{} {}: {}</title></circle>",
+        "<circle cx=\"{}\" cy=\"{}\" r=\"{}\" class=\"{}\"><title>{} {}: {}</title></circle>",
         place.x,
         place.y,
-        event.severity.as_str(),
-        event.number,
-        Escaped(event.node.as_str()),
-        Escaped(&event.message),
+        if line.telling { 6 } else { 4 },
+        name_style(timed),
+        line.number,
+        Escaped(line.node.as_str()),
+        Escaped(&describe_line(line, names)),
     )
 }
 
-fn write_table(events: &[EventView], out: &mut dyn Write) -> io::Result<()> {
+fn name_style(timed: &TimedLine) -> &'static str {
+    if timed.line.telling {
+        "telling"
+    } else {
+        "usual"
+    }
+}
+
+fn write_table(lines: &[TimedLine], names: &NodeNames, out: &mut dyn Write) -> io::Result<()> {
     writeln!(
         out,
-        "<table><tr><th>Time<th>Node<th>Number<th>Event<th>Call</tr>"
+        "<table><tr><th>Time<th>Node<th>Number<th>Event<th>Request</tr>"
     )?;
-    for event in events {
-        let call = event.call.map(|call| call.to_string()).unwrap_or_default();
+    for timed in lines {
+        let line = &timed.line;
         writeln!(
             out,
-            "<tr class=\"{}\"><td>{}<td>{}<td>{}<td>{}<td>{call}</tr>",
-            event.severity.as_str(),
-            format_time_of_day(event.wall_millis),
-            Escaped(event.node.as_str()),
-            event.number,
-            Escaped(&event.message),
+            "<tr class=\"{}\"><td>{}<td>{}<td>{}<td>{}<td>{}</tr>",
+            name_style(timed),
+            format_time_of_day(timed.at_ms),
+            Escaped(line.node.as_str()),
+            line.number,
+            Escaped(&describe_line(line, names)),
+            Escaped(line.request().unwrap_or_default()),
         )?;
     }
     writeln!(out, "</table></html>")
--- a/src/commands/timeline/text.rs
+++ b/src/commands/timeline/text.rs
@@ -1,6 +1,9 @@
-//! Events as lines, for people and for programs.
+//! Lines of logs as text for people and as JSON for programs.
 
-use crate::events::view::EventView;
+use crate::log_reading::{
+    order::TimedLine,
+    sentence::{NodeNames, describe_line},
+};
 use std::io::{self, Write};
 
 /// Milliseconds of a day.
@@ -8,38 +11,55 @@
 
 /// The time of day in UTC, to the millisecond.
 #[must_use]
-pub fn format_time_of_day(wall_millis: u64) -> String {
-    let of_day = wall_millis % DAY_MS;
+pub fn format_time_of_day(at_ms: f64) -> String {
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "milliseconds since the epoch; what lies before it shows as the epoch"
+    )]
+    let of_day = at_ms.max(0.0) as u64 % DAY_MS;
     let (hours, minutes) = (of_day / 3_600_000, of_day / 60_000 % 60);
     let (seconds, millis) = (of_day / 1_000 % 60, of_day % 1_000);
     format!("{hours:02}:{minutes:02}:{seconds:02}.{millis:03}")
 }
 
-/// Writes an event as one line of text. The time is the node's own wall clock, in UTC.
+/// Writes a line as text. The time is that of the common clock, in UTC.
 ///
 /// # Errors
 /// If `out` can't be written to.
-pub fn write_event_line(event: &EventView, out: &mut dyn Write) -> io::Result<()> {
+pub fn write_line_text(
+    timed: &TimedLine,
+    names: &NodeNames,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    let line = &timed.line;
     write!(
         out,
-        "{} {:<16} {} {:<7} {}",
-        format_time_of_day(event.wall_millis),
-        event.node.as_str(),
-        event.number,
-        event.severity.as_str(),
-        event.message,
+        "{} {:<16} {} {} {}",
+        format_time_of_day(timed.at_ms),
+        line.node.as_str(),
+        line.number,
+        if line.telling { '!' } else { ' ' },
+        describe_line(line, names),
     )?;
-    match event.call {
-        Some(call) => writeln!(out, " [{call}]"),
+    match line.request() {
+        Some(request) => writeln!(out, " [{request}]"),
         None => writeln!(out),
     }
 }
 
-/// Writes an event as one line of JSON.
+/// Writes a line as JSON, with its time on the common clock.
 ///
 /// # Errors
 /// If `out` can't be written to.
-pub fn write_event_json(event: &EventView, out: &mut dyn Write) -> io::Result<()> {
-    serde_json::to_writer(&mut *out, event)?;
+pub fn write_line_json(timed: &TimedLine, out: &mut dyn Write) -> io::Result<()> {
+    let line = &timed.line;
+    let mut members = line.fields.clone();
+    members.insert("at_ms".to_owned(), timed.at_ms.into());
+    members.insert("node".to_owned(), line.node.as_str().into());
+    members.insert("seq".to_owned(), line.seq.into());
+    members.insert("event".to_owned(), line.number.into());
+    members.insert("name".to_owned(), line.name.as_str().into());
+    serde_json::to_writer(&mut *out, &members)?;
     writeln!(out)
 }
--- a/src/coordination/publishing.rs
+++ b/src/coordination/publishing.rs
@@ -1,162 +1,147 @@
-//! What a publisher does with the state it has read: append, or tell the operator why not.
+//! What becomes of an operator's publication, given the newest record of the store.
 
 use crate::state::{
     configuration::{Configuration, ConfigurationVersion},
-    log_record::{LogRecord, LogRecordKind, Publication, RecordId},
-    published::{FoldedState, PublicationEntry, Verdict},
+    published::{PublicationEntry, PublishedRecord},
 };
-use serde::Serialize;
-use sha2::{Digest, Sha256};
-use uuid::Builder;
+use serde::{Deserialize, Serialize};
+use uuid::Uuid;
 
 /// What an operator wants published.
-#[derive(Clone, Debug, PartialEq)]
-pub struct PublishRequest {
-    /// Identity of the record; derived from the rest if the operator gives none.
-    pub id: Option<RecordId>,
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct PublicationRequest {
+    /// Identity of the publication: one that was sent twice is taken once.
+    pub id: Uuid,
     /// Who publishes.
     pub author: String,
     /// Why.
     pub note: String,
-    /// The version that the operator saw; the one in force when the command starts, if none.
+    /// The version that the operator saw; any, if none.
     pub based_on: Option<ConfigurationVersion>,
     /// The whole new content.
-    pub content: Configuration,
+    pub configuration: Configuration,
 }
 
-/// How a publication ended, or stands.
-#[derive(Clone, Debug, PartialEq, Serialize)]
+/// How a publication ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "outcome", rename_all = "snake_case")]
-pub enum PublishOutcome {
-    /// It became this version. Later versions may be in force already.
+pub enum PublicationOutcome {
+    /// It became this version. A later one may be in force already.
     Accepted {
-        /// The record.
-        id: RecordId,
         /// The version.
         version: ConfigurationVersion,
-        /// The version in force when the log was last read.
+        /// The newest version.
         in_force: ConfigurationVersion,
     },
-    /// Exactly this content is in force; nothing was appended.
+    /// Exactly this content is in force; nothing was stored.
     AlreadyInForce {
         /// The version in force.
         version: ConfigurationVersion,
     },
-    /// Another version was in force than the one it was based on.
+    /// Another version was in force than the one it was based on; nothing was stored.
     Conflict {
         /// The version it was based on.
         based_on: ConfigurationVersion,
-        /// The version in force when the log was last read.
+        /// The version in force.
         in_force: ConfigurationVersion,
-        /// What was accepted since, as far as it is remembered.
+        /// What was accepted since, as far as it is remembered, the newest first.
         meanwhile: Vec<PublicationEntry>,
     },
-    /// The log refused the record: it is not stored.
-    Refused {
-        /// The log's reason.
-        reason: String,
-    },
-    /// The log could not be read before anything was appended.
-    NotStarted {
+    /// The store could not be used; nothing was stored.
+    NotStored {
         /// Why.
         reason: String,
     },
-    /// The record may be stored, now or later. The same command tells once the log works.
+    /// It may be stored, now or later. The same publication, sent again, tells.
     Unknown {
-        /// The record.
-        id: RecordId,
         /// Why it can't be told.
         reason: String,
     },
 }
 
-/// The next step of a publisher that has read the log to its end.
-#[derive(Clone, Debug, PartialEq)]
-pub enum PublishPlan {
+/// The next step of a publication.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PublicationPlan {
     /// Nothing is left to do.
-    Done(PublishOutcome),
-    /// Append this record.
-    Append(LogRecord),
+    Done(PublicationOutcome),
+    /// Store this record, if no other came first.
+    Store(Box<PublishedRecord>),
 }
 
-/// Decides what to do with a request at a state.
+/// Decides on a publication.
 ///
-/// The command may have been run before, by an operator whose terminal was closed or whose answer
-/// was lost. It is found again by its id, for any base that the state remembers: publishing it a
-/// second time would undo whatever others published since.
+/// It may have been sent before, by an operator whose answer was lost. It is found again by its id:
+/// storing it a second time would undo whatever others published since.
 #[must_use]
-pub fn plan_publication(state: &FoldedState, request: &PublishRequest) -> PublishPlan {
-    let version = state.version();
-    let based_on = request.based_on.unwrap_or(version);
-    let id = request
-        .id
-        .unwrap_or_else(|| derive_record_id(request, based_on));
-    if let Some(outcome) = find_outcome(state, id).or_else(|| find_earlier_run(state, request)) {
-        return PublishPlan::Done(outcome);
+pub fn plan_publication(
+    newest: Option<&PublishedRecord>,
+    request: &PublicationRequest,
+    wall_millis: u64,
+) -> PublicationPlan {
+    let in_force = newest.map_or_else(ConfigurationVersion::default, |record| record.entry.version);
+    if let Some(outcome) = newest.and_then(|record| find_outcome(record, request.id)) {
+        return PublicationPlan::Done(outcome);
     }
-    if *state.configuration() == request.content {
-        return PublishPlan::Done(PublishOutcome::AlreadyInForce { version });
+    if newest.is_some_and(|record| record.configuration == request.configuration) {
+        let version = in_force;
+        return PublicationPlan::Done(PublicationOutcome::AlreadyInForce { version });
     }
-    if based_on != version {
-        return PublishPlan::Done(describe_conflict(state, based_on));
+    if let Some(based_on) = request.based_on.filter(|based_on| *based_on != in_force) {
+        return PublicationPlan::Done(describe_conflict(newest, based_on, in_force));
     }
-    PublishPlan::Append(LogRecord {
-        id,
-        kind: LogRecordKind::Publish(Publication {
-            author: request.author.clone(),
-            note: request.note.clone(),
-            based_on,
-            content: request.content.clone(),
-        }),
-    })
+    PublicationPlan::Store(Box::new(build_record(
+        newest,
+        request,
+        in_force,
+        wall_millis,
+    )))
 }
 
-/// How the publication with that id ended, if the state has folded it.
-#[must_use]
-pub fn find_outcome(state: &FoldedState, id: RecordId) -> Option<PublishOutcome> {
-    let entry = state.publications().find(id)?;
-    Some(match entry.verdict {
-        Verdict::Accepted(version) => PublishOutcome::Accepted {
-            id,
-            version,
-            in_force: state.version(),
+fn build_record(
+    newest: Option<&PublishedRecord>,
+    request: &PublicationRequest,
+    in_force: ConfigurationVersion,
+    wall_millis: u64,
+) -> PublishedRecord {
+    let none = Configuration::default();
+    let before = newest.map_or(&none, |record| &record.configuration);
+    PublishedRecord {
+        entry: PublicationEntry {
+            id: request.id,
+            version: ConfigurationVersion(in_force.0 + 1),
+            author: request.author.clone(),
+            note: request.note.clone(),
+            published_ms: wall_millis,
+            changes: request.configuration.list_changes(before),
         },
-        Verdict::Conflict(_) => describe_conflict(state, entry.based_on),
-    })
+        configuration: request.configuration.clone(),
+        earlier: newest
+            .map(PublishedRecord::list_for_next)
+            .unwrap_or_default(),
+    }
 }
 
-/// The id that a request gets when its operator names none: the same for the same author, content
-/// and base, so that running a command again finds what it did the first time.
+/// How the publication with that id ended, if the record tells of it.
 #[must_use]
-pub fn derive_record_id(request: &PublishRequest, based_on: ConfigurationVersion) -> RecordId {
-    let content = serde_json::to_vec(&request.content).unwrap_or_default();
-    let mut hash = Sha256::new();
-    hash.update(based_on.0.to_be_bytes());
-    hash.update((request.author.len() as u64).to_be_bytes());
-    hash.update(request.author.as_bytes());
-    hash.update(content);
-    let digest = hash.finalize();
-    let mut bytes = [0; 16];
-    bytes.copy_from_slice(&digest[..16]);
-    RecordId(Builder::from_custom_bytes(bytes).into_uuid())
-}
-
-/// A run of the same command without a base, which derived its id from a base of then.
-fn find_earlier_run(state: &FoldedState, request: &PublishRequest) -> Option<PublishOutcome> {
-    if request.id.is_some() || request.based_on.is_some() {
-        return None;
-    }
-    let recent = state.publications().recent().rev();
-    let mut accepted = recent.filter(|entry| entry.accepted_version().is_some());
-    let earlier = accepted.find(|entry| entry.id == derive_record_id(request, entry.based_on))?;
-    find_outcome(state, earlier.id)
+pub fn find_outcome(newest: &PublishedRecord, id: Uuid) -> Option<PublicationOutcome> {
+    let entry = newest.entries().find(|entry| entry.id == id)?;
+    Some(PublicationOutcome::Accepted {
+        version: entry.version,
+        in_force: newest.entry.version,
+    })
 }
 
-fn describe_conflict(state: &FoldedState, based_on: ConfigurationVersion) -> PublishOutcome {
-    let meanwhile = state.publications().accepted_since(based_on);
-    PublishOutcome::Conflict {
+fn describe_conflict(
+    newest: Option<&PublishedRecord>,
+    based_on: ConfigurationVersion,
+    in_force: ConfigurationVersion,
+) -> PublicationOutcome {
+    let entries = newest.into_iter().flat_map(PublishedRecord::entries);
+    let meanwhile = entries.filter(|entry| entry.version > based_on);
+    PublicationOutcome::Conflict {
         based_on,
-        in_force: state.version(),
+        in_force,
         meanwhile: meanwhile.cloned().collect(),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,15 +1,13 @@
 //! camphorturn: a load balancer for servers whose load shifts in milliseconds.
 //!
-//! Layers, each calling only downwards: [`transport`] (sockets, HTTP, RPC), [`protocol`] (messages
-//! and outcomes), [`coordination`] (decisions: routing, admission, membership, configuration) and
-//! [`state`] (data and its transitions). [`node`] wires them into one process.
+//! Layers, each calling only downwards: [`transport`] (sockets and HTTP), [`protocol`] (messages and
+//! outcomes), [`coordination`] (decisions) and [`state`] (data and its transitions). [`proxy`] wires
+//! them into a node.
 
 pub mod commands;
-pub mod constants;
 pub mod coordination;
-pub mod events;
 pub mod local_mesh;
-pub mod node;
+pub mod log_reading;
 pub mod options;
 pub mod protocol;
 pub mod proxy;
--- a/src/local_mesh/audit.rs
+++ b/src/local_mesh/audit.rs
@@ -6,7 +6,7 @@
     load::{CallKind, CallRecord},
 };
 use serde::Serialize;
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::PoisonError};
 use uuid::Uuid;
 
 /// What went wrong, as counts of calls. All zero is the only good result.
@@ -37,18 +37,18 @@
 #[must_use]
 pub fn count_runs(mesh: &LocalMesh) -> RunCounts {
     let mut counts = RunCounts::new();
-    for local in &mesh.nodes {
-        for run in local.upstream.runs() {
-            if let Some(mark) = find_mark(&run.path) {
-                *counts.entry(mark).or_insert(0) += 1;
-            }
+    for node in &mesh.nodes {
+        let runs = node.runs.lock();
+        let runs = runs.unwrap_or_else(PoisonError::into_inner);
+        for mark in runs.iter().filter_map(|target| find_mark(target)) {
+            *counts.entry(mark).or_insert(0) += 1;
         }
     }
     counts
 }
 
-fn find_mark(path: &str) -> Option<Uuid> {
-    let (_, mark) = path.split_once("mark=")?;
+fn find_mark(target: &str) -> Option<Uuid> {
+    let (_, mark) = target.split_once("mark=")?;
     Uuid::parse_str(mark).ok()
 }
 
@@ -61,7 +61,7 @@
         let refused = matches!(record.outcome, ToldOutcome::NotRun | ToldOutcome::Rejected);
         audit.lost += u64::from(record.outcome == ToldOutcome::Answered && ran == 0);
         audit.doubled += u64::from(!kinds[record.kind].idempotent && ran > 1);
-        audit.ran_after_all += u64::from(refused && ran > 0);
+        audit.ran_after_all += u64::from(refused && !kinds[record.kind].idempotent && ran > 0);
         audit.mixed += u64::from(!record.own_answer);
     }
     audit
--- a/src/local_mesh/client.rs
+++ b/src/local_mesh/client.rs
@@ -1,6 +1,5 @@
 //! A caller: an HTTP client with kept connections that reports outcomes as callers see them.
 
-use crate::constants::{OUTCOME_HEADER, REASON_HEADER, UPSTREAM_HEADER};
 use bytes::Bytes;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Full};
@@ -36,42 +35,33 @@
 /// The outcome that a caller was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ToldOutcome {
-    /// `answered`.
+    /// An upstream's answer.
     Answered,
-    /// `not-run`.
+    /// It did not run.
     NotRun,
-    /// `unknown`, or no reply at all, which a caller has to take the same way.
+    /// It may have run, or there was no at all, which a caller has to take the same way.
     Unknown,
     /// The request itself was refused.
     Rejected,
 }
 
 impl CallerAnswer {
-    /// The outcome in the reply's header.
+    /// The outcome that the status tells.
     #[must_use]
     pub fn outcome(&self) -> ToldOutcome {
-        match self.text(OUTCOME_HEADER) {
-            Some("answered") => ToldOutcome::Answered,
-            Some("not-run") => ToldOutcome::NotRun,
-            Some(_) => ToldOutcome::Unknown,
-            None => ToldOutcome::Rejected,
+        match self.status {
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => ToldOutcome::NotRun,
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => ToldOutcome::Unknown,
+            status if status.is_client_error() => ToldOutcome::Rejected,
+            _ => ToldOutcome::Answered,
         }
     }
 
-    /// Why it was not run, or why that is unknown.
+    /// What the node says of an outcome other than `answered`.
     #[must_use]
-    pub fn reason(&self) -> Option<&str> {
-        self.text(REASON_HEADER)
-    }
-
-    /// The upstream that was tried last.
-    #[must_use]
-    pub fn upstream(&self) -> Option<&str> {
-        self.text(UPSTREAM_HEADER)
-    }
-
-    fn text(&self, name: &str) -> Option<&str> {
-        self.headers.get(name).and_then(|value| value.to_str().ok())
+    pub fn reason(&self) -> Option<String> {
+        let body: serde_json::Value = serde_json::from_slice(&self.body).ok()?;
+        body["error"].as_str().map(str::to_owned)
     }
 }
 
--- a/src/local_mesh/load.rs
+++ b/src/local_mesh/load.rs
@@ -1,12 +1,13 @@
 //! A seeded open-loop load: calls start at their scheduled time, whether or not earlier ones ended.
 
 use crate::{
-    constants::KEY_HEADER,
     local_mesh::client::{CallerAnswer, CallerCall, CallerClient, ToldOutcome},
-    state::names::{ClassName, ServiceName},
+    options::proxy_settings::HeaderNames,
+    state::names::ClassName,
 };
+use arcstr::ArcStr;
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use http::{HeaderMap, HeaderName, HeaderValue, Method, header::HOST};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     cell::RefCell,
@@ -18,22 +19,17 @@
 use tokio::task::{LocalSet, spawn_local};
 use uuid::Uuid;
 
-/// Header in which a load's calls carry their number, for tracing a run back to its call.
-pub const MARK_HEADER: &str = "x-load-mark";
-
 /// One kind of call in a load.
 #[derive(Clone, Debug)]
 pub struct CallKind {
-    /// The service.
-    pub service: ServiceName,
     /// The class that the configuration should give it.
     pub class: ClassName,
+    /// Value of the Host header.
+    pub host: ArcStr,
     /// HTTP method.
     pub method: Method,
-    /// Path below the service.
+    /// Path.
     pub path: String,
-    /// Whether each call carries an idempotency key of its own.
-    pub keyed: bool,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
     /// Target time.
@@ -74,8 +70,6 @@
     pub status: u16,
     /// Why not run, or why unknown.
     pub reason: Option<String>,
-    /// The upstream named in the reply.
-    pub upstream: Option<String>,
     /// Whether an answer was the one to this very call.
     pub own_answer: bool,
 }
@@ -171,12 +165,7 @@
             took,
             outcome,
             status: answer.as_ref().map_or(0, |answer| answer.status.as_u16()),
-            reason: answer
-                .as_ref()
-                .and_then(|answer| answer.reason().map(str::to_owned)),
-            upstream: answer
-                .as_ref()
-                .and_then(|answer| answer.upstream().map(str::to_owned)),
+            reason: answer.as_ref().and_then(CallerAnswer::reason),
             own_answer: own_answer || answer.is_none(),
         }
     }
@@ -184,14 +173,12 @@
     fn build(&self, spec: &CallKind) -> CallerCall {
         let mut headers = HeaderMap::new();
         let mark = self.mark.to_string();
-        if spec.keyed {
-            put(&mut headers, KEY_HEADER, &Uuid::now_v7().to_string());
-        }
-        put(&mut headers, MARK_HEADER, &mark);
+        put(&mut headers, HOST, &spec.host);
+        put(&mut headers, HeaderNames::product().request_id, &mark);
         let separator = if spec.path.contains('?') { '&' } else { '?' };
         CallerCall {
             method: spec.method.clone(),
-            target: format!("/{}{}{separator}mark={mark}", spec.service, spec.path),
+            target: format!("{}{separator}mark={mark}", spec.path),
             headers,
             body: Bytes::from(if spec.method == Method::GET {
                 String::new()
@@ -202,8 +189,8 @@
     }
 }
 
-fn put(headers: &mut HeaderMap, name: &'static str, text: &str) {
+fn put(headers: &mut HeaderMap, name: HeaderName, text: &str) {
     if let Ok(value) = HeaderValue::from_str(text) {
-        headers.insert(HeaderName::from_static(name), value);
+        headers.insert(name, value);
     }
 }
--- a/src/local_mesh/ready.rs
+++ b/src/local_mesh/ready.rs
@@ -13,15 +13,6 @@
 /// How long a node may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Probes sent and what they cost, over all nodes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct MeasuringTotals {
-    /// Probes.
-    pub probes: u64,
-    /// Bytes of probes and their answers.
-    pub bytes: u64,
-}
-
 /// What a node says of itself; none if it can't be reached.
 #[must_use]
 pub fn ask_status(operators: SocketAddr) -> Option<NodeStatus> {
@@ -36,14 +27,13 @@
 /// Waits until every node has a configuration and knows all nodes of the mesh.
 #[must_use]
 pub fn wait_until_ready(mesh: &LocalMesh, timeout: Duration) -> bool {
-    let wanted = mesh.operator_addresses().len();
-    let knows_all = |status: &NodeStatus| {
-        status.configuration_version.0 > 0 && status.members.len() + 1 >= wanted
-    };
-    wait_for_all(mesh, timeout, knows_all)
+    let others = mesh.nodes.len() - 1;
+    wait_for_all(mesh, timeout, |status| {
+        status.ready && status.upstream.is_some() && status.peers.len() >= others
+    })
 }
 
-/// Waits until `holds` is true of every running node's status.
+/// Waits until `holds` is true of every node's status.
 pub fn wait_for_all(
     mesh: &LocalMesh,
     timeout: Duration,
@@ -56,27 +46,10 @@
     while !ready && timers.now().since(Moment::default()) < timeout {
         ready = addresses
             .iter()
-            .all(|address| ask_status(*address).is_some_and(|s| holds(&s)));
+            .all(|address| ask_status(*address).is_some_and(|status| holds(&status)));
+        // The service runs until it is stopped below.
         let _ = ticks.recv();
     }
     timers.stop();
     ready
 }
-
-impl LocalMesh {
-    /// What measuring has cost so far.
-    #[must_use]
-    pub fn measuring_totals(&self) -> MeasuringTotals {
-        let mut totals = MeasuringTotals::default();
-        for address in self.operator_addresses() {
-            let budgets = ask_status(address)
-                .map(|status| status.budgets)
-                .unwrap_or_default();
-            for budget in budgets {
-                totals.probes += budget.probes;
-                totals.bytes += budget.probe_bytes;
-            }
-        }
-        totals
-    }
-}
--- /dev/null
+++ b/src/local_mesh/store.rs
@@ -0,0 +1,189 @@
+//! A store in memory, shared by the nodes of one process.
+
+use crate::{
+    protocol::store::{
+        ConditionalAppend, KeyedRecord, PublicationStore, Records, StateStore, StoreError,
+        StoreTopic,
+    },
+    state::{placement_view::NodeRecord, published::PublishedRecord, routing_table::RoutingTable},
+};
+use bytes::Bytes;
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::{sync::Notify, time::timeout};
+
+/// Key of the configuration's record.
+const CONFIGURATION_KEY: &str = "configuration";
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StoreCondition {
+    /// It answers.
+    #[default]
+    Well,
+    /// It refuses every call.
+    Away,
+    /// It does what it is asked, and no answer comes.
+    LosesAnswers,
+}
+
+#[derive(Default)]
+struct Contents {
+    condition: StoreCondition,
+    topics: HashMap<StoreTopic, Vec<KeyedRecord>>,
+}
+
+#[derive(Default)]
+struct Shared {
+    contents: Mutex<Contents>,
+    appended: Notify,
+}
+
+/// The store; clones share it.
+#[derive(Clone, Default)]
+pub struct LocalStore(Arc<Shared>);
+
+impl LocalStore {
+    /// Stores the configuration that a mesh starts with.
+    pub fn publish_first(&self, record: &PublishedRecord) {
+        // The type holds nothing that JSON can't.
+        let value = serde_json::to_vec(record).unwrap_or_default();
+        self.append(StoreTopic::Configuration, CONFIGURATION_KEY, &value);
+    }
+
+    /// How calls are treated from now on.
+    pub fn set_condition(&self, condition: StoreCondition) {
+        self.lock().condition = condition;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Contents> {
+        let contents = self.0.contents.lock();
+        contents.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn check(&self) -> Result<StoreCondition, StoreError> {
+        match self.lock().condition {
+            StoreCondition::Away => Err(StoreError::NotDone("away".to_owned())),
+            condition => Ok(condition),
+        }
+    }
+
+    fn append(&self, topic: StoreTopic, key: &str, value: &[u8]) {
+        let mut contents = self.lock();
+        let records = contents.topics.entry(topic).or_default();
+        records.push(KeyedRecord {
+            key: key.to_owned(),
+            value: Some(Bytes::copy_from_slice(value)),
+            offset: records.len() as u64,
+        });
+        drop(contents);
+        self.0.appended.notify_waiters();
+    }
+
+    fn list_from(&self, topic: StoreTopic, from: u64) -> Records {
+        let contents = self.lock();
+        let records = contents.topics.get(&topic).map(Vec::as_slice);
+        let records = records.unwrap_or_default();
+        Records {
+            records: records
+                .iter()
+                .filter(|record| record.offset >= from)
+                .cloned()
+                .collect(),
+            next: records.len() as u64,
+        }
+    }
+
+    async fn wait_for(&self, topic: StoreTopic, from: u64) {
+        loop {
+            let appended = self.0.appended.notified();
+            if self.list_from(topic, from).next > from {
+                return;
+            }
+            appended.await;
+        }
+    }
+}
+
+/// An answer that is lost after the call was done.
+fn answer<T>(condition: StoreCondition, value: T) -> Result<T, StoreError> {
+    match condition {
+        StoreCondition::LosesAnswers => Err(StoreError::NoAnswer),
+        StoreCondition::Well | StoreCondition::Away => Ok(value),
+    }
+}
+
+impl StateStore for LocalStore {
+    async fn read_newest(&self, topic: StoreTopic) -> Result<Records, StoreError> {
+        self.check()?;
+        let all = self.list_from(topic, 0);
+        let newest: BTreeMap<String, KeyedRecord> = all
+            .records
+            .into_iter()
+            .map(|record| (record.key.clone(), record))
+            .collect();
+        let mut records: Vec<KeyedRecord> = newest.into_values().collect();
+        records.sort_by_key(|record| record.offset);
+        Ok(Records {
+            records,
+            next: all.next,
+        })
+    }
+
+    async fn read_from(
+        &self,
+        topic: StoreTopic,
+        from: u64,
+        wait: Duration,
+    ) -> Result<Records, StoreError> {
+        self.check()?;
+        // Without news in time the answer holds no records.
+        let _ = timeout(wait, self.wait_for(topic, from)).await;
+        Ok(self.list_from(topic, from))
+    }
+
+    async fn append_node(&self, record: &NodeRecord, value: &[u8]) -> Result<(), StoreError> {
+        let condition = self.check()?;
+        self.append(StoreTopic::Nodes, &record.address.to_string(), value);
+        answer(condition, ())
+    }
+
+    fn decode_table(&self, record: &KeyedRecord) -> Option<Result<RoutingTable, String>> {
+        let value = record.value.as_ref()?;
+        let published = serde_json::from_slice::<PublishedRecord>(value);
+        Some(
+            published
+                .map(|published| published.configuration.build_table(published.entry.version))
+                .map_err(|error| error.to_string()),
+        )
+    }
+}
+
+impl PublicationStore for LocalStore {
+    async fn append_configuration(
+        &self,
+        value: &[u8],
+        expected_end: u64,
+    ) -> Result<ConditionalAppend, StoreError> {
+        let condition = self.check()?;
+        let mut contents = self.lock();
+        let records = contents
+            .topics
+            .entry(StoreTopic::Configuration)
+            .or_default();
+        if records.len() as u64 != expected_end {
+            return answer(condition, ConditionalAppend::Overtaken);
+        }
+        records.push(KeyedRecord {
+            key: CONFIGURATION_KEY.to_owned(),
+            value: Some(Bytes::copy_from_slice(value)),
+            offset: expected_end,
+        });
+        drop(contents);
+        self.0.appended.notify_waiters();
+        answer(condition, ConditionalAppend::Stored)
+    }
+}
--- /dev/null
+++ b/src/log_reading.rs
@@ -0,0 +1,13 @@
+//! Reads the lines that nodes wrote, puts those of many nodes in causal order, and tells what they say.
+//!
+//! Nothing here needs a running node: lines come from files, standard input or nodes' memory.
+
+pub mod cause;
+pub mod clocks;
+pub mod line;
+pub mod matching;
+pub mod order;
+pub mod request_story;
+pub mod runs;
+pub mod sentence;
+pub mod summary;
--- /dev/null
+++ b/src/log_reading/cause.rs
@@ -0,0 +1,309 @@
+//! Why a request ended as it did, from its lines and from what its nodes believed at that time.
+
+use crate::{
+    log_reading::{
+        line::{LineEnd, LogLine, numbers},
+        order::TimedLine,
+        sentence::NodeNames,
+    },
+    state::names::NodeName,
+};
+
+/// Pace from which a VM counts as slow, in percent of the usual time.
+const SLOW_PACE: u64 = 150;
+/// Times the expected time from which an upstream counts as slow by itself.
+const SLOW_FACTOR: u64 = 2;
+
+/// What is known of a request.
+#[derive(Clone, Debug, Default)]
+pub struct RequestLines<'a> {
+    /// Its end at the node that took it.
+    pub end: Option<&'a LogLine>,
+    /// Its attempts as that node saw them.
+    pub returned: Vec<&'a LogLine>,
+    /// Its attempts as the nodes beside upstreams saw them.
+    pub executed: Vec<&'a LogLine>,
+    /// What the nodes that had to do with it began to believe shortly before and during it.
+    pub beliefs: Vec<&'a TimedLine>,
+}
+
+/// Sentences on the cause; none if the lines don't show it.
+#[must_use]
+pub fn find_causes(lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
+    let Some(end) = lines.end else {
+        return find_causes_without_end(lines);
+    };
+    match end.end() {
+        LineEnd::Refused(reason) => explain_refusal(reason, end, lines, names),
+        LineEnd::Unknown(cause) => explain_unknown(cause, end, lines, names),
+        LineEnd::Answered(status) if status >= 500 => vec![format!(
+            "The upstream itself answered {status}; {} upstreams were tried.",
+            end.number("arrivals")
+        )],
+        LineEnd::Answered(_) if end.number("took_ms") > end.number("target_ms") => {
+            explain_late(end, lines, names)
+        }
+        LineEnd::Answered(_) => vec!["It was answered within its target.".to_owned()],
+        LineEnd::Other("client_left") => explain_client_left(end, lines, names),
+        LineEnd::Other("no_route") => vec![format!(
+            "Configuration {} has no route for its host and path.",
+            end.number("version")
+        )],
+        LineEnd::Other(_) => Vec::new(),
+    }
+}
+
+fn find_causes_without_end(lines: &RequestLines<'_>) -> Vec<String> {
+    if lines.executed.is_empty() {
+        return Vec::new();
+    }
+    vec![
+        "The node that took it did not tell of its end: it was killed before, or its line was left out."
+            .to_owned(),
+    ]
+}
+
+fn explain_refusal(
+    reason: &str,
+    end: &LogLine,
+    lines: &RequestLines<'_>,
+    names: &NodeNames,
+) -> Vec<String> {
+    let mut causes = match reason {
+        "queue_full" | "deadline_too_short" | "deadline_passed" => explain_no_slot(end, lines),
+        "draining" if has_belief(lines, numbers::STOP_REQUESTED, &end.node) => vec![format!(
+            "{} was stopping and took no further requests.",
+            end.node
+        )],
+        "draining" => vec!["The upstreams that were asked were leaving.".to_owned()],
+        "no_upstream" if end.number("version") == 0 => {
+            vec![format!("{} knew no configuration yet.", end.node)]
+        }
+        "no_upstream" => vec![format!(
+            "{} knew no node of the service that it could ask.",
+            end.node
+        )],
+        "upstream_down" => vec![
+            "The nodes that were asked knew no upstream beside them, or could not connect to it."
+                .to_owned(),
+        ],
+        "upstream_shed" => {
+            vec![
+                "The upstream said that it had not run it, and no other was left to ask."
+                    .to_owned(),
+            ]
+        }
+        "not_sent" => {
+            vec!["No connection to the nodes that were asked could be opened.".to_owned()]
+        }
+        _ => Vec::new(),
+    };
+    causes.extend(list_unreachable(lines, names));
+    causes.extend(list_beliefs(lines));
+    causes
+}
+
+/// The service was short of slots: where, and why.
+fn explain_no_slot(end: &LogLine, lines: &RequestLines<'_>) -> Vec<String> {
+    let finishes = lines.returned.iter().map(|line| line.number("finish_ms"));
+    let soonest = finishes.filter(|finish| *finish > 0).min();
+    let mut causes = vec![match soonest {
+        Some(soonest) => format!(
+            "None of the {} nodes asked had a slot in time: the soonest end was {soonest} ms away, the \
+             target {} ms.",
+            end.number("asked"),
+            end.number("target_ms")
+        ),
+        None => format!(
+            "None of the {} nodes asked had a slot.",
+            end.number("asked")
+        ),
+    }];
+    causes.extend(lines.executed.iter().filter_map(|line| describe_slow(line)));
+    causes
+}
+
+fn explain_unknown(
+    cause: &str,
+    end: &LogLine,
+    lines: &RequestLines<'_>,
+    names: &NodeNames,
+) -> Vec<String> {
+    let mut causes = Vec::new();
+    for line in &lines.returned {
+        let node = names.find(line.text("to"));
+        match line.end() {
+            LineEnd::Unknown("node_lost") => causes.push(explain_lost_node(node, lines)),
+            LineEnd::Unknown("upstream_cut") => causes.push(format!(
+                "The upstream beside {node} closed the connection without an answer{}.",
+                name_instance(line, lines)
+            )),
+            LineEnd::Unknown("bad_answer") => causes.push(format!(
+                "The answer of the upstream beside {node} was malformed, cut short, unsigned or another \
+                 request's{}.",
+                name_instance(line, lines)
+            )),
+            _ => {}
+        }
+    }
+    if cause == "deadline_passed" {
+        causes.push(format!(
+            "No answer came within the {} ms that the client left.",
+            end.number("time_left_ms")
+        ));
+        causes.extend(lines.executed.iter().filter_map(|line| describe_slow(line)));
+    }
+    causes.extend(list_unreachable(lines, names));
+    causes.extend(list_beliefs(lines));
+    causes
+}
+
+fn explain_lost_node(node: &str, lines: &RequestLines<'_>) -> String {
+    let ended = lines
+        .beliefs
+        .iter()
+        .find(|belief| belief.line.node.as_str() == node && tells_of_end(&belief.line));
+    match ended {
+        Some(belief) if belief.line.number == numbers::NODE_STARTED => format!(
+            "{node} was started anew at that time: its former process was killed or lost power with the \
+             request under way."
+        ),
+        Some(_) => format!("{node} was stopping at that time."),
+        None => format!(
+            "The connection to {node} broke after the request was sent; its own lines tell of no end of \
+             its process."
+        ),
+    }
+}
+
+fn tells_of_end(line: &LogLine) -> bool {
+    matches!(
+        line.number,
+        numbers::NODE_STARTED | numbers::STOP_REQUESTED | numbers::NODE_STOPPED
+    )
+}
+
+/// The run of the upstream, if the node beside it told of the attempt.
+fn name_instance(returned: &LogLine, lines: &RequestLines<'_>) -> String {
+    let executed = lines
+        .executed
+        .iter()
+        .find(|executed| executed.end() == returned.end());
+    executed
+        .map(|executed| format!(" (run {})", executed.text("instance")))
+        .unwrap_or_default()
+}
+
+fn explain_late(end: &LogLine, lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
+    let mut causes = vec![format!(
+        "It was answered {} ms after its target.",
+        end.number("took_ms")
+            .saturating_sub(end.number("target_ms"))
+    )];
+    let slowest = lines
+        .executed
+        .iter()
+        .max_by_key(|line| line.number("took_ms"));
+    if let Some(line) = slowest {
+        let waited = line.number("waited_ms");
+        causes.push(format!(
+            "At {} it waited {waited} ms for a slot and ran for {} ms.",
+            line.node,
+            line.number("took_ms").saturating_sub(waited)
+        ));
+        causes.extend(describe_slow(line));
+    } else {
+        let slowest = lines
+            .returned
+            .iter()
+            .max_by_key(|line| line.number("took_ms"));
+        causes.extend(slowest.map(|line| {
+            format!(
+                "{} ms of it passed between the question to {} and its answer.",
+                line.number("took_ms"),
+                names.find(line.text("to"))
+            )
+        }));
+    }
+    if end.number("arrivals") > 1 {
+        causes.push(format!("{} upstreams were tried.", end.number("arrivals")));
+    }
+    causes.extend(list_unreachable(lines, names));
+    causes
+}
+
+fn explain_client_left(end: &LogLine, lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
+    let mut causes = vec![format!(
+        "The client closed its connection after {} ms, with {} ms given and a target of {} ms.",
+        end.number("took_ms"),
+        end.number("time_left_ms"),
+        end.number("target_ms")
+    )];
+    causes.extend(lines.executed.iter().filter_map(|line| describe_slow(line)));
+    causes.extend(list_unreachable(lines, names));
+    causes
+}
+
+fn describe_slow(line: &LogLine) -> Option<String> {
+    let pace = line.number("pace_percent");
+    if pace >= SLOW_PACE {
+        return Some(format!(
+            "The VM of {} worked at {pace}% of the usual time.",
+            line.node
+        ));
+    }
+    let ran = line
+        .number("took_ms")
+        .saturating_sub(line.number("waited_ms"));
+    let expected = line.number("expected_ms");
+    (expected > 0 && ran > expected * SLOW_FACTOR).then(|| {
+        format!(
+            "The upstream beside {} took {ran} ms for what takes {expected} ms usually.",
+            line.node
+        )
+    })
+}
+
+fn has_belief(lines: &RequestLines<'_>, number: u16, node: &NodeName) -> bool {
+    lines
+        .beliefs
+        .iter()
+        .any(|belief| belief.line.number == number && belief.line.node == *node)
+}
+
+fn list_unreachable(lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
+    let unsent = lines
+        .returned
+        .iter()
+        .filter(|line| line.end() == LineEnd::Other("not_sent"));
+    let mut nodes: Vec<&str> = unsent.map(|line| names.find(line.text("to"))).collect();
+    nodes.sort_unstable();
+    nodes.dedup();
+    if nodes.is_empty() {
+        return Vec::new();
+    }
+    vec![format!(
+        "No connection to {} could be opened.",
+        nodes.join(", ")
+    )]
+}
+
+/// Changes at the upstreams and the store that a refusal may come from.
+fn list_beliefs(lines: &RequestLines<'_>) -> Vec<String> {
+    let told = lines.beliefs.iter().filter_map(|belief| {
+        let line = &belief.line;
+        let what = match line.name.as_str() {
+            "upstream_announced" if line.is_set("leaving") => "was told that its upstream leaves",
+            "upstream_departed" => "was told that its upstream is gone",
+            "upstream_replaced" => "found another run in place of its upstream",
+            "upstream_announced" => "was told of a new run of its upstream",
+            "store_lost" => "lost the store",
+            _ => return None,
+        };
+        Some(format!("{} {what} at that time.", line.node))
+    });
+    let mut told: Vec<String> = told.collect();
+    told.sort();
+    told.dedup();
+    told
+}
--- /dev/null
+++ b/src/log_reading/runs.rs
@@ -0,0 +1,53 @@
+//! Lines by the run of the process that wrote them.
+
+use crate::{log_reading::line::LogLine, state::names::NodeName};
+use std::collections::BTreeMap;
+
+/// One run of a node's process.
+#[derive(Clone, Debug)]
+pub struct NodeRun {
+    /// The node.
+    pub node: NodeName,
+    /// Its lines, as written.
+    pub lines: Vec<LogLine>,
+}
+
+/// Parsed input.
+#[derive(Clone, Debug, Default)]
+pub struct ReadLines {
+    /// Runs, by node and then as they followed each other.
+    pub runs: Vec<NodeRun>,
+    /// Lines that are no numbered lines of a node.
+    pub other_lines: usize,
+}
+
+/// Splits texts into runs. The lines of one process must stand in their order; those of several may be
+/// mixed.
+///
+/// A restarted process counts its lines from the beginning: that is how its run is told from the one
+/// before, since the time of day may jump in either direction.
+pub fn split_runs<'a>(texts: impl Iterator<Item = &'a str>) -> ReadLines {
+    let mut read = ReadLines::default();
+    let mut by_node: BTreeMap<NodeName, Vec<NodeRun>> = BTreeMap::new();
+    for text in texts.filter(|text| !text.trim().is_empty()) {
+        let Some(line) = LogLine::parse(text) else {
+            read.other_lines += 1;
+            continue;
+        };
+        let runs = by_node.entry(line.node.clone()).or_default();
+        let goes_on = runs
+            .last()
+            .and_then(|run| run.lines.last())
+            .is_some_and(|last| last.seq < line.seq);
+        if goes_on && let Some(run) = runs.last_mut() {
+            run.lines.push(line);
+        } else {
+            runs.push(NodeRun {
+                node: line.node.clone(),
+                lines: vec![line],
+            });
+        }
+    }
+    read.runs = by_node.into_values().flatten().collect();
+    read
+}
--- /dev/null
+++ b/src/log_reading/sentence.rs
@@ -0,0 +1,138 @@
+//! What a line says, in one sentence.
+
+use crate::log_reading::{
+    line::{LogLine, numbers},
+    matching::find_addresses,
+    runs::NodeRun,
+};
+use serde_json::Value;
+use std::{collections::HashMap, fmt::Write};
+
+/// Names of nodes by the text of their address, for sentences.
+#[derive(Clone, Debug, Default)]
+pub struct NodeNames(HashMap<String, String>);
+
+impl NodeNames {
+    /// The names that the lines tell.
+    #[must_use]
+    pub fn collect(runs: &[NodeRun]) -> Self {
+        let addresses = find_addresses(runs).into_iter();
+        Self(
+            addresses
+                .map(|(address, node)| (address.to_string(), node.to_string()))
+                .collect(),
+        )
+    }
+
+    /// The name of the node at that address, or the address.
+    #[must_use]
+    pub fn find<'a>(&'a self, address: &'a str) -> &'a str {
+        self.0.get(address).map_or(address, String::as_str)
+    }
+}
+
+/// The sentence for a line.
+#[must_use]
+pub fn describe_line(line: &LogLine, names: &NodeNames) -> String {
+    match line.number {
+        numbers::REQUEST_ENDED => describe_request(line),
+        numbers::ATTEMPT_RETURNED => describe_returned(line, names),
+        numbers::ATTEMPT_EXECUTED => describe_executed(line, names),
+        numbers::NODE_UNREACHABLE => format!(
+            "could not reach {}, {} times in a row; asks it again after {} ms",
+            names.find(line.text("to")),
+            line.number("failures"),
+            line.number("pause_ms")
+        ),
+        numbers::NODE_KNOWN => format!(
+            "learned of {} at {}: upstream {} of {}{}",
+            line.text("known"),
+            line.text("address"),
+            line.text("instance"),
+            line.text("service"),
+            if line.is_set("leaving") {
+                ", leaving"
+            } else {
+                ""
+            }
+        ),
+        _ => describe_other(line),
+    }
+}
+
+fn describe_request(line: &LogLine) -> String {
+    format!(
+        "request of class {} ended after {} ms (target {} ms, {} ms were left): {}; {} nodes asked, {} \
+         upstreams reached, configuration {}",
+        or_none(line.text("class")),
+        line.number("took_ms"),
+        line.number("target_ms"),
+        line.number("time_left_ms"),
+        line.end().describe(),
+        line.number("asked"),
+        line.number("arrivals"),
+        line.number("version"),
+    )
+}
+
+fn describe_returned(line: &LogLine, names: &NodeNames) -> String {
+    let within = match line.number("within_ms") {
+        0 => "a slot at once".to_owned(),
+        within => format!("an end within {within} ms"),
+    };
+    let knowledge = match line.find_number("known_age_ms") {
+        Some(age) => format!("its load known {age} ms ago"),
+        None => "its load not known".to_owned(),
+    };
+    let mut text = format!(
+        "asked {} for {within} ({knowledge}), after {} ms: {}",
+        names.find(line.text("to")),
+        line.number("took_ms"),
+        line.end().describe()
+    );
+    let finish = line.number("finish_ms");
+    if finish > 0 {
+        // Writing to a string never fails.
+        let _ = write!(text, "; there it would have ended after {finish} ms");
+    }
+    text
+}
+
+fn describe_executed(line: &LogLine, names: &NodeNames) -> String {
+    let pace = match line.find_number("pace_age_ms") {
+        Some(age) => format!("pace {}% told {age} ms ago", line.number("pace_percent")),
+        None => "pace not told".to_owned(),
+    };
+    format!(
+        "asked by {}: {} of {} running, {} waiting, {pace}; waited {} ms, took {} ms of {} ms expected at \
+         upstream {}: {}",
+        names.find(line.text("from")),
+        line.number("running"),
+        line.number("limit"),
+        line.number("queued"),
+        line.number("waited_ms"),
+        line.number("took_ms")
+            .saturating_sub(line.number("waited_ms")),
+        line.number("expected_ms"),
+        or_none(line.text("instance")),
+        line.end().describe(),
+    )
+}
+
+/// Name and members, as they stand.
+fn describe_other(line: &LogLine) -> String {
+    let mut text = line.name.replace('_', " ");
+    for (name, value) in &line.fields {
+        let value = match value {
+            Value::String(word) => word.clone(),
+            other => other.to_string(),
+        };
+        // Writing to a string never fails.
+        let _ = write!(text, ", {} {value}", name.replace('_', " "));
+    }
+    text
+}
+
+fn or_none(text: &str) -> &str {
+    if text.is_empty() { "none" } else { text }
+}
--- a/src/options.rs
+++ b/src/options.rs
@@ -1,4 +1,4 @@
-//! What a process is told: command-line arguments and the settings file, merged once and checked.
+//! What a process is told: command-line arguments and files, checked with all findings together.
 
 pub mod access;
 pub mod arguments;
@@ -7,9 +7,6 @@
 pub mod exit_code;
 pub mod findings;
 pub mod json_document;
-pub mod node_arguments;
-pub mod node_rules;
-pub mod node_settings;
 pub mod proxy_settings;
 mod schema_check;
 pub mod secret;
--- a/src/options/access.rs
+++ b/src/options/access.rs
@@ -1,12 +1,6 @@
-//! How operators' tools find the nodes and the platform's log, and what they prove themselves with.
+//! How operators' tools find the nodes, and what they prove themselves with.
 
-use crate::options::{
-    checked_file::check_node_settings,
-    findings::Findings,
-    node_arguments::read_file,
-    node_settings::{NodeSettings, PlatformLogSettings},
-    secret::Secret,
-};
+use crate::options::secret::Secret;
 use bpaf::{Bpaf, Parser, long};
 use std::{
     env, fs, io,
@@ -30,9 +24,6 @@
     /// File with the operators' token
     #[bpaf(long, env("CAMPHORTURN_TOKEN_FILE"), argument("FILE"), optional)]
     pub token_file: Option<PathBuf>,
-    /// Settings file of a node, for what isn't given by other arguments
-    #[bpaf(long, env("CAMPHORTURN_SETTINGS"), argument("FILE"), optional)]
-    pub settings: Option<PathBuf>,
 }
 
 /// The token, from the argument or else the environment.
@@ -50,17 +41,6 @@
         .map(|given| given.or_else(|| env::var(TOKEN_VARIABLE).ok()))
 }
 
-/// Arguments of commands that use the platform's log.
-#[derive(Clone, Debug, Default, Bpaf)]
-pub struct LogArguments {
-    /// Address of the platform's log
-    #[bpaf(long, argument("IP:PORT"), optional)]
-    pub log: Option<SocketAddr>,
-    /// Stream of the mesh in the log
-    #[bpaf(long, argument("NAME"), optional)]
-    pub stream: Option<String>,
-}
-
 /// Where the nodes are and what to prove oneself with.
 #[derive(Clone, Debug)]
 pub struct OperatorAccess {
@@ -74,16 +54,11 @@
 #[derive(Debug, Error)]
 pub enum AccessError {
     /// No address of a node.
-    #[error("no node is named; give --node IP:PORT, or --settings FILE")]
+    #[error("no node is named; give --node IP:PORT")]
     NoNode,
     /// No token.
-    #[error(
-        "no token is given; set CAMPHORTURN_TOKEN, or give --token-file FILE or --settings FILE"
-    )]
+    #[error("no token is given; set CAMPHORTURN_TOKEN, or give --token-file FILE")]
     NoToken,
-    /// No address of the log.
-    #[error("the platform's log is not named; give --log IP:PORT, or --settings FILE")]
-    NoLog,
     /// The token's file can't be read.
     #[error("can't read the token from {path}: {error}", path = .path.display())]
     TokenFile {
@@ -92,73 +67,26 @@
         /// Why not.
         error: io::Error,
     },
-    /// The settings file has findings.
-    #[error(transparent)]
-    Settings(#[from] Findings),
 }
 
 impl AccessArguments {
-    /// Puts the arguments over the settings file.
+    /// Checks that the arguments say where nodes are and what to prove oneself with.
     ///
     /// # Errors
-    /// Something is missing or a file can't be used.
+    /// Something is missing, or the token's file can't be read.
     pub fn resolve(&self) -> Result<OperatorAccess, AccessError> {
-        let settings = self.load_settings()?;
-        let mut nodes = self.nodes.clone();
-        if nodes.is_empty() {
-            nodes.extend(settings.as_ref().map(NodeSettings::operator_address));
-        }
-        if nodes.is_empty() {
+        if self.nodes.is_empty() {
             return Err(AccessError::NoNode);
         }
-        let token = self.resolve_token(settings.as_ref())?;
-        Ok(OperatorAccess { nodes, token })
-    }
-
-    /// The operators' token; `settings` are the ones of [`Self::load_settings`].
-    ///
-    /// # Errors
-    /// There is none, or its file can't be read.
-    pub fn resolve_token(&self, settings: Option<&NodeSettings>) -> Result<Secret, AccessError> {
-        match (&self.token, &self.token_file) {
-            (Some(token), _) => Ok(Secret::from(token.as_str())),
-            (None, Some(path)) => read_token(path),
-            (None, None) => settings
-                .map(|settings| settings.operators.token.clone())
-                .ok_or(AccessError::NoToken),
-        }
-    }
-
-    /// The settings file that the arguments name, if they name one.
-    ///
-    /// # Errors
-    /// Every finding about the file.
-    pub fn load_settings(&self) -> Result<Option<NodeSettings>, Findings> {
-        let Some(path) = &self.settings else {
-            return Ok(None);
+        let token = match (&self.token, &self.token_file) {
+            (Some(token), _) => Secret::from(token.as_str()),
+            (None, Some(path)) => read_token(path)?,
+            (None, None) => return Err(AccessError::NoToken),
         };
-        let text = read_file(path)?;
-        check_node_settings(&path.to_string_lossy(), &text).map(Some)
-    }
-}
-
-impl LogArguments {
-    /// Puts the arguments over the settings of a node.
-    ///
-    /// # Errors
-    /// Neither names the log.
-    pub fn resolve(
-        &self,
-        settings: Option<&NodeSettings>,
-    ) -> Result<PlatformLogSettings, AccessError> {
-        let from_file = settings.map(|settings| settings.platform_log.clone());
-        let given = self.log.map(PlatformLogSettings::at);
-        let mut log = from_file.or(given).ok_or(AccessError::NoLog)?;
-        log.address = self.log.unwrap_or(log.address);
-        if let Some(stream) = &self.stream {
-            log.stream.clone_from(stream);
-        }
-        Ok(log)
+        Ok(OperatorAccess {
+            nodes: self.nodes.clone(),
+            token,
+        })
     }
 }
 
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -7,22 +7,23 @@
         drain::{DrainArguments, drain_arguments},
         explain::{ExplainArguments, explain_arguments},
         history::{HistoryArguments, history_arguments},
+        logs::{LogsArguments, logs_arguments},
         publish::{PublishArguments, publish_arguments},
         status::{StatusArguments, status_arguments},
         timeline::{TimelineArguments, timeline_arguments},
     },
-    options::{exit_code::ExitCode, node_arguments::report_parse_failure},
+    options::exit_code::ExitCode,
 };
-use bpaf::Bpaf;
+use bpaf::{Bpaf, ParseFailure};
 
 /// The operators' tool of camphorturn.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options("camphorturn"), version)]
 pub enum Command {
-    /// Check settings files and configurations without using them
+    /// Check configurations without publishing them
     #[bpaf(command)]
     Check(#[bpaf(external(check_arguments))] CheckArguments),
-    /// Put a configuration into force by way of the platform's log
+    /// Put a configuration in force
     #[bpaf(command)]
     Publish(#[bpaf(external(publish_arguments))] PublishArguments),
     /// Show who published what, when and why
@@ -31,16 +32,19 @@
     /// Show all nodes, classes against their targets, and what is wrong
     #[bpaf(command)]
     Status(#[bpaf(external(status_arguments))] StatusArguments),
-    /// Show the events of all nodes in causal order
+    /// Show the lines of all nodes in causal order
     #[bpaf(command)]
     Timeline(#[bpaf(external(timeline_arguments))] TimelineArguments),
-    /// Tell what became of one call and why
+    /// Tell what became of one request and why
     #[bpaf(command)]
     Explain(#[bpaf(external(explain_arguments))] ExplainArguments),
-    /// Let a node take no new work and finish what it has
+    /// Sum up what the lines of all nodes say
+    #[bpaf(command)]
+    Logs(#[bpaf(external(logs_arguments))] LogsArguments),
+    /// Let an upstream take no new work and finish what it has
     #[bpaf(command)]
     Drain(#[bpaf(external(drain_arguments))] DrainArguments),
-    /// Run a whole mesh in this process, with stand-ins for upstreams and the platform's log
+    /// Run a whole mesh in this process, with stand-ins for upstreams and the store
     #[bpaf(command)]
     Dev(#[bpaf(external(dev_arguments))] DevArguments),
 }
@@ -55,3 +59,15 @@
         parsed.map_err(|failure| report_parse_failure(&failure))
     }
 }
+
+/// Prints help, version or a complaint about the arguments; the process then exits with the code.
+fn report_parse_failure(failure: &ParseFailure) -> ExitCode {
+    failure.print_message(TERMINAL_WIDTH);
+    match failure {
+        ParseFailure::Stdout(..) | ParseFailure::Completion(_) => ExitCode::Success,
+        ParseFailure::Stderr(_) => ExitCode::BadInput,
+    }
+}
+
+/// Width that help texts are wrapped at, in characters.
+const TERMINAL_WIDTH: usize = 80;
--- a/src/options/checked_file.rs
+++ b/src/options/checked_file.rs
@@ -3,42 +3,32 @@
 use crate::{
     options::{
         configuration_rules::check_configuration_rules,
-        findings::{Findings, Problem},
+        findings::{Finding, Findings, Place, Problem},
         json_document::JsonDocument,
-        node_rules::check_node_rules,
-        node_settings::NodeSettings,
         schema_check::find_schema_errors,
     },
     state::configuration::Configuration,
 };
-use serde::{Serialize, de::DeserializeOwned};
-use std::fmt;
+use serde::de::DeserializeOwned;
+use std::{fs, path::Path};
 
-/// Schema of the node settings.
-pub const NODE_SETTINGS_SCHEMA: &str = include_str!("../../schema/node-settings.json");
 /// Schema of the published configuration.
 pub const CONFIGURATION_SCHEMA: &str = include_str!("../../schema/configuration.json");
 
-/// Key at the top of a published configuration that no settings file has.
-const CONFIGURATION_KEY: &str = "services";
-
-/// Which document a file holds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum DocumentKind {
-    /// Settings of one node.
-    NodeSettings,
-    /// A published configuration.
-    Configuration,
-}
-
-impl fmt::Display for DocumentKind {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NodeSettings => "node settings",
-            Self::Configuration => "configuration",
-        })
-    }
+/// Reads a file that is to be checked.
+///
+/// # Errors
+/// One finding that says why it can't be read.
+pub fn read_file(path: &Path) -> Result<String, Findings> {
+    fs::read_to_string(path).map_err(|error| {
+        Findings(vec![Finding {
+            file: path.display().to_string(),
+            place: Place::START,
+            path: "$".to_owned(),
+            problem: Problem::Unreadable(error.to_string()),
+            suggestion: "check the file's name and access rights".to_owned(),
+        }])
+    })
 }
 
 /// A rule between values that the schema can't state was broken.
@@ -64,14 +54,6 @@
     }
 }
 
-/// Checks the text of a node's settings file. `file_name` only labels findings.
-///
-/// # Errors
-/// Every finding, with its place.
-pub fn check_node_settings(file_name: &str, text: &str) -> Result<NodeSettings, Findings> {
-    check_file(file_name, text, NODE_SETTINGS_SCHEMA, check_node_rules)
-}
-
 /// Checks the text of a published configuration. `file_name` only labels findings.
 ///
 /// # Errors
@@ -85,7 +67,7 @@
     )
 }
 
-/// Checks a configuration that comes from elsewhere than a file, such as a record of the log.
+/// Checks a configuration that comes from elsewhere than a file, such as a request of a tool.
 ///
 /// Places are those in its indented JSON form. `source` only labels findings.
 ///
@@ -96,20 +78,6 @@
     check_configuration(source, &text).map(|_| ())
 }
 
-/// Checks a file of either kind and tells which it is.
-///
-/// # Errors
-/// Every finding, with its place.
-pub fn check_document(file_name: &str, text: &str) -> Result<DocumentKind, Findings> {
-    let document = JsonDocument::parse(file_name, text).map_err(|one| Findings(vec![one]))?;
-    if document.value().get(CONFIGURATION_KEY).is_some() {
-        check_configuration(file_name, text)?;
-        return Ok(DocumentKind::Configuration);
-    }
-    check_node_settings(file_name, text)?;
-    Ok(DocumentKind::NodeSettings)
-}
-
 /// Checks a text against a schema, then against rules between values.
 ///
 /// The rules run only on what fits the schema: their findings would else repeat the schema's.
--- a/src/options/exit_code.rs
+++ b/src/options/exit_code.rs
@@ -2,7 +2,7 @@
 
 use std::process;
 
-/// Exit codes of both programs. `docs/operators/exit-codes.md` lists them.
+/// Exit codes of the tool. `docs/operators/exit-codes.md` lists them.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u8)]
 pub enum ExitCode {
@@ -12,7 +12,7 @@
     Failed = 1,
     /// The arguments or a file are wrong; nothing was tried.
     BadInput = 2,
-    /// Neither a node nor the platform's log could be reached.
+    /// No node could be reached, or the store could not.
     Unreachable = 3,
     /// Another publication came first.
     Conflict = 4,
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -1,4 +1,4 @@
-//! What a node of the routed mesh is told at its start.
+//! What a node is told at its start.
 
 use crate::{
     coordination::repeat_budget::RepeatRules,
@@ -29,6 +29,33 @@
     pub load: HeaderName,
 }
 
+impl HeaderNames {
+    /// The product's own names, for upstreams without a platform that names them.
+    #[must_use]
+    pub const fn product() -> Self {
+        Self {
+            request_id: HeaderName::from_static("x-request-id"),
+            time_left: HeaderName::from_static("x-time-left-ms"),
+            signature: HeaderName::from_static("x-upstream-signature"),
+            target_instance: HeaderName::from_static("x-target-instance"),
+            instance: HeaderName::from_static("x-instance"),
+            caller_service: HeaderName::from_static("x-caller-service"),
+            not_executed: HeaderName::from_static("x-not-executed"),
+            load: HeaderName::from_static("x-load"),
+        }
+    }
+}
+
+/// Which lines of the log are written, and which are kept.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LineRules {
+    /// Of requests that go as they should, one in so many is written, the same ones at all nodes: a
+    /// request of which only some nodes tell explains nothing.
+    pub one_in: u64,
+    /// Lines kept in memory for operators' tools.
+    pub kept: usize,
+}
+
 /// Settings of one node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProxySettings {
@@ -46,6 +73,12 @@
     pub service: ServiceName,
     /// Bounds on repeated requests.
     pub repeats: RepeatRules,
+    /// Most questions a second to the upstream for its load.
+    pub probes_per_second: f64,
+    /// Which lines of the log are written and kept.
+    pub lines: LineRules,
+    /// Where operators' tools reach the node, if they can.
+    pub operators: Option<SocketAddr>,
     /// Time from the order to stop until the process is killed.
     pub grace: Duration,
     /// Header names of the platform.
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -1,11 +1,10 @@
 //! Which headers cross an edge, and which stay behind.
 
-use crate::constants::{DEADLINE_HEADER, DEPTH_HEADER, INTERNAL_HEADER_PREFIX};
 use http::{
     HeaderMap, HeaderName,
     header::{
-        CONNECTION, CONTENT_LENGTH, EXPECT, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE,
-        TRAILER, TRANSFER_ENCODING, UPGRADE,
+        CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+        TRANSFER_ENCODING, UPGRADE,
     },
 };
 
@@ -44,35 +43,6 @@
         .collect()
 }
 
-/// Leaves the end-to-end headers of a caller's request.
-///
-/// Internal headers are removed: a caller that could set them might forge an outcome or a call id
-/// that operators and upstreams trust.
-pub fn clean_request_headers(headers: &mut HeaderMap) {
-    remove_hop_by_hop(headers);
-    for name in [CONTENT_LENGTH, EXPECT, HOST] {
-        headers.remove(name);
-    }
-    remove_internal(headers);
-}
-
-/// Leaves the end-to-end headers of an upstream's answer.
-pub fn clean_answer_headers(headers: &mut HeaderMap) {
-    remove_hop_by_hop(headers);
-    remove_internal(headers);
-}
-
-fn remove_internal(headers: &mut HeaderMap) {
-    let internal = |name: &&HeaderName| name.as_str().starts_with(INTERNAL_HEADER_PREFIX);
-    let names: Vec<HeaderName> = headers.keys().filter(internal).cloned().collect();
-    for name in names {
-        headers.remove(name);
-    }
-}
-
-/// Headers of a caller that steer the call and are read before the rest are removed.
-pub const CALLER_HEADERS: [&str; 2] = [DEADLINE_HEADER, DEPTH_HEADER];
-
 /// Whether the message's length is given in two ways, which lets two readers of the same bytes
 /// disagree about where it ends.
 #[must_use]
--- /dev/null
+++ b/src/protocol/store.rs
@@ -0,0 +1,101 @@
+//! What nodes keep in a store that outlives them: the configuration, and a record of each node.
+//!
+//! The store is an append-only log a topic, of which the newest record of each key stays for good. It may
+//! be away, slow, or take an append and lose the answer to it.
+
+use crate::state::{placement_view::NodeRecord, routing_table::RoutingTable};
+use bytes::Bytes;
+use std::{future::Future, time::Duration};
+use thiserror::Error;
+
+/// What records are about.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum StoreTopic {
+    /// The configuration: one key.
+    Configuration,
+    /// The nodes: a key each.
+    Nodes,
+}
+
+/// Why a call to the store gave nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StoreError {
+    /// Nothing was done: the store refused, or no byte reached it.
+    #[error("not done: {0}")]
+    NotDone(String),
+    /// No answer came; an append may be done now or later.
+    #[error("no answer")]
+    NoAnswer,
+    /// The records asked for have been deleted.
+    #[error("records have been deleted")]
+    Deleted,
+    /// The answer is not what the store's description says.
+    #[error("malformed answer: {0}")]
+    Malformed(&'static str),
+}
+
+/// A record. Without a value the key has been dropped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeyedRecord {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Option<Bytes>,
+    /// Its place in the topic.
+    pub offset: u64,
+}
+
+/// Newest records, or the records after an offset, and the offset to go on from.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Records {
+    /// In the order of the log.
+    pub records: Vec<KeyedRecord>,
+    /// Offset of the next record.
+    pub next: u64,
+}
+
+/// A client of the store, as a node uses it.
+pub trait StateStore: Clone + 'static {
+    /// The newest record of each key.
+    fn read_newest(&self, topic: StoreTopic) -> impl Future<Output = Result<Records, StoreError>>;
+
+    /// Records from an offset on, as soon as there is one; none after `wait`.
+    fn read_from(
+        &self,
+        topic: StoreTopic,
+        from: u64,
+        wait: Duration,
+    ) -> impl Future<Output = Result<Records, StoreError>>;
+
+    /// Appends a node's record, encoded as `value`, under the key of that node.
+    fn append_node(
+        &self,
+        record: &NodeRecord,
+        value: &[u8],
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
+    /// The routing table of a record of the configuration; none if the record holds something else.
+    ///
+    /// # Errors
+    /// What is wrong with the record, for the log.
+    fn decode_table(&self, record: &KeyedRecord) -> Option<Result<RoutingTable, String>>;
+}
+
+/// How a conditional append ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConditionalAppend {
+    /// It is stored.
+    Stored,
+    /// Another record came first; nothing is stored.
+    Overtaken,
+}
+
+/// A store that the product's own operators' interface publishes to.
+pub trait PublicationStore: StateStore {
+    /// Appends a record of the configuration if the topic still ends at `expected_end`.
+    fn append_configuration(
+        &self,
+        value: &[u8],
+        expected_end: u64,
+    ) -> impl Future<Output = Result<ConditionalAppend, StoreError>>;
+}
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -1,4 +1,4 @@
-//! A node of the routed mesh: takes requests of the clients on its VM, finds the node beside an
+//! A node: takes requests of the clients on its VM, finds the node beside an
 //! upstream that runs them, and decides what the upstream beside itself runs.
 //!
 //! All state lives on one event-loop thread. `docs/design/platform.md` tells the way of a request.
@@ -9,13 +9,17 @@
 mod entry;
 pub mod events;
 mod executing;
+mod following;
+pub mod metrics;
+pub mod operating;
 mod peers;
+mod publishing;
 mod reply;
 mod start;
 mod state_sharing;
 mod stop;
 
 pub use self::{
+    following::follow_store,
     start::{ProxyListeners, run_proxy},
-    state_sharing::share_with_zone,
 };
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -121,5 +121,6 @@
         instance: run.instance.clone(),
         slots: run.slots,
         leaving: run.leaving,
+        operators: core.settings.operators,
     })
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -9,11 +9,11 @@
     options::proxy_settings::ProxySettings,
     proxy::{
         directory::{Directory, StateSource},
-        events::{LineBudget, ProxyEvent},
+        events::{LineWriter, ProxyEvent},
         executing::Slots,
     },
     state::{
-        latency_buckets::LatencyBuckets,
+        class_counts::ClassCounts,
         moment::Moment,
         names::{ClassName, ServiceName},
         placement_view::{NodeRecord, StoredRecord},
@@ -26,7 +26,7 @@
 use rand::RngExt;
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
 };
@@ -51,8 +51,8 @@
     pub executed: Cell<u64>,
     /// Requests sent to a second upstream.
     pub repeats: Cell<u64>,
-    /// Times of the answered ones.
-    pub latency: Cell<LatencyBuckets>,
+    /// Questions to the upstream beside the node for its load.
+    pub probes: Cell<u64>,
 }
 
 /// Adds one.
@@ -84,10 +84,12 @@
     pub stopping_since: Cell<Option<Moment>>,
     /// Counts since the start.
     pub counters: ProxyCounters,
-    /// Bounds the lines of the log.
-    pub lines: LineBudget,
+    /// Writes the lines of the log.
+    pub lines: LineWriter,
     /// When the node started.
     pub started: Moment,
+    /// What became of the requests of each class.
+    pub classes: RefCell<BTreeMap<ClassName, ClassCounts>>,
     /// Moving averages of the bytes of a request and its answer, by class.
     pub class_bytes: RefCell<HashMap<ClassName, f64>>,
     /// Requests picked a service by weight so far; spreads them evenly.
@@ -102,14 +104,15 @@
             directory: RefCell::new(Directory::default()),
             stored: RefCell::default(),
             own: RefCell::default(),
-            slots: Slots::default(),
+            slots: Slots::new(settings.probes_per_second),
             repeats: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
             in_progress: Cell::new(0),
             stopping_since: Cell::new(None),
             counters: ProxyCounters::default(),
-            lines: LineBudget::default(),
+            lines: LineWriter::new(settings.name.clone(), settings.lines, timers.now()),
             started: timers.now(),
+            classes: RefCell::default(),
             class_bytes: RefCell::default(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
@@ -157,7 +160,8 @@
             return false;
         }
         let event = ProxyEvent::NodeKnown {
-            node: stored.record.name.clone(),
+            known: stored.record.name.clone(),
+            address: stored.record.address,
             service: stored.record.service.clone(),
             instance: stored.record.instance.clone(),
             leaving: stored.record.leaving,
@@ -207,6 +211,15 @@
         *average += (bytes - *average) * BYTES_WEIGHT;
     }
 
+    /// Counts the end of a request of a class.
+    pub fn count_class(&self, class: &ClassName, count: impl FnOnce(&mut ClassCounts)) {
+        let mut classes = self.classes.borrow_mut();
+        match classes.get_mut(class) {
+            Some(counts) => count(counts),
+            None => count(classes.entry(class.clone()).or_default()),
+        }
+    }
+
     /// Whether clients may bring their requests here.
     #[must_use]
     pub fn is_ready(&self) -> bool {
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -21,6 +21,8 @@
     Store,
     /// Another node.
     Peer,
+    /// An operator, at this node.
+    Operator,
 }
 
 impl StateSource {
@@ -30,6 +32,7 @@
         match self {
             Self::Store => "store",
             Self::Peer => "peer",
+            Self::Operator => "operator",
         }
     }
 }
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -14,12 +14,17 @@
         },
         reply::{ClientEnd, build_reply},
     },
-    state::{moment::Moment, names::ServiceName, routing_table::Route},
-    transport::callers::{CallerHandler, CallerReply, CallerRequest},
+    state::{
+        moment::Moment,
+        names::{ClassName, ServiceName},
+        routing_table::Route,
+    },
+    transport::callers::{CallerHandler, CallerLimits, CallerReply, CallerRequest},
 };
 use futures::future::LocalBoxFuture;
-use http::{Uri, header::HOST, uri::Authority};
+use http::{HeaderValue, Uri, header::HOST, uri::Authority};
 use std::{rc::Rc, time::Duration};
+use uuid::Uuid;
 
 /// When to come back to a node that knows no routes yet.
 const NO_ROUTES_RETRY: Duration = Duration::from_millis(200);
@@ -28,6 +33,8 @@
 const ACCEPTED_SHARE: f64 = 0.45;
 /// When to come back to a node that stops: another one or its next run answers.
 const STOPPING_RETRY: Duration = Duration::from_millis(200);
+/// Times the idle time that operators allow clients, after which their connections are closed.
+const IDLE_MARGIN: u32 = 2;
 /// Spreads picks of a service evenly: successive multiples of the golden ratio, modulo 1.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
@@ -50,9 +57,11 @@
         Box::pin(async move {
             let _counted = InProgress::count(&core);
             let arrived = core.timers.now();
+            let mut req = req;
+            ensure_request_id(&core, &mut req);
             let mut line = RequestLine::begin(&core, &req);
             let end = carry_request(&core, req, &mut line).await;
-            count_end(&core, &end, arrived);
+            count_end(&core, &end, line.class(), core.timers.now().since(arrived));
             line.end(&end);
             build_reply(end)
         })
@@ -61,6 +70,22 @@
     fn is_stopping(&self) -> bool {
         self.core.is_stopping()
     }
+
+    /// Closing a connection sooner than operators allow clients to keep it idle would cut requests that
+    /// are on their way.
+    fn limits(&self, started_with: CallerLimits) -> CallerLimits {
+        let Some(routes) = self.core.routes() else {
+            return started_with;
+        };
+        let limits = routes.table().limits;
+        CallerLimits {
+            head_timeout: started_with
+                .head_timeout
+                .max(limits.idle_timeout * IDLE_MARGIN),
+            body: limits.body_bytes.min(started_with.body),
+            ..started_with
+        }
+    }
 }
 
 /// Counts a request in progress for as long as it lives, also when its client goes away.
@@ -80,18 +105,37 @@
     }
 }
 
-fn count_end(core: &ProxyCore, end: &ClientEnd, arrived: Moment) {
+/// The node and the upstream tell requests apart by their ids; a client may leave that to the node.
+fn ensure_request_id(core: &ProxyCore, req: &mut CallerRequest) {
+    let name = &core.settings.headers.request_id;
+    if req.headers.contains_key(name) {
+        return;
+    }
+    if let Ok(id) = HeaderValue::from_str(&Uuid::new_v4().to_string()) {
+        req.headers.insert(name, id);
+    }
+}
+
+fn count_end(
+    core: &ProxyCore,
+    end: &ClientEnd,
+    class: Option<(ClassName, Duration)>,
+    took: Duration,
+) {
     let counters = &core.counters;
     match end {
-        ClientEnd::Answered(_) => {
-            count(&counters.answered);
-            let mut latency = counters.latency.get();
-            latency.observe(core.timers.now().since(arrived));
-            counters.latency.set(latency);
-        }
+        ClientEnd::Answered(_) => count(&counters.answered),
         ClientEnd::Refused(..) | ClientEnd::NoRoute => count(&counters.refused),
         ClientEnd::Unknown(_) => count(&counters.unknown),
     }
+    let Some((class, target)) = class else {
+        return;
+    };
+    core.count_class(&class, |counts| match end {
+        ClientEnd::Answered(_) => counts.count_answer(took, target),
+        ClientEnd::Refused(..) | ClientEnd::NoRoute => counts.count_refusal(),
+        ClientEnd::Unknown(_) => counts.count_unknown(),
+    });
 }
 
 /// Whether a request taken now might not have ended before the node is killed.
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -50,6 +50,7 @@
     let line = ProxyEvent::AttemptReturned {
         request: core.read_request_id(&call.req.headers),
         to,
+        sent_ms: in_millis(sent.since(call.arrived)),
         within_ms: in_millis(hop.within),
         known_age_ms: known_age.map(in_millis),
         end: describe_end(&result),
--- a/src/proxy/entry/request_line.rs
+++ b/src/proxy/entry/request_line.rs
@@ -26,6 +26,7 @@
     service: Option<ServiceName>,
     class: Option<ClassName>,
     time_left: Duration,
+    target: Duration,
     asked: u32,
     arrivals: u16,
     attempts: Vec<ProxyEvent>,
@@ -41,6 +42,7 @@
             service: None,
             class: None,
             time_left: Duration::ZERO,
+            target: Duration::ZERO,
             asked: 0,
             arrivals: 0,
             attempts: Vec::new(),
@@ -54,6 +56,12 @@
         self.class = Some(route.class.clone());
         self.service = Some(service.clone());
         self.time_left = time_left;
+        self.target = route.target;
+    }
+
+    /// The class of the request and its target, if a route was found.
+    pub fn class(&self) -> Option<(ClassName, Duration)> {
+        self.class.clone().map(|class| (class, self.target))
     }
 
     /// Notes how many nodes were asked.
@@ -74,9 +82,10 @@
 
     fn write(&mut self, end: LoggedEnd) {
         self.ended = true;
-        // The attempts of a request are as telling as its end.
-        let weight = end.weight_of_request();
         let now = self.core.timers.now();
+        let took = now.since(self.arrived);
+        // The attempts of a request are as telling as its end.
+        let weight = end.weight_of_request(took > self.target);
         for attempt in self.attempts.drain(..) {
             self.core.lines.write_as(weight, &attempt, now);
         }
@@ -88,8 +97,9 @@
             end,
             asked: self.asked,
             arrivals: self.arrivals,
-            took_ms: in_millis(self.core.timers.now().since(self.arrived)),
+            took_ms: in_millis(took),
             time_left_ms: in_millis(self.time_left),
+            target_ms: in_millis(self.target),
         });
     }
 }
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -2,11 +2,12 @@
 //!
 //! `docs/EVENTS.md` has the catalogue; a test holds it to this file. A number never changes its meaning.
 
-mod budget;
+mod lines;
 
-pub use budget::LineBudget;
+pub use lines::LineWriter;
 
 use crate::{
+    coordination::publishing::PublicationOutcome,
     protocol::outcome::{RefusalReason, UnknownCause},
     state::names::{ClassName, NodeName, ServiceName},
 };
@@ -70,6 +71,8 @@
         took_ms: u64,
         /// Time that its client gave it.
         time_left_ms: u64,
+        /// Time within which it was to be answered.
+        target_ms: u64,
     },
     /// An entry node learned how one attempt ended.
     AttemptReturned {
@@ -77,6 +80,8 @@
         request: String,
         /// The node asked.
         to: SocketAddr,
+        /// When it was sent, since the request came.
+        sent_ms: u64,
         /// Time within which it was to end there; 0 asks for a slot at once or none.
         within_ms: u64,
         /// Age of what was known of the node's load.
@@ -92,6 +97,8 @@
     AttemptExecuted {
         /// Identity of the request.
         request: String,
+        /// The node that asked.
+        from: SocketAddr,
         /// Its class of work.
         class: ClassName,
         /// The upstream's run.
@@ -202,7 +209,9 @@
     /// A record of a node is news.
     NodeKnown {
         /// The node.
-        node: NodeName,
+        known: NodeName,
+        /// Where it takes messages from nodes.
+        address: SocketAddr,
         /// Service of its upstream.
         service: ServiceName,
         /// The upstream's run.
@@ -224,6 +233,16 @@
         /// What is wrong.
         error: String,
     },
+    /// An operator's publication ended.
+    PublicationEnded {
+        /// Who published.
+        author: String,
+        /// How it ended.
+        #[serde(flatten)]
+        outcome: PublicationOutcome,
+    },
+    /// A request without a valid token was turned away.
+    OperatorRejected {},
     /// The store stopped answering.
     StoreLost {
         /// What was asked of it.
@@ -240,8 +259,8 @@
     },
     /// The process began to serve.
     NodeStarted {
-        /// The node.
-        node: NodeName,
+        /// Where it takes messages from nodes.
+        address: SocketAddr,
         /// Service of the upstream beside it.
         service: ServiceName,
     },
@@ -272,43 +291,66 @@
 }
 
 impl ProxyEvent {
-    /// Number, name and weight.
+    /// Number and name.
     #[must_use]
-    pub fn describe(&self) -> (u16, &'static str, Weight) {
-        use Weight::{Ordinary, Telling};
+    pub const fn describe(&self) -> (u16, &'static str) {
         match self {
-            Self::RequestEnded { end, .. } => (801, "request_ended", end.weight_of_request()),
-            Self::AttemptReturned { end, .. } => (802, "attempt_returned", end.weight()),
-            Self::AttemptExecuted { end, .. } => (803, "attempt_executed", end.weight()),
-            Self::RepeatWithheld { .. } => (804, "repeat_withheld", Ordinary),
-            Self::LinesDropped { .. } => (805, "lines_dropped", Telling),
-            Self::UpstreamAnnounced { .. } => (811, "upstream_announced", Telling),
-            Self::UpstreamDeparted { .. } => (812, "upstream_departed", Telling),
-            Self::UpstreamReplaced { .. } => (813, "upstream_replaced", Telling),
-            Self::UpstreamRecalled { .. } => (814, "upstream_recalled", Telling),
-            Self::AnnouncementRejected { .. } => (815, "announcement_rejected", Telling),
-            Self::TableInForce { .. } => (821, "table_in_force", Telling),
-            Self::StateSent { .. } => (822, "state_sent", Telling),
-            Self::ZoneTold { .. } => (823, "zone_told", Telling),
-            Self::StateRejected { .. } => (824, "state_rejected", Telling),
-            Self::NodeUnreachable { .. } => (831, "node_unreachable", Telling),
-            Self::NodeKnown { .. } => (832, "node_known", Telling),
-            Self::ConfigurationRejected { .. } => (841, "configuration_rejected", Telling),
-            Self::RecordRejected { .. } => (842, "record_rejected", Telling),
-            Self::StoreLost { .. } => (843, "store_lost", Telling),
-            Self::StoreRegained { .. } => (844, "store_regained", Telling),
-            Self::NodeStarted { .. } => (851, "node_started", Telling),
-            Self::StopRequested { .. } => (852, "stop_requested", Telling),
-            Self::NodeStopped { .. } => (853, "node_stopped", Telling),
-            Self::SettingsRead { .. } => (854, "settings_read", Telling),
-            Self::SettingsRejected { .. } => (855, "settings_rejected", Telling),
+            Self::RequestEnded { .. } => (801, "request_ended"),
+            Self::AttemptReturned { .. } => (802, "attempt_returned"),
+            Self::AttemptExecuted { .. } => (803, "attempt_executed"),
+            Self::RepeatWithheld { .. } => (804, "repeat_withheld"),
+            Self::LinesDropped { .. } => (805, "lines_dropped"),
+            Self::UpstreamAnnounced { .. } => (811, "upstream_announced"),
+            Self::UpstreamDeparted { .. } => (812, "upstream_departed"),
+            Self::UpstreamReplaced { .. } => (813, "upstream_replaced"),
+            Self::UpstreamRecalled { .. } => (814, "upstream_recalled"),
+            Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
+            Self::TableInForce { .. } => (821, "table_in_force"),
+            Self::StateSent { .. } => (822, "state_sent"),
+            Self::ZoneTold { .. } => (823, "zone_told"),
+            Self::StateRejected { .. } => (824, "state_rejected"),
+            Self::NodeUnreachable { .. } => (831, "node_unreachable"),
+            Self::NodeKnown { .. } => (832, "node_known"),
+            Self::ConfigurationRejected { .. } => (841, "configuration_rejected"),
+            Self::RecordRejected { .. } => (842, "record_rejected"),
+            Self::PublicationEnded { .. } => (845, "publication_ended"),
+            Self::OperatorRejected {} => (846, "operator_rejected"),
+            Self::StoreLost { .. } => (843, "store_lost"),
+            Self::StoreRegained { .. } => (844, "store_regained"),
+            Self::NodeStarted { .. } => (851, "node_started"),
+            Self::StopRequested { .. } => (852, "stop_requested"),
+            Self::NodeStopped { .. } => (853, "node_stopped"),
+            Self::SettingsRead { .. } => (854, "settings_read"),
+            Self::SettingsRejected { .. } => (855, "settings_rejected"),
         }
     }
 
-    /// The fields as JSON.
+    /// How much it matters.
     #[must_use]
-    pub fn fields(&self) -> String {
-        serde_json::to_string(self).unwrap_or_default()
+    pub const fn weight(&self) -> Weight {
+        match self {
+            Self::RequestEnded {
+                end,
+                took_ms,
+                target_ms,
+                ..
+            } => end.weight_of_request(*took_ms > *target_ms),
+            Self::AttemptReturned { end, .. } | Self::AttemptExecuted { end, .. } => end.weight(),
+            Self::RepeatWithheld { .. } => Weight::Ordinary,
+            _ => Weight::Telling,
+        }
+    }
+
+    /// The request that it is about.
+    #[must_use]
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Self::RequestEnded { request, .. }
+            | Self::AttemptReturned { request, .. }
+            | Self::AttemptExecuted { request, .. }
+            | Self::RepeatWithheld { request, .. } => Some(request),
+            _ => None,
+        }
     }
 }
 
@@ -324,11 +366,12 @@
         }
     }
 
-    /// The same for the end of a whole request: a refusal ends it unserved, whatever the reason.
+    /// The same for the end of a whole request: a refusal ends it unserved, whatever the reason, and a
+    /// late answer is a failure to whoever waited for it.
     #[must_use]
-    pub const fn weight_of_request(&self) -> Weight {
+    pub const fn weight_of_request(&self, late: bool) -> Weight {
         match self {
-            Self::Answered(status) if *status < 500 => Weight::Ordinary,
+            Self::Answered(status) if *status < 500 && !late => Weight::Ordinary,
             Self::ClientLeft | Self::NoRoute => Weight::Ordinary,
             _ => Weight::Telling,
         }
--- a/src/proxy/executing/attempt_line.rs
+++ b/src/proxy/executing/attempt_line.rs
@@ -10,13 +10,14 @@
     state::{moment::Moment, names::ClassName},
     transport::callers::CallerRequest,
 };
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// Collects what decided about an attempt. One that is dropped before its end tells that the client, or
 /// the node that asked, went away.
 pub struct AttemptLine {
     core: Rc<ProxyCore>,
     request: String,
+    from: SocketAddr,
     class: ClassName,
     arrived: Moment,
     pace_age: Option<Duration>,
@@ -31,6 +32,7 @@
         let load = core.slots.load();
         Self {
             request: core.read_request_id(&req.headers),
+            from: hop.from,
             class: hop.class.clone(),
             arrived: core.timers.now(),
             pace_age: None,
@@ -74,6 +76,7 @@
         let own = self.core.own.borrow();
         self.core.log(&ProxyEvent::AttemptExecuted {
             request: std::mem::take(&mut self.request),
+            from: self.from,
             class: self.class.clone(),
             instance: own.current().map(|run| run.instance.clone()),
             end,
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -5,8 +5,13 @@
 
 use crate::{
     coordination::slot_queue::Pace,
-    proxy::{core::ProxyCore, executing::slots::apply},
-    state::{moment::Moment, names::ServiceName, placement_view::NodeRecord},
+    proxy::{
+        core::{ProxyCore, count},
+        executing::slots::apply,
+    },
+    state::{
+        moment::Moment, names::ServiceName, placement_view::NodeRecord, rate_limit::RateLimit,
+    },
     transport::outgoing::SendRules,
 };
 use bytes::Bytes;
@@ -33,17 +38,38 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Largest answer, in bytes.
 const BODY_LIMIT: usize = 64 * 1024;
+/// Seconds of the allowed rate that may be asked at once.
+const BURST: f64 = 1.0;
 
 /// What is known of the pace, and how.
-#[derive(Default)]
 pub struct PaceKnowledge {
     /// When it was last told; never by an upstream that does not tell its load.
     told_at: Cell<Option<Moment>>,
     asking: RefCell<Option<flume::Receiver<()>>>,
     watching: Cell<bool>,
+    /// Keeps questions within what operators let measuring cost.
+    budget: Cell<RateLimit>,
 }
 
 impl PaceKnowledge {
+    /// Nothing known; at most that many questions a second.
+    #[must_use]
+    pub fn new(probes_per_second: f64) -> Self {
+        Self {
+            told_at: Cell::default(),
+            asking: RefCell::default(),
+            watching: Cell::default(),
+            budget: Cell::new(RateLimit::new(probes_per_second, probes_per_second * BURST)),
+        }
+    }
+
+    fn take_question(&self, now: Moment) -> bool {
+        let mut budget = self.budget.get();
+        let granted = budget.take(now);
+        self.budget.set(budget);
+        granted
+    }
+
     /// Time since it was told.
     #[must_use]
     pub fn age(&self, now: Moment) -> Option<Duration> {
@@ -145,6 +171,10 @@
 }
 
 async fn send_question(core: &Rc<ProxyCore>, uri: Uri) -> Option<Response<Bytes>> {
+    if !core.slots.pace.take_question(core.timers.now()) {
+        return None;
+    }
+    count(&core.counters.probes);
     let mut request = Request::new(Full::default());
     *request.uri_mut() = uri;
     let rules = SendRules {
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -35,11 +35,13 @@
     expiry_armed: Cell<Option<Moment>>,
 }
 
-impl Default for Slots {
-    fn default() -> Self {
+impl Slots {
+    /// No slot in use; at most that many questions a second for the upstream's load.
+    #[must_use]
+    pub fn new(probes_per_second: f64) -> Self {
         Self {
             queue: RefCell::new(SlotQueue::new(FIRST_LIMIT)),
-            pace: PaceKnowledge::default(),
+            pace: PaceKnowledge::new(probes_per_second),
             paused_until: Cell::default(),
             times: RefCell::default(),
             failures: Cell::default(),
@@ -47,9 +49,7 @@
             expiry_armed: Cell::default(),
         }
     }
-}
 
-impl Slots {
     /// Load of the upstream now.
     #[must_use]
     pub fn load(&self) -> NodeLoad {
--- a/platform/src/following.rs
+++ b/src/proxy/following.rs
@@ -1,28 +1,21 @@
 //! Keeps a node up to date with the store, and the store with the node.
 
 use crate::{
-    configuration::decode_configuration,
-    store::{Records, Store, StoreError},
-};
-use camphorturn::{
+    protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic},
     proxy::{
         announcing::{RecordOrder, take_stored},
         core::ProxyCore,
         directory::StateSource,
         events::ProxyEvent,
-        share_with_zone,
+        state_sharing::share_with_zone,
     },
     state::placement_view::{NodeRecord, StoredRecord},
 };
 use flume::Receiver;
 use rand::RngExt;
 use std::{cell::Cell, rc::Rc, time::Duration};
+use tokio::task::spawn_local;
 
-/// Topic of the operator's configuration, and the key of the record.
-const CONFIGURATION_TOPIC: &str = "keyed.op";
-const CONFIGURATION_KEY: &str = "config";
-/// Topic of the nodes' own records.
-const NODES_TOPIC: &str = "keyed.nodes";
 /// Longest time that the first read of the nodes waits for the configuration.
 const ROUTES_PATIENCE: Duration = Duration::from_millis(500);
 /// How often it looks whether that is there.
@@ -32,55 +25,35 @@
 /// Pauses after failures of the store, doubled from the first to the second.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
-/// What is followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Followed {
-    /// The operator's configuration.
-    Configuration,
-    /// The nodes' records.
-    Nodes,
-}
-
-impl Followed {
-    const fn topic(self) -> &'static str {
-        match self {
-            Self::Configuration => CONFIGURATION_TOPIC,
-            Self::Nodes => NODES_TOPIC,
-        }
+/// Keeps the node up to date with the store and the store with the node, until dropped. Records to be
+/// stored come by `orders`.
+pub fn follow_store<S: StateStore>(core: &Rc<ProxyCore>, store: S, orders: Receiver<RecordOrder>) {
+    for topic in [StoreTopic::Configuration, StoreTopic::Nodes] {
+        spawn_local(follow(Rc::clone(core), store.clone(), topic));
     }
+    spawn_local(write_records(Rc::clone(core), store, orders));
 }
 
 /// Follows a topic until dropped, and tells the zone what is new.
-pub async fn follow(core: Rc<ProxyCore>, store: Store, followed: Followed) {
-    let mut retries = Retries::new(&core, followed.topic());
+async fn follow<S: StateStore>(core: Rc<ProxyCore>, store: S, topic: StoreTopic) {
+    let mut retries = Retries::new(&core, name_topic(topic));
     let mut next: Option<u64> = None;
-    if followed == Followed::Nodes {
+    if topic == StoreTopic::Nodes {
         wait_for_routes(&core).await;
     }
     loop {
         let read = match next {
-            None => store.read_newest(followed.topic()).await,
+            None => store.read_newest(topic).await,
             Some(from) => {
                 let wait = wait_for_turn(&core).await;
-                store.read_from(followed.topic(), from, wait).await
+                store.read_from(topic, from, wait).await
             }
         };
         match read {
             Ok(records) => {
                 retries.succeed();
-                let at_start = next.is_none();
-                next = Some(records.next);
-                match followed {
-                    Followed::Configuration => take_configuration(&core, &records, at_start),
-                    Followed::Nodes => {
-                        take_nodes(&core, &records, at_start).await;
-                        let _ = core
-                            .timers
-                            .after(core.plan_reading().records_pause)
-                            .recv_async()
-                            .await;
-                    }
-                }
+                let at_start = next.replace(records.next).is_none();
+                take_records(&core, &store, topic, &records, at_start).await;
             }
             Err(StoreError::Deleted) => next = None,
             Err(error) => retries.fail(&error).await,
@@ -88,6 +61,30 @@
     }
 }
 
+const fn name_topic(topic: StoreTopic) -> &'static str {
+    match topic {
+        StoreTopic::Configuration => "configuration",
+        StoreTopic::Nodes => "nodes",
+    }
+}
+
+async fn take_records<S: StateStore>(
+    core: &Rc<ProxyCore>,
+    store: &S,
+    topic: StoreTopic,
+    records: &Records,
+    at_start: bool,
+) {
+    match topic {
+        StoreTopic::Configuration => take_configuration(core, store, records, at_start),
+        StoreTopic::Nodes => {
+            take_nodes(core, records, at_start).await;
+            let pause = core.plan_reading().records_pause;
+            let _ = core.timers.after(pause).recv_async().await;
+        }
+    }
+}
+
 /// A node finds in the records which upstream it has, and asks that one by a path that it learns from
 /// the configuration.
 async fn wait_for_routes(core: &ProxyCore) {
@@ -110,21 +107,18 @@
     }
 }
 
-fn take_configuration(core: &Rc<ProxyCore>, records: &Records, at_start: bool) {
+fn take_configuration<S: StateStore>(
+    core: &Rc<ProxyCore>,
+    store: &S,
+    records: &Records,
+    at_start: bool,
+) {
     let mut news = false;
     for record in &records.records {
-        let Some(value) = record
-            .value
-            .as_ref()
-            .filter(|_| record.key == CONFIGURATION_KEY)
-        else {
-            continue;
-        };
-        match decode_configuration(value) {
-            Ok(table) => news |= core.take_table(table, StateSource::Store),
-            Err(error) => core.log(&ProxyEvent::ConfigurationRejected {
-                error: error.to_string(),
-            }),
+        match store.decode_table(record) {
+            Some(Ok(table)) => news |= core.take_table(table, StateSource::Store),
+            Some(Err(error)) => core.log(&ProxyEvent::ConfigurationRejected { error }),
+            None => {}
         }
     }
     share_with_zone(core, news && !at_start, Vec::new());
@@ -133,22 +127,9 @@
 async fn take_nodes(core: &Rc<ProxyCore>, records: &Records, at_start: bool) {
     let mut news = Vec::new();
     for record in &records.records {
-        let Some(value) = &record.value else {
+        let Some(stored) = decode_node(core, record) else {
             continue;
         };
-        let stored = match serde_json::from_slice(value) {
-            Ok(node) => StoredRecord {
-                revision: record.offset.saturating_add(1),
-                record: node,
-            },
-            Err(error) => {
-                core.log(&ProxyEvent::RecordRejected {
-                    key: record.key.clone(),
-                    error: error.to_string(),
-                });
-                continue;
-            }
-        };
         if stored.record.address == core.settings.peers {
             take_stored(core, stored.record).await;
         } else if core.take_record(stored.clone()) {
@@ -160,8 +141,30 @@
     }
 }
 
+/// A record without a value says that its key was dropped; a node that is gone is found out otherwise.
+fn decode_node(core: &ProxyCore, record: &KeyedRecord) -> Option<StoredRecord> {
+    let value = record.value.as_ref()?;
+    match serde_json::from_slice(value) {
+        Ok(node) => Some(StoredRecord {
+            revision: record.offset.saturating_add(1),
+            record: node,
+        }),
+        Err(error) => {
+            core.log(&ProxyEvent::RecordRejected {
+                key: record.key.clone(),
+                error: error.to_string(),
+            });
+            None
+        }
+    }
+}
+
 /// Writes this node's record whenever it changes, until dropped. Only the newest is of use.
-pub async fn write_records(core: Rc<ProxyCore>, store: Store, orders: Receiver<RecordOrder>) {
+async fn write_records<S: StateStore>(
+    core: Rc<ProxyCore>,
+    store: S,
+    orders: Receiver<RecordOrder>,
+) {
     let mut retries = Retries::new(&core, "records");
     while let Ok(mut order) = orders.recv_async().await {
         loop {
@@ -181,10 +184,9 @@
     }
 }
 
-async fn append(store: &Store, record: &NodeRecord) -> Result<(), StoreError> {
+async fn append<S: StateStore>(store: &S, record: &NodeRecord) -> Result<(), StoreError> {
     let value = serde_json::to_vec(record).map_err(|_| StoreError::Malformed("own record"))?;
-    let key = record.address.ip().to_string();
-    store.append(NODES_TOPIC, &key, &value).await
+    store.append_node(record, &value).await
 }
 
 /// Paces calls after failures, and logs when the store is lost and regained.
--- /dev/null
+++ b/src/proxy/metrics.rs
@@ -0,0 +1,175 @@
+//! What a node counts, as the text that scrapers of metrics read. `docs/operators/metrics.md` lists it.
+
+use crate::{proxy::core::ProxyCore, state::class_counts::ClassCounts};
+use prometheus_client::{
+    collector::Collector,
+    encoding::{DescriptorEncoder, EncodeMetric, NoLabelSet, text::encode},
+    metrics::{MetricType, counter::ConstCounter, gauge::ConstGauge},
+    registry::Registry,
+};
+use std::fmt;
+
+/// Content type of the text.
+pub const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Start of every name.
+const PREFIX: &str = "camphorturn";
+
+/// A number with its name and what it means.
+#[derive(Debug)]
+struct Figure {
+    name: &'static str,
+    help: &'static str,
+    value: u64,
+}
+
+/// The figures of one moment.
+#[derive(Debug)]
+struct NodeFigures {
+    counters: Vec<Figure>,
+    gauges: Vec<Figure>,
+    classes: Vec<(String, ClassCounts)>,
+}
+
+/// The figures of a node as text.
+#[must_use]
+pub fn render_metrics(core: &ProxyCore) -> String {
+    let mut registry = Registry::with_prefix(PREFIX);
+    registry.register_collector(Box::new(NodeFigures::read(core)));
+    let mut text = String::new();
+    // Writing to a string never fails.
+    let _ = encode(&mut text, &registry);
+    text
+}
+
+impl NodeFigures {
+    fn read(core: &ProxyCore) -> Self {
+        let classes = core.classes.borrow();
+        let classes = classes.iter();
+        Self {
+            counters: read_counters(core),
+            gauges: read_gauges(core),
+            classes: classes
+                .map(|(class, counts)| (class.to_string(), *counts))
+                .collect(),
+        }
+    }
+
+    fn encode_class_counter(
+        &self,
+        encoder: &mut DescriptorEncoder<'_>,
+        (name, help): (&str, &str),
+        read: impl Fn(&ClassCounts) -> u64,
+    ) -> Result<(), fmt::Error> {
+        let mut metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+        for (class, counts) in &self.classes {
+            let labels = [("class", class.as_str())];
+            ConstCounter::new(read(counts)).encode(metric.encode_family(&labels)?)?;
+        }
+        Ok(())
+    }
+
+    fn encode_latency(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let help = "Time of answered requests in seconds";
+        let mut metric =
+            encoder.encode_descriptor("latency_seconds", help, None, MetricType::Histogram)?;
+        for (class, counts) in &self.classes {
+            let labels = [("class", class.as_str())];
+            let mut family = metric.encode_family(&labels)?;
+            let latency = counts.latency;
+            family.encode_histogram::<NoLabelSet>(
+                latency.sum_seconds(),
+                latency.all(),
+                &latency.list_apart(),
+                None,
+            )?;
+        }
+        Ok(())
+    }
+}
+
+impl Collector for NodeFigures {
+    fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        for Figure { name, help, value } in &self.counters {
+            let metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+            ConstCounter::new(*value).encode(metric)?;
+        }
+        for Figure { name, help, value } in &self.gauges {
+            let metric = encoder.encode_descriptor(name, help, None, MetricType::Gauge)?;
+            let value = i64::try_from(*value).unwrap_or(i64::MAX);
+            ConstGauge::new(value).encode(metric)?;
+        }
+        let encoder = &mut encoder;
+        let requests = ("class_requests", "Requests of a class that ended");
+        self.encode_class_counter(encoder, requests, |counts| counts.requests)?;
+        let on_target = ("class_on_target", "Of these, answered within the target");
+        self.encode_class_counter(encoder, on_target, |counts| counts.on_target)?;
+        self.encode_latency(encoder)
+    }
+}
+
+fn read_counters(core: &ProxyCore) -> Vec<Figure> {
+    let counters = &core.counters;
+    let figure = |name, help, value| Figure { name, help, value };
+    vec![
+        figure("requests", "Requests of clients", counters.requests.get()),
+        figure(
+            "answered",
+            "Of these, answered by an upstream",
+            counters.answered.get(),
+        ),
+        figure(
+            "refused",
+            "Of these, refused without having run",
+            counters.refused.get(),
+        ),
+        figure(
+            "unknown",
+            "Of these, ended without it being known whether they ran",
+            counters.unknown.get(),
+        ),
+        figure(
+            "executed",
+            "Requests handed to the upstream beside the node",
+            counters.executed.get(),
+        ),
+        figure(
+            "repeats",
+            "Requests sent to a further upstream",
+            counters.repeats.get(),
+        ),
+        figure(
+            "probes",
+            "Questions to the upstream for its load",
+            counters.probes.get(),
+        ),
+    ]
+}
+
+fn read_gauges(core: &ProxyCore) -> Vec<Figure> {
+    let load = core.slots.load();
+    let directory = core.directory.borrow();
+    let figure = |name, help, value| Figure { name, help, value };
+    let in_progress = u64::try_from(core.in_progress.get()).unwrap_or(u64::MAX);
+    let nodes = u64::try_from(directory.nodes.len()).unwrap_or(u64::MAX);
+    vec![
+        figure(
+            "in_progress",
+            "Requests of clients in progress",
+            in_progress,
+        ),
+        figure("running", "Requests at the upstream", load.running.into()),
+        figure("queued", "Requests that wait for it", load.queued.into()),
+        figure("limit", "Requests let run at once", load.limit.into()),
+        figure(
+            "slowdown_percent",
+            "Time that work takes now, in percent of the usual",
+            load.slowdown_percent.into(),
+        ),
+        figure("nodes", "Nodes known, this one included", nodes),
+        figure(
+            "version",
+            "Version of the configuration in force",
+            directory.version().0,
+        ),
+    ]
+}
--- /dev/null
+++ b/src/proxy/operating.rs
@@ -0,0 +1,181 @@
+//! Answers operators' tools on the node's event loop.
+
+use crate::{
+    protocol::{
+        operator_views::{
+            ClassStatus, LinePage, NodeCondition, NodeStatus, PeerStatus, UpstreamStatus,
+        },
+        store::PublicationStore,
+    },
+    proxy::{
+        announcing::{RecordOrder, take_departure},
+        core::ProxyCore,
+        directory::Directory,
+        events::{ProxyEvent, in_millis},
+        publishing::{publish, read_history},
+    },
+    state::{class_counts::ClassCounts, names::ClassName},
+    transport::operators::request::OperatorRequest,
+};
+use flume::{Receiver, Sender};
+use std::rc::Rc;
+use tokio::task::spawn_local;
+
+/// Answers requests until their senders are gone. `orders` takes records of this node to be stored.
+pub async fn answer_operators<S: PublicationStore>(
+    core: Rc<ProxyCore>,
+    store: S,
+    orders: Sender<RecordOrder>,
+    requests: Receiver<OperatorRequest>,
+) {
+    while let Ok(request) = requests.recv_async().await {
+        // A publication waits for the store; other questions need not wait for it.
+        spawn_local(answer(
+            Rc::clone(&core),
+            store.clone(),
+            orders.clone(),
+            request,
+        ));
+    }
+}
+
+/// The asker may have given up meanwhile: a failing `send` on a reply channel is no error.
+async fn answer<S: PublicationStore>(
+    core: Rc<ProxyCore>,
+    store: S,
+    orders: Sender<RecordOrder>,
+    request: OperatorRequest,
+) {
+    match request {
+        OperatorRequest::Status { reply } => {
+            let _ = reply.send(describe_node(&core));
+        }
+        OperatorRequest::Health { reply } => {
+            let _ = reply.send(describe_condition(&core));
+        }
+        OperatorRequest::Lines { from, reply } => {
+            let _ = reply.send(list_lines(&core, from));
+        }
+        OperatorRequest::Drain { reply } => {
+            drain(&core, &orders).await;
+            let _ = reply.send(describe_condition(&core));
+        }
+        OperatorRequest::Publish { request, reply } => {
+            let outcome = publish(&core, &store, &request).await;
+            core.log(&ProxyEvent::PublicationEnded {
+                author: request.author.clone(),
+                outcome: outcome.clone(),
+            });
+            let _ = reply.send(outcome);
+        }
+        OperatorRequest::History { reply } => {
+            let history = read_history(&store).await;
+            let _ = reply.send(history.map_err(|error| error.to_string()));
+        }
+        OperatorRequest::Rejected => core.log(&ProxyEvent::OperatorRejected {}),
+    }
+}
+
+async fn drain(core: &Rc<ProxyCore>, orders: &Sender<RecordOrder>) {
+    let instance = core.own.borrow().current().map(|run| run.instance.clone());
+    if let Some(instance) = instance {
+        take_departure(core, &instance, orders).await;
+    }
+}
+
+fn list_lines(core: &ProxyCore, from: u64) -> LinePage {
+    let oldest = core.lines.oldest_kept();
+    let (lines, next) = core.lines.list_kept(from);
+    LinePage {
+        lines,
+        next,
+        dropped: oldest.saturating_sub(from.max(1)),
+    }
+}
+
+/// Whether the node takes requests, and what its upstream has to do.
+#[must_use]
+pub fn describe_condition(core: &ProxyCore) -> NodeCondition {
+    let load = core.slots.load();
+    let own = core.own.borrow();
+    NodeCondition {
+        ready: core.is_ready(),
+        leaving: own.current().is_some_and(|run| run.leaving),
+        running: load.running,
+        queued: load.queued,
+    }
+}
+
+/// All that a node tells of itself.
+#[must_use]
+pub fn describe_node(core: &ProxyCore) -> NodeStatus {
+    let settings = &core.settings;
+    let directory = core.directory.borrow();
+    let classes = core.classes.borrow();
+    let classes = classes.iter();
+    NodeStatus {
+        node: Some(settings.name.clone()),
+        availability_zone: Some(settings.availability_zone.clone()),
+        service: Some(settings.service.clone()),
+        up_ms: in_millis(core.timers.now().since(core.started)),
+        version: directory.version(),
+        ready: core.is_ready(),
+        stopping: core.is_stopping(),
+        in_progress: core.in_progress.get(),
+        upstream: describe_upstream(core),
+        classes: classes
+            .map(|(class, counts)| describe_class(&directory, class, counts))
+            .collect(),
+        peers: list_peers(core, &directory),
+    }
+}
+
+fn describe_upstream(core: &ProxyCore) -> Option<UpstreamStatus> {
+    let load = core.slots.load();
+    let own = core.own.borrow();
+    let run = own.current()?;
+    Some(UpstreamStatus {
+        instance: run.instance.clone(),
+        leaving: run.leaving,
+        slots: run.slots,
+        limit: load.limit,
+        running: load.running,
+        queued: load.queued,
+        slowdown_percent: load.slowdown_percent,
+        failed_percent: load.failed_percent,
+        probes: core.counters.probes.get(),
+    })
+}
+
+fn describe_class(directory: &Directory, class: &ClassName, counts: &ClassCounts) -> ClassStatus {
+    let routes = directory.routes();
+    let target = routes.and_then(|routes| {
+        let mut all = routes.table().routes.iter();
+        all.find(|route| route.class == *class)
+            .map(|route| in_millis(route.target))
+    });
+    ClassStatus {
+        class: Some(class.clone()),
+        target_ms: target.unwrap_or_default(),
+        requests: counts.requests,
+        answered: counts.answered,
+        on_target: counts.on_target,
+        refused: counts.refused,
+        unknown: counts.unknown,
+        p50_ms: counts.latency.quantile_bound(0.5),
+        p99_ms: counts.latency.quantile_bound(0.99),
+    }
+}
+
+fn list_peers(core: &ProxyCore, directory: &Directory) -> Vec<PeerStatus> {
+    let views = directory.nodes.values();
+    views
+        .filter(|view| view.record.address != core.settings.peers)
+        .map(|view| PeerStatus {
+            node: Some(view.record.name.clone()),
+            operators: view.record.operators,
+            leaving: view.record.leaving,
+            failures: view.failures,
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/proxy/publishing.rs
@@ -0,0 +1,118 @@
+//! Carries out an operator's publication at the node that was asked.
+
+use crate::{
+    coordination::publishing::{
+        PublicationOutcome, PublicationPlan, PublicationRequest, find_outcome, plan_publication,
+    },
+    protocol::{
+        operator_views::HistoryView,
+        store::{ConditionalAppend, PublicationStore, StateStore, StoreError, StoreTopic},
+    },
+    proxy::{core::ProxyCore, directory::StateSource},
+    state::published::PublishedRecord,
+};
+use std::rc::Rc;
+
+/// Rounds of reading, deciding and storing. Each that fails means that another publication came
+/// first, or that the store lost an answer.
+const ROUNDS: u32 = 5;
+
+/// The newest record of the configuration, and where its topic ends.
+struct Newest {
+    record: Option<PublishedRecord>,
+    end: u64,
+}
+
+async fn read_newest<S: StateStore>(store: &S) -> Result<Newest, StoreError> {
+    let records = store.read_newest(StoreTopic::Configuration).await?;
+    let newest = records.records.last().and_then(|last| last.value.as_ref());
+    let record = newest
+        .map(|value| serde_json::from_slice(value))
+        .transpose()
+        .map_err(|_| StoreError::Malformed("published record"))?;
+    Ok(Newest {
+        record,
+        end: records.next,
+    })
+}
+
+/// Publishes, and puts what was accepted in force here; the store brings it to the other nodes.
+///
+/// An answer of the store may be lost after the record was written, so after each failure the record is
+/// looked for by its id before it is stored again.
+pub async fn publish<S: PublicationStore>(
+    core: &Rc<ProxyCore>,
+    store: &S,
+    request: &PublicationRequest,
+) -> PublicationOutcome {
+    let mut unanswered = false;
+    let mut reason = String::new();
+    for _ in 0..ROUNDS {
+        let newest = match read_newest(store).await {
+            Ok(newest) => newest,
+            Err(error) => {
+                reason = error.to_string();
+                continue;
+            }
+        };
+        let plan = plan_publication(newest.record.as_ref(), request, core.timers.wall_millis());
+        let record = match plan {
+            PublicationPlan::Done(outcome) => return outcome,
+            PublicationPlan::Store(record) => record,
+        };
+        match store_record(store, &record, newest.end).await {
+            Ok(ConditionalAppend::Stored) => return accept(core, &record, request),
+            Ok(ConditionalAppend::Overtaken) => {}
+            Err(StoreError::NoAnswer) => {
+                unanswered = true;
+                reason = StoreError::NoAnswer.to_string();
+            }
+            Err(error) => reason = error.to_string(),
+        }
+    }
+    if unanswered {
+        PublicationOutcome::Unknown { reason }
+    } else {
+        PublicationOutcome::NotStored { reason }
+    }
+}
+
+async fn store_record<S: PublicationStore>(
+    store: &S,
+    record: &PublishedRecord,
+    end: u64,
+) -> Result<ConditionalAppend, StoreError> {
+    let value = serde_json::to_vec(record).map_err(|_| StoreError::Malformed("own record"))?;
+    store.append_configuration(&value, end).await
+}
+
+fn accept(
+    core: &Rc<ProxyCore>,
+    record: &PublishedRecord,
+    request: &PublicationRequest,
+) -> PublicationOutcome {
+    let version = record.entry.version;
+    core.take_table(
+        record.configuration.build_table(version),
+        StateSource::Operator,
+    );
+    let accepted = PublicationOutcome::Accepted {
+        version,
+        in_force: version,
+    };
+    find_outcome(record, request.id).unwrap_or(accepted)
+}
+
+/// The publications that the store's newest record tells of.
+///
+/// # Errors
+/// If the store can't be read.
+pub async fn read_history<S: StateStore>(store: &S) -> Result<HistoryView, StoreError> {
+    let Some(record) = read_newest(store).await?.record else {
+        return Ok(HistoryView::default());
+    };
+    Ok(HistoryView {
+        in_force: record.entry.version,
+        publications: record.entries().cloned().collect(),
+    })
+}
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -47,7 +47,7 @@
         Rc::new(PeerEdge::new(Rc::clone(core))),
     ));
     core.log(&ProxyEvent::NodeStarted {
-        node: core.settings.name.clone(),
+        address: core.settings.peers,
         service: core.settings.service.clone(),
     });
     // The sender goes only with the process.
