--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -1,126 +1,198 @@
-//! The configuration that operators publish: services, their classes and budgets.
+//! The configuration that operators publish: services, and classes of work with a target each.
 
 use crate::state::{
-    class::Class,
     names::{ClassName, ServiceName},
+    routing_table::{ClientLimits, Route, RoutingTable, ServiceFacts, WeightedService},
 };
+use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
-use std::time::Duration;
-
-/// Which rule chooses an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum PolicyName {
-    /// Any upstream, evenly.
-    Random,
-    /// Each in turn.
-    RoundRobin,
-    /// The least load by the last report.
-    LeastReported,
-    /// The better of two at random, by the last report.
-    TwoChoices,
-    /// The better of two at random, by a peak-sensitive moving average of latency.
-    #[default]
-    TwoChoicesPeak,
-    /// A pool of recent reports with a hot/cold rule.
-    ProbePool,
-}
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+/// Path on which upstreams answer whether they are well, unless told otherwise.
+const HEALTH_PATH: ArcStr = arcstr::literal!("/health");
+/// Most upstreams that one request may be sent to, unless told otherwise.
+const MAX_ATTEMPTS: u16 = 2;
+/// Weight of a service among those of a class, unless told otherwise.
+const WEIGHT: u32 = 1;
 
-/// The most that measuring upstreams may cost, each a hard limit for one node and one service.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct MeasuringBudget {
-    /// Probes a second.
-    pub probes_per_second: f64,
-    /// Bytes of probes and their answers a second.
-    pub bytes_per_second: f64,
-    /// Probes as a share of the calls this node sends, from 0 to 1.
-    pub capacity_share: f64,
+const fn default_max_attempts() -> u16 {
+    MAX_ATTEMPTS
 }
 
-impl Default for MeasuringBudget {
-    fn default() -> Self {
-        Self {
-            probes_per_second: 5.0,
-            bytes_per_second: 1_000.0,
-            capacity_share: 0.01,
-        }
-    }
+const fn default_weight() -> u32 {
+    WEIGHT
 }
 
-const fn default_retry_share() -> f64 {
-    0.1
+const fn default_health_path() -> ArcStr {
+    HEALTH_PATH
 }
 
+/// Rises with every accepted publication; 0 is the empty configuration before the first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct ConfigurationVersion(pub u64);
+
 /// One service as published.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Service {
-    /// Unique in the configuration; `/NAME/` as path prefix selects the service too.
+pub struct ServiceEntry {
+    /// Unique in the configuration.
     pub name: ServiceName,
-    /// Values of the Host header (without port) that select the service.
-    #[serde(default)]
-    pub hosts: Vec<String>,
-    /// How an upstream is chosen.
-    #[serde(default)]
-    pub policy: PolicyName,
-    /// What measuring may cost.
+    /// Path on which its upstreams answer whether they are well, and with what load.
+    #[serde(default = "default_health_path")]
+    pub health_path: ArcStr,
+}
+
+/// One of the services that share the requests of a class.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceShare {
+    /// The service.
+    pub name: ServiceName,
+    /// Its part of the sum of all weights.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+/// One class of work as published: which requests belong to it, and what is promised to them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassEntry {
+    /// Unique in the configuration.
+    pub name: ClassName,
+    /// Value of the Host header, without port.
+    pub host: ArcStr,
+    /// Start of the path; begins and ends with a slash. The longest prefix that fits decides.
+    pub path_prefix: ArcStr,
+    /// Where its requests go; never empty.
+    pub services: Vec<ServiceShare>,
+    /// Whether running a request twice does no harm.
+    pub idempotent: bool,
+    /// Time within which 99 in 100 are to be answered, in milliseconds.
+    pub target_ms: u32,
+    /// Longest time that a caller is kept waiting, in milliseconds.
+    pub timeout_ms: u32,
+    /// Rank among the classes of a service; 0 is served first.
     #[serde(default)]
-    pub measuring: MeasuringBudget,
-    /// Second attempts as a share of calls, from 0 to 1.
-    #[serde(default = "default_retry_share")]
-    pub retry_share: f64,
-    /// Classes, in the order in which their rules are tried.
-    pub classes: Vec<Class>,
+    pub priority: u8,
+    /// Most upstreams that one request may be sent to.
+    #[serde(default = "default_max_attempts")]
+    pub max_attempts: u16,
 }
 
-impl Service {
-    /// A service without classes, all else at its default.
+/// The whole published content.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Configuration {
+    /// All services.
+    pub services: Vec<ServiceEntry>,
+    /// All classes of work.
+    pub classes: Vec<ClassEntry>,
+}
+
+impl Configuration {
+    /// The routing table that nodes put in force.
     #[must_use]
-    pub fn named(name: ServiceName) -> Self {
-        Self {
-            name,
-            hosts: Vec::new(),
-            policy: PolicyName::default(),
-            measuring: MeasuringBudget::default(),
-            retry_share: default_retry_share(),
-            classes: Vec::new(),
+    pub fn build_table(&self, version: ConfigurationVersion) -> RoutingTable {
+        let facts = |service: &ServiceEntry| ServiceFacts {
+            name: service.name.clone(),
+            health_path: service.health_path.clone(),
+        };
+        RoutingTable {
+            version,
+            routes: self.classes.iter().map(build_route).map(Rc::new).collect(),
+            services: self.services.iter().map(facts).collect(),
+            limits: ClientLimits::default(),
         }
     }
 
-    /// The shortest target time of its classes.
+    /// What differs from an earlier configuration, one line a change.
     #[must_use]
-    pub fn strictest_target(&self) -> Duration {
-        let targets = self.classes.iter().map(|class| class.target.latency());
-        targets.min().unwrap_or_default()
+    pub fn list_changes(&self, earlier: &Self) -> Vec<String> {
+        let mut changes = list_service_changes(self, earlier);
+        changes.extend(list_class_changes(self, earlier));
+        changes
     }
+}
 
-    /// The class of that name.
-    #[must_use]
-    pub fn find_class(&self, name: &ClassName) -> Option<&Class> {
-        self.classes.iter().find(|class| class.name == *name)
+fn build_route(class: &ClassEntry) -> Route {
+    let part = |share: &ServiceShare| WeightedService {
+        service: share.name.clone(),
+        weight: share.weight,
+    };
+    Route {
+        class: class.name.clone(),
+        host: class.host.to_ascii_lowercase().into(),
+        path_prefix: class.path_prefix.clone(),
+        idempotent: class.idempotent,
+        timeout: Duration::from_millis(class.timeout_ms.into()),
+        target: Duration::from_millis(class.target_ms.into()),
+        priority: class.priority,
+        max_attempts: class.max_attempts,
+        services: class.services.iter().map(part).collect(),
     }
 }
 
-/// The whole published content.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Configuration {
-    /// All services.
-    pub services: Vec<Service>,
+fn list_service_changes(newer: &Configuration, earlier: &Configuration) -> Vec<String> {
+    let by_name = |configuration: &Configuration| -> BTreeMap<ServiceName, ServiceEntry> {
+        let services = configuration.services.iter();
+        services
+            .map(|entry| (entry.name.clone(), entry.clone()))
+            .collect()
+    };
+    let (newer, earlier) = (by_name(newer), by_name(earlier));
+    let mut changes = Vec::new();
+    for (name, entry) in &newer {
+        match earlier.get(name) {
+            None => changes.push(format!("service {name} added")),
+            Some(before) if before != entry => changes.push(format!(
+                "service {name}: health_path {} instead of {}",
+                entry.health_path, before.health_path
+            )),
+            Some(_) => {}
+        }
+    }
+    let dropped = earlier.keys().filter(|name| !newer.contains_key(name));
+    changes.extend(dropped.map(|name| format!("service {name} dropped")));
+    changes
 }
 
-impl Configuration {
-    /// The service of that name.
-    #[must_use]
-    pub fn find_service(&self, name: &ServiceName) -> Option<&Service> {
-        self.services.iter().find(|service| service.name == *name)
+fn list_class_changes(newer: &Configuration, earlier: &Configuration) -> Vec<String> {
+    let by_name = |configuration: &Configuration| -> BTreeMap<ClassName, ClassEntry> {
+        let classes = configuration.classes.iter();
+        classes
+            .map(|entry| (entry.name.clone(), entry.clone()))
+            .collect()
+    };
+    let (newer, earlier) = (by_name(newer), by_name(earlier));
+    let mut changes = Vec::new();
+    for (name, entry) in &newer {
+        match earlier.get(name) {
+            None => changes.push(format!("class {name} added")),
+            Some(before) => changes.extend(list_fields(name, entry, before)),
+        }
     }
+    let dropped = earlier.keys().filter(|name| !newer.contains_key(name));
+    changes.extend(dropped.map(|name| format!("class {name} dropped")));
+    changes
 }
 
-/// A count of accepted publications; 0 is the empty configuration before the first.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct ConfigurationVersion(pub u64);
+fn list_fields(name: &ClassName, entry: &ClassEntry, before: &ClassEntry) -> Vec<String> {
+    let fields = |entry: &ClassEntry| {
+        // The type holds nothing that JSON can't.
+        let value = serde_json::to_value(entry).unwrap_or_default();
+        value.as_object().cloned().unwrap_or_default()
+    };
+    let (after, before) = (fields(entry), fields(before));
+    let changed = after
+        .iter()
+        .filter(|(key, value)| before.get(*key) != Some(*value));
+    changed
+        .map(|(key, value)| match before.get(key) {
+            Some(old) => format!("class {name}: {key} {value} instead of {old}"),
+            None => format!("class {name}: {key} {value}"),
+        })
+        .collect()
+}
--- a/src/state/latency_buckets.rs
+++ b/src/state/latency_buckets.rs
@@ -11,12 +11,14 @@
 pub struct LatencyBuckets {
     within: [u64; BOUNDS_MS.len()],
     all: u64,
+    sum: Duration,
 }
 
 impl LatencyBuckets {
     /// Counts a time.
     pub fn observe(&mut self, took: Duration) {
         self.all += 1;
+        self.sum = self.sum.saturating_add(took);
         for (bound, count) in BOUNDS_MS.iter().zip(&mut self.within) {
             if took <= Duration::from_millis(*bound) {
                 *count += 1;
@@ -29,6 +31,48 @@
         BOUNDS_MS.into_iter().zip(self.within)
     }
 
+    /// Sum of all times in seconds.
+    #[must_use]
+    pub fn sum_seconds(&self) -> f64 {
+        self.sum.as_secs_f64()
+    }
+
+    /// Bounds in seconds with the times that lie above the bound before; the last bound is infinite.
+    #[must_use]
+    pub fn list_apart(&self) -> Vec<(f64, u64)> {
+        let mut below = 0;
+        let mut apart = Vec::new();
+        for (bound, count) in self.list() {
+            apart.push((Duration::from_millis(bound).as_secs_f64(), count - below));
+            below = count;
+        }
+        apart.push((f64::MAX, self.all - below));
+        apart
+    }
+
+    /// Adds the counts of another.
+    pub fn add(&mut self, other: &Self) {
+        self.all += other.all;
+        self.sum = self.sum.saturating_add(other.sum);
+        for (count, more) in self.within.iter_mut().zip(other.within) {
+            *count += more;
+        }
+    }
+
+    /// The least bound that this share of the times lies within, in milliseconds; none if they lie above
+    /// the last one, or if there are none.
+    #[must_use]
+    pub fn quantile_bound(&self, share: f64) -> Option<u64> {
+        #[expect(clippy::cast_precision_loss, reason = "counts stay below 2^52")]
+        let wanted = self.all as f64 * share;
+        #[expect(clippy::cast_precision_loss, reason = "counts stay below 2^52")]
+        let mut reached = self.list().filter(|(_, count)| *count as f64 >= wanted);
+        reached
+            .next()
+            .filter(|_| self.all > 0)
+            .map(|(bound, _)| bound)
+    }
+
     /// Count of all times.
     #[must_use]
     pub fn all(&self) -> u64 {
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -29,6 +29,9 @@
     pub slots: u16,
     /// The upstream has said that it leaves.
     pub leaving: bool,
+    /// Where operators' tools reach the node, if they can.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub operators: Option<SocketAddr>,
 }
 
 /// A record with its place in the order in which the store took the records.
--- a/src/state/published.rs
+++ b/src/state/published.rs
@@ -1,156 +1,50 @@
-//! What folding the platform's log in its order gives: the same state at every reader.
+//! What the store holds of a publication: the whole configuration and who published what before.
 
-mod changes;
-mod memberships;
-mod publications;
-
-pub use changes::{Change, FieldChange, compare_configurations};
-pub use memberships::{MembershipEffect, Memberships};
-pub use publications::{PublicationEntry, Publications, Verdict};
-
-use crate::state::{
-    configuration::{Configuration, ConfigurationVersion},
-    log_record::{DecodeError, LogRecord, LogRecordKind, Offset},
-    member::Member,
-    names::ServiceName,
-    ownership::OwnershipEpoch,
-};
+use crate::state::configuration::{Configuration, ConfigurationVersion};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-
-/// State after every record below [`FoldedState::next`].
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct FoldedState {
-    next: Offset,
-    publications: Publications,
-    memberships: Memberships,
-    epochs: BTreeMap<ServiceName, OwnershipEpoch>,
-    /// Records of newer versions that were not understood. A state with such gaps is the worse
-    /// base for a reader that would have understood them.
-    #[serde(default)]
-    skipped: u64,
+use uuid::Uuid;
+
+/// Publications that a record tells of besides its own. A publisher whose answer was lost looks for its
+/// own among them; more than this many others will not have published meanwhile.
+const REMEMBERED: usize = 32;
+
+/// One accepted publication.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublicationEntry {
+    /// Identity that the publisher gave it.
+    pub id: Uuid,
+    /// The version that it became.
+    pub version: ConfigurationVersion,
+    /// Who published it.
+    pub author: String,
+    /// Why.
+    pub note: String,
+    /// When, by the clock of the node that took it, in milliseconds since the Unix epoch.
+    pub published_ms: u64,
+    /// What it changed, one line each.
+    pub changes: Vec<String>,
 }
 
-/// A record at its place in the log.
-#[derive(Clone, Debug, PartialEq)]
-pub struct LogEntry {
-    /// Its position.
-    pub offset: Offset,
-    /// The log's time of storing, in milliseconds since 1970.
-    pub time_ms: u64,
-    /// The record, if it could be read.
-    pub record: Result<LogRecord, DecodeError>,
+/// The newest record of the configuration.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PublishedRecord {
+    /// How it came about.
+    pub entry: PublicationEntry,
+    /// The whole content.
+    pub configuration: Configuration,
+    /// Publications before it, the newest first.
+    pub earlier: Vec<PublicationEntry>,
 }
 
-/// What folding one record did.
-#[derive(Clone, Debug, PartialEq)]
-pub enum FoldEffect {
-    /// The record lies below what was folded before.
-    AlreadyFolded,
-    /// A publication was accepted or found in conflict.
-    Publication(PublicationEntry),
-    /// A publication whose id was folded before.
-    DuplicatePublication,
-    /// A node's record changed the members or was out of date.
-    Membership(MembershipEffect),
-    /// The owners of a service's keys changed.
-    EpochAccepted(OwnershipEpoch),
-    /// Another epoch with that number came first.
-    EpochRejected(OwnershipEpoch),
-    /// A snapshot, which changes nothing for a reader that follows the log.
-    SnapshotSeen {
-        /// Everything below this offset is in the snapshot.
-        next: Offset,
-    },
-    /// A record that could not be read.
-    Skipped(DecodeError),
-}
-
-impl FoldedState {
-    /// Everything below this offset is folded.
-    #[must_use]
-    pub fn next(&self) -> Offset {
-        self.next
-    }
-
-    /// The version in force; 0 before the first publication.
-    #[must_use]
-    pub fn version(&self) -> ConfigurationVersion {
-        self.publications.version()
+impl PublishedRecord {
+    /// All publications that are remembered, the newest first.
+    pub fn entries(&self) -> impl Iterator<Item = &PublicationEntry> {
+        std::iter::once(&self.entry).chain(&self.earlier)
     }
 
-    /// The configuration in force.
+    /// The publications that the next record is to remember.
     #[must_use]
-    pub fn configuration(&self) -> &Configuration {
-        self.publications.content()
-    }
-
-    /// Publications, as far as they are remembered.
-    #[must_use]
-    pub fn publications(&self) -> &Publications {
-        &self.publications
-    }
-
-    /// Nodes that have joined and not left, by name.
-    pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.memberships.present()
-    }
-
-    /// Joins and leaves.
-    #[must_use]
-    pub fn memberships(&self) -> &Memberships {
-        &self.memberships
-    }
-
-    /// The last accepted epoch of each service that has one.
-    #[must_use]
-    pub fn epochs(&self) -> &BTreeMap<ServiceName, OwnershipEpoch> {
-        &self.epochs
-    }
-
-    /// How many records of newer versions were skipped.
-    #[must_use]
-    pub fn skipped(&self) -> u64 {
-        self.skipped
-    }
-
-    /// Folds the next record. Depends on nothing but the state and the entry.
-    pub fn apply(&mut self, entry: LogEntry) -> FoldEffect {
-        if entry.offset < self.next {
-            return FoldEffect::AlreadyFolded;
-        }
-        self.next = entry.offset.next();
-        let LogRecord { id, kind } = match entry.record {
-            Ok(record) => record,
-            Err(error) => {
-                self.skipped += u64::from(matches!(error, DecodeError::Newer { .. }));
-                return FoldEffect::Skipped(error);
-            }
-        };
-        match kind {
-            LogRecordKind::Publish(publication) => {
-                let folded = self
-                    .publications
-                    .fold(entry.offset, entry.time_ms, id, publication);
-                folded.map_or(FoldEffect::DuplicatePublication, FoldEffect::Publication)
-            }
-            LogRecordKind::Snapshot(snapshot) => FoldEffect::SnapshotSeen {
-                next: snapshot.state.next,
-            },
-            LogRecordKind::Join(member) => FoldEffect::Membership(self.memberships.join(member)),
-            LogRecordKind::Leave(leave) => FoldEffect::Membership(self.memberships.leave(leave)),
-            LogRecordKind::OwnershipEpoch(epoch) => self.fold_epoch(epoch),
-        }
-    }
-
-    /// The first of two proposals with one number wins, in log order.
-    fn fold_epoch(&mut self, epoch: OwnershipEpoch) -> FoldEffect {
-        let current = self.epochs.get(&epoch.service);
-        let current = current.map(|epoch| epoch.epoch).unwrap_or_default();
-        if epoch.epoch != current.next() {
-            return FoldEffect::EpochRejected(epoch);
-        }
-        self.epochs.insert(epoch.service.clone(), epoch.clone());
-        FoldEffect::EpochAccepted(epoch)
+    pub fn list_for_next(&self) -> Vec<PublicationEntry> {
+        self.entries().take(REMEMBERED).cloned().collect()
     }
 }
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -71,16 +71,21 @@
 /// Bounds on what clients send and how long they take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClientLimits {
-    /// Largest head in bytes.
-    pub head_bytes: usize,
     /// Largest body in bytes.
     pub body_bytes: usize,
-    /// Time in which a head must be complete.
-    pub head_timeout: Duration,
     /// Time that a connection may be idle.
     pub idle_timeout: Duration,
 }
 
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes: 8 * 1024 * 1024,
+            idle_timeout: Duration::from_secs(15),
+        }
+    }
+}
+
 /// A whole configuration as nodes pass it on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoutingTable {
--- a/src/timers.rs
+++ b/src/timers.rs
@@ -12,15 +12,22 @@
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
+/// Milliseconds since the Unix epoch.
+///
+/// NB: the wall clock may step in either direction. It is for people; spans and deadlines are measured
+/// with [`TimerService::now`].
+#[must_use]
+pub fn read_wall_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |span| {
+        u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 /// Where the time comes from.
 enum Clock {
-    System {
-        start: Instant,
-        wall_ahead: Duration,
-    },
-    Fake {
-        now: Moment,
-    },
+    System { start: Instant },
+    Fake { now: Moment },
 }
 
 struct Subscription {
@@ -61,7 +68,7 @@
 impl Shared {
     fn now(&self) -> Moment {
         match &self.clock {
-            Clock::System { start, .. } => Moment::default() + start.elapsed(),
+            Clock::System { start } => Moment::default() + start.elapsed(),
             Clock::Fake { now } => *now,
         }
     }
@@ -103,16 +110,8 @@
     /// A service on the system's monotonic clock, with a thread of its own.
     #[must_use]
     pub fn system() -> Self {
-        Self::system_ahead(Duration::ZERO)
-    }
-
-    /// Like [`Self::system`], with a wall clock that is `wall_ahead` of the system's: for tests of
-    /// what VMs whose clocks disagree make of each other.
-    #[must_use]
-    pub fn system_ahead(wall_ahead: Duration) -> Self {
         let service = Self::with_clock(Clock::System {
             start: Instant::now(),
-            wall_ahead,
         });
         let inner = Arc::clone(&service.inner);
         thread::spawn(move || run_system_timers(&inner));
@@ -150,16 +149,11 @@
 
     /// Milliseconds since the Unix epoch; with a fake clock, since the clock's start.
     ///
-    /// NB: the wall clock may step in either direction. It is for people and for logical clocks;
-    /// spans and deadlines are measured with [`Self::now`].
+    /// NB: see [`read_wall_millis`].
     #[must_use]
     pub fn wall_millis(&self) -> u64 {
         match &self.lock().clock {
-            Clock::System { wall_ahead, .. } => SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |span| {
-                    u64::try_from((span + *wall_ahead).as_millis()).unwrap_or(u64::MAX)
-                }),
+            Clock::System { .. } => read_wall_millis(),
             Clock::Fake { now } => now.0 / 1_000,
         }
     }
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -52,6 +52,11 @@
 
     /// Whether kept connections are to be closed after the next answer.
     fn is_stopping(&self) -> bool;
+
+    /// Bounds in force now, given the ones that the server was started with.
+    fn limits(&self, started_with: CallerLimits) -> CallerLimits {
+        started_with
+    }
 }
 
 /// Bounds on what callers may use.
@@ -163,8 +168,9 @@
         let body = if incoming.is_end_stream() {
             Bytes::new()
         } else {
-            let timeout = self.timers.after(self.limits.body_timeout);
-            let read = read_body(incoming, self.limits.body, timeout).await;
+            let limits = self.handler.limits(self.limits);
+            let timeout = self.timers.after(limits.body_timeout);
+            let read = read_body(incoming, limits.body, timeout).await;
             read.map_err(refuse_body)?
         };
         Ok(CallerRequest {
@@ -215,7 +221,7 @@
         let server = Rc::clone(&server);
         async move { Ok::<_, Infallible>(server.answer(req, too_many).await) }
     });
-    let limits = server.limits;
+    let limits = server.handler.limits(server.limits);
     let ended = http1::Builder::new()
         .timer(TokioTimer::new())
         .auto_date_header(false)
--- a/src/transport/operators/answer.rs
+++ b/src/transport/operators/answer.rs
@@ -12,7 +12,7 @@
     #[error("the Authorization header needs the operators' token: `Bearer TOKEN`")]
     Unauthorized,
     /// No such path.
-    #[error("no such path; there are /status, /events, /health, /drain and /upstream")]
+    #[error("no such path; there are /status, /log, /health, /drain, /configuration and /history")]
     NotFound,
     /// A known path with another method.
     #[error("this path takes {0} only")]
@@ -34,6 +34,9 @@
     /// The event loop did not answer in time.
     #[error("the node did not answer in time")]
     Busy,
+    /// The store can't be read.
+    #[error("the store can't be read: {0}")]
+    StoreAway(String),
     /// The event loop is gone.
     #[error("the node is stopping")]
     Stopping,
@@ -48,7 +51,7 @@
             Self::BadParameter { .. } | Self::BadBody(_) => 400,
             Self::BodyTooLarge(_) => 413,
             Self::Busy => 504,
-            Self::Stopping => 503,
+            Self::Stopping | Self::StoreAway(_) => 503,
         }
     }
 }
--- a/src/transport/operators/client.rs
+++ b/src/transport/operators/client.rs
@@ -1,26 +1,29 @@
 //! The client of operators' tools: one question to one node.
 
 use crate::{
-    events::view::{EventPage, EventQuery},
+    coordination::publishing::{PublicationOutcome, PublicationRequest},
     options::{access::OperatorAccess, secret::Secret},
-    protocol::operator_views::{NodeCondition, NodeStatus, OperatorProblem},
+    protocol::operator_views::{HistoryView, LinePage, NodeCondition, NodeStatus, OperatorProblem},
 };
-use attohttpc::{RequestBuilder, Response};
+use attohttpc::{ErrorKind, RequestBuilder, Response, body::Body};
 use serde::de::DeserializeOwned;
-use std::{net::SocketAddr, time::Duration};
+use std::{io, net::SocketAddr, time::Duration};
 use thiserror::Error;
 
 /// Longest wait for a connection to a node.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Longest wait for a whole answer; nodes give up after two seconds themselves.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest wait for a whole answer; nodes give up on a publication after 15 seconds themselves.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(17);
 
 /// Why a node did not answer a question.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum AskError {
-    /// No connection, or it broke.
+    /// No connection could be opened: the question did not reach the node.
     #[error("not reached: {0}")]
     Unreached(String),
+    /// The connection broke, or no answer came in time; the node may have done what it was asked.
+    #[error("no answer: {0}")]
+    Cut(String),
     /// The node refused.
     #[error("refused with status {status}: {problem}")]
     Refused {
@@ -57,23 +60,36 @@
         self.send(attohttpc::get(format!("http://{node}/status")))
     }
 
-    /// One page of a node's events.
+    /// Lines of a node's log from a number on.
     ///
     /// # Errors
     /// If the node is not reached, refuses or answers something else.
-    pub fn fetch_events(
+    pub fn fetch_lines(&self, node: SocketAddr, from: u64) -> Result<LinePage, AskError> {
+        self.send(attohttpc::get(format!("http://{node}/log")).param("from", from))
+    }
+
+    /// The publications that are remembered.
+    ///
+    /// # Errors
+    /// If the node is not reached, refuses or answers something else.
+    pub fn fetch_history(&self, node: SocketAddr) -> Result<HistoryView, AskError> {
+        self.send(attohttpc::get(format!("http://{node}/history")))
+    }
+
+    /// Has a node publish a configuration.
+    ///
+    /// # Errors
+    /// If the node is not reached, refuses or answers something else; it may have published all the same.
+    pub fn publish(
         &self,
         node: SocketAddr,
-        query: &EventQuery,
-    ) -> Result<EventPage, AskError> {
-        let mut req = attohttpc::get(format!("http://{node}/events"))
-            .param("since", query.since)
-            .param("severity", query.severity.as_str())
-            .param("limit", query.limit);
-        if let Some(call) = query.call {
-            req = req.param("call", call);
-        }
-        self.send(req)
+        request: &PublicationRequest,
+    ) -> Result<PublicationOutcome, AskError> {
+        let url = format!("http://{node}/configuration");
+        let body = attohttpc::post(url)
+            .json(request)
+            .map_err(|error| AskError::Unreadable(error.to_string()))?;
+        self.send(body)
     }
 
     /// Tells a node to take no new work.
@@ -84,18 +100,32 @@
         self.send(attohttpc::post(format!("http://{node}/drain")))
     }
 
-    fn send<T: DeserializeOwned>(&self, req: RequestBuilder) -> Result<T, AskError> {
+    fn send<T: DeserializeOwned, B: Body>(&self, req: RequestBuilder<B>) -> Result<T, AskError> {
         let res = req
             .bearer_auth(self.token.expose())
             .connect_timeout(CONNECT_TIMEOUT)
             .timeout(ANSWER_TIMEOUT)
             .follow_redirects(false)
             .send()
-            .map_err(|error| AskError::Unreached(error.to_string()))?;
+            .map_err(|error| sort_error(&error))?;
         read_answer(res)
     }
 }
 
+/// Only a failure to connect proves that the node was not asked.
+fn sort_error(error: &attohttpc::Error) -> AskError {
+    let unconnected = match error.kind() {
+        ErrorKind::ConnectError { .. } | ErrorKind::ConnectNotSupported => true,
+        ErrorKind::Io(cause) => cause.kind() == io::ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    if unconnected {
+        AskError::Unreached(error.to_string())
+    } else {
+        AskError::Cut(error.to_string())
+    }
+}
+
 fn read_answer<T: DeserializeOwned>(res: Response) -> Result<T, AskError> {
     let status = res.status();
     if status.is_success() {
--- a/src/transport/operators/request.rs
+++ b/src/transport/operators/request.rs
@@ -1,8 +1,8 @@
 //! Questions from the operators' server to the event loop.
 
 use crate::{
-    events::view::{EventPage, EventQuery},
-    protocol::operator_views::{NodeCondition, NodeStatus, UpstreamAnnouncement},
+    coordination::publishing::{PublicationOutcome, PublicationRequest},
+    protocol::operator_views::{HistoryView, LinePage, NodeCondition, NodeStatus},
 };
 use flume::Sender;
 
@@ -16,29 +16,34 @@
         /// Takes the answer.
         reply: Sender<NodeStatus>,
     },
-    /// Whether the node takes calls.
+    /// Whether the node takes requests.
     Health {
         /// Takes the answer.
         reply: Sender<NodeCondition>,
     },
-    /// Recorded events.
-    Events {
-        /// Which.
-        query: EventQuery,
+    /// Lines of the log that the node keeps.
+    Lines {
+        /// Number of the first one.
+        from: u64,
         /// Takes the answer.
-        reply: Sender<EventPage>,
+        reply: Sender<LinePage>,
     },
-    /// Take no new work and finish what there is.
+    /// Have the upstream take no new work and finish what there is.
     Drain {
         /// Takes the answer.
         reply: Sender<NodeCondition>,
     },
-    /// The upstream tells of itself.
-    Announce {
-        /// What it says.
-        announcement: UpstreamAnnouncement,
+    /// Put a configuration in force.
+    Publish {
+        /// What to publish.
+        request: Box<PublicationRequest>,
         /// Takes the answer.
-        reply: Sender<NodeCondition>,
+        reply: Sender<PublicationOutcome>,
+    },
+    /// The publications that are remembered.
+    History {
+        /// Takes the answer, or why the store can't be read.
+        reply: Sender<Result<HistoryView, String>>,
     },
     /// A request without a valid token was turned away.
     Rejected,
--- a/src/transport/operators/server.rs
+++ b/src/transport/operators/server.rs
@@ -1,14 +1,9 @@
 //! The server itself: paths, limits and the wait for the event loop.
 
 use crate::{
-    events::{
-        reasons::Severity,
-        view::{EventPage, EventQuery},
-    },
-    protocol::{
-        attempt::CallId,
-        operator_views::{NodeCondition, UpstreamAnnouncement},
-    },
+    coordination::publishing::{PublicationOutcome, PublicationRequest},
+    options::checked_file::validate_configuration,
+    protocol::operator_views::{HistoryView, LinePage, NodeCondition},
     transport::operators::{
         answer::{OperatorError, build_response},
         request::OperatorRequest,
@@ -17,23 +12,17 @@
 };
 use flume::{RecvTimeoutError, Sender};
 use rouille::{Request, Response};
-use std::{
-    io::Read,
-    net::{IpAddr, SocketAddr},
-    sync::mpsc,
-    thread::JoinHandle,
-    time::Duration,
-};
+use std::{io::Read, net::SocketAddr, sync::mpsc, thread::JoinHandle, time::Duration};
 use thiserror::Error;
 
 /// Threads that serve operators' connections.
 const SERVER_THREADS: usize = 4;
 /// Longest wait for the event loop.
 const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
-/// Largest body of a request, in bytes.
-const OPERATOR_BODY_LIMIT: usize = 16 * 1024;
-/// Events in one answer, unless fewer are asked for.
-const EVENT_PAGE_LIMIT: usize = 5_000;
+/// Longest wait for a publication, which may take the store several tries.
+const PUBLICATION_TIMEOUT: Duration = Duration::from_secs(15);
+/// Largest body of a request, in bytes: a configuration of a hundred services has some 100 KB.
+const OPERATOR_BODY_LIMIT: usize = 1024 * 1024;
 
 /// The server could not be started.
 #[derive(Debug, Error)]
@@ -54,14 +43,14 @@
 }
 
 impl OperatorServer {
-    /// Stops taking requests and waits for the server's thread.
-    pub fn stop(mut self) {
-        self.end();
+    /// Tells the server's thread to end, which takes up to a second; dropping the server waits for it.
+    pub fn request_stop(&self) {
+        // The thread may have ended by itself; then there is nobody to tell.
+        let _ = self.stop.send(());
     }
 
     fn end(&mut self) {
-        // The thread may have ended by itself; then there is nobody to tell.
-        let _ = self.stop.send(());
+        self.request_stop();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -122,19 +111,19 @@
                 let ask = |reply| OperatorRequest::Health { reply };
                 build_response(&check_method(req, "GET").and_then(|()| self.ask(ask)))
             }
-            "/events" => build_response(&self.find_events(req)),
+            "/log" => build_response(&self.find_lines(req)),
+            "/configuration" => build_response(&self.publish(req)),
+            "/history" => build_response(&self.find_history(req)),
             "/drain" => {
                 let ask = |reply| OperatorRequest::Drain { reply };
                 build_response(&check_method(req, "POST").and_then(|()| self.ask(ask)))
             }
-            "/upstream" => build_response(&self.announce(req)),
             _ => build_response::<NodeCondition>(&Err(OperatorError::NotFound)),
         }
     }
 
     fn authorize(&self, req: &Request, path: &str) -> Result<(), OperatorError> {
-        let open = path == "/health" || (path == "/upstream" && is_loopback(req));
-        if open || self.token.accepts(req.header("Authorization")) {
+        if path == "/health" || self.token.accepts(req.header("Authorization")) {
             return Ok(());
         }
         // The event loop records this; if it is too busy to, the caller is turned away all the same.
@@ -142,22 +131,39 @@
         Err(OperatorError::Unauthorized)
     }
 
-    fn find_events(&self, req: &Request) -> Result<EventPage, OperatorError> {
+    fn find_lines(&self, req: &Request) -> Result<LinePage, OperatorError> {
         check_method(req, "GET")?;
-        let query = read_event_query(req)?;
-        self.ask(|reply| OperatorRequest::Events { query, reply })
+        let from = read_parameter(req, "from", "the number of a line")?.unwrap_or(0);
+        self.ask(|reply| OperatorRequest::Lines { from, reply })
     }
 
-    fn announce(&self, req: &Request) -> Result<NodeCondition, OperatorError> {
+    /// NB: checked here as well as by the tool: every node takes what the store holds.
+    fn publish(&self, req: &Request) -> Result<PublicationOutcome, OperatorError> {
         check_method(req, "POST")?;
-        let announcement = read_announcement(req)?;
-        self.ask(|reply| OperatorRequest::Announce {
-            announcement,
-            reply,
-        })
+        let request = read_publication(req)?;
+        validate_configuration("configuration", &request.configuration)
+            .map_err(|findings| OperatorError::BadBody(findings.to_string()))?;
+        let request = Box::new(request);
+        let build = |reply| OperatorRequest::Publish { request, reply };
+        self.ask_within(PUBLICATION_TIMEOUT, build)
+    }
+
+    fn find_history(&self, req: &Request) -> Result<HistoryView, OperatorError> {
+        check_method(req, "GET")?;
+        let build = |reply| OperatorRequest::History { reply };
+        let answer = self.ask_within(PUBLICATION_TIMEOUT, build)?;
+        answer.map_err(OperatorError::StoreAway)
     }
 
     fn ask<T>(&self, build: impl FnOnce(Sender<T>) -> OperatorRequest) -> Result<T, OperatorError> {
+        self.ask_within(REPLY_TIMEOUT, build)
+    }
+
+    fn ask_within<T>(
+        &self,
+        limit: Duration,
+        build: impl FnOnce(Sender<T>) -> OperatorRequest,
+    ) -> Result<T, OperatorError> {
         let (reply, rx) = flume::bounded(1);
         self.tx
             .send_timeout(build(reply), REPLY_TIMEOUT)
@@ -165,21 +171,13 @@
                 flume::SendTimeoutError::Timeout(_) => OperatorError::Busy,
                 flume::SendTimeoutError::Disconnected(_) => OperatorError::Stopping,
             })?;
-        rx.recv_timeout(REPLY_TIMEOUT).map_err(|error| match error {
+        rx.recv_timeout(limit).map_err(|error| match error {
             RecvTimeoutError::Timeout => OperatorError::Busy,
             RecvTimeoutError::Disconnected => OperatorError::Stopping,
         })
     }
 }
 
-/// Whether the request comes from the node's own VM, where its upstream runs.
-fn is_loopback(req: &Request) -> bool {
-    match req.remote_addr().ip() {
-        IpAddr::V4(address) => address.is_loopback(),
-        IpAddr::V6(address) => address.to_canonical().is_loopback(),
-    }
-}
-
 fn check_method(req: &Request, allowed: &'static str) -> Result<(), OperatorError> {
     if req.method() == allowed {
         Ok(())
@@ -188,18 +186,6 @@
     }
 }
 
-fn read_event_query(req: &Request) -> Result<EventQuery, OperatorError> {
-    let since = read_parameter(req, "since", "a sequence number")?;
-    let call = read_parameter(req, "call", "the identity of a call, a UUID")?;
-    let limit: Option<usize> = read_parameter(req, "limit", "a number of events")?;
-    Ok(EventQuery {
-        since: since.unwrap_or(0),
-        call: call.map(CallId),
-        severity: read_severity(req)?,
-        limit: limit.unwrap_or(EVENT_PAGE_LIMIT).min(EVENT_PAGE_LIMIT),
-    })
-}
-
 fn read_parameter<T: std::str::FromStr>(
     req: &Request,
     name: &'static str,
@@ -211,17 +197,7 @@
         .map_err(|_| OperatorError::BadParameter { name, expected })
 }
 
-fn read_severity(req: &Request) -> Result<Severity, OperatorError> {
-    let text = req.get_param("severity");
-    text.as_deref()
-        .map_or(Some(Severity::Debug), Severity::from_name)
-        .ok_or(OperatorError::BadParameter {
-            name: "severity",
-            expected: "debug, info, warning or error",
-        })
-}
-
-fn read_announcement(req: &Request) -> Result<UpstreamAnnouncement, OperatorError> {
+fn read_publication(req: &Request) -> Result<PublicationRequest, OperatorError> {
     let bad_body = |cause: &dyn ToString| OperatorError::BadBody(cause.to_string());
     let mut body = Vec::new();
     let data = req.data().ok_or_else(|| bad_body(&"it was read already"))?;
--- a/stand-ins/src/lib.rs
+++ b/stand-ins/src/lib.rs
@@ -1,5 +1,5 @@
-//! Stand-ins for the systems that camphorturn meets: the platform's log service and upstreams.
+//! Stand-ins for the systems that camphorturn meets: the platform's store and upstreams.
 
-pub mod log_service;
-pub mod platform;
+pub mod http;
+pub mod store;
 pub mod upstream;
--- a/stand-ins/src/platform/store.rs
+++ b/stand-ins/src/store.rs
@@ -1,6 +1,6 @@
 //! The platform's metadata store: keyed topics of one partition, newest records, long reads.
 
-use crate::platform::http::{PlainRequest, build_answer, read_request, write_all};
+use crate::http::{PlainRequest, build_answer, read_request, write_all};
 use bytes::Bytes;
 use serde_json::json;
 use std::{
@@ -52,13 +52,13 @@
 }
 
 /// A store on a free port of the loopback address, run by tasks of the present event loop.
-pub struct PlatformStore {
+pub struct StandInStore {
     /// Where it listens.
     pub address: SocketAddr,
     state: Rc<State>,
 }
 
-impl PlatformStore {
+impl StandInStore {
     /// Starts an empty store.
     ///
     /// # Errors
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -1,304 +1,444 @@
-//! An HTTP/1.1 server with a fixed number of slots and the failures of real ones on demand.
-//!
-//! Any method and path is a call, but for `GET /health`, which answers at once and is not counted.
-//! Every answer names the call it belongs to (header `camphorturn-call`, and in its JSON body), so
-//! that a mixed answer can be told; every run is recorded with a sequence number of the process.
-
-mod behaviour;
-mod body;
-mod connection;
-mod run_record;
-mod service_time;
-
-pub use self::{
-    behaviour::{AnswerFault, Behaviour, ColdStart, HealthAnswer, Noise, Refusing},
-    run_record::{Run, RunEnd},
-    service_time::ServiceTime,
-};
+//! An application upstream: ids, signature, load, drain, reuse of its address, and
+//! answers that are late, doubled, cut or lost.
 
-use self::{connection::accept_connections, run_record::RunRecords};
-use rand::{SeedableRng, rngs::SmallRng};
+use crate::http::{PlainRequest, build_answer, read_request, write_all};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
+    cell::{Cell, RefCell},
+    collections::VecDeque,
+    future::pending,
     io,
-    net::{SocketAddr, TcpListener},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    thread::{self, JoinHandle},
-    time::Instant,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
 };
 use tokio::{
-    runtime::Builder,
-    sync::{Semaphore, mpsc, watch},
-    task::LocalSet,
+    net::{TcpListener, TcpStream},
+    sync::{Notify, Semaphore},
+    task::spawn_local,
+    time::sleep,
 };
 
-/// Least factor on the time that work takes.
-const LEAST_FACTOR: f64 = 0.001;
-/// Most runs whose records are kept; older ones go.
-const DEFAULT_KEPT_RUNS: usize = 200_000;
+/// Names of the headers that an upstream reads and sends, in lower case.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamNames {
+    /// Identity of a request; repeated in the answer.
+    pub request_id: &'static str,
+    /// The run that is to run a request.
+    pub target_instance: &'static str,
+    /// The run that answers.
+    pub instance: &'static str,
+    /// Running, waiting, slots, slowdown in percent.
+    pub load: &'static str,
+    /// Proof that an answer is an upstream's.
+    pub signature: &'static str,
+    /// Stands on an answer to a request that was not run.
+    pub not_executed: &'static str,
+}
+
+impl UpstreamNames {
+    /// The names of the users' platform.
+    pub const PLATFORM: Self = Self {
+        request_id: "camphorturn-request-id",
+        target_instance: "camphorturn-target-instance",
+        instance: "camphorturn-instance-id",
+        load: "camphorturn-server-load",
+        signature: "camphorturn-server-signature",
+        not_executed: "camphorturn-not-executed",
+    };
+}
+
+/// Time of the requests below a path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ServiceTime {
+    /// Start of the paths it holds for.
+    pub path_prefix: String,
+    /// Median.
+    pub median: Duration,
+    /// Spread of the logarithm: 0 is constant, 0.5 has a long tail.
+    pub spread: f64,
+}
 
-/// What an upstream is, fixed at its start.
+/// Requests that an upstream ran: their targets, in the order of their beginnings. Shared with whoever
+/// audits it, also after the upstream has gone.
+pub type RunRecord = Arc<Mutex<Vec<String>>>;
+
+/// How an upstream is.
 #[derive(Clone, Debug)]
 pub struct UpstreamSettings {
-    /// Name, given in answers.
-    pub name: String,
-    /// Calls it runs at once; others wait in the order of their arrival.
-    pub slots: usize,
-    /// Seed of service times and of faults that hit a share of calls.
+    /// Identity of its first run.
+    pub instance: String,
+    /// Header names.
+    pub names: UpstreamNames,
+    /// Requests it runs at once; further ones wait.
+    pub slots: u16,
+    /// How long work takes; the first prefix that fits decides, and without one it takes no time.
+    pub times: Vec<ServiceTime>,
+    /// Seed of the times.
     pub seed: u64,
-    /// Service times by start of the path; the first that fits counts.
-    pub service_times: Vec<ServiceTime>,
-    /// Most runs whose records are kept.
-    pub kept_runs: usize,
+    /// Answers with target and body of the request in place of a fixed body.
+    pub echoes: bool,
+    /// Takes what it ran.
+    pub runs: RunRecord,
 }
 
 impl UpstreamSettings {
-    /// An upstream that answers at once.
+    /// An upstream with the platform's names that answers at once.
     #[must_use]
-    pub fn new(name: &str, slots: usize, seed: u64) -> Self {
+    pub fn new(instance: &str) -> Self {
         Self {
-            name: name.to_owned(),
-            slots,
-            seed,
-            service_times: Vec::new(),
-            kept_runs: DEFAULT_KEPT_RUNS,
+            instance: instance.to_owned(),
+            names: UpstreamNames::PLATFORM,
+            slots: SLOTS,
+            times: Vec::new(),
+            seed: 1,
+            echoes: false,
+            runs: RunRecord::default(),
         }
     }
-
-    /// Adds a service time for paths that start with `path_prefix`.
-    #[must_use]
-    pub fn with_service_time(mut self, path_prefix: &str, median_micros: u64, spread: f64) -> Self {
-        self.service_times.push(ServiceTime {
-            path_prefix: path_prefix.to_owned(),
-            median_micros,
-            spread,
-        });
-        self
-    }
 }
 
-/// Load counted now.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct UpstreamLoad {
-    /// Calls in a slot.
-    pub running: usize,
-    /// Calls that wait for a slot.
-    pub waiting: usize,
-    /// Most calls that were ever in a slot or waiting.
-    pub most: usize,
+/// Slots unless told otherwise.
+const SLOTS: u16 = 6;
+
+/// What becomes of one request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UpstreamAct {
+    /// Run it and answer.
+    Answer,
+    /// Run it, answer 500.
+    Fail,
+    /// Say that it was not run.
+    Shed,
+    /// Run it and reset the connection without an answer.
+    LoseAnswer,
+    /// Run it and end the connection within the body.
+    CutBody,
+    /// Run it and answer with the id of another request.
+    ForeignId,
+    /// Run it and answer without the signature.
+    Unsigned,
+    /// Run it and answer twice.
+    AnswerTwice,
+    /// Run it and hold the answer until [`StandInUpstream::release`], or until the connection ends.
+    Hold,
 }
 
-struct Inner {
+struct State {
     settings: UpstreamSettings,
-    started: Instant,
-    slots: Arc<Semaphore>,
-    state: Mutex<Shared>,
+    random: RefCell<StdRng>,
+    slots: Semaphore,
+    instance: RefCell<String>,
+    slowdown: Cell<u16>,
+    acts: RefCell<VecDeque<UpstreamAct>>,
+    arrivals: RefCell<Vec<PlainRequest>>,
+    health_questions: Cell<u32>,
+    leaving: Cell<bool>,
+    running: Cell<u32>,
+    changed: Notify,
+    released: Notify,
 }
 
-struct Shared {
-    behaviour: Behaviour,
-    load: UpstreamLoad,
-    runs: RunRecords,
-    rng: SmallRng,
-    warm_since: Instant,
+/// An upstream on a free port of the loopback address, run by tasks of the present event loop.
+pub struct StandInUpstream {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Rc<State>,
 }
 
-impl Inner {
-    /// Factor on the time that work takes now; at least a little above 0.
-    fn slowness(&self) -> f64 {
-        let shared = self.lock();
-        let age = shared.warm_since.elapsed();
-        let cold = shared
-            .behaviour
-            .cold_start
-            .map_or(1.0, |cold| cold.factor_at(age));
-        (shared.behaviour.slow_factor * cold).max(LEAST_FACTOR)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Shared> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+impl StandInUpstream {
+    /// Starts an upstream with that identity. It answers every request unless told otherwise.
+    ///
+    /// # Errors
+    /// If no port is free.
+    pub async fn start(instance: &str) -> io::Result<Self> {
+        Self::start_with(UpstreamSettings::new(instance)).await
     }
-}
-
-struct Job {
-    inner: Arc<Inner>,
-    listener: TcpListener,
-    connections: watch::Receiver<ConnectionOrder>,
-}
-
-/// What the connections of an upstream are told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ConnectionOrder {
-    /// Serve; the number counts the orders to close idle connections.
-    Serve(u64),
-    /// End at once, whatever is in progress.
-    Stop,
-}
 
-/// A thread that serves any number of upstreams.
-pub struct UpstreamHost {
-    jobs: Option<mpsc::UnboundedSender<Job>>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl UpstreamHost {
-    /// Starts the thread.
+    /// Starts an upstream as told.
     ///
     /// # Errors
-    /// The runtime can't be made.
-    pub fn start() -> io::Result<Self> {
-        let runtime = Builder::new_current_thread().enable_all().build()?;
-        let (tx, mut rx) = mpsc::unbounded_channel::<Job>();
-        let thread = thread::spawn(move || {
-            LocalSet::new().block_on(&runtime, async {
-                while let Some(job) = rx.recv().await {
-                    tokio::task::spawn_local(accept_connections(job));
-                }
-            });
+    /// If no port is free.
+    pub async fn start_with(settings: UpstreamSettings) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let state = Rc::new(State {
+            random: RefCell::new(StdRng::seed_from_u64(settings.seed)),
+            slots: Semaphore::new(settings.slots.into()),
+            instance: RefCell::new(settings.instance.clone()),
+            slowdown: Cell::new(100),
+            acts: RefCell::default(),
+            arrivals: RefCell::default(),
+            health_questions: Cell::default(),
+            leaving: Cell::default(),
+            running: Cell::default(),
+            changed: Notify::new(),
+            released: Notify::new(),
+            settings,
         });
-        Ok(Self {
-            jobs: Some(tx),
-            thread: Some(thread),
-        })
+        spawn_local(accept(listener, Rc::clone(&state)));
+        Ok(Self { address, state })
     }
 
-    /// Starts an upstream on a free loopback port.
-    ///
-    /// # Errors
-    /// The port can't be bound, or the host has ended.
-    pub fn add(&self, settings: UpstreamSettings) -> io::Result<Upstream> {
-        self.add_at(settings, SocketAddr::from(([127, 0, 0, 1], 0)))
+    /// Acts for the next requests, in their order; after these it answers.
+    pub fn plan(&self, acts: &[UpstreamAct]) {
+        self.state.acts.borrow_mut().extend(acts);
     }
 
-    /// Starts an upstream at a given address, such as that of one that was stopped.
-    ///
-    /// # Errors
-    /// The address can't be bound, or the host has ended.
-    pub fn add_at(&self, settings: UpstreamSettings, address: SocketAddr) -> io::Result<Upstream> {
-        let listener = TcpListener::bind(address)?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
-        let (orders, connections) = watch::channel(ConnectionOrder::Serve(0));
-        let inner = Arc::new(Inner::new(settings));
-        let job = Job {
-            inner: Arc::clone(&inner),
-            listener,
-            connections,
-        };
-        let jobs = self.jobs.as_ref().ok_or(io::ErrorKind::BrokenPipe)?;
-        jobs.send(job).map_err(|_| io::ErrorKind::BrokenPipe)?;
-        Ok(Upstream {
-            address,
-            inner,
-            orders,
-        })
+    /// Forgets the acts that were planned.
+    pub fn forget_plan(&self) {
+        self.state.acts.borrow_mut().clear();
     }
-}
 
-impl Drop for UpstreamHost {
-    fn drop(&mut self) {
-        self.jobs = None;
-        if let Some(thread) = self.thread.take() {
-            let _ = thread.join();
-        }
+    /// Times that it ran the request with that target.
+    #[must_use]
+    pub fn count_runs(&self, target: &str) -> usize {
+        let runs = self.state.settings.runs.lock();
+        let runs = runs.unwrap_or_else(PoisonError::into_inner);
+        runs.iter().filter(|run| *run == target).count()
     }
-}
 
-impl Inner {
-    fn new(settings: UpstreamSettings) -> Self {
-        let now = Instant::now();
-        Self {
-            started: now,
-            slots: Arc::new(Semaphore::new(settings.slots)),
-            state: Mutex::new(Shared {
-                behaviour: Behaviour::default(),
-                load: UpstreamLoad::default(),
-                runs: RunRecords::new(settings.kept_runs),
-                rng: SmallRng::seed_from_u64(settings.seed),
-                warm_since: now,
-            }),
-            settings,
-        }
+    /// Another run takes the address.
+    pub fn replace(&self, instance: &str) {
+        instance.clone_into(&mut self.state.instance.borrow_mut());
     }
-}
 
-/// Handle to one upstream. Dropping it stops the upstream and cuts its connections.
-pub struct Upstream {
-    address: SocketAddr,
-    inner: Arc<Inner>,
-    orders: watch::Sender<ConnectionOrder>,
-}
+    /// How long work takes, in percent of the usual; told, not acted.
+    pub fn set_slowdown(&self, percent: u16) {
+        self.state.slowdown.set(percent);
+    }
 
-impl Upstream {
-    /// Where it listens.
+    /// Answers health questions with 503 from now on.
+    pub fn set_leaving(&self) {
+        self.state.leaving.set(true);
+    }
+
+    /// Requests that reached it, health questions not included.
     #[must_use]
-    pub fn address(&self) -> SocketAddr {
-        self.address
+    pub fn arrivals(&self) -> Vec<PlainRequest> {
+        self.state.arrivals.borrow().clone()
     }
 
-    /// When it was started; times of its runs count from here.
+    /// Health questions so far.
     #[must_use]
-    pub fn started(&self) -> Instant {
-        self.inner.started
+    pub fn health_questions(&self) -> u32 {
+        self.state.health_questions.get()
     }
 
-    /// Its name.
+    /// Requests that run now.
     #[must_use]
-    pub fn name(&self) -> &str {
-        &self.inner.settings.name
+    pub fn running(&self) -> u32 {
+        self.state.running.get()
     }
 
-    /// Changes how it behaves: the speed of calls in progress too, all else from the next call on.
-    pub fn change_behaviour(&self, change: impl FnOnce(&mut Behaviour)) {
-        let mut shared = self.inner.lock();
-        let was_cold = shared.behaviour.cold_start;
-        change(&mut shared.behaviour);
-        if shared.behaviour.cold_start != was_cold {
-            shared.warm_since = Instant::now();
+    /// Waits until `count` requests run.
+    pub async fn wait_running(&self, count: u32) {
+        while self.state.running.get() != count {
+            self.state.changed.notified().await;
         }
     }
 
-    /// How it behaves now.
-    #[must_use]
-    pub fn behaviour(&self) -> Behaviour {
-        self.inner.lock().behaviour.clone()
+    /// Answers what is held.
+    pub fn release(&self) {
+        self.state.released.notify_waiters();
     }
+}
 
-    /// Its load now.
-    #[must_use]
-    pub fn load(&self) -> UpstreamLoad {
-        self.inner.lock().load
+async fn accept(listener: TcpListener, state: Rc<State>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        spawn_local(serve(stream, Rc::clone(&state)));
     }
+}
 
-    /// Records of the runs, oldest first.
-    #[must_use]
-    pub fn runs(&self) -> Vec<Run> {
-        self.inner.lock().runs.to_vec()
+async fn serve(mut stream: TcpStream, state: Rc<State>) {
+    while let Ok(Some(request)) = read_request(&mut stream).await {
+        let kept = if request.path() == "/health" {
+            answer_health(&mut stream, &state).await
+        } else {
+            answer_request(&mut stream, &state, request).await
+        };
+        if !kept {
+            return;
+        }
     }
+}
 
-    /// Number of runs since the start, including those whose records are gone.
-    #[must_use]
-    pub fn run_count(&self) -> u64 {
-        self.inner.lock().runs.count()
+async fn answer_health(stream: &mut TcpStream, state: &State) -> bool {
+    state.health_questions.set(state.health_questions.get() + 1);
+    let status = if state.leaving.get() { 503 } else { 200 };
+    let load = load(state);
+    let instance = state.instance.borrow().clone();
+    let names = state.settings.names;
+    let headers = [
+        (names.instance, instance.as_str()),
+        (names.load, load.as_str()),
+    ];
+    let answer = build_answer(status, &headers, b"");
+    write_all(stream, &answer).await.is_ok()
+}
+
+fn load(state: &State) -> String {
+    let slots = state.settings.slots;
+    format!("{},0,{slots},{}", state.running.get(), state.slowdown.get())
+}
+
+/// Counts a request as running for as long as it lives.
+struct Run(Rc<State>);
+
+impl Run {
+    fn start(state: &Rc<State>) -> Self {
+        state.running.set(state.running.get() + 1);
+        state.changed.notify_waiters();
+        Self(Rc::clone(state))
     }
+}
 
-    /// Closes connections that wait for a request, and others after their present answer, as a
-    /// server with a short idle limit does.
-    pub fn close_idle_connections(&self) {
-        self.orders.send_modify(|order| {
-            if let ConnectionOrder::Serve(number) = order {
-                *number += 1;
-            }
-        });
+impl Drop for Run {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+        self.0.changed.notify_waiters();
     }
+}
 
-    /// Stops listening and cuts every connection. The records remain readable.
-    pub fn stop(&self) {
-        self.orders.send_replace(ConnectionOrder::Stop);
+async fn answer_request(stream: &mut TcpStream, state: &Rc<State>, request: PlainRequest) -> bool {
+    let names = state.settings.names;
+    let expected = request.header(names.target_instance);
+    let instance = state.instance.borrow().clone();
+    if expected.is_some_and(|expected| expected != instance) {
+        let headers = [(names.instance, instance.as_str())];
+        return write_all(stream, &build_answer(421, &headers, b""))
+            .await
+            .is_ok();
+    }
+    let act = state.acts.borrow_mut().pop_front();
+    let act = act.unwrap_or(UpstreamAct::Answer);
+    let answer = Answer::to(state, &request);
+    if act != UpstreamAct::Shed {
+        note_run(state, &request);
     }
+    let time = draw_time(state, &request.target);
+    state.arrivals.borrow_mut().push(request);
+    let run = Run::start(state);
+    if act == UpstreamAct::Hold && !hold(stream, state).await {
+        return false;
+    }
+    if !work(stream, state, time).await {
+        return false;
+    }
+    drop(run);
+    let (bytes, kept) = answer.build(act, &load(state));
+    write_all(stream, &bytes).await.is_ok() && kept
 }
 
-impl Drop for Upstream {
-    fn drop(&mut self) {
-        self.stop();
+fn note_run(state: &State, request: &PlainRequest) {
+    let runs = state.settings.runs.lock();
+    let mut runs = runs.unwrap_or_else(PoisonError::into_inner);
+    runs.push(request.target.clone());
+}
+
+/// Draws how long a request takes, from a log-normal distribution.
+fn draw_time(state: &State, target: &str) -> Duration {
+    let mut times = state.settings.times.iter();
+    let Some(time) = times.find(|time| target.starts_with(&time.path_prefix)) else {
+        return Duration::ZERO;
+    };
+    let mut random = state.random.borrow_mut();
+    // Twelve even numbers add up to nearly a normal one, with variance 1.
+    let normal: f64 = (0..12).map(|_| random.random_range(0.0..1.0)).sum::<f64>() - 6.0;
+    time.median.mul_f64((normal * time.spread).exp())
+}
+
+/// Waits for a slot and works; false if the other side closed the connection meanwhile.
+async fn work(stream: &TcpStream, state: &State, time: Duration) -> bool {
+    if time.is_zero() {
+        return true;
+    }
+    let worked = async {
+        // The semaphore is never closed.
+        let _slot = state.slots.acquire().await;
+        sleep(time).await;
+    };
+    tokio::select! {
+        () = worked => true,
+        () = wait_closed(stream) => false,
+    }
+}
+
+async fn wait_closed(stream: &TcpStream) {
+    let mut byte = [0];
+    match stream.peek(&mut byte).await {
+        Ok(0) | Err(_) => {}
+        Ok(_) => pending().await,
+    }
+}
+
+/// True once released, false if the other side closed the connection.
+async fn hold(stream: &TcpStream, state: &State) -> bool {
+    tokio::select! {
+        () = state.released.notified() => true,
+        () = wait_closed(stream) => false,
+    }
+}
+
+/// What an answer is made of.
+struct Answer {
+    names: UpstreamNames,
+    id: String,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    fn to(state: &State, request: &PlainRequest) -> Self {
+        let names = state.settings.names;
+        let body = if state.settings.echoes {
+            let start = format!("{} {}\n", request.method, request.target);
+            [start.as_bytes(), &request.body].concat()
+        } else {
+            b"whole body".to_vec()
+        };
+        Self {
+            names,
+            id: request
+                .header(names.request_id)
+                .unwrap_or_default()
+                .to_owned(),
+            body,
+        }
+    }
+
+    /// The bytes to send, and whether the connection is kept.
+    fn build(&self, act: UpstreamAct, load: &str) -> (Vec<u8>, bool) {
+        let names = self.names;
+        let id = self.id.as_str();
+        let head = |id| {
+            [
+                (names.request_id, id),
+                (names.load, load),
+                (names.signature, "signed"),
+            ]
+        };
+        match act {
+            UpstreamAct::Answer | UpstreamAct::Hold => {
+                (build_answer(200, &head(id), &self.body), true)
+            }
+            UpstreamAct::Fail => (build_answer(500, &head(id), b"failed"), true),
+            UpstreamAct::Shed => {
+                let headers = [(names.request_id, id), (names.not_executed, "1")];
+                (build_answer(503, &headers, b""), true)
+            }
+            UpstreamAct::LoseAnswer => (Vec::new(), false),
+            UpstreamAct::CutBody => {
+                let mut answer = build_answer(200, &head(id), &self.body);
+                answer.truncate(answer.len() - 4);
+                (answer, false)
+            }
+            UpstreamAct::ForeignId => (build_answer(200, &head("another"), &self.body), true),
+            UpstreamAct::Unsigned => {
+                let headers = [(names.request_id, id)];
+                (build_answer(200, &headers, &self.body), true)
+            }
+            UpstreamAct::AnswerTwice => (build_answer(200, &head(id), &self.body).repeat(2), true),
+        }
     }
 }
--- /dev/null
+++ b/tests/integration/log_causes.rs
@@ -0,0 +1,190 @@
+//! From the lines of a failed request to the cause of its failure.
+
+use crate::log_reading::{line, started};
+use camphorturn::log_reading::{
+    request_story::{RequestStory, tell_request},
+    runs::split_runs,
+};
+
+/// Members of the line on the end of request `r1`.
+fn ended(end: &str, took: u64, more: &str) -> String {
+    format!(
+        "\"request\":\"r1\",\"class\":\"lookups\",\"version\":3,\"end\":{end},\"took_ms\":{took},\
+         \"target_ms\":300,\"time_left_ms\":2000{more}"
+    )
+}
+
+/// Members of the line on an attempt at n2.
+fn returned(end: &str, took: u64, more: &str) -> String {
+    format!(
+        "\"request\":\"r1\",\"to\":\"10.0.0.2:1\",\"sent_ms\":1,\"within_ms\":0,\"end\":{end},\
+         \"took_ms\":{took}{more}"
+    )
+}
+
+/// Members of the line on the same attempt at n2.
+fn executed(end: &str, took: u64, more: &str) -> String {
+    format!(
+        "\"request\":\"r1\",\"from\":\"10.0.0.1:1\",\"instance\":\"i7\",\"end\":{end},\
+         \"took_ms\":{took},\"limit\":4{more}"
+    )
+}
+
+/// The story of `r1`, with n1 and n2 started one second before.
+fn tell(lines: &[String]) -> RequestStory {
+    let mut all = vec![
+        started("n1", (1_000, 0), "10.0.0.1:1"),
+        started("n2", (1_000, 0), "10.0.0.2:1"),
+    ];
+    all.extend_from_slice(lines);
+    tell_request(&split_runs(all.iter().map(String::as_str)).runs, "r1")
+}
+
+fn assert_cause(story: &RequestStory, part: &str) {
+    assert!(
+        story.causes.iter().any(|cause| cause.contains(part)),
+        "{part} in {story:#?}"
+    );
+}
+
+const FULL: &str = "{\"refused\":\"queue_full\"}";
+
+#[test]
+fn explain_refused_for_lack_of_slots() {
+    let story = tell(&[
+        line(
+            "n2",
+            (2_004, 1_004),
+            2,
+            803,
+            &executed(FULL, 1, ",\"pace_percent\":400"),
+        ),
+        line(
+            "n1",
+            (2_010, 1_010),
+            2,
+            802,
+            &returned(FULL, 2, ",\"finish_ms\":572"),
+        ),
+        line(
+            "n1",
+            (2_010, 1_010),
+            3,
+            801,
+            &ended(FULL, 10, ",\"asked\":1"),
+        ),
+    ]);
+    assert_eq!(story.end, "refused: queue full");
+    assert_cause(&story, "the soonest end was 572 ms away");
+    assert_cause(&story, "The VM of n2 worked at 400%");
+    let events: Vec<u16> = story.steps.iter().map(|step| step.event).collect();
+    assert_eq!(events, [803, 802, 801]);
+}
+
+#[test]
+fn explain_unknown_after_a_cut() {
+    let cut = "{\"unknown\":\"upstream_cut\"}";
+    let story = tell(&[
+        line("n2", (2_004, 1_004), 2, 803, &executed(cut, 5, "")),
+        line("n1", (2_010, 1_010), 2, 802, &returned(cut, 7, "")),
+        line(
+            "n1",
+            (2_010, 1_010),
+            3,
+            801,
+            &ended(cut, 10, ",\"arrivals\":1"),
+        ),
+    ]);
+    assert_cause(&story, "The upstream beside n2 closed the connection");
+    assert_cause(&story, "(run i7)");
+}
+
+#[test]
+fn explain_unknown_after_a_restart() {
+    let lost = "{\"unknown\":\"node_lost\"}";
+    let story = tell(&[
+        line("n1", (2_010, 1_010), 2, 802, &returned(lost, 7, "")),
+        line(
+            "n1",
+            (2_010, 1_010),
+            3,
+            801,
+            &ended(lost, 10, ",\"arrivals\":1"),
+        ),
+        started("n2", (2_500, 0), "10.0.0.2:1"),
+    ]);
+    assert_cause(&story, "n2 was started anew at that time");
+}
+
+#[test]
+fn explain_late_answer() {
+    let answered = "{\"answered\":200}";
+    let slow = ",\"waited_ms\":120,\"expected_ms\":90,\"pace_percent\":100";
+    let story = tell(&[
+        line("n2", (2_400, 1_400), 2, 803, &executed(answered, 395, slow)),
+        line("n1", (2_405, 1_405), 2, 802, &returned(answered, 400, "")),
+        line(
+            "n1",
+            (2_405, 1_405),
+            3,
+            801,
+            &ended(answered, 402, ",\"arrivals\":1"),
+        ),
+    ]);
+    assert_cause(&story, "answered 102 ms after its target");
+    assert_cause(&story, "waited 120 ms for a slot and ran for 275 ms");
+    assert_cause(&story, "took 275 ms for what takes 90 ms");
+}
+
+#[test]
+fn explain_refused_by_a_stopping_node() {
+    let draining = "{\"refused\":\"draining\"}";
+    let story = tell(&[
+        line(
+            "n1",
+            (1_900, 900),
+            2,
+            852,
+            "\"in_progress\":1,\"running\":0",
+        ),
+        line("n1", (2_010, 1_010), 3, 801, &ended(draining, 0, "")),
+    ]);
+    assert_cause(&story, "n1 was stopping");
+}
+
+#[test]
+fn explain_refused_without_configuration() {
+    let none = "{\"refused\":\"no_upstream\"}";
+    let members = ended(none, 0, "").replace("\"version\":3", "\"version\":0");
+    let story = tell(&[line("n1", (1_010, 10), 2, 801, &members)]);
+    assert_cause(&story, "n1 knew no configuration yet");
+}
+
+#[test]
+fn explain_client_left() {
+    let left = "\"client_left\"";
+    let story = tell(&[line("n1", (2_010, 1_010), 2, 801, &ended(left, 800, ""))]);
+    assert_cause(&story, "closed its connection after 800 ms");
+}
+
+#[test]
+fn explain_names_calls_made() {
+    let members = ended("{\"answered\":200}", 5, "").replace("\"r1\"", "\"r1.c9\"");
+    let story = tell(&[
+        line(
+            "n1",
+            (2_010, 1_010),
+            2,
+            801,
+            &ended("{\"answered\":200}", 10, ""),
+        ),
+        line("n2", (2_005, 1_005), 2, 801, &members),
+    ]);
+    assert_eq!(story.calls, ["r1.c9"]);
+}
+
+#[test]
+fn explain_unknown_request() {
+    let story = tell(&[]);
+    assert_eq!((story.steps.len(), story.causes.len()), (0, 0));
+}
--- /dev/null
+++ b/tests/integration/metrics_page.rs
@@ -0,0 +1,82 @@
+//! The operators' page of metrics has one row for every metric that a node serves.
+
+use camphorturn::{
+    coordination::repeat_budget::RepeatRules,
+    options::proxy_settings::{HeaderNames, LineRules, ProxySettings},
+    proxy::{core::ProxyCore, metrics::render_metrics},
+    state::class_counts::ClassCounts,
+    timers::TimerService,
+};
+use std::{collections::BTreeSet, fs, net::SocketAddr, rc::Rc, time::Duration};
+
+fn read_page() -> String {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/docs/operators/metrics.md");
+    fs::read_to_string(path).expect("a readable page")
+}
+
+fn start_core() -> Rc<ProxyCore> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    let settings = ProxySettings {
+        name: "n1".into(),
+        availability_zone: "a".into(),
+        clients: address,
+        peers: address,
+        upstream: address,
+        service: "desk".into(),
+        repeats: RepeatRules {
+            ratio: 0.2,
+            slack: 60.0,
+            window: Duration::from_secs(10),
+        },
+        probes_per_second: 60.0,
+        lines: LineRules { one_in: 1, kept: 0 },
+        operators: None,
+        grace: Duration::from_secs(6),
+        headers: HeaderNames::product(),
+    };
+    ProxyCore::new(settings, TimerService::fake())
+}
+
+/// Names and kinds, as the text declares them.
+fn list_served() -> BTreeSet<(String, String)> {
+    let core = start_core();
+    let text = render_metrics(&core);
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let parsed = types.filter_map(|line| line.split_once(' '));
+    parsed
+        .map(|(name, kind)| (name.to_owned(), kind.to_owned()))
+        .collect()
+}
+
+#[test]
+fn metrics_page_has_every_metric() {
+    let page = read_page();
+    let served = list_served();
+    assert!(served.len() > 10, "{served:?}");
+    for (name, kind) in &served {
+        let start = format!("| `{name}` | {kind} |");
+        assert!(page.contains(&start), "missing: {start}");
+    }
+    let rows = page.lines().filter(|line| line.starts_with("| `")).count();
+    assert_eq!(rows, served.len(), "the page has rows without a metric");
+}
+
+#[test]
+fn render_metrics_by_class() {
+    let core = start_core();
+    core.count_class(&"lookups".into(), |counts| {
+        counts.count_answer(Duration::from_millis(60), Duration::from_millis(50));
+    });
+    core.count_class(&"lookups".into(), ClassCounts::count_refusal);
+    let text = render_metrics(&core);
+    for line in [
+        "camphorturn_class_requests_total{class=\"lookups\"} 2",
+        "camphorturn_class_on_target_total{class=\"lookups\"} 0",
+        "camphorturn_latency_seconds_count{class=\"lookups\"} 1",
+        "camphorturn_latency_seconds_sum{class=\"lookups\"} 0.06",
+        "camphorturn_latency_seconds_bucket{le=\"0.05\",class=\"lookups\"} 0",
+        "camphorturn_latency_seconds_bucket{le=\"0.08\",class=\"lookups\"} 1",
+    ] {
+        assert!(text.contains(line), "{line} in\n{text}");
+    }
+}
