--- /dev/null
+++ b/soak/src/checks.rs
@@ -0,0 +1,156 @@
+//! The promises, checked against what callers and upstreams saw.
+
+use crate::history::{Acknowledged, CallerRecord, History, Violation};
+use camphorturn::local_mesh::client::CallFailure;
+use camphorturn_stand_ins::upstream::RanRequest;
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+/// Time after an acknowledged leaving from which no request may reach that run of the upstream.
+const DRAIN_BOUND: Duration = Duration::from_secs(2);
+/// Time after the order to stop in which clients may still bring requests.
+const STOP_TAKES: Duration = Duration::from_secs(3);
+
+/// Every promise that was broken.
+#[must_use]
+pub fn find_violations(history: &History, runs: &[RanRequest]) -> Vec<Violation> {
+    let mut by_target: HashMap<&str, Vec<&RanRequest>> = HashMap::new();
+    for run in runs {
+        by_target.entry(&run.target).or_default().push(run);
+    }
+    let none = Vec::new();
+    let mut found = Vec::new();
+    for request in &history.requests {
+        let ran = by_target.get(request.target.as_str()).unwrap_or(&none);
+        found.extend(check_request(request, ran));
+        found.extend(check_planned_stop(request, ran, history));
+    }
+    found.extend(check_unasked(history, runs));
+    found.extend(check_drains(history, runs));
+    found.extend(check_versions(history));
+    found
+}
+
+fn violation(promise: &'static str, request: &CallerRecord, ran: &[&RanRequest]) -> Violation {
+    let by: Vec<&str> = ran.iter().map(|run| run.instance.as_str()).collect();
+    let took = request.ended.duration_since(request.sent);
+    Violation {
+        promise,
+        seen: format!(
+            "{} at node {}: {:?} after {} ms, run by {by:?}",
+            request.target,
+            request.node,
+            request.answer,
+            took.as_millis()
+        ),
+    }
+}
+
+fn check_request(request: &CallerRecord, ran: &[&RanRequest]) -> Option<Violation> {
+    let promise = match &request.answer {
+        _ if !request.idempotent && ran.len() > 1 => "what must not run twice runs once",
+        Ok((503 | 429, _)) if !request.idempotent && !ran.is_empty() => "refused means not run",
+        Ok((200, _)) if ran.is_empty() => "an answer comes from an upstream that ran it",
+        Ok((200, body)) if !body.contains(&request.target) => "an answer is the one to its request",
+        Ok((404, _)) if request.route_version == 0 => "a route that is in force is never denied",
+        Ok((200 | 404 | 429 | 500 | 502 | 503 | 504, _)) | Err(_) => return None,
+        Ok(_) => "no status that nobody gave",
+    };
+    Some(violation(promise, request, ran))
+}
+
+/// A request that was read and run is answered by a node that stops as planned.
+fn check_planned_stop(
+    request: &CallerRecord,
+    ran: &[&RanRequest],
+    history: &History,
+) -> Option<Violation> {
+    if request.answer != Err(CallFailure::Cut) || ran.is_empty() {
+        return None;
+    }
+    let of_node = history
+        .disturbances
+        .iter()
+        .filter(|disturbance| disturbance.node == request.node)
+        .filter(|disturbance| disturbance.from <= request.ended && request.sent <= disturbance.to);
+    let mut stopped = false;
+    for disturbance in of_node {
+        if !disturbance.planned || request.sent > disturbance.from + STOP_TAKES {
+            return None;
+        }
+        stopped = true;
+    }
+    // Without any disturbance a cut has no excuse at all.
+    let promise = if stopped {
+        "a planned stop cuts nothing off"
+    } else {
+        "a request is answered"
+    };
+    Some(violation(promise, request, ran))
+}
+
+fn check_unasked(history: &History, runs: &[RanRequest]) -> Vec<Violation> {
+    let asked: HashMap<&str, &CallerRecord> = history
+        .requests
+        .iter()
+        .map(|request| (request.target.as_str(), request))
+        .collect();
+    runs.iter()
+        .filter(|run| !asked.contains_key(run.target.as_str()))
+        .map(|run| Violation {
+            promise: "upstreams run what callers asked",
+            seen: format!("{} at {}", run.target, run.instance),
+        })
+        .collect()
+}
+
+fn check_drains(history: &History, runs: &[RanRequest]) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for Acknowledged::Leaving { instance, at } in &history.acknowledged {
+        let late = runs
+            .iter()
+            .filter(|run| run.instance == *instance && run.at > *at + DRAIN_BOUND);
+        found.extend(late.map(|run| Violation {
+            promise: "a leaving upstream gets no work",
+            seen: format!(
+                "{} at {instance}, {} ms after",
+                run.target,
+                run.at.duration_since(*at).as_millis()
+            ),
+        }));
+    }
+    found
+}
+
+/// Within one run of a node's process, a route that it has served is never denied afterwards, nor one of an
+/// earlier version.
+fn check_versions(history: &History) -> Vec<Violation> {
+    let mut served: BTreeMap<(usize, u64), (u64, &CallerRecord)> = BTreeMap::new();
+    let mut requests: Vec<&CallerRecord> = history.requests.iter().collect();
+    requests.sort_by_key(|request| request.sent);
+    let mut found = Vec::new();
+    for request in requests {
+        let key = (request.node, request.node_run);
+        match &request.answer {
+            Ok((200, _)) => {
+                let known = served.entry(key).or_insert((0, request));
+                if request.route_version > known.0 {
+                    *known = (request.route_version, request);
+                }
+            }
+            Ok((404, _)) => {
+                let known = served.get(&key);
+                let regressed = known.is_some_and(|(version, since)| {
+                    *version >= request.route_version && since.ended < request.sent
+                });
+                if regressed {
+                    found.push(violation("a configuration never reverts", request, &[]));
+                }
+            }
+            _ => {}
+        }
+    }
+    found
+}
--- /dev/null
+++ b/soak/src/history.rs
@@ -0,0 +1,71 @@
+//! What happened, as callers, upstreams and the operator saw it.
+
+use camphorturn::local_mesh::client::CallFailure;
+use serde::Serialize;
+use std::time::Instant;
+
+/// A request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct CallerRecord {
+    /// The node it was sent to.
+    pub node: usize,
+    /// Which run of that node's process.
+    pub node_run: u64,
+    /// Target, unique for each request.
+    pub target: String,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+    /// The configuration that brought its route.
+    pub route_version: u64,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When its end was known.
+    pub ended: Instant,
+    /// Status and body, or why there is none.
+    pub answer: Result<(u16, String), CallFailure>,
+}
+
+/// A change that the system acknowledged.
+#[derive(Clone, Debug)]
+pub enum Acknowledged {
+    /// A node took in that a run of its upstream leaves.
+    Leaving {
+        /// The run.
+        instance: String,
+        /// When.
+        at: Instant,
+    },
+}
+
+/// A span in which something was done to a node.
+#[derive(Clone, Debug)]
+pub struct Disturbance {
+    /// The node.
+    pub node: usize,
+    /// From.
+    pub from: Instant,
+    /// To.
+    pub to: Instant,
+    /// Whether it was a planned stop and nothing else.
+    pub planned: bool,
+}
+
+/// Everything.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    /// Requests.
+    pub requests: Vec<CallerRecord>,
+    /// Acknowledgements.
+    pub acknowledged: Vec<Acknowledged>,
+    /// What was done to nodes.
+    pub disturbances: Vec<Disturbance>,
+}
+
+/// A broken promise.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Violation {
+    /// Which promise.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
--- /dev/null
+++ b/soak/src/main.rs
@@ -0,0 +1,7 @@
+//! Plays faults on real camphorturn processes.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    camphorturn_soak::run_tool()
+}
--- /dev/null
+++ b/soak/src/play.rs
@@ -0,0 +1,214 @@
+//! Plays the faults of a seed, and checks.
+
+use crate::{
+    callers::{CALLERS, call_node},
+    checks::find_violations,
+    history::{Disturbance, Violation},
+    link::Link,
+    machine::Machine,
+    plan::{Fault, IllLink, PlannedFault, draw_faults},
+    report::PlayReport,
+    world::World,
+};
+use camphorturn_stand_ins::store::StoreCondition;
+use nix::sys::signal::Signal;
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    task::{JoinHandle, spawn_local},
+    time::{sleep, sleep_until},
+};
+
+/// Longest wait until all nodes are ready, at the start and after the faults. Reached only by a failure.
+const READY_PATIENCE: Duration = Duration::from_secs(30);
+/// How long callers go on after the faults.
+const CALM: Duration = Duration::from_secs(2);
+/// Time in which a stopping process has to end, with a margin over its settings for a busy machine.
+const STOP_PATIENCE: Duration = Duration::from_secs(15);
+/// How long after a kill its callers may still notice.
+const KILL_ECHO: Duration = Duration::from_secs(3);
+/// How long a leaving upstream stays.
+const LEAVE_LASTS: Duration = Duration::from_millis(2_600);
+
+/// How a seed is played.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlayOptions {
+    /// Length of the faults.
+    pub seconds: u64,
+    /// Nodes.
+    pub nodes: usize,
+}
+
+/// Plays one seed.
+///
+/// # Errors
+/// If the nodes can't be started.
+pub async fn play_seed(seed: u64, options: PlayOptions) -> io::Result<PlayReport> {
+    let span = Duration::from_secs(options.seconds);
+    let faults = draw_faults(seed, span, options.nodes);
+    let world = World::start(options.nodes).await?;
+    let mut violations = Vec::new();
+    if !world.wait_ready(READY_PATIENCE).await {
+        violations.push(Violation {
+            promise: "nodes become ready",
+            seen: "not at the start".to_owned(),
+        });
+    }
+    let callers = start_callers(&world, seed);
+    play_faults(&world, &faults).await;
+    violations.extend(find_late_nodes(&world).await);
+    sleep(CALM).await;
+    world.finish();
+    for caller in callers {
+        // One that panicked has told so itself.
+        let _ = caller.await;
+    }
+    violations.extend(stop_all(&world).await);
+    let history = world.history.borrow();
+    let runs = world.list_runs();
+    violations.extend(find_violations(&history, &runs));
+    let report = PlayReport::build(seed, &faults, &history, runs.len(), violations);
+    if report.is_clean() {
+        world.remove_folder();
+    } else {
+        eprintln!("lines of the nodes: {}", world.folder.display());
+    }
+    Ok(report)
+}
+
+fn start_callers(world: &Rc<World>, seed: u64) -> Vec<JoinHandle<()>> {
+    let mut callers = Vec::new();
+    for node in 0..world.machines.len() {
+        for caller in 0..CALLERS {
+            callers.push(spawn_local(call_node(Rc::clone(world), node, caller, seed)));
+        }
+    }
+    callers
+}
+
+async fn play_faults(world: &Rc<World>, faults: &[PlannedFault]) {
+    let began = tokio::time::Instant::now();
+    let mut playing = Vec::new();
+    for fault in faults {
+        sleep_until(began + fault.at).await;
+        playing.push(spawn_local(play_fault(Rc::clone(world), *fault)));
+    }
+    for fault in playing {
+        // One that panicked has told so itself.
+        let _ = fault.await;
+    }
+    world.store.set_condition(StoreCondition::Well);
+    for machine in &world.machines {
+        machine.signal(Signal::SIGCONT);
+        Machine::set_link(&machine.store_link, None);
+        Machine::set_link(&machine.upstream_link, None);
+        machine.upstream.forget_plan();
+    }
+}
+
+async fn play_fault(world: Rc<World>, planned: PlannedFault) {
+    let lasts = planned.lasts;
+    let machine = |node: usize| &world.machines[node];
+    match planned.fault {
+        Fault::Stop { node } => {
+            note(&world, node, STOP_PATIENCE, true);
+            machine(node).signal(Signal::SIGTERM);
+        }
+        Fault::Kill { node } => kill(&world, node),
+        Fault::KillAll => (0..world.machines.len()).for_each(|node| kill(&world, node)),
+        Fault::Freeze { node } => {
+            note(&world, node, lasts + KILL_ECHO, false);
+            machine(node).signal(Signal::SIGSTOP);
+            sleep(lasts).await;
+            machine(node).signal(Signal::SIGCONT);
+        }
+        Fault::Reload { node, told } => {
+            if let Err(error) = machine(node).change_settings() {
+                eprintln!("settings of node {node} not changed: {error}");
+            }
+            if told {
+                machine(node).signal(Signal::SIGHUP);
+            }
+        }
+        Fault::Store(condition) => {
+            world.store.set_condition(condition);
+            sleep(lasts).await;
+            world.store.set_condition(StoreCondition::Well);
+        }
+        Fault::StoreForgets => world.store.forget_history(),
+        Fault::StoreLink { node, ill } => {
+            harm(&machine(node).store_link, ill, lasts).await;
+        }
+        Fault::UpstreamLink { node, ill } => {
+            harm(&machine(node).upstream_link, ill, lasts).await;
+        }
+        Fault::Act { node, act, times } => machine(node).upstream.plan(&vec![act; times]),
+        Fault::Leave { node } => {
+            machine(node).leaving.set(true);
+            machine(node).upstream.set_leaving(true);
+            sleep(LEAVE_LASTS).await;
+            machine(node).replace_upstream();
+        }
+        Fault::Replace { node } => machine(node).replace_upstream(),
+        // Operators' writes fail while the store is ill.
+        Fault::Configure if world.store.condition() == StoreCondition::Well => world.publish(),
+        Fault::Configure => {}
+    }
+}
+
+async fn harm(link: &Link, ill: IllLink, lasts: Duration) {
+    Machine::set_link(link, Some(ill));
+    sleep(lasts).await;
+    Machine::set_link(link, None);
+}
+
+fn kill(world: &World, node: usize) {
+    note(world, node, KILL_ECHO, false);
+    world.machines[node].signal(Signal::SIGKILL);
+}
+
+/// Notes that something is done to a node from now on.
+fn note(world: &World, node: usize, lasts: Duration, planned: bool) {
+    let from = Instant::now();
+    world.history.borrow_mut().disturbances.push(Disturbance {
+        node,
+        from,
+        to: from + lasts,
+        planned,
+    });
+}
+
+/// After the faults all nodes are ready again.
+async fn find_late_nodes(world: &World) -> Option<Violation> {
+    if world.wait_ready(READY_PATIENCE).await {
+        return None;
+    }
+    Some(Violation {
+        promise: "nodes become ready",
+        seen: "not after the faults".to_owned(),
+    })
+}
+
+/// A process that is told to stop ends.
+async fn stop_all(world: &World) -> Vec<Violation> {
+    for machine in &world.machines {
+        machine.signal(Signal::SIGTERM);
+    }
+    let began = Instant::now();
+    let mut violations = Vec::new();
+    for machine in &world.machines {
+        while !machine.has_ended() && began.elapsed() < STOP_PATIENCE {
+            sleep(Duration::from_millis(20)).await;
+        }
+        if !machine.has_ended() {
+            violations.push(Violation {
+                promise: "a planned stop ends",
+                seen: format!("node {} goes on", machine.plan.number),
+            });
+        }
+    }
+    violations
+}
--- /dev/null
+++ b/soak/tests/checks.rs
@@ -0,0 +1,179 @@
+//! Each check finds what it is there for, and lets pass what is allowed.
+
+use camphorturn::local_mesh::client::CallFailure;
+use camphorturn_soak::{
+    checks::find_violations,
+    history::{Acknowledged, CallerRecord, Disturbance, History},
+};
+use camphorturn_stand_ins::upstream::RanRequest;
+use std::time::{Duration, Instant};
+
+const MILLISECOND: Duration = Duration::from_millis(1);
+
+fn request(
+    target: &str,
+    answer: Result<(u16, String), CallFailure>,
+    sent: Instant,
+) -> CallerRecord {
+    CallerRecord {
+        node: 1,
+        node_run: 1,
+        target: target.to_owned(),
+        idempotent: !target.starts_with("/book/"),
+        route_version: 0,
+        sent,
+        ended: sent + 50 * MILLISECOND,
+        answer,
+    }
+}
+
+fn ran(target: &str, at: Instant) -> RanRequest {
+    RanRequest {
+        target: target.to_owned(),
+        instance: "u1-1".to_owned(),
+        at,
+    }
+}
+
+fn check(history: &History, runs: &[RanRequest]) -> Vec<&'static str> {
+    let found = find_violations(history, runs);
+    found.iter().map(|violation| violation.promise).collect()
+}
+
+/// Checks one request that ran `times` times.
+fn check_one(
+    target: &str,
+    answer: Result<(u16, &str), CallFailure>,
+    times: usize,
+) -> Vec<&'static str> {
+    let now = Instant::now();
+    let answer = answer.map(|(status, body)| (status, body.to_owned()));
+    let history = History {
+        requests: vec![request(target, answer, now)],
+        ..History::default()
+    };
+    check(&history, &vec![ran(target, now); times])
+}
+
+#[test]
+fn check_request_allowed() {
+    assert_eq!(check_one("/look/1", Ok((200, "GET /look/1\n")), 2), [""; 0]);
+    assert_eq!(check_one("/book/1", Ok((503, "")), 0), [""; 0]);
+    assert_eq!(check_one("/book/1", Ok((502, "")), 1), [""; 0]);
+    assert_eq!(check_one("/book/1", Err(CallFailure::Cut), 0), [""; 0]);
+}
+
+#[test]
+fn check_request_broken() {
+    let whole = Ok((200, "POST /book/1\n"));
+    assert_eq!(
+        check_one("/book/1", whole, 2),
+        ["what must not run twice runs once"]
+    );
+    assert_eq!(
+        check_one("/book/1", Ok((503, "")), 1),
+        ["refused means not run"]
+    );
+    let foreign = Ok((200, "GET /look/2\n"));
+    assert_eq!(
+        check_one("/look/1", foreign, 1),
+        ["an answer is the one to its request"]
+    );
+    let invented = Ok((200, "GET /look/1\n"));
+    assert_eq!(
+        check_one("/look/1", invented, 0),
+        ["an answer comes from an upstream that ran it"]
+    );
+    assert_eq!(
+        check_one("/look/1", Ok((404, "")), 0),
+        ["a route that is in force is never denied"]
+    );
+    assert_eq!(
+        check_one("/look/1", Err(CallFailure::Cut), 1),
+        ["a request is answered"]
+    );
+    assert_eq!(
+        check_one("/look/1", Ok((418, "")), 0),
+        ["no status that nobody gave"]
+    );
+}
+
+#[test]
+fn check_unasked() {
+    let now = Instant::now();
+    let found = check(&History::default(), &[ran("/look/9", now)]);
+    assert_eq!(found, ["upstreams run what callers asked"]);
+}
+
+fn check_cut_at_stop(planned: bool) -> Vec<&'static str> {
+    let began = Instant::now();
+    let now = began + 100 * MILLISECOND;
+    let history = History {
+        requests: vec![request("/look/1", Err(CallFailure::Cut), now)],
+        disturbances: vec![Disturbance {
+            node: 1,
+            from: began,
+            to: now + 100 * MILLISECOND,
+            planned,
+        }],
+        ..History::default()
+    };
+    check(&history, &[ran("/look/1", now)])
+}
+
+#[test]
+fn check_cut_by_planned_stop() {
+    assert_eq!(check_cut_at_stop(true), ["a planned stop cuts nothing off"]);
+    assert_eq!(check_cut_at_stop(false), [""; 0]);
+}
+
+#[test]
+fn check_work_after_leaving() {
+    let now = Instant::now();
+    let late = now + Duration::from_secs(3);
+    let history = History {
+        requests: vec![request(
+            "/look/1",
+            Ok((200, "GET /look/1\n".to_owned())),
+            late,
+        )],
+        acknowledged: vec![Acknowledged::Leaving {
+            instance: "u1-1".to_owned(),
+            at: now,
+        }],
+        ..History::default()
+    };
+    let found = check(&history, &[ran("/look/1", late)]);
+    assert_eq!(found, ["a leaving upstream gets no work"]);
+    assert_eq!(
+        check(&history, &[ran("/look/1", now + MILLISECOND)]),
+        [""; 0]
+    );
+}
+
+#[test]
+fn check_configuration_that_reverts() {
+    let now = Instant::now();
+    let served = CallerRecord {
+        route_version: 2,
+        ..request("/v2/1", Ok((200, "GET /v2/1\n".to_owned())), now)
+    };
+    let denied = CallerRecord {
+        route_version: 1,
+        ..request("/v1/2", Ok((404, String::new())), now + 100 * MILLISECOND)
+    };
+    let history = |denied| History {
+        requests: vec![served.clone(), denied],
+        ..History::default()
+    };
+    let runs = [ran("/v2/1", now)];
+    assert_eq!(
+        check(&history(denied.clone()), &runs),
+        ["a configuration never reverts"]
+    );
+    let after_restart = CallerRecord {
+        node_run: 2,
+        ..denied
+    };
+    assert_eq!(check(&history(after_restart), &runs), [""; 0]);
+}
--- /dev/null
+++ b/soak/tests/short.rs
@@ -0,0 +1,24 @@
+//! A short soak on real processes, the same faults on every run.
+
+use std::process::Command;
+
+const TOOL: &str = env!("CARGO_BIN_EXE_camphorturn-soak");
+
+fn play(seed: &str) {
+    let output = Command::new(TOOL)
+        .args(["run", "--seed", seed, "--seconds", "4", "--nodes", "4"])
+        .output()
+        .expect("the tool runs");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert!(
+        output.status.success(),
+        "{text}{}",
+        String::from_utf8_lossy(&output.stderr)
+    );
+    assert!(text.starts_with(&format!("seed {seed}: clean")), "{text}");
+}
+
+#[test]
+fn play_short_seed() {
+    play("7");
+}
--- a/src/local_mesh/audit.rs
+++ b/src/local_mesh/audit.rs
@@ -40,7 +40,7 @@
     for node in &mesh.nodes {
         let runs = node.runs.lock();
         let runs = runs.unwrap_or_else(PoisonError::into_inner);
-        for mark in runs.iter().filter_map(|target| find_mark(target)) {
+        for mark in runs.iter().filter_map(|run| find_mark(&run.target)) {
             *counts.entry(mark).or_insert(0) += 1;
         }
     }
--- a/src/local_mesh/client.rs
+++ b/src/local_mesh/client.rs
@@ -32,6 +32,15 @@
     pub body: Bytes,
 }
 
+/// Why there is no reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallFailure {
+    /// No byte of the call was written.
+    NotSent,
+    /// The connection ended before a whole reply.
+    Cut,
+}
+
 /// The outcome that a caller was told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum ToldOutcome {
@@ -82,21 +91,31 @@
         }
     }
 
-    /// Sends a call and reads the whole reply; none if the connection ended before that.
-    pub async fn call(&self, call: CallerCall) -> Option<CallerAnswer> {
-        let mut tx = self.connect().await?;
+    /// Sends a call and reads the whole reply.
+    ///
+    /// # Errors
+    /// See [`CallFailure`].
+    pub async fn call(&self, call: CallerCall) -> Result<CallerAnswer, CallFailure> {
+        let mut tx = self.connect().await.ok_or(CallFailure::NotSent)?;
         let mut req = Request::new(Full::new(call.body));
         *req.method_mut() = call.method;
-        *req.uri_mut() = call.target.parse().ok()?;
+        *req.uri_mut() = call.target.parse().map_err(|_| CallFailure::NotSent)?;
         *req.headers_mut() = call.headers;
         if !req.headers().contains_key(HOST) {
-            let host = HeaderValue::from_str(&self.address.to_string()).ok()?;
+            let host = HeaderValue::from_str(&self.address.to_string());
+            let host = host.map_err(|_| CallFailure::NotSent)?;
             req.headers_mut().insert(HOST, host);
         }
-        let (parts, body) = tx.send_request(req).await.ok()?.into_parts();
-        let body = body.collect().await.ok()?.to_bytes();
+        let sent = tx.try_send_request(req).await;
+        let answer = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => CallFailure::NotSent,
+            None => CallFailure::Cut,
+        })?;
+        let (parts, body) = answer.into_parts();
+        let body = body.collect().await.map_err(|_| CallFailure::Cut)?;
+        let body = body.to_bytes();
         self.idle.borrow_mut().push(tx);
-        Some(CallerAnswer {
+        Ok(CallerAnswer {
             status: parts.status,
             headers: parts.headers,
             body,
--- a/src/local_mesh/load.rs
+++ b/src/local_mesh/load.rs
@@ -148,7 +148,7 @@
 
 impl OneCall {
     async fn run(self, spec: &CallKind, client: &CallerClient) -> CallRecord {
-        let answer = client.call(self.build(spec)).await;
+        let answer = client.call(self.build(spec)).await.ok();
         let took = self.began.elapsed().saturating_sub(self.due);
         let mark = self.mark.to_string();
         let answered = |outcome| outcome == ToldOutcome::Answered;
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -3,7 +3,7 @@
 use crate::{
     coordination::{own_upstream::Announcement, repeat_budget::RepeatRules},
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
-    options::proxy_settings::{HeaderNames, LineRules, ProxySettings},
+    options::proxy_settings::{HeaderNames, LineRules, NodeBounds, ProxySettings},
     proxy::{
         ProxyListeners, announcing::take_announcement, core::ProxyCore, follow_store,
         operating::answer_operators, run_proxy,
@@ -270,14 +270,16 @@
         peers: listeners.peers.local_addr()?,
         upstream: upstream.address,
         service: plan.service.clone(),
-        repeats: REPEATS,
-        probes_per_second: PROBES_PER_SECOND,
+        bounds: NodeBounds {
+            repeats: REPEATS,
+            probes_per_second: PROBES_PER_SECOND,
+            grace: GRACE,
+        },
         lines: LineRules {
             one_in: 1,
             kept: KEPT_LINES,
         },
         operators: Some(operators),
-        grace: GRACE,
         headers: HeaderNames::product(),
     })
 }
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -56,6 +56,17 @@
     pub kept: usize,
 }
 
+/// Bounds on what a node does. They may change while it runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NodeBounds {
+    /// Bounds on repeated requests.
+    pub repeats: RepeatRules,
+    /// Most questions a second to the upstream for its load.
+    pub probes_per_second: f64,
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+}
+
 /// Settings of one node.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ProxySettings {
@@ -71,16 +82,12 @@
     pub upstream: SocketAddr,
     /// Its service.
     pub service: ServiceName,
-    /// Bounds on repeated requests.
-    pub repeats: RepeatRules,
-    /// Most questions a second to the upstream for its load.
-    pub probes_per_second: f64,
+    /// Bounds that may change while the node runs.
+    pub bounds: NodeBounds,
     /// Which lines of the log are written and kept.
     pub lines: LineRules,
     /// Where operators' tools reach the node, if they can.
     pub operators: Option<SocketAddr>,
-    /// Time from the order to stop until the process is killed.
-    pub grace: Duration,
     /// Header names of the platform.
     pub headers: HeaderNames,
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -6,7 +6,7 @@
         repeat_budget::RepeatBudget,
         store_reading::{ReadingPlan, is_reader, plan_reading},
     },
-    options::proxy_settings::ProxySettings,
+    options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
         directory::{Directory, StateSource},
         events::{LineWriter, ProxyEvent},
@@ -62,8 +62,10 @@
 
 /// State and edges of one node. No borrow is held over an `await`.
 pub struct ProxyCore {
-    /// What the node was told.
+    /// What the node was told at its start.
     pub settings: ProxySettings,
+    /// The bounds in force.
+    bounds: Cell<NodeBounds>,
     /// Time and wake-ups.
     pub timers: TimerService,
     /// The routing table in force and the nodes that are known.
@@ -104,7 +106,7 @@
             directory: RefCell::new(Directory::default()),
             stored: RefCell::default(),
             own: RefCell::default(),
-            slots: Slots::new(settings.probes_per_second),
+            slots: Slots::new(settings.bounds.probes_per_second),
             repeats: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
             in_progress: Cell::new(0),
@@ -114,6 +116,7 @@
             started: timers.now(),
             classes: RefCell::default(),
             class_bytes: RefCell::default(),
+            bounds: Cell::new(settings.bounds),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
             timers,
@@ -128,6 +131,18 @@
         text.unwrap_or_default().to_owned()
     }
 
+    /// The bounds in force.
+    #[must_use]
+    pub fn bounds(&self) -> NodeBounds {
+        self.bounds.get()
+    }
+
+    /// Puts other bounds in force.
+    pub fn set_bounds(&self, bounds: NodeBounds) {
+        self.bounds.set(bounds);
+        self.slots.set_probe_limit(bounds.probes_per_second);
+    }
+
     /// Writes an event to the log.
     pub fn log(&self, event: &ProxyEvent) {
         self.lines.write(event, self.timers.now());
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -141,7 +141,7 @@
 /// Whether a request taken now might not have ended before the node is killed.
 fn stops_soon(core: &ProxyCore, now: Moment) -> bool {
     let since = core.stopping_since.get();
-    since.is_some_and(|since| now.since(since) > core.settings.grace.mul_f64(ACCEPTED_SHARE))
+    since.is_some_and(|since| now.since(since) > core.bounds().grace.mul_f64(ACCEPTED_SHARE))
 }
 
 async fn carry_request(
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -215,7 +215,7 @@
         let nodes = self.core.directory.borrow().nodes.len();
         let mut budgets = self.core.repeats.borrow_mut();
         let budget = budgets.entry(self.call.service.clone()).or_default();
-        let granted = budget.take(now, self.core.settings.repeats, nodes);
+        let granted = budget.take(now, self.core.bounds().repeats, nodes);
         drop(budgets);
         if granted {
             count(&self.core.counters.repeats);
@@ -433,5 +433,5 @@
     let now = core.timers.now();
     let mut budgets = core.repeats.borrow_mut();
     let budget = budgets.entry(service.clone()).or_default();
-    budget.count_request(now, core.settings.repeats);
+    budget.count_request(now, core.bounds().repeats);
 }
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Lets that many questions a second be asked from now on.
+    pub fn set_limit(&self, probes_per_second: f64) {
+        let limit = RateLimit::new(probes_per_second, probes_per_second * BURST);
+        self.budget.set(limit);
+    }
+
     fn take_question(&self, now: Moment) -> bool {
         let mut budget = self.budget.get();
         let granted = budget.take(now);
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Lets that many questions a second be asked from now on.
+    pub fn set_probe_limit(&self, probes_per_second: f64) {
+        self.pace.set_limit(probes_per_second);
+    }
+
     /// Load of the upstream now.
     #[must_use]
     pub fn load(&self) -> NodeLoad {
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -30,7 +30,7 @@
         in_progress: core.in_progress.get(),
         running: core.slots.load().running,
     });
-    let latest = since + core.settings.grace.saturating_sub(MARGIN);
+    let latest = since + core.bounds().grace.saturating_sub(MARGIN);
     let mut idle_looks = 0;
     while idle_looks < IDLE_LOOKS && core.timers.now() < latest {
         let _ = core.timers.after(STEP).recv_async().await;
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -76,6 +76,12 @@
         self.state.condition.set(condition);
     }
 
+    /// How calls are treated now.
+    #[must_use]
+    pub fn condition(&self) -> StoreCondition {
+        self.state.condition.get()
+    }
+
     /// Appends a record, as the operator does.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
         let value = Bytes::copy_from_slice(value.as_bytes());
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -11,7 +11,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -60,9 +60,20 @@
     pub spread: f64,
 }
 
-/// Requests that an upstream ran: their targets, in the order of their beginnings. Shared with whoever
-/// audits it, also after the upstream has gone.
-pub type RunRecord = Arc<Mutex<Vec<String>>>;
+/// A request that an upstream began to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RanRequest {
+    /// Its target.
+    pub target: String,
+    /// The run of the upstream.
+    pub instance: String,
+    /// When it began.
+    pub at: Instant,
+}
+
+/// Requests that an upstream ran, in the order of their beginnings. Shared with whoever audits it, also
+/// after the upstream has gone.
+pub type RunRecord = Arc<Mutex<Vec<RanRequest>>>;
 
 /// How an upstream is.
 #[derive(Clone, Debug)]
@@ -196,7 +207,7 @@
     pub fn count_runs(&self, target: &str) -> usize {
         let runs = self.state.settings.runs.lock();
         let runs = runs.unwrap_or_else(PoisonError::into_inner);
-        runs.iter().filter(|run| *run == target).count()
+        runs.iter().filter(|run| run.target == target).count()
     }
 
     /// Another run takes the address.
@@ -209,9 +220,9 @@
         self.state.slowdown.set(percent);
     }
 
-    /// Answers health questions with 503 from now on.
-    pub fn set_leaving(&self) {
-        self.state.leaving.set(true);
+    /// Whether health questions are answered with 503 from now on.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.leaving.set(leaving);
     }
 
     /// Requests that reached it, health questions not included.
@@ -334,7 +345,11 @@
 fn note_run(state: &State, request: &PlainRequest) {
     let runs = state.settings.runs.lock();
     let mut runs = runs.unwrap_or_else(PoisonError::into_inner);
-    runs.push(request.target.clone());
+    runs.push(RanRequest {
+        target: request.target.clone(),
+        instance: state.instance.borrow().clone(),
+        at: Instant::now(),
+    });
 }
 
 /// Draws how long a request takes, from a log-normal distribution.
--- a/tests/integration/command_line.rs
+++ b/tests/integration/command_line.rs
@@ -242,7 +242,7 @@
         .build()
         .expect("an event loop");
     let answer = tokio::task::LocalSet::new().block_on(&runtime, client.call(call));
-    assert_eq!(answer.map(|answer| answer.status.as_u16()), Some(200));
+    assert_eq!(answer.map(|answer| answer.status.as_u16()), Ok(200));
 }
 
 #[test]
--- a/tests/integration/imports.rs
+++ b/tests/integration/imports.rs
@@ -7,12 +7,13 @@
     path::{Path, PathBuf},
 };
 
-const ROOTS: [&str; 7] = [
+const ROOTS: [&str; 8] = [
     "src",
     "platform/src",
     "platform/tests",
+    "soak/src",
+    "soak/tests",
     "stand-ins/src",
-    "stand-ins/tests",
     "tests",
     "examples",
 ];
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -2,7 +2,7 @@
 
 use camphorturn::{
     coordination::repeat_budget::RepeatRules,
-    options::proxy_settings::{HeaderNames, LineRules, ProxySettings},
+    options::proxy_settings::{HeaderNames, LineRules, NodeBounds, ProxySettings},
     proxy::{core::ProxyCore, metrics::render_metrics},
     state::class_counts::ClassCounts,
     timers::TimerService,
@@ -23,15 +23,17 @@
         peers: address,
         upstream: address,
         service: "desk".into(),
-        repeats: RepeatRules {
-            ratio: 0.2,
-            slack: 60.0,
-            window: Duration::from_secs(10),
+        bounds: NodeBounds {
+            repeats: RepeatRules {
+                ratio: 0.2,
+                slack: 60.0,
+                window: Duration::from_secs(10),
+            },
+            probes_per_second: 60.0,
+            grace: Duration::from_secs(6),
         },
-        probes_per_second: 60.0,
         lines: LineRules { one_in: 1, kept: 0 },
         operators: None,
-        grace: Duration::from_secs(6),
         headers: HeaderNames::product(),
     };
     ProxyCore::new(settings, TimerService::fake())
