Tell with each answer how long it waited; explain late requests to their cause

Change: the field of the answer that told a refused request's expected end tells an answered one's wait: no byte more. The line of the attempt has waited_ms and pace_percent.

--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -101,7 +101,14 @@
         write_steps(&story.beliefs, out)?;
     }
     if !story.calls.is_empty() {
-        writeln!(out, "\nCalls made for it: {}", story.calls.join(", "))?;
+        writeln!(out, "\nCalls made for it:")?;
+    }
+    for call in &story.calls {
+        writeln!(
+            out,
+            "  {} ms  {}  {}: {}",
+            call.took_ms, call.request, call.class, call.end
+        )?;
     }
     Ok(())
 }
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -36,10 +36,14 @@
     match end.end() {
         LineEnd::Refused(reason) => explain_refusal(reason, end, lines, names),
         LineEnd::Unknown(cause) => explain_unknown(cause, end, lines, names),
-        LineEnd::Answered(status) if status >= 500 => vec![format!(
-            "The upstream itself answered {status}; {} upstreams were tried.",
-            end.number("arrivals")
-        )],
+        LineEnd::Answered(status) if status >= 500 => {
+            let mut causes = vec![format!(
+                "The upstream itself answered {status}; {} upstreams were tried.",
+                end.number("arrivals")
+            )];
+            causes.extend(explain_slowest(lines, names));
+            causes
+        }
         LineEnd::Answered(_) if end.number("took_ms") > end.number("target_ms") => {
             explain_late(end, lines, names)
         }
@@ -151,7 +155,7 @@
             "No answer came within the {} ms that the client left.",
             end.number("time_left_ms")
         ));
-        causes.extend(lines.executed.iter().filter_map(|line| describe_slow(line)));
+        causes.extend(explain_slowest(lines, names));
     }
     causes.extend(list_unreachable(lines, names));
     causes.extend(list_beliefs(lines));
@@ -200,38 +204,54 @@
         end.number("took_ms")
             .saturating_sub(end.number("target_ms"))
     )];
-    let slowest = lines
+    causes.extend(explain_slowest(lines, names));
+    if end.number("arrivals") > 1 {
+        causes.push(format!("{} upstreams were tried.", end.number("arrivals")));
+    }
+    causes.extend(list_unreachable(lines, names));
+    causes
+}
+
+/// Where the time of the slowest attempt went.
+fn explain_slowest(lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
+    let returned = lines.returned.iter();
+    let Some(slowest) = returned.max_by_key(|line| line.number("took_ms")) else {
+        return Vec::new();
+    };
+    let (took, waited) = (slowest.number("took_ms"), slowest.number("waited_ms"));
+    let node = names.find(slowest.text("to"));
+    let mut causes = vec![format!(
+        "At {node} it waited {waited} ms for a slot and ran for {} ms.",
+        took.saturating_sub(waited)
+    )];
+    let executed = lines
         .executed
         .iter()
-        .max_by_key(|line| line.number("took_ms"));
-    if let Some(line) = slowest {
-        let waited = line.number("waited_ms");
+        .find(|line| line.node.as_str() == node);
+    if let Some(executed) = executed {
+        causes.extend(describe_slow(executed));
+    } else if slowest.number("pace_percent") >= SLOW_PACE {
         causes.push(format!(
-            "At {} it waited {waited} ms for a slot and ran for {} ms.",
-            line.node,
-            line.number("took_ms").saturating_sub(waited)
+            "The VM of {node} worked at {}% of the usual time.",
+            slowest.number("pace_percent")
         ));
-        causes.extend(describe_slow(line));
-    } else {
-        let slowest = lines
-            .returned
-            .iter()
-            .max_by_key(|line| line.number("took_ms"));
-        causes.extend(slowest.map(|line| {
-            format!(
-                "{} ms of it passed between the question to {} and its answer.",
-                line.number("took_ms"),
-                names.find(line.text("to"))
-            )
-        }));
-    }
-    if end.number("arrivals") > 1 {
-        causes.push(format!("{} upstreams were tried.", end.number("arrivals")));
     }
-    causes.extend(list_unreachable(lines, names));
+    causes.extend(explain_shortage(lines));
     causes
 }
 
+/// Nodes that had no slot in time before one was found to wait at.
+fn explain_shortage(lines: &RequestLines<'_>) -> Option<String> {
+    let full = lines.returned.iter();
+    let full = full.filter(|line| line.end() == LineEnd::Refused("queue_full"));
+    let finishes = full.map(|line| line.number("finish_ms"));
+    let soonest = finishes.clone().min()?;
+    Some(format!(
+        "{} questions for a slot were refused before; the soonest end told was {soonest} ms away.",
+        finishes.count()
+    ))
+}
+
 fn explain_client_left(end: &LogLine, lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
     let mut causes = vec![format!(
         "The client closed its connection after {} ms, with {} ms given and a target of {} ms.",
--- a/src/log_reading/line.rs
+++ b/src/log_reading/line.rs
@@ -19,6 +19,10 @@
     pub const LINES_DROPPED: u16 = 805;
     /// Least number of the lines on what a node believes.
     pub const FIRST_BELIEF: u16 = 811;
+    /// A node that was behind was sent the routing table.
+    pub const STATE_SENT: u16 = 822;
+    /// The zone was told what was read from the store.
+    pub const ZONE_TOLD: u16 = 823;
     /// Another node could not be reached.
     pub const NODE_UNREACHABLE: u16 = 831;
     /// A record of a node was news.
--- a/src/log_reading/sentence.rs
+++ b/src/log_reading/sentence.rs
@@ -90,6 +90,11 @@
         line.number("took_ms"),
         line.end().describe()
     );
+    let waited = line.number("waited_ms");
+    if waited > 0 {
+        // Writing to a string never fails.
+        let _ = write!(text, "; {waited} ms of that it waited for a slot");
+    }
     let finish = line.number("finish_ms");
     if finish > 0 {
         // Writing to a string never fails.
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -63,7 +63,7 @@
     pub load: NodeLoad,
     /// Version of the routing table that the answering node has in force.
     pub version: ConfigurationVersion,
-    /// After a refusal, the time in which it would have ended.
+    /// After a refusal, the time in which it would have ended; else the time that it waited for a slot.
     pub finish: Duration,
 }
 
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -54,9 +54,11 @@
         within_ms: in_millis(hop.within),
         known_age_ms: known_age.map(in_millis),
         end: describe_end(&result),
-        finish_ms: result
+        finish_ms: read_answer(&result, true),
+        waited_ms: read_answer(&result, false),
+        pace_percent: result
             .as_ref()
-            .map_or(0, |executed| in_millis(executed.answer.finish)),
+            .map_or(0, |executed| executed.answer.load.slowdown_percent),
         took_ms: in_millis(core.timers.now().since(sent)),
     };
     if let Ok(Executed {
@@ -69,6 +71,15 @@
     Returned { to, result, line }
 }
 
+/// The time told with a refusal, or the one told with any other end; 0 if it is not that.
+fn read_answer(result: &Result<Executed, SendError>, refused: bool) -> u64 {
+    result.as_ref().map_or(0, |executed| {
+        let answer = &executed.answer;
+        let fits = matches!(answer.verdict, Verdict::Refused(_)) == refused;
+        if fits { in_millis(answer.finish) } else { 0 }
+    })
+}
+
 fn describe_end(result: &Result<Executed, SendError>) -> LoggedEnd {
     match result {
         Ok(executed) => match (executed.answer.verdict, &executed.response) {
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -90,6 +90,10 @@
         end: LoggedEnd,
         /// Time in which it would have ended, after a refusal for lack of slots.
         finish_ms: u64,
+        /// Time that it waited for a slot, if it was not refused.
+        waited_ms: u64,
+        /// Pace of the VM at its end, in percent of the usual time; 0 if no answer came.
+        pace_percent: u16,
         /// Time since it was sent.
         took_ms: u64,
     },
--- a/src/proxy/events/lines.rs
+++ b/src/proxy/events/lines.rs
@@ -100,7 +100,7 @@
     fn is_sampled(&self, event: &ProxyEvent) -> bool {
         event.request().is_none_or(|request| {
             let mut hasher = DefaultHasher::new();
-            request.hash(&mut hasher);
+            find_root(request).hash(&mut hasher);
             hasher.finish().is_multiple_of(self.rules.one_in.max(1))
         })
     }
@@ -168,3 +168,8 @@
         kept.push_back((seq, line));
     }
 }
+
+/// The request that a call was made for bears the first part of its identity: both are told of, or neither.
+fn find_root(request: &str) -> &str {
+    request.split('.').next().unwrap_or(request)
+}
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -79,7 +79,7 @@
     let (verdict, response) = dispatch(core, hop, req, time_left).await;
     drop(slot);
     Executed {
-        answer: describe(core, verdict, Duration::ZERO),
+        answer: describe(core, verdict, waited),
         response,
     }
 }
