Give the upstream work until the clients of a stopping node have gone

Ruled out: ending sooner (clients notice only at the second question; a connection refused in between is a failed try).

Change: a stopping node takes work for 2 s, if it ends within what is left of the time until it is killed.

--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -11,7 +11,10 @@
         hop::{HopAnswer, HopRequest, Verdict},
         outcome::RefusalReason,
     },
-    proxy::core::{ProxyCore, count},
+    proxy::{
+        core::{ProxyCore, count},
+        stop::takes_work,
+    },
     state::moment::Moment,
     transport::callers::CallerRequest,
 };
@@ -97,7 +100,7 @@
 }
 
 fn find_refusal(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
-    if core.is_stopping() {
+    if !takes_work(core, hop.time_left) {
         return Some(RefusalReason::Draining);
     }
     let own = core.own.borrow();
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -1,5 +1,4 @@
-//! A planned stop: no new work for the upstream, clients are served by other nodes until they have
-//! gone, what runs is ended.
+//! A planned stop: the upstream gets work until its clients have gone, what runs is ended.
 
 use crate::{
     proxy::{
@@ -13,6 +12,9 @@
 /// Clients notice that a node is not ready at the second question, one each second, and may send
 /// until then.
 const CLIENTS_LEAVE: Duration = Duration::from_millis(2_500);
+/// How long a stopping node gives its upstream new work: nothing else can, and the process stays for its
+/// clients anyway. The rest of their time is for what runs.
+const WORK_TAKEN: Duration = Duration::from_millis(2_000);
 /// Time before the process is killed at which it ends by itself.
 const MARGIN: Duration = Duration::from_millis(400);
 /// How often to look whether all has ended.
@@ -22,6 +24,18 @@
 /// connection; one look later it is written.
 const IDLE_LOOKS: u32 = 3;
 
+/// Whether work may be given to the upstream that is to end within `time_left`. What can't end before the
+/// process is killed would be cut off.
+#[must_use]
+pub fn takes_work(core: &ProxyCore, time_left: Duration) -> bool {
+    let Some(since) = core.stopping_since.get() else {
+        return true;
+    };
+    let stopping = core.timers.now().since(since);
+    let latest = core.bounds().grace.saturating_sub(MARGIN);
+    stopping <= WORK_TAKEN && stopping + time_left <= latest
+}
+
 /// Stops the node.
 pub async fn stop_gracefully(core: &Rc<ProxyCore>) {
     let since = core.timers.now();
