Ask nodes that say nothing last, and leave them out once a request gave up on them

An attempt that is dropped, since its client gave up or a hedge was answered, taught nothing.

Ruled out: questions beside requests (a message for each slow request, between zones paid for).

Change: a node's silence is the time since the oldest request was sent there since which nothing was heard; from 100 ms on it adds to the cost of asking the node, and an attempt given up on after 150 ms of it leaves the node out as a failed connect does. Test: proxy_decisions::order_silent_node_last.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -17,6 +17,10 @@
 /// Cost of an upstream where all requests fail beyond the usual, added to 1.
 const FAILURE_COST: f64 = 8.0;
 
+/// Silence of a node from which asking it costs more, and the silence that doubles its cost: one that stands
+/// still is asked last before anybody has given up on it.
+const SILENCE: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(100));
+
 /// A node that may be asked.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlacementCandidate {
@@ -47,7 +51,7 @@
             let candidate = PlacementCandidate {
                 address: view.record.address,
                 near: view.record.availability_zone == *zone,
-                cost: estimate_cost(view, usual_failures, now),
+                cost: estimate_cost(view, usual_failures, now) * weigh_silence(view, now),
             };
             (candidate, chance())
         })
@@ -87,6 +91,12 @@
     busy / limit * (1.0 + (slowdown - 1.0) * weight) * failing
 }
 
+fn weigh_silence(view: &NodeView, now: Moment) -> f64 {
+    let (from, doubles) = SILENCE;
+    let beyond = view.silence(now).saturating_sub(from);
+    1.0 + beyond.as_secs_f64() / doubles.as_secs_f64()
+}
+
 /// The lowest share among the nodes of a service: what fails everywhere, for instance because calls
 /// of the upstreams fail, says nothing against one of them.
 fn find_usual_failures<'a>(views: impl Iterator<Item = &'a NodeView>) -> u8 {
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -15,12 +15,16 @@
     state::{moment::Moment, placement_view::NodeView},
     transport::{callers::CallerRequest, outgoing::SendError},
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Time for which a node is left out whose upstream takes no work at all. It announces a change within
 /// a second or two; asking more often costs a message each way for nothing.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
 
+/// Silence of a node, given up on by a request, after which it is left out: above the time that usual work
+/// takes, during which other requests hear of it.
+const SILENCE: Duration = Duration::from_millis(150);
+
 /// An attempt that has come back.
 pub struct Returned {
     /// The node asked.
@@ -106,16 +110,21 @@
 struct Outstanding {
     core: Rc<ProxyCore>,
     to: SocketAddr,
+    sent: Moment,
+    answered: Cell<bool>,
 }
 
 impl Outstanding {
     fn count(core: &Rc<ProxyCore>, to: SocketAddr) -> Self {
+        let sent = core.timers.now();
         if let Some(view) = core.directory.borrow_mut().nodes.get_mut(&to) {
-            view.outstanding += 1;
+            view.note_sent(sent);
         }
         Self {
             core: Rc::clone(core),
             to,
+            sent,
+            answered: Cell::new(false),
         }
     }
 
@@ -127,28 +136,51 @@
     }
 
     fn learn(&self, result: &Result<Executed, SendError>) {
+        self.answered.set(true);
+        let Ok(executed) = result else {
+            return self.leave_out();
+        };
         let now = self.core.timers.now();
         let mut directory = self.core.directory.borrow_mut();
         let Some(view) = directory.nodes.get_mut(&self.to) else {
             return;
         };
-        let Ok(executed) = result else {
-            let pause = view.note_unreachable(now);
-            let failures = view.failures;
-            drop(directory);
-            self.core.log(&ProxyEvent::NodeUnreachable {
-                to: self.to,
-                failures,
-                pause_ms: in_millis(pause),
-            });
-            return;
-        };
-        view.note_reached();
+        view.note_heard(now);
         view.load = Some((executed.answer.load, now));
         if let Verdict::Refused(reason) = executed.answer.verdict {
             pause_after_refusal(view, reason, now);
         }
     }
+
+    /// Leaves the node out for a while.
+    fn leave_out(&self) {
+        let now = self.core.timers.now();
+        let mut directory = self.core.directory.borrow_mut();
+        let Some(view) = directory.nodes.get_mut(&self.to) else {
+            return;
+        };
+        let pause = view.note_unreachable(now);
+        let failures = view.failures;
+        drop(directory);
+        self.core.log(&ProxyEvent::NodeUnreachable {
+            to: self.to,
+            failures,
+            pause_ms: in_millis(pause),
+        });
+    }
+
+    /// Whether nothing was heard of the node for as long as this attempt lasted, and that was long. A VM that
+    /// stands still or is cut off takes connections and says nothing; without this, each request would find
+    /// that out for itself, and be late.
+    fn met_silence(&self) -> bool {
+        let now = self.core.timers.now();
+        let directory = self.core.directory.borrow();
+        let Some(view) = directory.nodes.get(&self.to) else {
+            return false;
+        };
+        let silence = view.silence(now);
+        silence >= SILENCE && silence >= now.since(self.sent)
+    }
 }
 
 /// A node whose upstream takes no work at all is left out for a while.
@@ -167,9 +199,12 @@
 
 impl Drop for Outstanding {
     fn drop(&mut self) {
+        if !self.answered.get() && self.met_silence() {
+            self.leave_out();
+        }
         let mut directory = self.core.directory.borrow_mut();
         if let Some(view) = directory.nodes.get_mut(&self.to) {
-            view.outstanding = view.outstanding.saturating_sub(1);
+            view.note_ended();
         }
     }
 }
--- a/src/proxy/stop.rs
+++ b/src/proxy/stop.rs
@@ -14,7 +14,7 @@
 const CLIENTS_LEAVE: Duration = Duration::from_millis(2_500);
 /// How long a stopping node gives its upstream new work: nothing else can, and the process stays for its
 /// clients anyway. The rest of their time is for what runs.
-const WORK_TAKEN: Duration = Duration::from_millis(2_000);
+const WORK_TAKEN: Duration = Duration::from_secs(2);
 /// Time before the process is killed at which it ends by itself.
 const MARGIN: Duration = Duration::from_millis(400);
 /// How often to look whether all has ended.
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -73,6 +73,8 @@
     pub paused_until: Moment,
     /// Failures to reach it in a row.
     pub failures: u32,
+    /// When the oldest request was sent there since which nothing was heard of it; none if nothing is awaited.
+    pub silent_since: Option<Moment>,
 }
 
 impl NodeView {
@@ -86,9 +88,33 @@
             load: None,
             paused_until: Moment::default(),
             failures: 0,
+            silent_since: None,
         }
     }
 
+    /// Notes that a request is sent there.
+    pub fn note_sent(&mut self, now: Moment) {
+        self.outstanding += 1;
+        if self.silent_since.is_none() {
+            self.silent_since = Some(now);
+        }
+    }
+
+    /// Notes that a request is no longer awaited.
+    pub fn note_ended(&mut self) {
+        self.outstanding = self.outstanding.saturating_sub(1);
+        if self.outstanding == 0 {
+            self.silent_since = None;
+        }
+    }
+
+    /// How long something has been awaited without any word.
+    #[must_use]
+    pub fn silence(&self, now: Moment) -> Duration {
+        self.silent_since
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// Notes that the node could not be reached; returns the pause until the next try.
     pub fn note_unreachable(&mut self, now: Moment) -> Duration {
         let doubled = FIRST_PAUSE * 2_u32.saturating_pow(self.failures.min(8));
@@ -99,6 +125,12 @@
     }
 
     /// Notes that the node answered.
+    pub fn note_heard(&mut self, now: Moment) {
+        self.note_reached();
+        self.silent_since = (self.outstanding > 1).then_some(now);
+    }
+
+    /// Forgets that it could not be reached.
     pub fn note_reached(&mut self) {
         self.failures = 0;
         self.paused_until = Moment::default();
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -309,6 +309,27 @@
     assert_eq!(order(Moment(300_000)), 2);
 }
 
+/// Symptom: each request to a VM that stands still is late. Sequence: it takes connections and says nothing;
+/// requests go on to be sent there. Cause: only refused and broken connections counted against a node.
+#[test]
+fn order_silent_node_last() {
+    let mut silent = view(1, "a");
+    silent.note_sent(Moment(0));
+    let mut busy = view(2, "a");
+    busy.note_sent(Moment(0));
+    busy.note_sent(Moment(0));
+    let first = |silent: &NodeView, busy: &NodeView, now| {
+        let views = [silent.clone(), busy.clone()];
+        let order = order_candidates(views.iter(), &"desk".into(), &"a".into(), || 0.5, now);
+        order[0].address
+    };
+    assert_eq!(first(&silent, &busy, Moment(50_000)), address(1));
+    busy.note_heard(Moment(390_000));
+    assert_eq!(first(&silent, &busy, Moment(400_000)), address(2));
+    silent.note_ended();
+    assert_eq!(silent.silence(Moment(400_000)), Duration::ZERO);
+}
+
 #[test]
 fn readers_are_two_of_a_zone() {
     let all: Vec<SocketAddr> = (1..=20).map(address).collect();
