--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -155,10 +155,12 @@
 }
 
 fn draw_condition(random: &mut impl Rng) -> StoreCondition {
-    match random.random_range(0..4) {
+    match random.random_range(0..6) {
         0 => StoreCondition::Busy,
         1 => StoreCondition::Reset,
         2 => StoreCondition::Silent,
+        3 => StoreCondition::Slow(Duration::from_millis(300)),
+        4 => StoreCondition::ActsLate(Duration::from_secs(1)),
         _ => StoreCondition::LosesAnswers,
     }
 }
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -5,5 +5,6 @@
 pub mod publishing;
 pub mod repeat_budget;
 pub mod slot_queue;
+pub mod slot_search;
 pub mod spreading;
 pub mod store_reading;
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -61,6 +61,8 @@
     pub clients: SocketAddr,
     /// Where operators' tools connect.
     pub operators: SocketAddr,
+    /// Where the upstream listens.
+    pub upstream: SocketAddr,
     /// What the upstream ran.
     pub runs: RunRecord,
     stop: Sender<Order>,
@@ -121,6 +123,7 @@
 struct Started {
     clients: SocketAddr,
     operators: SocketAddr,
+    upstream: SocketAddr,
     server: OperatorServer,
 }
 
@@ -146,6 +149,7 @@
         plan: plan.clone(),
         clients: started.clients,
         operators: started.operators,
+        upstream: started.upstream,
         runs,
         stop,
         server: Some(started.server),
@@ -210,7 +214,7 @@
     let (requests_tx, requests) = flume::unbounded();
     let server = serve_operators(ANY_PORT.into(), LOCAL_TOKEN, requests_tx)?;
     let settings = describe_node(&plan, &listeners, &upstream, server.address)?;
-    let clients = settings.clients;
+    let (clients, upstream_address) = (settings.clients, settings.upstream);
     let core = ProxyCore::new(settings, TimerService::system());
     let (records_tx, records) = flume::unbounded();
     follow_store(&core, store.clone(), records);
@@ -240,6 +244,7 @@
     let started = Started {
         clients,
         operators,
+        upstream: upstream_address,
         server,
     };
     Ok((running, started))
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -1,7 +1,10 @@
 //! Carries one request: asks nodes for a slot until one runs it.
 
 use crate::{
-    coordination::placement::{PlacementCandidate, order_candidates},
+    coordination::{
+        placement::{PlacementCandidate, order_candidates},
+        slot_search::{Offer, SearchStep, SearchTime, SlotSearch, find_hedge_delay},
+    },
     protocol::{
         hop::{HopAnswer, HopRequest, Verdict},
         outcome::{RefusalReason, UnknownCause},
@@ -20,24 +23,10 @@
 use futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::Response;
 use rand::RngExt;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, ops::Range, rc::Rc, time::Duration};
 
-/// Nodes of the own availability zone asked for a slot at once.
-const NEAR_ASKED: usize = 4;
-/// Nodes of other zones asked for a slot at once; each question is paid for by its bytes.
-const FAR_ASKED: usize = 2;
-/// Share of the target after which an idempotent request is sent to a second node.
-const HEDGE_SHARE: f64 = 0.6;
-/// Share of the target within which an answer from the own zone is awaited rather than asked for
-/// elsewhere, for a class without bytes; and what each KB of a class adds to it, since its way
-/// between zones is paid for.
-const NEAR_SHARE: (f64, f64) = (0.55, 0.08);
-/// Most of the target that an answer from the own zone may take to be awaited.
-const NEAR_SHARE_MOST: f64 = 0.95;
-/// Times a request may be sent to wait for a slot.
-const MAX_WAITS: u32 = 2;
-/// When to come back after a refusal, at the least and at the most.
-const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(400));
+/// Spread of the times at which refused clients are to come back.
+const COME_BACK_SPREAD: Range<f64> = 0.8..1.2;
 
 /// A request of a client with what was decided about it once.
 pub struct ClientCall {
@@ -62,64 +51,34 @@
     Repeat,
 }
 
-/// Where in its search for a slot a request is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// Nodes of the own zone are asked for a slot at once.
-    Near,
-    /// Nodes of other zones are.
-    Far,
-    /// It waits where it ends soonest.
-    Wait,
-}
-
-/// A node that refused, and when the request would have ended there.
-#[derive(Clone, Copy, Debug)]
-struct Offer {
-    address: SocketAddr,
-    near: bool,
-    finish: Duration,
-}
-
 /// Carries one request.
 pub struct Carrier {
     core: Rc<ProxyCore>,
     call: Rc<ClientCall>,
     under_way: FuturesUnordered<LocalBoxFuture<'static, Returned>>,
-    near: std::vec::IntoIter<PlacementCandidate>,
-    far: std::vec::IntoIter<PlacementCandidate>,
-    phase: Phase,
+    search: SlotSearch,
     /// Attempts that reached an upstream or may have.
     arrivals: u16,
-    offers: Vec<Offer>,
     /// What an upstream answered, or why it is not known whether one ran the request.
     earlier: Option<ClientEnd>,
     last_refusal: RefusalReason,
-    waits: u32,
     asked: u32,
     lines: Vec<ProxyEvent>,
 }
 
 impl Carrier {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall) -> Self {
-        let candidates = find_candidates(core, &call.service);
         count_request(core, &call.service);
-        let (near, far): (Vec<_>, Vec<_>) =
-            candidates.into_iter().partition(|candidate| candidate.near);
-        let near: Vec<_> = near.into_iter().take(NEAR_ASKED).collect();
-        let far: Vec<_> = far.into_iter().take(FAR_ASKED).collect();
+        let kilobytes = core.class_bytes(&call.route.class) / 1_000.0;
+        let candidates = find_candidates(core, &call.service);
         Self {
             core: Rc::clone(core),
+            search: SlotSearch::begin(candidates, call.route.target, kilobytes),
             call: Rc::new(call),
             under_way: FuturesUnordered::new(),
-            near: near.into_iter(),
-            far: far.into_iter(),
-            phase: Phase::Near,
             arrivals: 0,
-            offers: Vec::new(),
             earlier: None,
             last_refusal: RefusalReason::NoUpstream,
-            waits: 0,
             asked: 0,
             lines: Vec::new(),
         }
@@ -140,7 +99,10 @@
         if !self.ask_next() {
             return self.give_up();
         }
-        let hedge = self.core.timers.after(self.hedge_delay());
+        let hedge = self
+            .core
+            .timers
+            .after(find_hedge_delay(self.call.route.target));
         let mut may_hedge = self.call.route.idempotent;
         loop {
             let returned = tokio::select! {
@@ -180,13 +142,9 @@
         (!goes_on).then(|| self.give_up())
     }
 
-    fn hedge_delay(&self) -> Duration {
-        self.call.route.target.mul_f64(HEDGE_SHARE)
-    }
-
     fn hedge(&mut self) {
         // One that waits for a slot is better off waiting than at two upstreams.
-        if self.under_way.len() == 1 && self.waits == 0 && self.take_repeat() {
+        if self.under_way.len() == 1 && !self.search.has_waited() && self.take_repeat() {
             // Without another node to ask the first attempt is all there is.
             let _ = self.ask_next();
         }
@@ -233,64 +191,16 @@
         if !self.may_reach_another() {
             return false;
         }
-        if self.phase == Phase::Near {
-            if let Some(next) = self.near.next() {
-                self.send(next.address, Duration::ZERO);
-                return true;
-            }
-            self.phase = if self.is_near_soon_enough() {
-                Phase::Wait
-            } else {
-                Phase::Far
-            };
-        }
-        if self.phase == Phase::Far {
-            if let Some(next) = self.far.next() {
-                self.send(next.address, Duration::ZERO);
-                return true;
-            }
-            self.phase = Phase::Wait;
-        }
-        self.wait_at_soonest()
-    }
-
-    /// Whether the own zone would answer soon enough that asking another is not worth the bytes.
-    fn is_near_soon_enough(&self) -> bool {
-        let soonest = self.offers.iter().map(|offer| offer.finish).min();
-        let (share, each_kb) = NEAR_SHARE;
-        let kilobytes = self.core.class_bytes(&self.call.route.class) / 1_000.0;
-        let share = (share + each_kb * kilobytes).min(NEAR_SHARE_MOST);
-        soonest.is_some_and(|finish| self.spent() + finish <= self.call.route.target.mul_f64(share))
-    }
-
-    fn spent(&self) -> Duration {
-        self.core.timers.now().since(self.call.arrived)
-    }
-
-    /// Waits for a slot where the request ends soonest.
-    fn wait_at_soonest(&mut self) -> bool {
-        if self.waits >= MAX_WAITS {
-            return false;
-        }
-        let penalty = self.call.route.target.mul_f64(1.0 - NEAR_SHARE_MOST);
-        let cost = |offer: &Offer| offer.finish + if offer.near { Duration::ZERO } else { penalty };
-        let soonest = (0..self.offers.len()).min_by_key(|index| cost(&self.offers[*index]));
-        let Some(index) = soonest else {
-            return false;
-        };
-        let offer = self.offers.swap_remove(index);
-        let target_left = self.call.route.target.saturating_sub(self.spent());
-        let time_left = self.call.deadline.since(self.core.timers.now());
-        let within = if offer.finish <= target_left {
-            target_left
-        } else {
-            time_left
+        let now = self.core.timers.now();
+        let time = SearchTime {
+            spent: now.since(self.call.arrived),
+            left: self.call.deadline.since(now),
         };
-        if offer.finish > within {
-            return false;
+        match self.search.find_next(time) {
+            SearchStep::AskAtOnce(node) => self.send(node, Duration::ZERO),
+            SearchStep::WaitAt { node, within } => self.send(node, within),
+            SearchStep::GiveUp => return false,
         }
-        self.waits += 1;
-        self.send(offer.address, within);
         true
     }
 
@@ -369,8 +279,8 @@
             view.record.availability_zone == self.core.settings.availability_zone
         });
         drop(directory);
-        self.offers.push(Offer {
-            address,
+        self.search.note_offer(Offer {
+            node: address,
             near,
             finish,
         });
@@ -406,14 +316,8 @@
     }
 
     fn refuse(&self) -> ClientEnd {
-        let (least, most) = COME_BACK;
-        let soonest = self.offers.iter().map(|offer| offer.finish).min();
-        let wait = soonest.map_or(least, |finish| {
-            finish.saturating_sub(self.call.route.target)
-        });
-        let spread = rand::rng().random_range(0.8..1.2);
-        let after = wait.clamp(least, most).mul_f64(spread);
-        ClientEnd::Refused(self.last_refusal, after)
+        let spread = rand::rng().random_range(COME_BACK_SPREAD);
+        ClientEnd::Refused(self.last_refusal, self.search.find_come_back(spread))
     }
 }
 
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -8,7 +8,7 @@
     collections::HashMap,
     future::pending,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     time::Duration,
 };
@@ -16,7 +16,7 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
     task::spawn_local,
-    time::timeout,
+    time::{sleep, timeout},
 };
 
 /// How the store treats calls.
@@ -33,6 +33,10 @@
     Silent,
     /// It does what it is asked and closes the connection without an answer.
     LosesAnswers,
+    /// It answers after a pause.
+    Slow(Duration),
+    /// It closes connections without an answer, and does what it was asked after a pause.
+    ActsLate(Duration),
 }
 
 #[derive(Clone, Debug)]
@@ -46,6 +50,8 @@
     condition: Cell<StoreCondition>,
     /// Records before this offset have been deleted, of every topic.
     first: Cell<usize>,
+    /// Clients that are turned away.
+    refused: RefCell<Vec<IpAddr>>,
     topics: RefCell<HashMap<String, Vec<Record>>>,
     calls: Cell<u32>,
     appended: Notify,
@@ -76,6 +82,11 @@
         self.state.condition.set(condition);
     }
 
+    /// Turns the clients at these addresses away with 503 from now on, and no others.
+    pub fn refuse(&self, clients: &[IpAddr]) {
+        *self.state.refused.borrow_mut() = clients.to_vec();
+    }
+
     /// How calls are treated now.
     #[must_use]
     pub fn condition(&self) -> StoreCondition {
@@ -125,15 +136,17 @@
 }
 
 async fn accept(listener: TcpListener, state: Rc<State>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        spawn_local(serve(stream, Rc::clone(&state)));
+    while let Ok((stream, client)) = listener.accept().await {
+        spawn_local(serve(stream, client.ip(), Rc::clone(&state)));
     }
 }
 
-async fn serve(mut stream: TcpStream, state: Rc<State>) {
+async fn serve(mut stream: TcpStream, client: IpAddr, state: Rc<State>) {
     while let Ok(Some(request)) = read_request(&mut stream).await {
         state.calls.set(state.calls.get() + 1);
+        let is_refused = state.refused.borrow().contains(&client);
         let answer = match state.condition.get() {
+            _ if is_refused => build_answer(503, &[], b"refused"),
             StoreCondition::Well => answer(&request, &state).await,
             StoreCondition::Busy => build_answer(503, &[], b"busy"),
             StoreCondition::Reset => return,
@@ -142,6 +155,17 @@
                 answer(&request, &state).await;
                 return;
             }
+            StoreCondition::Slow(pause) => {
+                sleep(pause).await;
+                answer(&request, &state).await
+            }
+            StoreCondition::ActsLate(pause) => {
+                spawn_local(async move {
+                    sleep(pause).await;
+                    answer(&request, &state).await;
+                });
+                return;
+            }
         };
         if write_all(&mut stream, &answer).await.is_err() {
             return;
--- /dev/null
+++ b/tests/integration/slot_search.rs
@@ -0,0 +1,152 @@
+//! The search for a slot, over any answers and times.
+
+use bolero::check;
+use camphorturn::coordination::{
+    placement::PlacementCandidate,
+    slot_search::{
+        COME_BACK, FAR_ASKED, MAX_WAITS, NEAR_ASKED, Offer, SearchStep, SearchTime, SlotSearch,
+        find_hedge_delay,
+    },
+};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+const TARGET: Duration = Duration::from_millis(300);
+const TIMEOUT: Duration = Duration::from_millis(1_200);
+
+fn address(last: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, last], 80))
+}
+
+fn candidate(last: u8, near: bool) -> PlacementCandidate {
+    PlacementCandidate {
+        address: address(last),
+        near,
+        cost: 1.0,
+    }
+}
+
+fn time(spent: u64) -> SearchTime {
+    let spent = Duration::from_millis(spent);
+    SearchTime {
+        spent,
+        left: TIMEOUT.saturating_sub(spent),
+    }
+}
+
+fn offer(last: u8, near: bool, finish: u64) -> Offer {
+    Offer {
+        node: address(last),
+        near,
+        finish: Duration::from_millis(finish),
+    }
+}
+
+#[test]
+fn find_next_own_zone_is_soon_enough() {
+    let candidates = vec![candidate(1, true), candidate(2, false)];
+    let mut search = SlotSearch::begin(candidates, TARGET, 0.0);
+    assert_eq!(search.find_next(time(0)), SearchStep::AskAtOnce(address(1)));
+    search.note_offer(offer(1, true, 160));
+    assert_eq!(
+        search.find_next(time(2)),
+        SearchStep::WaitAt {
+            node: address(1),
+            within: Duration::from_millis(298),
+        }
+    );
+}
+
+#[test]
+fn find_next_other_zone_by_bytes() {
+    let asks_far = |kilobytes| {
+        let candidates = vec![candidate(1, true), candidate(2, false)];
+        let mut search = SlotSearch::begin(candidates, TARGET, kilobytes);
+        search.find_next(time(0));
+        search.note_offer(offer(1, true, 200));
+        search.find_next(time(2)) == SearchStep::AskAtOnce(address(2))
+    };
+    assert!(asks_far(0.0));
+    assert!(!asks_far(5.0));
+}
+
+#[test]
+fn find_next_late_everywhere_waits_until_the_deadline() {
+    let mut search = SlotSearch::begin(vec![candidate(1, true)], TARGET, 0.0);
+    search.find_next(time(0));
+    search.note_offer(offer(1, true, 500));
+    let within = Duration::from_millis(1_190);
+    let node = address(1);
+    assert_eq!(
+        search.find_next(time(10)),
+        SearchStep::WaitAt { node, within }
+    );
+}
+
+#[test]
+fn find_next_beyond_the_deadline_gives_up() {
+    let mut search = SlotSearch::begin(vec![candidate(1, true)], TARGET, 0.0);
+    search.find_next(time(0));
+    search.note_offer(offer(1, true, 1_300));
+    assert_eq!(search.find_next(time(10)), SearchStep::GiveUp);
+}
+
+/// Whatever nodes answer, and whenever: few are asked, each once, the own zone first; a request waits twice
+/// at most, only where it was told that it ends in time; and it is told when to come back.
+#[test]
+fn find_next_any_answers() {
+    check!()
+        .with_type::<(Vec<bool>, Vec<(Option<u16>, u8)>, u8)>()
+        .for_each(|(zones, answers, kilobytes)| {
+            let candidates: Vec<PlacementCandidate> = zones
+                .iter()
+                .zip(1..=u8::MAX)
+                .map(|(near, last)| candidate(last, *near))
+                .collect();
+            let mut search = SlotSearch::begin(candidates.clone(), TARGET, f64::from(*kilobytes));
+            let mut asked: Vec<PlacementCandidate> = Vec::new();
+            let mut told: HashMap<SocketAddr, Duration> = HashMap::new();
+            let mut waits = 0;
+            let mut spent = 0;
+            for (finish, passed) in answers {
+                spent += u64::from(*passed);
+                let node = match search.find_next(time(spent)) {
+                    SearchStep::AskAtOnce(node) => {
+                        let known = candidates.iter().find(|known| known.address == node);
+                        asked.push(*known.expect("a candidate"));
+                        node
+                    }
+                    SearchStep::WaitAt { node, within } => {
+                        waits += 1;
+                        assert!(told[&node] <= within, "{node} promised more");
+                        assert!(within <= time(spent).left);
+                        node
+                    }
+                    SearchStep::GiveUp => break,
+                };
+                if let Some(finish) = finish {
+                    let finish = Duration::from_millis(u64::from(*finish));
+                    told.insert(node, finish);
+                    let near = asked
+                        .iter()
+                        .any(|known| known.address == node && known.near);
+                    search.note_offer(Offer { node, near, finish });
+                }
+            }
+            let near = asked.iter().filter(|known| known.near).count();
+            let first_far = asked.iter().position(|known| !known.near);
+            assert!(near <= NEAR_ASKED && asked.len() - near <= FAR_ASKED);
+            assert!(first_far.is_none_or(|first| asked[first..].iter().all(|known| !known.near)));
+            assert!(waits <= MAX_WAITS);
+            let mut addresses: Vec<SocketAddr> = asked.iter().map(|known| known.address).collect();
+            addresses.sort_unstable();
+            addresses.dedup();
+            assert_eq!(addresses.len(), asked.len(), "a node was asked twice");
+            let come_back = search.find_come_back(1.0);
+            assert!((COME_BACK.0..=COME_BACK.1).contains(&come_back));
+        });
+}
+
+#[test]
+fn find_hedge_delay_within_the_target() {
+    assert_eq!(find_hedge_delay(TARGET), Duration::from_millis(180));
+}
