--- a/examples/upper_bound.rs
+++ b/examples/upper_bound.rs
@@ -1,8 +1,8 @@
 //! What could be reached at most on a day of the platform's bench: what the slots can serve at those times,
 //! less what can't be avoided.
 //!
-//! `upper_bound SITE.toml REPORT.json...`, with reports of days of that site. The bound knows the load and
-//! the slots, and no disruption: what upstreams and VMs lose lies between it and what was reached.
+//! `upper_bound SITE.toml REPORT.json...`, with reports of days of that site. The bound knows the load, the
+//! slots and how fast VMs work on average, and no disruption: what upstreams and VMs lose lies between it and what was reached.
 
 use serde::Deserialize;
 use std::{collections::HashMap, env, fs, process::ExitCode};
@@ -35,6 +35,14 @@
 struct Service {
     name: String,
     slots: f64,
+    noise: Option<Noise>,
+}
+
+/// A share of the time in which work takes that many times as long.
+#[derive(Deserialize)]
+struct Noise {
+    share: f64,
+    x: f64,
 }
 
 #[derive(Deserialize)]
@@ -251,7 +259,13 @@
 
 fn count_slots(site: &Site, service: &str) -> f64 {
     let slots = site.services.iter().find(|known| known.name == service);
-    let each = slots.map_or(0.0, |known| (known.slots * USED_SLOTS).floor());
+    let each = slots.map_or(0.0, |known| {
+        let pace = known
+            .noise
+            .as_ref()
+            .map_or(1.0, |noise| 1.0 - noise.share + noise.share / noise.x);
+        (known.slots * USED_SLOTS).floor() * pace
+    });
     let machines = site
         .machines
         .iter()
