Have nodes that are behind ask for what is newer, one node at a time; hand reading over

The lines showed up to 64 routing tables a second sent in one zone, and 4,139 failed connects: after a configuration with hundreds of routes more, with 26 nodes turned away by the store, every node that was ahead sent its table to every one that was behind, and links of 10 Mbit/s were full. Besides, the two nodes that read for a zone may be the very ones that the store turns away.

Change: a node that sees a higher version on a request or answer asks the other for what is newer, with one question under way.

--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -20,7 +20,7 @@
 /// most. Their reads together cost the same however many nodes there are, up to the longest pause.
 const OTHERS_PAUSE: (Duration, Duration, Duration) = (
     Duration::from_secs(14),
-    Duration::from_secs(1),
+    Duration::from_millis(500),
     Duration::from_mins(1),
 );
 /// Pause between two reads of the nodes' records by a reader, in the same way. At a common start all
--- a/src/log_reading/line.rs
+++ b/src/log_reading/line.rs
@@ -19,8 +19,8 @@
     pub const LINES_DROPPED: u16 = 805;
     /// Least number of the lines on what a node believes.
     pub const FIRST_BELIEF: u16 = 811;
-    /// A node that was behind was sent the routing table.
-    pub const STATE_SENT: u16 = 822;
+    /// Another node was asked for what is newer.
+    pub const STATE_FETCHED: u16 = 826;
     /// The zone was told what was read from the store.
     pub const ZONE_TOLD: u16 = 823;
     /// Another node could not be reached.
--- a/src/log_reading/request_story.rs
+++ b/src/log_reading/request_story.rs
@@ -125,7 +125,7 @@
 fn may_have_led_to_end(line: &LogLine) -> bool {
     match line.number {
         numbers::NODE_KNOWN => line.is_set("leaving"),
-        numbers::STATE_SENT | numbers::ZONE_TOLD => false,
+        numbers::STATE_FETCHED | numbers::ZONE_TOLD => false,
         number => number >= numbers::FIRST_BELIEF,
     }
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -183,4 +183,10 @@
     /// Nodes that the receiver is to pass the message on to.
     #[serde(default)]
     pub pass_on: Vec<SocketAddr>,
+    /// The receiver is to answer with what is newer than this version.
+    #[serde(default)]
+    pub wanted: Option<ConfigurationVersion>,
+    /// The receiver is to read the store for its zone: the sender can't.
+    #[serde(default)]
+    pub read_store: bool,
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -29,10 +29,13 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     rc::Rc,
+    time::Duration,
 };
 
 /// Bytes that a class is taken to need before any were seen.
 const FIRST_BYTES: f64 = 1_500.0;
+/// How long a node reads the store in place of one that can't; asked again as long as that lasts.
+const STANDING_IN: Duration = Duration::from_secs(8);
 /// Weight of the newest in the moving average of bytes.
 const BYTES_WEIGHT: f64 = 0.1;
 
@@ -94,6 +97,10 @@
     pub classes: RefCell<BTreeMap<ClassName, ClassCounts>>,
     /// Moving averages of the bytes of a request and its answer, by class.
     pub class_bytes: RefCell<HashMap<ClassName, f64>>,
+    /// Whether what is newer is being fetched from another node.
+    pub fetching: Cell<bool>,
+    /// Until when this node reads the store in place of one that can't.
+    reads_until: Cell<Moment>,
     /// Requests picked a service by weight so far; spreads them evenly.
     pub picks: Cell<u32>,
 }
@@ -117,6 +124,8 @@
             classes: RefCell::default(),
             class_bytes: RefCell::default(),
             bounds: Cell::new(settings.bounds),
+            fetching: Cell::new(false),
+            reads_until: Cell::default(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
             timers,
@@ -192,10 +201,27 @@
     /// How this node reads the store next.
     #[must_use]
     pub fn plan_reading(&self) -> ReadingPlan {
-        let reader = is_reader(self.settings.peers, self.list_zone().into_iter());
+        let reader = self.stands_in() || self.is_zone_reader();
         plan_reading(reader, self.directory.borrow().nodes.len())
     }
 
+    /// Whether this node reads the store in place of one that can't.
+    #[must_use]
+    pub fn stands_in(&self) -> bool {
+        self.timers.now() < self.reads_until.get()
+    }
+
+    /// Whether this node is one of those that read the store for their zone.
+    #[must_use]
+    pub fn is_zone_reader(&self) -> bool {
+        is_reader(self.settings.peers, self.list_zone().into_iter())
+    }
+
+    /// Reads the store for the zone for a while, in place of a node that can't.
+    pub fn read_for_zone(&self) {
+        self.reads_until.set(self.timers.now() + STANDING_IN);
+    }
+
     /// The other nodes of the zone that can be reached.
     #[must_use]
     pub fn list_zone(&self) -> Vec<SocketAddr> {
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -4,15 +4,11 @@
     protocol::hop::StateMessage,
     state::{
         configuration::ConfigurationVersion,
-        moment::Moment,
         placement_view::{NodeRecord, NodeView, StoredRecord},
         routing_table::{RouteIndex, RoutingTable},
     },
 };
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
-
-/// Pause before the same version is sent to the same node again.
-const SHARE_PAUSE: Duration = Duration::from_millis(500);
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
 
 /// Where a piece of state came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -43,7 +39,7 @@
     routes: Option<Rc<RouteIndex>>,
     /// By the address where they take requests from nodes.
     pub nodes: BTreeMap<SocketAddr, NodeView>,
-    shared: BTreeMap<SocketAddr, (ConfigurationVersion, Moment)>,
+    shared: BTreeMap<SocketAddr, ConfigurationVersion>,
 }
 
 impl Directory {
@@ -123,47 +119,32 @@
     }
 
     /// Notes that a node is known to have a version, so that it is not sent to it.
-    pub fn note_version(
-        &mut self,
-        address: SocketAddr,
-        version: ConfigurationVersion,
-        now: Moment,
-    ) {
-        self.shared.insert(address, (version, now));
+    pub fn note_version(&mut self, address: SocketAddr, version: ConfigurationVersion) {
+        self.shared.insert(address, version);
     }
 
     /// Whether a node is known to have the version in force.
     #[must_use]
     pub fn has_version(&self, address: SocketAddr) -> bool {
         let known = self.shared.get(&address);
-        known.is_some_and(|(version, _)| *version >= self.version())
+        known.is_some_and(|version| *version >= self.version())
     }
 
-    /// What to send to a node that has `version`, if that is older and it was not sent just now.
-    pub fn share_with(
-        &mut self,
-        address: SocketAddr,
-        version: ConfigurationVersion,
-        now: Moment,
-    ) -> Option<StateMessage> {
-        let own = self.version();
-        let sent = self.shared.get(&address);
-        let just_sent = sent.is_some_and(|(sent, at)| *sent == own && now.since(*at) < SHARE_PAUSE);
-        if version >= own || just_sent {
-            return None;
-        }
-        self.shared.insert(address, (own, now));
+    /// What a node that has `version` does not have yet.
+    #[must_use]
+    pub fn list_newer_than(&self, version: ConfigurationVersion) -> StateMessage {
+        let routes = self.routes.as_ref().filter(|_| self.version() > version);
         // Only a node that knows nothing yet needs to be told of the other nodes: the store's records
         // reach the others by its readers.
-        let nodes = if version == ConfigurationVersion::default() {
-            self.list_records()
-        } else {
-            Vec::new()
-        };
-        Some(StateMessage {
-            table: self.routes.as_ref().map(|routes| routes.table().clone()),
-            nodes,
-            pass_on: Vec::new(),
-        })
+        let knows_nothing = version == ConfigurationVersion::default();
+        StateMessage {
+            table: routes.map(|routes| routes.table().clone()),
+            nodes: if knows_nothing {
+                self.list_records()
+            } else {
+                Vec::new()
+            },
+            ..StateMessage::default()
+        }
     }
 }
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -184,12 +184,14 @@
         /// Where it came from.
         source: &'static str,
     },
-    /// A node that is behind is sent the routing table.
-    StateSent {
+    /// Another node told of a higher version, and is asked for what is newer.
+    StateFetched {
         /// The node.
-        to: SocketAddr,
-        /// The version sent.
+        from: SocketAddr,
+        /// The version it told.
         version: u64,
+        /// The version in force here.
+        before: u64,
     },
     /// The zone is told what was read from the store.
     ZoneTold {
@@ -205,6 +207,11 @@
         /// What is wrong.
         error: String,
     },
+    /// Other nodes of the zone are asked to read the store, since this one can't.
+    ReadingHandedOver {
+        /// Nodes asked.
+        nodes: usize,
+    },
     /// Another node could not be reached.
     NodeUnreachable {
         /// The node.
@@ -314,9 +321,10 @@
             Self::UpstreamRecalled { .. } => (814, "upstream_recalled"),
             Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
             Self::TableInForce { .. } => (821, "table_in_force"),
-            Self::StateSent { .. } => (822, "state_sent"),
+            Self::StateFetched { .. } => (826, "state_fetched"),
             Self::ZoneTold { .. } => (823, "zone_told"),
             Self::StateRejected { .. } => (824, "state_rejected"),
+            Self::ReadingHandedOver { .. } => (825, "reading_handed_over"),
             Self::NodeUnreachable { .. } => (831, "node_unreachable"),
             Self::NodeKnown { .. } => (832, "node_known"),
             Self::ConfigurationRejected { .. } => (841, "configuration_rejected"),
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -11,7 +11,7 @@
     proxy::{
         core::ProxyCore,
         executing::{Executed, execute},
-        state_sharing::{share_state, take_state},
+        state_sharing::{fetch_newer, take_state},
     },
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
@@ -62,7 +62,7 @@
         .as_ref()
         .and_then(|value| HopAnswer::decode(value.to_str().ok()?))
         .ok_or(SendError::BadAnswer)?;
-    share_state(core, to, answer.version);
+    fetch_newer(core, to, answer.version);
     let response = (answer.verdict == Verdict::Answered).then_some(response);
     Ok(Executed { answer, response })
 }
@@ -120,7 +120,7 @@
     let Some(hop) = hop else {
         return reply_json(StatusCode::BAD_REQUEST, "not a message between nodes");
     };
-    share_state(core, hop.from, hop.version);
+    fetch_newer(core, hop.from, hop.version);
     let executed = execute(core, &hop, req).await;
     let mut reply = match executed.response {
         Some(response) => pass_on(response),
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -23,24 +23,40 @@
     fresh: false,
     connect_timeout: Duration::from_millis(250),
     idle_limit: Duration::from_secs(20),
-    body_limit: 64 * 1024,
+    body_limit: BODY_LIMIT,
 };
+/// Largest answer, in bytes: a routing table of some ten thousand routes.
+const BODY_LIMIT: usize = 4 * 1024 * 1024;
+/// Nodes that are asked to read the store in place of one that can't.
+const STAND_INS: usize = 2;
 /// Longest time for a message with state.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Sends the routing table, and to a node that has none the known nodes too, to a node that is behind.
-pub fn share_state(core: &Rc<ProxyCore>, to: SocketAddr, version: ConfigurationVersion) {
-    let now = core.timers.now();
-    let message = core.directory.borrow_mut().share_with(to, version, now);
-    let Some(message) = message else {
+/// Fetches what is newer from a node that told of a higher version.
+///
+/// The node that is behind asks, and one node at a time. Were all nodes that are ahead to send their table, a node
+/// with a narrow link would get a large one from each of them, and be cut off by just that.
+pub fn fetch_newer(core: &Rc<ProxyCore>, from: SocketAddr, version: ConfigurationVersion) {
+    let own = core.directory.borrow().version();
+    if version <= own || core.fetching.replace(true) {
         return;
-    };
-    core.log(&ProxyEvent::StateSent {
-        to,
-        version: core.directory.borrow().version().0,
+    }
+    core.log(&ProxyEvent::StateFetched {
+        from,
+        version: version.0,
+        before: own.0,
     });
     let core = Rc::clone(core);
-    spawn_local(async move { send_state(&core, to, &message).await });
+    spawn_local(async move {
+        let message = StateMessage {
+            wanted: Some(own),
+            ..StateMessage::default()
+        };
+        if let Some(answer) = send_state(&core, from, &message).await {
+            take_state(&core, answer.body());
+        }
+        core.fetching.set(false);
+    });
 }
 
 /// Tells the nodes of the zone what this one has read from the store: a routing table that is in
@@ -55,7 +71,7 @@
     let message = StateMessage {
         table: table.map(|routes| routes.table().clone()),
         nodes: records,
-        pass_on: Vec::new(),
+        ..StateMessage::default()
     };
     let missing = |to: &SocketAddr| !new_table || !directory.has_version(*to);
     let mut receivers: Vec<SocketAddr> = zone.into_iter().filter(missing).collect();
@@ -71,6 +87,23 @@
     spread(core, &receivers, &message);
 }
 
+/// Has a few other nodes of the zone read the store for a while. The store may turn away both nodes that read for
+/// a zone and no others; the rest of the zone would not hear of a change in time.
+pub fn hand_reading_over(core: &Rc<ProxyCore>) {
+    let mut zone = core.list_zone();
+    zone.shuffle(&mut rand::rng());
+    zone.truncate(STAND_INS);
+    core.log(&ProxyEvent::ReadingHandedOver { nodes: zone.len() });
+    for to in zone {
+        let core = Rc::clone(core);
+        let message = StateMessage {
+            read_store: true,
+            ..StateMessage::default()
+        };
+        spawn_local(async move { send_state(&core, to, &message).await });
+    }
+}
+
 /// Sends a message to a few of the receivers, which pass it on to the rest.
 fn spread(core: &Rc<ProxyCore>, receivers: &[SocketAddr], message: &StateMessage) {
     for part in split_receivers(receivers) {
@@ -85,28 +118,28 @@
     let mut rest = receivers;
     while let Some(to) = rest.pop() {
         message.pass_on.clone_from(&rest);
-        if send_state(core, to, &message).await {
+        if send_state(core, to, &message).await.is_some() {
             return;
         }
     }
 }
 
-/// Whether the other node has taken the message.
-async fn send_state(core: &ProxyCore, to: SocketAddr, message: &StateMessage) -> bool {
-    let Some(request) = build_state(message) else {
-        return false;
-    };
+/// The answer of the other node, if it has taken the message.
+async fn send_state(
+    core: &ProxyCore,
+    to: SocketAddr,
+    message: &StateMessage,
+) -> Option<Response<Bytes>> {
+    let request = build_state(message)?;
     let timeout = core.timers.after(TIMEOUT);
     let sent = tokio::select! {
         sent = core.outgoing.send(to, request, RULES, |_| true) => sent,
         _ = timeout.recv_async() => Err(SendError::Cut),
     };
     if let (Ok(_), Some(table)) = (&sent, &message.table) {
-        let now = core.timers.now();
-        let mut directory = core.directory.borrow_mut();
-        directory.note_version(to, table.version, now);
+        core.directory.borrow_mut().note_version(to, table.version);
     }
-    sent.is_ok_and(|answer| answer.status().is_success())
+    sent.ok().filter(|answer| answer.status().is_success())
 }
 
 fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
@@ -132,6 +165,10 @@
             return reply_json(StatusCode::BAD_REQUEST, "malformed state");
         }
     };
+    if message.read_store {
+        core.read_for_zone();
+    }
+    let wanted = message.wanted;
     let receivers = std::mem::take(&mut message.pass_on);
     spread(core, &receivers, &message);
     if let Some(table) = message.table {
@@ -140,5 +177,14 @@
     for stored in message.nodes {
         core.take_record(stored);
     }
-    Response::new(Full::default())
+    match wanted {
+        Some(version) => reply_with_newer(core, version),
+        None => Response::new(Full::default()),
+    }
+}
+
+fn reply_with_newer(core: &ProxyCore, version: ConfigurationVersion) -> CallerReply {
+    let message = core.directory.borrow().list_newer_than(version);
+    let body = serde_json::to_vec(&message).unwrap_or_default();
+    Response::new(Full::new(Bytes::from(body)))
 }
