Tell of attempts that were under way when their request ended

Cause: of 20 failed requests picked at random two could not be explained by their lines: they ended at the deadline with an attempt under way, and only attempts that had come back were told of. The same held for requests whose client went away.

Ruled out: that the other node's line is enough: a node that stands still, was killed or is cut off tells nothing.

Change: the guard of an attempt notes its line when it is dropped before its end, as "abandoned". Whoever carries the request and whoever writes its line share the attempts, so that a request dropped by its client tells of them too. explain says where the time went, or that the node tells nothing. Abandoned attempts are left out of the alignment of clocks: their line ends before the other node's.

--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -48,7 +48,7 @@
             explain_late(end, lines, names)
         }
         LineEnd::Answered(_) => vec!["It was answered within its target.".to_owned()],
-        LineEnd::Other("client_left") => explain_client_left(end, lines, names),
+        LineEnd::CLIENT_LEFT => explain_client_left(end, lines, names),
         LineEnd::Other("no_route") => vec![format!(
             "Configuration {} has no route for its host and path.",
             end.number("version")
@@ -217,16 +217,25 @@
     let Some(slowest) = returned.max_by_key(|line| line.number("took_ms")) else {
         return Vec::new();
     };
-    let (took, waited) = (slowest.number("took_ms"), slowest.number("waited_ms"));
+    let took = slowest.number("took_ms");
     let node = names.find(slowest.text("to"));
-    let mut causes = vec![format!(
-        "At {node} it waited {waited} ms for a slot and ran for {} ms.",
-        took.saturating_sub(waited)
-    )];
     let executed = lines
         .executed
         .iter()
         .find(|line| line.node.as_str() == node);
+    let abandoned = slowest.end() == LineEnd::ABANDONED;
+    let waited = match executed {
+        Some(executed) if abandoned => executed.number("waited_ms"),
+        _ => slowest.number("waited_ms"),
+    };
+    let mut causes = vec![if abandoned && executed.is_none() {
+        format!("{node} had not answered {took} ms after it was asked, and tells nothing of it.")
+    } else {
+        format!(
+            "At {node} it waited {waited} ms for a slot and ran for {} ms.",
+            took.saturating_sub(waited)
+        )
+    }];
     if let Some(executed) = executed {
         causes.extend(describe_slow(executed));
     } else if slowest.number("pace_percent") >= SLOW_PACE {
@@ -262,7 +271,7 @@
         end.number("time_left_ms"),
         end.number("target_ms")
     )];
-    causes.extend(lines.executed.iter().filter_map(|line| describe_slow(line)));
+    causes.extend(explain_slowest(lines, names));
     causes.extend(list_unreachable(lines, names));
     causes
 }
--- a/src/log_reading/line.rs
+++ b/src/log_reading/line.rs
@@ -153,6 +153,11 @@
 }
 
 impl<'a> LineEnd<'a> {
+    /// The request ended while the attempt was under way.
+    pub const ABANDONED: Self = Self::Other("abandoned");
+    /// The client, or the node that asked, went away.
+    pub const CLIENT_LEFT: Self = Self::Other("client_left");
+
     fn read(members: &'a Map<String, Value>) -> Self {
         let text = |name| members.get(name).and_then(Value::as_str);
         let answered = members.get("answered").and_then(Value::as_u64);
--- a/src/log_reading/matching.rs
+++ b/src/log_reading/matching.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     log_reading::{
-        line::{LogLine, numbers},
+        line::{LineEnd, LogLine, numbers},
         runs::NodeRun,
     },
     state::names::NodeName,
@@ -74,6 +74,9 @@
             let Some(request) = text.request() else {
                 continue;
             };
+            if is_cut_short(text) {
+                continue;
+            }
             let place = LinePlace { run, line };
             match text.number {
                 numbers::ATTEMPT_RETURNED => {
@@ -103,6 +106,13 @@
         .collect()
 }
 
+/// Whether an attempt was given up at the entry node. That node's line ends before the other one's, which says
+/// nothing of their clocks.
+fn is_cut_short(line: &LogLine) -> bool {
+    let end = line.end();
+    end == LineEnd::ABANDONED || end == LineEnd::CLIENT_LEFT
+}
+
 /// The line at a place.
 #[must_use]
 pub fn line_at(runs: &[NodeRun], place: LinePlace) -> &LogLine {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod carrier;
+mod request_attempts;
 mod request_line;
 
 use crate::{
@@ -178,13 +179,11 @@
         deadline: arrived + time_left,
     };
     let timeout = core.timers.after(time_left);
-    let mut carrier = Carrier::new(core, call);
-    let end = tokio::select! {
+    let mut carrier = Carrier::new(core, call, line.attempts());
+    tokio::select! {
         end = carrier.run() => end,
         _ = timeout.recv_async() => carrier.end_at_deadline(),
-    };
-    line.note_attempts(&mut carrier);
-    end
+    }
 }
 
 fn pick_service(core: &ProxyCore, route: &Route) -> Option<ServiceName> {
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -7,7 +7,7 @@
     },
     proxy::{
         core::ProxyCore,
-        entry::carrier::ClientCall,
+        entry::{carrier::ClientCall, request_attempts::RequestAttempts},
         events::{LoggedEnd, ProxyEvent, in_millis},
         executing::{Executed, execute},
         peers::send_hop,
@@ -31,40 +31,23 @@
     pub to: SocketAddr,
     /// What it said.
     pub result: Result<Executed, SendError>,
-    /// The line of the log about it.
-    pub line: ProxyEvent,
 }
 
 /// Runs one attempt and learns from its end.
 pub async fn run_attempt(
     core: Rc<ProxyCore>,
     call: Rc<ClientCall>,
+    attempts: Rc<RequestAttempts>,
     to: SocketAddr,
     hop: HopRequest,
 ) -> Returned {
-    let outstanding = Outstanding::count(&core, to);
-    let sent = core.timers.now();
-    let known_age = outstanding.known_age(sent);
+    let outstanding = Outstanding::count(&core, &call, attempts, to, hop.within);
     let result = if to == core.settings.peers {
         Ok(execute(&core, &hop, copy_request(&call.req)).await)
     } else {
         send_hop(&core, to, &hop, &call.req).await
     };
-    outstanding.learn(&result);
-    let line = ProxyEvent::AttemptReturned {
-        request: core.read_request_id(&call.req.headers),
-        to,
-        sent_ms: in_millis(sent.since(call.arrived)),
-        within_ms: in_millis(hop.within),
-        known_age_ms: known_age.map(in_millis),
-        end: describe_end(&result),
-        finish_ms: read_answer(&result, true),
-        waited_ms: read_answer(&result, false),
-        pace_percent: result
-            .as_ref()
-            .map_or(0, |executed| executed.answer.load.slowdown_percent),
-        took_ms: in_millis(core.timers.now().since(sent)),
-    };
+    outstanding.end(&result);
     if let Ok(Executed {
         response: Some(response),
         ..
@@ -72,7 +55,7 @@
     {
         core.note_bytes(&hop.class, call.req.body.len() + response.body().len());
     }
-    Returned { to, result, line }
+    Returned { to, result }
 }
 
 /// The time told with a refusal, or the one told with any other end; 0 if it is not that.
@@ -106,37 +89,74 @@
     }
 }
 
-/// Counts an attempt at a node for as long as it is under way.
+/// Counts an attempt at a node for as long as it is under way, and notes its line at its end.
 struct Outstanding {
     core: Rc<ProxyCore>,
+    call: Rc<ClientCall>,
+    attempts: Rc<RequestAttempts>,
     to: SocketAddr,
+    within: Duration,
     sent: Moment,
-    answered: Cell<bool>,
+    /// Age of what was known of the node's load.
+    known_age: Option<Duration>,
+    ended: Cell<bool>,
 }
 
 impl Outstanding {
-    fn count(core: &Rc<ProxyCore>, to: SocketAddr) -> Self {
+    fn count(
+        core: &Rc<ProxyCore>,
+        call: &Rc<ClientCall>,
+        attempts: Rc<RequestAttempts>,
+        to: SocketAddr,
+        within: Duration,
+    ) -> Self {
         let sent = core.timers.now();
+        let mut known_age = None;
         if let Some(view) = core.directory.borrow_mut().nodes.get_mut(&to) {
             view.note_sent(sent);
+            known_age = view.load.map(|(_, at)| sent.since(at));
         }
         Self {
             core: Rc::clone(core),
+            call: Rc::clone(call),
+            attempts,
             to,
+            within,
             sent,
-            answered: Cell::new(false),
+            known_age,
+            ended: Cell::new(false),
         }
     }
 
-    /// Age of what is known of the node's load.
-    fn known_age(&self, now: Moment) -> Option<Duration> {
-        let directory = self.core.directory.borrow();
-        let (_, at) = directory.nodes.get(&self.to)?.load?;
-        Some(now.since(at))
+    fn end(&self, result: &Result<Executed, SendError>) {
+        self.ended.set(true);
+        self.learn(result);
+        let pace = result
+            .as_ref()
+            .map_or(0, |executed| executed.answer.load.slowdown_percent);
+        self.note_line(
+            describe_end(result),
+            (read_answer(result, true), read_answer(result, false)),
+            pace,
+        );
+    }
+
+    fn note_line(&self, end: LoggedEnd, (finish_ms, waited_ms): (u64, u64), pace_percent: u16) {
+        self.attempts.note(ProxyEvent::AttemptReturned {
+            request: self.core.read_request_id(&self.call.req.headers),
+            to: self.to,
+            sent_ms: in_millis(self.sent.since(self.call.arrived)),
+            within_ms: in_millis(self.within),
+            known_age_ms: self.known_age.map(in_millis),
+            end,
+            finish_ms,
+            waited_ms,
+            pace_percent,
+            took_ms: in_millis(self.core.timers.now().since(self.sent)),
+        });
     }
 
     fn learn(&self, result: &Result<Executed, SendError>) {
-        self.answered.set(true);
         let Ok(executed) = result else {
             return self.leave_out();
         };
@@ -199,8 +219,12 @@
 
 impl Drop for Outstanding {
     fn drop(&mut self) {
-        if !self.answered.get() && self.met_silence() {
-            self.leave_out();
+        if !self.ended.get() {
+            // What was under way when the request ended is where its time went.
+            self.note_line(LoggedEnd::Abandoned, (0, 0), 0);
+            if self.met_silence() {
+                self.leave_out();
+            }
         }
         let mut directory = self.core.directory.borrow_mut();
         if let Some(view) = directory.nodes.get_mut(&self.to) {
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -11,7 +11,10 @@
     },
     proxy::{
         core::{ProxyCore, count},
-        entry::attempt::{Returned, run_attempt},
+        entry::{
+            attempt::{Returned, run_attempt},
+            request_attempts::RequestAttempts,
+        },
         events::ProxyEvent,
         executing::Executed,
         reply::ClientEnd,
@@ -57,17 +60,14 @@
     call: Rc<ClientCall>,
     under_way: FuturesUnordered<LocalBoxFuture<'static, Returned>>,
     search: SlotSearch,
-    /// Attempts that reached an upstream or may have.
-    arrivals: u16,
+    attempts: Rc<RequestAttempts>,
     /// What an upstream answered, or why it is not known whether one ran the request.
     earlier: Option<ClientEnd>,
     last_refusal: RefusalReason,
-    asked: u32,
-    lines: Vec<ProxyEvent>,
 }
 
 impl Carrier {
-    pub fn new(core: &Rc<ProxyCore>, call: ClientCall) -> Self {
+    pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
         let kilobytes = core.class_bytes(&call.route.class) / 1_000.0;
         let candidates = find_candidates(core, &call.service);
@@ -76,24 +76,12 @@
             search: SlotSearch::begin(candidates, call.route.target, kilobytes),
             call: Rc::new(call),
             under_way: FuturesUnordered::new(),
-            arrivals: 0,
+            attempts,
             earlier: None,
             last_refusal: RefusalReason::NoUpstream,
-            asked: 0,
-            lines: Vec::new(),
         }
     }
 
-    /// Nodes asked so far, and attempts that reached an upstream or may have.
-    pub fn counts(&self) -> (u32, u16) {
-        (self.asked, self.arrivals)
-    }
-
-    /// The lines of the log on the attempts so far.
-    pub fn take_lines(&mut self) -> Vec<ProxyEvent> {
-        std::mem::take(&mut self.lines)
-    }
-
     /// Ends with the first answer, or with what is known when no node is left to ask.
     pub async fn run(&mut self) -> ClientEnd {
         if !self.ask_next() {
@@ -127,7 +115,7 @@
     pub fn end_at_deadline(&mut self) -> ClientEnd {
         match self.earlier.take() {
             Some(end) => end,
-            None if self.arrivals == 0 && self.under_way.is_empty() => self.refuse(),
+            None if self.attempts.arrivals() == 0 && self.under_way.is_empty() => self.refuse(),
             None => ClientEnd::Unknown(UnknownCause::DeadlinePassed),
         }
     }
@@ -162,7 +150,7 @@
     /// its upstream already.
     fn may_reach_another(&self) -> bool {
         let under_way = u16::try_from(self.under_way.len()).unwrap_or(u16::MAX);
-        self.arrivals.saturating_add(under_way) < self.call.route.max_attempts
+        self.attempts.arrivals().saturating_add(under_way) < self.call.route.max_attempts
     }
 
     fn take_repeat(&self) -> bool {
@@ -205,7 +193,7 @@
     }
 
     fn send(&mut self, to: SocketAddr, within: Duration) {
-        self.asked += 1;
+        self.attempts.count_asked();
         let hop = HopRequest {
             service: self.call.service.clone(),
             class: self.call.route.class.clone(),
@@ -219,13 +207,13 @@
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
+        let attempts = Rc::clone(&self.attempts);
         self.under_way
-            .push(Box::pin(run_attempt(core, call, to, hop)));
+            .push(Box::pin(run_attempt(core, call, attempts, to, hop)));
     }
 
     fn judge(&mut self, returned: Returned) -> Step {
-        let Returned { to, result, line } = returned;
-        self.lines.push(line);
+        let Returned { to, result } = returned;
         match result {
             Ok(Executed { answer, response }) => self.judge_answer(to, answer, response),
             Err(SendError::NotSent) => {
@@ -233,7 +221,7 @@
                 Step::Elsewhere
             }
             Err(_) => {
-                self.arrivals += 1;
+                self.attempts.count_arrival();
                 self.judge_unknown(UnknownCause::NodeLost)
             }
         }
@@ -247,19 +235,19 @@
     ) -> Step {
         match (answer.verdict, response) {
             (Verdict::Answered, Some(response)) => {
-                self.arrivals += 1;
+                self.attempts.count_arrival();
                 self.judge_response(response)
             }
             (Verdict::Answered, None) => {
-                self.arrivals += 1;
+                self.attempts.count_arrival();
                 self.judge_unknown(UnknownCause::BadAnswer)
             }
             (Verdict::Unknown(cause), _) => {
-                self.arrivals += 1;
+                self.attempts.count_arrival();
                 self.judge_unknown(cause)
             }
             (Verdict::Refused(RefusalReason::UpstreamShed), _) => {
-                self.arrivals += 1;
+                self.attempts.count_arrival();
                 self.last_refusal = RefusalReason::UpstreamShed;
                 Step::Repeat
             }
--- a/src/proxy/entry/request_line.rs
+++ b/src/proxy/entry/request_line.rs
@@ -3,7 +3,7 @@
 use crate::{
     proxy::{
         core::ProxyCore,
-        entry::carrier::Carrier,
+        entry::request_attempts::RequestAttempts,
         events::{LoggedEnd, ProxyEvent, Weight, in_millis},
         reply::ClientEnd,
     },
@@ -27,9 +27,7 @@
     class: Option<ClassName>,
     time_left: Duration,
     target: Duration,
-    asked: u32,
-    arrivals: u16,
-    attempts: Vec<ProxyEvent>,
+    attempts: Rc<RequestAttempts>,
     ended: bool,
 }
 
@@ -43,9 +41,7 @@
             class: None,
             time_left: Duration::ZERO,
             target: Duration::ZERO,
-            asked: 0,
-            arrivals: 0,
-            attempts: Vec::new(),
+            attempts: Rc::default(),
             ended: false,
             core: Rc::clone(core),
         }
@@ -64,10 +60,9 @@
         self.class.clone().map(|class| (class, self.target))
     }
 
-    /// Notes how many nodes were asked.
-    pub fn note_attempts(&mut self, carrier: &mut Carrier) {
-        (self.asked, self.arrivals) = carrier.counts();
-        self.attempts = carrier.take_lines();
+    /// Where the attempts at the request are noted.
+    pub fn attempts(&self) -> Rc<RequestAttempts> {
+        Rc::clone(&self.attempts)
     }
 
     /// Writes the line.
@@ -86,12 +81,9 @@
         let took = now.since(self.arrived);
         // The attempts of a request are as telling as its end.
         let weight = end.weight_of_request(took > self.target);
-        let soonest = self
-            .attempts
-            .iter()
-            .filter_map(ProxyEvent::refused_finish)
-            .min();
-        for attempt in self.attempts.drain(..) {
+        let attempts = self.attempts.take_lines();
+        let soonest = attempts.iter().filter_map(ProxyEvent::refused_finish).min();
+        for attempt in attempts {
             // Refused questions are most of the lines on a day of high load; the soonest end tells most of
             // what they do.
             let told = if attempt.refused_finish().is_some() {
@@ -107,8 +99,8 @@
             class: self.class.take(),
             version: self.version,
             end,
-            asked: self.asked,
-            arrivals: self.arrivals,
+            asked: self.attempts.asked(),
+            arrivals: self.attempts.arrivals(),
             took_ms: in_millis(took),
             time_left_ms: in_millis(self.time_left),
             target_ms: in_millis(self.target),
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -47,6 +47,8 @@
     NotSent,
     /// The client went away.
     ClientLeft,
+    /// The request ended while the attempt was under way.
+    Abandoned,
 }
 
 /// One event. Times are in milliseconds.
@@ -390,7 +392,7 @@
     pub const fn weight(&self) -> Weight {
         match self {
             Self::Answered(status) if *status < 500 => Weight::Ordinary,
-            Self::Refused(RefusalReason::QueueFull) => Weight::Ordinary,
+            Self::Refused(RefusalReason::QueueFull) | Self::Abandoned => Weight::Ordinary,
             _ => Weight::Telling,
         }
     }
--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -173,6 +173,43 @@
     assert_cause(&story, "closed its connection after 800 ms");
 }
 
+/// Symptom: a request ends at its deadline and its lines say where its time did not go. Sequence: the attempt
+/// is still under way at the deadline. Cause: only attempts that had come back were told of.
+#[test]
+fn explain_deadline_with_an_attempt_under_way() {
+    let passed = "{\"unknown\":\"deadline_passed\"}";
+    let attempt = line(
+        "n1",
+        (3_000, 2_000),
+        2,
+        802,
+        &returned("\"abandoned\"", 1_990, ""),
+    );
+    let end = line(
+        "n1",
+        (3_000, 2_000),
+        3,
+        801,
+        &ended(passed, 2_000, ",\"asked\":1"),
+    );
+    let silent = tell(&[attempt.clone(), end.clone()]);
+    assert_cause(&silent, "n2 had not answered 1990 ms after it was asked");
+    let slow = ",\"waited_ms\":300,\"expected_ms\":90,\"pace_percent\":400";
+    let executed = line(
+        "n2",
+        (3_001, 2_001),
+        2,
+        803,
+        &executed("\"client_left\"", 1_991, slow),
+    );
+    let told = tell(&[attempt, end, executed]);
+    assert_cause(
+        &told,
+        "At n2 it waited 300 ms for a slot and ran for 1690 ms",
+    );
+    assert_cause(&told, "The VM of n2 worked at 400%");
+}
+
 #[test]
 fn explain_names_calls_made() {
     let members = ended("{\"answered\":200}", 5, "").replace("\"r1\"", "\"r1.c9\"");
