Drop the records of gone nodes from the store

Cause: nothing ever took a record out of the keyed topic.

Ruled out: a lease on each record, which costs a write a node and period; forgetting by each node alone, which would read the same record again at its next start.

Change: one node of the mesh, worked out by each for itself, asks silent nodes at a bounded rate, has two others confirm that they don't reach one either, and drops its record under the condition that the store holds nothing newer. A node whose record was dropped though it lives writes it again. A model (retiring_model) explores drop, restart, cut and late news; each of its three guards taken away is found.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -4,6 +4,7 @@
 pub mod placement;
 pub mod publishing;
 pub mod repeat_budget;
+pub mod retiring;
 pub mod slot_queue;
 pub mod slot_search;
 pub mod spreading;
--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -58,6 +58,14 @@
     before < READERS
 }
 
+/// Whether `own` goes before all `others`, which are the other nodes that can be reached. Of what one node of the mesh
+/// does, it is the one; two that know different nodes may both be.
+#[must_use]
+pub fn is_first(own: SocketAddr, mut others: impl Iterator<Item = SocketAddr>) -> bool {
+    let own_rank = rank(own);
+    others.all(|other| own_rank < rank(other))
+}
+
 /// How to read next, with that many nodes known.
 #[must_use]
 pub fn plan_reading(reader: bool, nodes: usize) -> ReadingPlan {
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -180,7 +180,10 @@
 
 async fn run_node(setup: NodeSetup, started: &Sender<StartResult>, orders: &Receiver<Order>) {
     let (stop, stopped) = flume::bounded(1);
-    let running = match launch(setup, stopped).await {
+    let timers = TimerService::system();
+    // NB: the thread of the timers would outlive a node that is killed.
+    let _ended = StopTimers(timers.clone());
+    let running = match launch(setup, stopped, &timers).await {
         Ok((running, result)) => {
             let _ = started.send(Ok(result));
             running
@@ -201,9 +204,19 @@
     }
 }
 
+/// Ends the thread of the timers when dropped.
+struct StopTimers(TimerService);
+
+impl Drop for StopTimers {
+    fn drop(&mut self) {
+        self.0.stop();
+    }
+}
+
 async fn launch(
     setup: NodeSetup,
     stopped: Receiver<()>,
+    timers: &TimerService,
 ) -> Result<(tokio::task::JoinHandle<()>, Started), LocalMeshError> {
     let NodeSetup { plan, store, runs } = setup;
     let upstream = StandInUpstream::start_with(describe_upstream(&plan, runs)).await?;
@@ -215,13 +228,12 @@
     let server = serve_operators(ANY_PORT.into(), LOCAL_TOKEN, requests_tx)?;
     let settings = describe_node(&plan, &listeners, &upstream, server.address)?;
     let (clients, upstream_address) = (settings.clients, settings.upstream);
-    let core = ProxyCore::new(settings, TimerService::system());
-    let (records_tx, records) = flume::unbounded();
-    follow_store(&core, store.clone(), records);
+    let core = ProxyCore::new(settings, timers.clone());
+    let records = follow_store(&core, store.clone());
     spawn_local(answer_operators(
         core.clone(),
         store,
-        records_tx.clone(),
+        records.clone(),
         requests,
     ));
     let announcement = Announcement {
@@ -233,11 +245,10 @@
         sequence: 1,
     };
     let announced = core.clone();
-    spawn_local(async move { take_announcement(&announced, announcement, &records_tx).await });
+    spawn_local(async move { take_announcement(&announced, announcement, &records).await });
     let operators = server.address;
     let running = spawn_local(async move {
         run_proxy(&core, listeners, &stopped).await;
-        core.timers.stop();
         // The upstream ends with its node.
         drop(upstream);
     });
--- a/src/local_mesh/store.rs
+++ b/src/local_mesh/store.rs
@@ -72,15 +72,31 @@
     }
 
     fn append(&self, topic: StoreTopic, key: &str, value: &[u8]) {
+        self.append_at(topic, key, Some(value), None);
+    }
+
+    /// Appends if the topic ends at `expected_end`, or wherever it ends.
+    fn append_at(
+        &self,
+        topic: StoreTopic,
+        key: &str,
+        value: Option<&[u8]>,
+        expected_end: Option<u64>,
+    ) -> ConditionalAppend {
         let mut contents = self.lock();
         let records = contents.topics.entry(topic).or_default();
+        let end = records.len() as u64;
+        if expected_end.is_some_and(|expected| expected != end) {
+            return ConditionalAppend::Overtaken;
+        }
         records.push(KeyedRecord {
             key: key.to_owned(),
-            value: Some(Bytes::copy_from_slice(value)),
-            offset: records.len() as u64,
+            value: value.map(Bytes::copy_from_slice),
+            offset: end,
         });
         drop(contents);
         self.0.appended.notify_waiters();
+        ConditionalAppend::Stored
     }
 
     fn list_from(&self, topic: StoreTopic, from: u64) -> Records {
@@ -125,7 +141,8 @@
             .into_iter()
             .map(|record| (record.key.clone(), record))
             .collect();
-        let mut records: Vec<KeyedRecord> = newest.into_values().collect();
+        let kept = newest.into_values().filter(|record| record.value.is_some());
+        let mut records: Vec<KeyedRecord> = kept.collect();
         records.sort_by_key(|record| record.offset);
         Ok(Records {
             records,
@@ -147,10 +164,25 @@
 
     async fn append_node(&self, record: &NodeRecord, value: &[u8]) -> Result<(), StoreError> {
         let condition = self.check()?;
-        self.append(StoreTopic::Nodes, &record.address.to_string(), value);
+        self.append(StoreTopic::Nodes, &self.key_of(record), value);
         answer(condition, ())
     }
 
+    fn key_of(&self, record: &NodeRecord) -> String {
+        record.address.to_string()
+    }
+
+    async fn drop_node(
+        &self,
+        record: &NodeRecord,
+        expected_end: u64,
+    ) -> Result<ConditionalAppend, StoreError> {
+        let condition = self.check()?;
+        let key = self.key_of(record);
+        let end = self.append_at(StoreTopic::Nodes, &key, None, Some(expected_end));
+        answer(condition, end)
+    }
+
     fn decode_table(&self, record: &KeyedRecord) -> Option<Result<RoutingTable, String>> {
         let value = record.value.as_ref()?;
         let published = serde_json::from_slice::<PublishedRecord>(value);
@@ -169,21 +201,8 @@
         expected_end: u64,
     ) -> Result<ConditionalAppend, StoreError> {
         let condition = self.check()?;
-        let mut contents = self.lock();
-        let records = contents
-            .topics
-            .entry(StoreTopic::Configuration)
-            .or_default();
-        if records.len() as u64 != expected_end {
-            return answer(condition, ConditionalAppend::Overtaken);
-        }
-        records.push(KeyedRecord {
-            key: CONFIGURATION_KEY.to_owned(),
-            value: Some(Bytes::copy_from_slice(value)),
-            offset: expected_end,
-        });
-        drop(contents);
-        self.0.appended.notify_waiters();
-        answer(condition, ConditionalAppend::Stored)
+        let topic = StoreTopic::Configuration;
+        let end = self.append_at(topic, CONFIGURATION_KEY, Some(value), Some(expected_end));
+        answer(condition, end)
     }
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -189,4 +189,10 @@
     /// The receiver is to read the store for its zone: the sender can't.
     #[serde(default)]
     pub read_store: bool,
+    /// The receiver is to find out whether it reaches that node.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reaches: Option<SocketAddr>,
+    /// Whether it does.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub reached: Option<bool>,
 }
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -74,6 +74,16 @@
         value: &[u8],
     ) -> impl Future<Output = Result<(), StoreError>>;
 
+    /// The key under which a node's record is kept.
+    fn key_of(&self, record: &NodeRecord) -> String;
+
+    /// Drops the record of a node, if the topic still ends at `expected_end`.
+    fn drop_node(
+        &self,
+        record: &NodeRecord,
+        expected_end: u64,
+    ) -> impl Future<Output = Result<ConditionalAppend, StoreError>>;
+
     /// The routing table of a record of the configuration; none if the record holds something else.
     ///
     /// # Errors
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -15,6 +15,7 @@
 mod peers;
 mod publishing;
 mod reply;
+mod retiring;
 mod start;
 mod state_sharing;
 mod stop;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -4,7 +4,7 @@
     coordination::{
         own_upstream::OwnUpstream,
         repeat_budget::RepeatBudget,
-        store_reading::{ReadingPlan, is_reader, plan_reading},
+        store_reading::{ReadingPlan, is_first, is_reader, plan_reading},
     },
     options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
@@ -179,7 +179,7 @@
     }
 
     /// Takes in a record of another node; true if it was news.
-    pub fn take_record(&self, stored: StoredRecord) -> bool {
+    pub fn take_record(&self, stored: StoredRecord, source: StateSource) -> bool {
         if stored.record.address == self.settings.peers {
             return false;
         }
@@ -191,7 +191,7 @@
             leaving: stored.record.leaving,
             revision: stored.revision,
         };
-        let news = self.directory.borrow_mut().take_record(stored);
+        let news = self.directory.borrow_mut().take_record(stored, source);
         if news {
             self.log(&event);
         }
@@ -217,6 +217,15 @@
         is_reader(self.settings.peers, self.list_zone().into_iter())
     }
 
+    /// Whether this node does what one node of the mesh does.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        is_first(
+            self.settings.peers,
+            self.list_reachable(|_| true).into_iter(),
+        )
+    }
+
     /// Reads the store for the zone for a while, in place of a node that can't.
     pub fn read_for_zone(&self) {
         self.reads_until.set(self.timers.now() + STANDING_IN);
@@ -225,11 +234,17 @@
     /// The other nodes of the zone that can be reached.
     #[must_use]
     pub fn list_zone(&self) -> Vec<SocketAddr> {
+        let own_zone = &self.settings.availability_zone;
+        self.list_reachable(|record| record.availability_zone == *own_zone)
+    }
+
+    /// The other nodes that can be reached, as far as is known, and whose record is `wanted`.
+    fn list_reachable(&self, wanted: impl Fn(&NodeRecord) -> bool) -> Vec<SocketAddr> {
         let now = self.timers.now();
         let directory = self.directory.borrow();
         let views = directory.nodes.values();
         views
-            .filter(|view| view.record.availability_zone == self.settings.availability_zone)
+            .filter(|view| wanted(&view.record))
             .filter(|view| view.failures == 0 && view.paused_until <= now)
             .map(|view| view.record.address)
             .filter(|address| *address != self.settings.peers)
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -40,6 +40,8 @@
     /// By the address where they take requests from nodes.
     pub nodes: BTreeMap<SocketAddr, NodeView>,
     shared: BTreeMap<SocketAddr, ConfigurationVersion>,
+    /// Revision up to which the store's records of nodes are known here.
+    read_up_to: u64,
 }
 
 impl Directory {
@@ -73,7 +75,15 @@
 
     /// Takes in what is told of a node, unless what is known comes from a later record. True if it was
     /// news.
-    pub fn take_record(&mut self, stored: StoredRecord) -> bool {
+    ///
+    /// What another node tells from a part of the store that is known here, though nothing of that node is, has been
+    /// dropped since. Without this check it would come back with whoever has not heard of it.
+    pub fn take_record(&mut self, stored: StoredRecord, source: StateSource) -> bool {
+        let is_known_part = (1..=self.read_up_to).contains(&stored.revision);
+        let is_unknown = !self.nodes.contains_key(&stored.record.address);
+        if source == StateSource::Peer && is_known_part && is_unknown {
+            return false;
+        }
         match self.nodes.get_mut(&stored.record.address) {
             Some(view) if stored.revision <= view.revision => false,
             Some(view) if view.record.instance == stored.record.instance => {
@@ -106,6 +116,40 @@
             .insert(stored.record.address, NodeView::new(stored));
     }
 
+    /// Notes that all records of nodes up to a revision have been read from the store.
+    pub fn note_read(&mut self, up_to: u64) {
+        self.read_up_to = self.read_up_to.max(up_to);
+    }
+
+    /// Revision up to which the store's records of nodes are known here, which is the offset of its next record.
+    #[must_use]
+    pub const fn read_up_to(&self) -> u64 {
+        self.read_up_to
+    }
+
+    /// Forgets nodes whose records the store had up to a revision and has no longer; returns them.
+    pub fn forget_dropped(
+        &mut self,
+        up_to: u64,
+        is_dropped: impl Fn(&NodeRecord) -> bool,
+    ) -> Vec<NodeRecord> {
+        let stored = |view: &NodeView| (1..=up_to).contains(&view.revision);
+        let views = self.nodes.values();
+        let dropped = views.filter(|view| stored(view) && is_dropped(&view.record));
+        let dropped: Vec<NodeRecord> = dropped.map(|view| view.record.clone()).collect();
+        for record in &dropped {
+            self.nodes.remove(&record.address);
+            self.shared.remove(&record.address);
+        }
+        dropped
+    }
+
+    /// The record of the node at an address.
+    #[must_use]
+    pub fn find_record(&self, address: SocketAddr) -> Option<NodeRecord> {
+        self.nodes.get(&address).map(|view| view.record.clone())
+    }
+
     /// All records that are known.
     #[must_use]
     pub fn list_records(&self) -> Vec<StoredRecord> {
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -238,6 +238,24 @@
         /// Place in the order of the store.
         revision: u64,
     },
+    /// The record of a node was dropped from the store: it is gone.
+    NodeRetired {
+        /// The node.
+        known: NodeName,
+        /// Where it took messages from nodes.
+        address: SocketAddr,
+        /// Its upstream's last run.
+        instance: String,
+    },
+    /// The store holds no record of a node any more; it is forgotten here.
+    NodeForgotten {
+        /// The node.
+        known: NodeName,
+        /// Where it took messages from nodes.
+        address: SocketAddr,
+    },
+    /// The store lost this node's own record; it is written again.
+    OwnRecordDropped {},
     /// A configuration in the store could not be understood; the one in force stays.
     ConfigurationRejected {
         /// What is wrong.
@@ -329,6 +347,9 @@
             Self::ReadingHandedOver { .. } => (825, "reading_handed_over"),
             Self::NodeUnreachable { .. } => (831, "node_unreachable"),
             Self::NodeKnown { .. } => (832, "node_known"),
+            Self::NodeRetired { .. } => (833, "node_retired"),
+            Self::NodeForgotten { .. } => (834, "node_forgotten"),
+            Self::OwnRecordDropped {} => (835, "own_record_dropped"),
             Self::ConfigurationRejected { .. } => (841, "configuration_rejected"),
             Self::RecordRejected { .. } => (842, "record_rejected"),
             Self::PublicationEnded { .. } => (845, "publication_ended"),
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -3,17 +3,18 @@
 use crate::{
     protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic},
     proxy::{
-        announcing::{RecordOrder, take_stored},
+        announcing::{RecordOrder, describe_own, take_stored},
         core::ProxyCore,
         directory::StateSource,
         events::ProxyEvent,
+        retiring::retire_gone_nodes,
         state_sharing::{hand_reading_over, share_with_zone},
     },
     state::placement_view::{NodeRecord, StoredRecord},
 };
-use flume::Receiver;
+use flume::{Receiver, Sender};
 use rand::RngExt;
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{cell::Cell, collections::HashSet, rc::Rc, time::Duration};
 use tokio::task::spawn_local;
 
 /// Longest time that the first read of the nodes waits for the configuration.
@@ -28,43 +29,149 @@
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
 /// Keeps the node up to date with the store and the store with the node, until dropped. Records to be
-/// stored come by `orders`.
-pub fn follow_store<S: StateStore>(core: &Rc<ProxyCore>, store: S, orders: Receiver<RecordOrder>) {
+/// stored go to the sender that is returned.
+pub fn follow_store<S: StateStore>(core: &Rc<ProxyCore>, store: S) -> Sender<RecordOrder> {
+    let (orders, written) = flume::unbounded();
     for topic in [StoreTopic::Configuration, StoreTopic::Nodes] {
-        spawn_local(follow(Rc::clone(core), store.clone(), topic));
+        let follower = Follower {
+            core: Rc::clone(core),
+            store: store.clone(),
+            orders: orders.clone(),
+        };
+        spawn_local(follower.follow(topic));
     }
-    spawn_local(write_records(Rc::clone(core), store, orders));
+    spawn_local(retire_gone_nodes(Rc::clone(core), store.clone()));
+    spawn_local(write_records(Rc::clone(core), store, written));
+    orders
 }
 
-/// Follows a topic until dropped, and tells the zone what is new.
-async fn follow<S: StateStore>(core: Rc<ProxyCore>, store: S, topic: StoreTopic) {
-    let mut retries = Retries::new(&core, name_topic(topic));
-    let mut next: Option<u64> = None;
-    if topic == StoreTopic::Nodes {
-        wait_for_routes(&core).await;
+/// What following a topic needs.
+struct Follower<S> {
+    core: Rc<ProxyCore>,
+    store: S,
+    orders: Sender<RecordOrder>,
+}
+
+impl<S: StateStore> Follower<S> {
+    /// Follows a topic until dropped, and tells the zone what is new.
+    async fn follow(self, topic: StoreTopic) {
+        let core = &self.core;
+        let mut retries = Retries::new(core, name_topic(topic));
+        let mut next: Option<u64> = None;
+        if topic == StoreTopic::Nodes {
+            wait_for_routes(core).await;
+        }
+        loop {
+            let read = match next {
+                None => self.store.read_newest(topic).await,
+                Some(from) => {
+                    let wait = wait_for_turn(core).await;
+                    self.store.read_from(topic, from, wait).await
+                }
+            };
+            match read {
+                Ok(records) => {
+                    retries.succeed();
+                    let from = next.replace(records.next);
+                    self.take_records(topic, &records, from.is_none()).await;
+                }
+                Err(StoreError::Deleted) => next = None,
+                Err(error) => {
+                    if retries.is_to_be_handed_over() && core.is_zone_reader() {
+                        hand_reading_over(core);
+                    }
+                    retries.fail(&error).await;
+                }
+            }
+        }
     }
-    loop {
-        let read = match next {
-            None => store.read_newest(topic).await,
-            Some(from) => {
-                let wait = wait_for_turn(&core).await;
-                store.read_from(topic, from, wait).await
+
+    /// Takes in records; `whole` if they are all that the topic holds.
+    async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
+        match topic {
+            StoreTopic::Configuration => self.take_configuration(records, whole),
+            StoreTopic::Nodes => {
+                self.take_nodes(records, whole).await;
+                let pause = self.core.plan_reading().records_pause;
+                let _ = self.core.timers.after(pause).recv_async().await;
             }
-        };
-        match read {
-            Ok(records) => {
-                retries.succeed();
-                let at_start = next.replace(records.next).is_none();
-                take_records(&core, &store, topic, &records, at_start).await;
+        }
+    }
+
+    fn take_configuration(&self, records: &Records, whole: bool) {
+        let core = &self.core;
+        let mut news = false;
+        for record in &records.records {
+            match self.store.decode_table(record) {
+                Some(Ok(table)) => news |= core.take_table(table, StateSource::Store),
+                Some(Err(error)) => core.log(&ProxyEvent::ConfigurationRejected { error }),
+                None => {}
             }
-            Err(StoreError::Deleted) => next = None,
-            Err(error) => {
-                if retries.is_to_be_handed_over() && core.is_zone_reader() {
-                    hand_reading_over(&core);
-                }
-                retries.fail(&error).await;
+        }
+        share_with_zone(core, news && !whole, Vec::new());
+    }
+
+    async fn take_nodes(&self, records: &Records, whole: bool) {
+        let core = &self.core;
+        let mut news = Vec::new();
+        for record in &records.records {
+            let Some(value) = &record.value else {
+                self.forget(|key| key == record.key, record.offset);
+                continue;
+            };
+            let Some(stored) = decode_node(core, record, value) else {
+                continue;
+            };
+            if stored.record.address == core.settings.peers {
+                take_stored(core, stored.record).await;
+            } else if core.take_record(stored.clone(), StateSource::Store) {
+                news.push(stored);
             }
         }
+        if whole {
+            // Drops from before may be among what the store has deleted.
+            let kept: HashSet<&str> = records
+                .records
+                .iter()
+                .map(|kept| kept.key.as_str())
+                .collect();
+            self.forget(|key| !kept.contains(key), records.next);
+        }
+        core.directory.borrow_mut().note_read(records.next);
+        if !whole {
+            share_with_zone(core, false, news);
+        }
+    }
+
+    /// Forgets the nodes whose keys the store held up to a revision and does no longer.
+    fn forget(&self, is_dropped: impl Fn(&str) -> bool, up_to: u64) {
+        let core = &self.core;
+        let by_key = |record: &NodeRecord| is_dropped(&self.store.key_of(record));
+        let forgotten = core.directory.borrow_mut().forget_dropped(up_to, by_key);
+        for record in forgotten {
+            core.log(&ProxyEvent::NodeForgotten {
+                known: record.name,
+                address: record.address,
+            });
+        }
+        let own_is_dropped = core.stored.borrow().as_ref().is_some_and(by_key);
+        if own_is_dropped {
+            self.write_own_again();
+        }
+    }
+
+    /// A record is dropped once nobody has reached its node for long. This one lives: it was cut off, and gets no
+    /// work from others without a record.
+    fn write_own_again(&self) {
+        let core = &self.core;
+        core.stored.replace(None);
+        core.log(&ProxyEvent::OwnRecordDropped {});
+        let Some(record) = describe_own(core) else {
+            return;
+        };
+        let (done, _) = flume::bounded(1);
+        // The receiver goes only with the node.
+        let _ = self.orders.send(RecordOrder { record, done });
     }
 }
 
@@ -75,23 +182,6 @@
     }
 }
 
-async fn take_records<S: StateStore>(
-    core: &Rc<ProxyCore>,
-    store: &S,
-    topic: StoreTopic,
-    records: &Records,
-    at_start: bool,
-) {
-    match topic {
-        StoreTopic::Configuration => take_configuration(core, store, records, at_start),
-        StoreTopic::Nodes => {
-            take_nodes(core, records, at_start).await;
-            let pause = core.plan_reading().records_pause;
-            let _ = core.timers.after(pause).recv_async().await;
-        }
-    }
-}
-
 /// A node finds in the records which upstream it has, and asks that one by a path that it learns from
 /// the configuration.
 async fn wait_for_routes(core: &ProxyCore) {
@@ -114,43 +204,7 @@
     }
 }
 
-fn take_configuration<S: StateStore>(
-    core: &Rc<ProxyCore>,
-    store: &S,
-    records: &Records,
-    at_start: bool,
-) {
-    let mut news = false;
-    for record in &records.records {
-        match store.decode_table(record) {
-            Some(Ok(table)) => news |= core.take_table(table, StateSource::Store),
-            Some(Err(error)) => core.log(&ProxyEvent::ConfigurationRejected { error }),
-            None => {}
-        }
-    }
-    share_with_zone(core, news && !at_start, Vec::new());
-}
-
-async fn take_nodes(core: &Rc<ProxyCore>, records: &Records, at_start: bool) {
-    let mut news = Vec::new();
-    for record in &records.records {
-        let Some(stored) = decode_node(core, record) else {
-            continue;
-        };
-        if stored.record.address == core.settings.peers {
-            take_stored(core, stored.record).await;
-        } else if core.take_record(stored.clone()) {
-            news.push(stored);
-        }
-    }
-    if !at_start {
-        share_with_zone(core, false, news);
-    }
-}
-
-/// A record without a value says that its key was dropped; a node that is gone is found out otherwise.
-fn decode_node(core: &ProxyCore, record: &KeyedRecord) -> Option<StoredRecord> {
-    let value = record.value.as_ref()?;
+fn decode_node(core: &ProxyCore, record: &KeyedRecord, value: &[u8]) -> Option<StoredRecord> {
     match serde_json::from_slice(value) {
         Ok(node) => Some(StoredRecord {
             revision: record.offset.saturating_add(1),
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -11,7 +11,7 @@
     proxy::{
         core::ProxyCore,
         executing::{Executed, execute},
-        state_sharing::{fetch_newer, take_state},
+        state_sharing::{answer_state, fetch_newer},
     },
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
@@ -101,7 +101,7 @@
         let core = Rc::clone(&self.core);
         Box::pin(async move {
             if req.headers.contains_key(STATE_HEADER) {
-                return take_state(&core, &req.body);
+                return answer_state(&core, &req.body).await;
             }
             answer_hop(&core, req).await
         })
--- /dev/null
+++ b/src/proxy/retiring.rs
@@ -0,0 +1,124 @@
+//! Drops the records of nodes that are gone from the store, if this node is the one that does.
+
+use crate::{
+    coordination::retiring::{
+        RetirementWatch, Testimony, WITNESSES, WatchedRecord, weigh_testimony,
+    },
+    protocol::{
+        hop::StateMessage,
+        store::{ConditionalAppend, StateStore},
+    },
+    proxy::{core::ProxyCore, events::ProxyEvent, state_sharing::ask_state},
+    state::placement_view::NodeView,
+};
+use futures::future::join_all;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+
+/// How often the watch goes on. A node that does not watch only finds out that it need not.
+const STEP: Duration = Duration::from_secs(10);
+
+/// Watches the records for as long as this node is the one to do so, until dropped.
+pub async fn retire_gone_nodes<S: StateStore>(core: Rc<ProxyCore>, store: S) {
+    let mut watch = RetirementWatch::default();
+    loop {
+        let _ = core.timers.after(STEP).recv_async().await;
+        if core.is_stopping() || !core.is_first() {
+            watch = RetirementWatch::default();
+            continue;
+        }
+        follow_directory(&core, &mut watch);
+        ask_due(&core, &mut watch).await;
+        for suspect in watch.list_gone(core.timers.now()) {
+            retire(&core, &store, &mut watch, suspect).await;
+        }
+    }
+}
+
+/// Takes in the records, and what requests tell of their nodes for nothing.
+fn follow_directory(core: &ProxyCore, watch: &mut RetirementWatch) {
+    let now = core.timers.now();
+    let directory = core.directory.borrow();
+    let stored = directory.nodes.values();
+    let stored = stored.filter(|view| view.revision > 0);
+    watch.follow(stored.map(describe), now);
+    for view in directory.nodes.values() {
+        if let Some((_, at)) = view.load {
+            watch.note_heard(view.record.address, at);
+        }
+    }
+}
+
+fn describe(view: &NodeView) -> WatchedRecord {
+    WatchedRecord {
+        address: view.record.address,
+        availability_zone: view.record.availability_zone.clone(),
+        revision: view.revision,
+    }
+}
+
+async fn ask_due(core: &Rc<ProxyCore>, watch: &mut RetirementWatch) {
+    let due = watch.take_due(watch.share_of(STEP), core.timers.now());
+    let asked = due.iter().map(|to| is_reached(core, *to));
+    let reached = join_all(asked).await;
+    let now = core.timers.now();
+    for (address, reached) in due.into_iter().zip(reached) {
+        if reached {
+            watch.note_heard(address, now);
+        }
+    }
+}
+
+/// Whether a node answers this one.
+pub async fn is_reached(core: &Rc<ProxyCore>, to: SocketAddr) -> bool {
+    ask_state(core, to, &StateMessage::default())
+        .await
+        .is_some()
+}
+
+async fn retire<S: StateStore>(
+    core: &Rc<ProxyCore>,
+    store: &S,
+    watch: &mut RetirementWatch,
+    suspect: SocketAddr,
+) {
+    match ask_witnesses(core, watch, suspect).await {
+        Testimony::Gone => drop_record(core, store, suspect).await,
+        Testimony::Alive => watch.note_heard(suspect, core.timers.now()),
+        Testimony::Open => {}
+    }
+}
+
+async fn ask_witnesses(
+    core: &Rc<ProxyCore>,
+    watch: &RetirementWatch,
+    suspect: SocketAddr,
+) -> Testimony {
+    let witnesses = watch.list_witnesses(suspect, core.timers.now());
+    let message = StateMessage {
+        reaches: Some(suspect),
+        ..StateMessage::default()
+    };
+    let asked = witnesses.into_iter().take(WITNESSES).map(|to| {
+        let message = &message;
+        async move { ask_state(core, to, message).await?.reached }
+    });
+    weigh_testimony(&join_all(asked).await)
+}
+
+/// Drops the record if the store has nothing newer than what is known here: the node may have been started
+/// anew and have written it again meanwhile.
+async fn drop_record<S: StateStore>(core: &Rc<ProxyCore>, store: &S, suspect: SocketAddr) {
+    let end = core.directory.borrow().read_up_to();
+    let Some(record) = core.directory.borrow().find_record(suspect) else {
+        return;
+    };
+    match store.drop_node(&record, end).await {
+        Ok(ConditionalAppend::Stored) => core.log(&ProxyEvent::NodeRetired {
+            known: record.name,
+            address: suspect,
+            instance: record.instance,
+        }),
+        // Looked at again in the next step, by what the store holds then.
+        Ok(ConditionalAppend::Overtaken) | Err(_) => {}
+    }
+}
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -3,7 +3,7 @@
 use crate::{
     coordination::spreading::split_receivers,
     protocol::hop::{STATE_HEADER, StateMessage},
-    proxy::{core::ProxyCore, directory::StateSource, events::ProxyEvent},
+    proxy::{core::ProxyCore, directory::StateSource, events::ProxyEvent, retiring::is_reached},
     state::{configuration::ConfigurationVersion, placement_view::StoredRecord},
     transport::{
         callers::{CallerReply, reply_json},
@@ -52,8 +52,8 @@
             wanted: Some(own),
             ..StateMessage::default()
         };
-        if let Some(answer) = send_state(&core, from, &message).await {
-            take_state(&core, answer.body());
+        if let Some(answer) = ask_state(&core, from, &message).await {
+            take_message(&core, answer);
         }
         core.fetching.set(false);
     });
@@ -142,6 +142,31 @@
     sent.ok().filter(|answer| answer.status().is_success())
 }
 
+/// Sends a message and returns what the other node answers, if it does.
+pub async fn ask_state(
+    core: &ProxyCore,
+    to: SocketAddr,
+    message: &StateMessage,
+) -> Option<StateMessage> {
+    let answer = send_state(core, to, message).await?;
+    if answer.body().is_empty() {
+        return Some(StateMessage::default());
+    }
+    match serde_json::from_slice(answer.body()) {
+        Ok(message) => Some(message),
+        Err(error) => {
+            log_malformed(core, &error);
+            None
+        }
+    }
+}
+
+fn log_malformed(core: &ProxyCore, error: &serde_json::Error) {
+    core.log(&ProxyEvent::StateRejected {
+        error: error.to_string(),
+    });
+}
+
 fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
     let body = serde_json::to_vec(message).ok()?;
     let mut request = Request::new(Full::new(Bytes::from(body)));
@@ -154,37 +179,41 @@
     Some(request)
 }
 
-/// Takes in a message of another node and passes it on as told.
-pub fn take_state(core: &Rc<ProxyCore>, body: &[u8]) -> CallerReply {
-    let mut message: StateMessage = match serde_json::from_slice(body) {
+/// Takes in a message of another node, passes it on as told, and answers what is asked in it.
+pub async fn answer_state(core: &Rc<ProxyCore>, body: &[u8]) -> CallerReply {
+    let message: StateMessage = match serde_json::from_slice(body) {
         Ok(message) => message,
         Err(error) => {
-            core.log(&ProxyEvent::StateRejected {
-                error: error.to_string(),
-            });
+            log_malformed(core, &error);
             return reply_json(StatusCode::BAD_REQUEST, "malformed state");
         }
     };
+    let (wanted, reaches) = (message.wanted, message.reaches);
+    take_message(core, message);
+    let mut answer = match wanted {
+        Some(version) => core.directory.borrow().list_newer_than(version),
+        None => StateMessage::default(),
+    };
+    if let Some(suspect) = reaches {
+        answer.reached = Some(is_reached(core, suspect).await);
+    }
+    if answer == StateMessage::default() {
+        return Response::new(Full::default());
+    }
+    let body = serde_json::to_vec(&answer).unwrap_or_default();
+    Response::new(Full::new(Bytes::from(body)))
+}
+
+fn take_message(core: &Rc<ProxyCore>, mut message: StateMessage) {
     if message.read_store {
         core.read_for_zone();
     }
-    let wanted = message.wanted;
     let receivers = std::mem::take(&mut message.pass_on);
     spread(core, &receivers, &message);
     if let Some(table) = message.table {
         core.take_table(table, StateSource::Peer);
     }
     for stored in message.nodes {
-        core.take_record(stored);
-    }
-    match wanted {
-        Some(version) => reply_with_newer(core, version),
-        None => Response::new(Full::default()),
+        core.take_record(stored, StateSource::Peer);
     }
 }
-
-fn reply_with_newer(core: &ProxyCore, version: ConfigurationVersion) -> CallerReply {
-    let message = core.directory.borrow().list_newer_than(version);
-    let body = serde_json::to_vec(&message).unwrap_or_default();
-    Response::new(Full::new(Bytes::from(body)))
-}
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -106,7 +106,7 @@
         self.state.first.set(longest);
     }
 
-    /// The newest value of a key.
+    /// The newest value of a key; empty if the key was dropped.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
         let topics = self.state.topics.borrow();
@@ -176,17 +176,23 @@
 async fn answer(request: &PlainRequest, state: &State) -> Vec<u8> {
     let topic = request.parameter("topic").unwrap_or_default();
     match request.path() {
-        "/-/log-append" => answer_append(topic, &request.body, state),
+        "/-/log-append" => answer_append(request, topic, state),
         "/-/log-newest" => answer_newest(topic, state),
         "/-/log-read" => answer_read(request, topic, state).await,
         _ => build_answer(404, &[], b"{}"),
     }
 }
 
-fn answer_append(topic: &str, body: &[u8], state: &State) -> Vec<u8> {
-    let Some((key, value)) = decode(body) else {
+fn answer_append(request: &PlainRequest, topic: &str, state: &State) -> Vec<u8> {
+    let Some((key, value)) = decode(&request.body) else {
         return build_answer(400, &[], b"malformed record");
     };
+    let end = state.topics.borrow().get(topic).map_or(0, Vec::len);
+    let expected = request.parameter("at").and_then(|text| text.parse().ok());
+    if expected.is_some_and(|expected: usize| expected != end) {
+        let text = json!({ "end": end }).to_string();
+        return build_answer(412, &[], text.as_bytes());
+    }
     let end = append(state, topic, &key, value);
     let text = json!({ "offset": end - 1, "end": end }).to_string();
     build_answer(200, &[], text.as_bytes())
@@ -210,7 +216,8 @@
     let mut items = Vec::new();
     for (offset, record) in records.iter().enumerate() {
         let later = &records[offset + 1..];
-        if later.iter().all(|other| other.key != record.key) {
+        let is_newest = later.iter().all(|other| other.key != record.key);
+        if is_newest && !record.value.is_empty() {
             items.push(json!({
                 "key": record.key, "value": encode_base64(&record.value), "offset": offset,
             }));
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -15,6 +15,8 @@
 mod proxy_decisions;
 mod proxy_events;
 mod publishing;
+mod retiring;
+mod retiring_model;
 mod settings_page;
 mod slot_queue;
 mod slot_search;
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -11,7 +11,7 @@
     log_reading::line::LogLine,
     options::proxy_settings::LineRules,
     proxy::{
-        directory::Directory,
+        directory::{Directory, StateSource},
         events::{LineWriter, ProxyEvent, Weight},
     },
     state::{
@@ -143,8 +143,8 @@
         revision,
         record: record(1, "a", instance),
     };
-    assert!(directory.take_record(stored(7, "i-2")));
-    assert!(!directory.take_record(stored(3, "i-1")));
+    assert!(directory.take_record(stored(7, "i-2"), StateSource::Store));
+    assert!(!directory.take_record(stored(3, "i-1"), StateSource::Store));
     assert_eq!(directory.nodes[&address(1)].record.instance, "i-2");
 }
 
