--- a/src/proxy/executing/attempt_line.rs
+++ b/src/proxy/executing/attempt_line.rs
@@ -20,6 +20,8 @@
     from: SocketAddr,
     class: ClassName,
     arrived: Moment,
+    /// Pace at which it started, or was last decided about.
+    pace_percent: u16,
     pace_age: Option<Duration>,
     running: u16,
     queued: u16,
@@ -35,6 +37,7 @@
             from: hop.from,
             class: hop.class.clone(),
             arrived: core.timers.now(),
+            pace_percent: load.slowdown_percent,
             pace_age: None,
             running: load.running,
             queued: load.queued,
@@ -49,12 +52,18 @@
         let load = self.core.slots.load();
         self.running = load.running;
         self.queued = load.queued;
-        self.pace_age = self.core.slots.pace.age(self.core.timers.now());
+        self.note_pace();
     }
 
     /// Notes that it has a slot.
     pub fn note_start(&mut self, waited: Duration) {
         self.waited = waited;
+        self.note_pace();
+    }
+
+    fn note_pace(&mut self) {
+        self.pace_percent = self.core.slots.load().slowdown_percent;
+        self.pace_age = self.core.slots.pace.age(self.core.timers.now());
     }
 
     /// Writes the line.
@@ -83,7 +92,7 @@
             running: self.running,
             queued: self.queued,
             limit: load.limit,
-            pace_percent: load.slowdown_percent,
+            pace_percent: self.pace_percent,
             pace_age_ms: self.pace_age.map(in_millis),
             expected_ms: in_millis(self.core.slots.expect(&self.class)),
             waited_ms: in_millis(self.waited),
