--- a/tests/integration/overload.rs
+++ b/tests/integration/overload.rs
@@ -120,7 +120,6 @@
             priority: 1,
             within: Duration::ZERO,
             target_left: TARGET,
-            target_left: TARGET,
             time_left: DEADLINE,
             expected: EXPECTED,
         };
