Tell a slow moment of a VM from one that is slow for long

Ruled out: using the warm-up time that the upstream announces: it tells how long, not how slow, and a VM that turns slow later tells neither.

Change: the usual pace of these seconds is learned (PaceHistory): the first figure of a run counts as usual, a faster one at once, a slower one once it lasted three times as long as slow moments do. How long these last is learned as well, in place of 200 ms. Slow means half as slow again as usual.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -10,3 +10,4 @@
 pub mod slot_search;
 pub mod spreading;
 pub mod store_reading;
+pub mod vm_pace;
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -15,14 +15,11 @@
 mod forecast;
 mod late_share;
 
-use crate::state::moment::Moment;
+use crate::{coordination::vm_pace::Pace, state::moment::Moment};
 use forecast::forecast_start;
 use late_share::LateShare;
 use std::time::Duration;
 
-/// Slowdown in percent up to which a VM counts as usual.
-const USUAL_PERCENT: u16 = 150;
-
 /// Number of a request in the queue or at the upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct SlotNumber(pub u64);
@@ -38,42 +35,10 @@
     pub target_left: Duration,
     /// Time until its deadline.
     pub time_left: Duration,
-    /// Time that it takes at the usual pace.
+    /// Time that it takes at the best pace.
     pub expected: Duration,
 }
 
-/// How fast the VM of the upstream works.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Pace {
-    /// How long work that starts now takes, in percent of the usual.
-    pub percent: u16,
-    /// How much longer that lasts, as a guess.
-    pub lasts: Duration,
-}
-
-impl Pace {
-    /// The usual pace.
-    pub const USUAL: Self = Self {
-        percent: 100,
-        lasts: Duration::ZERO,
-    };
-
-    /// Whether work should rather start later.
-    #[must_use]
-    pub fn is_slow(self) -> bool {
-        self.percent > USUAL_PERCENT
-    }
-
-    fn stretch(self, span: Duration) -> Duration {
-        span * u32::from(self.percent) / 100
-    }
-
-    /// Whether work that starts now ends sooner than if it waits for the usual pace.
-    fn pays_to_start(self, expected: Duration) -> bool {
-        !self.is_slow() || self.stretch(expected) <= self.lasts + expected
-    }
-}
-
 /// The decision on a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotDecision {
@@ -147,7 +112,7 @@
             running: Vec::new(),
             waiting: Vec::new(),
             next_number: 0,
-            pace: Pace::USUAL,
+            pace: Pace::BEST,
             late_share: LateShare::default(),
         }
     }
@@ -192,13 +157,14 @@
     pub fn offer(&mut self, request: SlotRequest, now: Moment) -> SlotDecision {
         let on_time = self.forecast(&request, now);
         let fits = on_time <= request.target_left;
-        let latest = now + request.target_left.saturating_sub(request.expected);
+        let takes = self.pace.stretch_usual(request.expected);
+        let latest = now + request.target_left.saturating_sub(takes);
         let waiting = Waiting {
             number: SlotNumber(self.next_number),
             priority: request.priority,
             expected: request.expected,
             on_time_until: fits.then_some(latest),
-            until: now + request.time_left.saturating_sub(request.expected),
+            until: now + request.time_left.saturating_sub(takes),
         };
         let has_room = self.running.len() < self.limit && self.waiting.is_empty();
         let starts_now = has_room && self.pace.pays_to_start(request.expected);
@@ -252,13 +218,13 @@
             .waiting
             .iter()
             .filter(|waiting| waiting.rank(now) <= rank)
-            .map(|waiting| waiting.expected);
+            .map(|waiting| self.pace.stretch_usual(waiting.expected));
         let ends = self.running.iter().map(|running| running.ends.since(now));
         let starts_slow = self.pace.pays_to_start(request.expected);
         let (pause, takes) = if starts_slow {
             (Duration::ZERO, self.pace.stretch(request.expected))
         } else {
-            (self.pace.lasts, request.expected)
+            (self.pace.lasts, self.pace.stretch_usual(request.expected))
         };
         forecast_start(self.limit, ends, ahead, pause) + takes
     }
@@ -272,7 +238,7 @@
             .map(|waiting| waiting.expected)
             .sum();
         let wait = self.late_share.stretch(ahead, request.expected, self.limit);
-        self.forecast(request, now) + wait
+        self.forecast(request, now) + self.pace.stretch_usual(wait)
     }
 
     fn start(&mut self, waiting: &Waiting, now: Moment) {
--- /dev/null
+++ b/src/coordination/vm_pace.rs
@@ -0,0 +1,158 @@
+//! How fast the VM of an upstream works, from what the upstream tells beside its answers.
+//!
+//! Two things slow an upstream down and look alike in one figure. Neighbours on its VM take the processor for a moment:
+//! work waits for the end of that. And it may be slow for long, after its start or because its VM is overloaded: then
+//! waiting gains nothing, and one that waits all the same serves nobody. They are told apart by how long they last.
+//!
+//! Load pattern answered: all VMs come back from a loss of power at once, each upstream works at half its pace for some
+//! seconds, and the clients of a second come back with those of the next.
+
+use crate::state::moment::Moment;
+use std::time::Duration;
+
+/// Times the usual pace up to which a VM counts as usual: a figure that says how long work takes varies by a few tens of
+/// percent with the load of the upstream itself.
+const SLOW_FROM: (u32, u32) = (3, 2);
+/// How long a slow moment is taken to last before any has been seen: a few time slices of other VMs.
+const FIRST_LENGTH: Duration = Duration::from_millis(200);
+/// Weight of the newest slow moment in the moving average of their lengths.
+const WEIGHT: f64 = 0.1;
+/// Times their mean length after which a slow moment counts as the usual pace from now on. Moments whose end does not
+/// depend on their age are longer once in 20 times.
+const LASTING: u32 = 3;
+/// Time without any word after which it is not known whether a slow moment went on.
+const GAP: Duration = Duration::from_millis(300);
+
+/// How fast the VM of the upstream works.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Pace {
+    /// How long work that starts now takes, in percent of what it takes at the best.
+    pub percent: u16,
+    /// The same at other moments of these seconds.
+    pub usual: u16,
+    /// How much longer the present pace lasts, as a guess.
+    pub lasts: Duration,
+}
+
+impl Pace {
+    /// The best pace.
+    pub const BEST: Self = Self {
+        percent: 100,
+        usual: 100,
+        lasts: Duration::ZERO,
+    };
+
+    /// Whether work should rather start later.
+    #[must_use]
+    pub fn is_slow(self) -> bool {
+        is_slower(self.percent, self.usual)
+    }
+
+    /// Time that work takes which starts now; `expected` is what it takes at the best.
+    #[must_use]
+    pub fn stretch(self, expected: Duration) -> Duration {
+        expected * u32::from(self.percent) / 100
+    }
+
+    /// Time that work takes which starts at a usual moment.
+    #[must_use]
+    pub fn stretch_usual(self, expected: Duration) -> Duration {
+        expected * u32::from(self.usual) / 100
+    }
+
+    /// Whether work that starts now ends sooner than if it waits for the usual pace.
+    #[must_use]
+    pub fn pays_to_start(self, expected: Duration) -> bool {
+        !self.is_slow() || self.stretch(expected) <= self.lasts + self.stretch_usual(expected)
+    }
+}
+
+fn is_slower(percent: u16, usual: u16) -> bool {
+    let (times, parts) = SLOW_FROM;
+    u32::from(percent) * parts > u32::from(usual) * times
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SlowMoment {
+    since: Moment,
+    told_at: Moment,
+    /// The best pace told meanwhile.
+    least: u16,
+}
+
+/// What the figures told so far say of the pace.
+#[derive(Clone, Copy, Debug)]
+pub struct PaceHistory {
+    /// None before the first figure: a start value would have an upstream that has just started wait.
+    usual: Option<u16>,
+    slow: Option<SlowMoment>,
+    /// Mean length of slow moments, in seconds.
+    length: f64,
+}
+
+impl Default for PaceHistory {
+    fn default() -> Self {
+        Self {
+            usual: None,
+            slow: None,
+            length: FIRST_LENGTH.as_secs_f64(),
+        }
+    }
+}
+
+impl PaceHistory {
+    /// Forgets what was usual: another run of the upstream has come.
+    pub fn restart(&mut self) {
+        self.usual = None;
+        self.slow = None;
+    }
+
+    /// Takes in a figure, in percent of the best pace.
+    pub fn note(&mut self, percent: u16, now: Moment) -> Pace {
+        let usual = self.usual.unwrap_or(percent);
+        if is_slower(percent, usual) {
+            self.note_slow(percent, usual, now);
+        } else {
+            self.note_usual(percent, now);
+        }
+        Pace {
+            percent,
+            usual: self.usual.unwrap_or(percent),
+            lasts: self.mean_length(),
+        }
+    }
+
+    fn note_usual(&mut self, percent: u16, now: Moment) {
+        self.usual = Some(percent);
+        let ended = self.slow.take();
+        if let Some(slow) = ended.filter(|slow| now.since(slow.told_at) <= GAP) {
+            let length = now.since(slow.since).as_secs_f64();
+            self.length += (length - self.length) * WEIGHT;
+        }
+    }
+
+    fn note_slow(&mut self, percent: u16, usual: u16, now: Moment) {
+        self.usual = Some(usual);
+        let known = self.slow.filter(|slow| now.since(slow.told_at) <= GAP);
+        let slow = known.unwrap_or(SlowMoment {
+            since: now,
+            told_at: now,
+            least: percent,
+        });
+        let slow = SlowMoment {
+            told_at: now,
+            least: slow.least.min(percent),
+            ..slow
+        };
+        if now.since(slow.since) >= self.mean_length() * LASTING {
+            self.usual = Some(slow.least);
+            self.slow = None;
+        } else {
+            self.slow = Some(slow);
+        }
+    }
+
+    fn mean_length(&self) -> Duration {
+        Duration::from_secs_f64(self.length)
+    }
+}
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -35,7 +35,11 @@
     let instance = announcement.instance.clone();
     let leaving = announcement.leaving;
     let sequence = announcement.sequence;
+    let before = core.own.borrow().current().map(|run| run.instance.clone());
     let effect = core.own.borrow_mut().announce(announcement, now);
+    if effect == AnnouncementEffect::Changed && before.as_ref() != Some(&instance) {
+        core.slots.restart();
+    }
     if effect == AnnouncementEffect::Changed {
         core.log(&ProxyEvent::UpstreamAnnounced {
             instance,
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -4,7 +4,7 @@
 //! question costs the upstream about a millisecond and no slot.
 
 use crate::{
-    coordination::slot_queue::Pace,
+    coordination::vm_pace::PaceHistory,
     proxy::{
         core::{ProxyCore, count},
         executing::slots::apply,
@@ -27,9 +27,6 @@
 /// Age up to which the pace counts as known. A start at a slow moment costs some three times the
 /// work; VMs seen so far change at most every 300 ms, so one in 12 has changed within this time.
 const FRESH: Duration = Duration::from_millis(25);
-/// How long a slow moment lasts, as a guess: VMs seen so far draw anew every 300 ms, so half of
-/// that is left at an arbitrary instant.
-const SLOW_LASTS: Duration = Duration::from_millis(200);
 /// Pause between questions while requests wait for the VM to recover.
 const WATCH_PAUSE: Duration = Duration::from_millis(40);
 /// Longest time for an answer. An upstream that takes longer is taken to work at its last pace.
@@ -45,6 +42,7 @@
 pub struct PaceKnowledge {
     /// When it was last told; never by an upstream that does not tell its load.
     told_at: Cell<Option<Moment>>,
+    history: Cell<PaceHistory>,
     asking: RefCell<Option<flume::Receiver<()>>>,
     watching: Cell<bool>,
     /// Keeps questions within what operators let measuring cost.
@@ -57,12 +55,20 @@
     pub fn new(probes_per_second: f64) -> Self {
         Self {
             told_at: Cell::default(),
+            history: Cell::default(),
             asking: RefCell::default(),
             watching: Cell::default(),
             budget: Cell::new(RateLimit::new(probes_per_second, probes_per_second * BURST)),
         }
     }
 
+    /// Forgets what was usual: another run of the upstream has come.
+    pub fn restart(&self) {
+        let mut history = self.history.get();
+        history.restart();
+        self.history.set(history);
+    }
+
     /// Lets that many questions a second be asked from now on.
     pub fn set_limit(&self, probes_per_second: f64) {
         let limit = RateLimit::new(probes_per_second, probes_per_second * BURST);
@@ -113,10 +119,9 @@
     };
     let now = core.timers.now();
     core.slots.pace.told_at.set(Some(now));
-    let pace = Pace {
-        percent,
-        lasts: SLOW_LASTS,
-    };
+    let mut history = core.slots.pace.history.get();
+    let pace = history.note(percent, now);
+    core.slots.pace.history.set(history);
     let actions = core.slots.queue.borrow_mut().set_pace(pace, now);
     apply(core, actions);
     if core.slots.has_waiting() {
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -50,6 +50,11 @@
         }
     }
 
+    /// Forgets what holds for one run of the upstream only.
+    pub fn restart(&self) {
+        self.pace.restart();
+    }
+
     /// Lets that many questions a second be asked from now on.
     pub fn set_probe_limit(&self, probes_per_second: f64) {
         self.pace.set_limit(probes_per_second);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -22,3 +22,4 @@
 mod settings_page;
 mod slot_queue;
 mod slot_search;
+mod vm_pace;
--- a/tests/integration/slot_queue.rs
+++ b/tests/integration/slot_queue.rs
@@ -1,8 +1,9 @@
 //! Slots of an upstream: who runs, who waits, who is refused.
 
 use camphorturn::{
-    coordination::slot_queue::{
-        Pace, SlotAction, SlotDecision, SlotNumber, SlotQueue, SlotRequest,
+    coordination::{
+        slot_queue::{SlotAction, SlotDecision, SlotNumber, SlotQueue, SlotRequest},
+        vm_pace::Pace,
     },
     state::moment::Moment,
 };
@@ -31,6 +32,7 @@
 fn slow() -> Pace {
     Pace {
         percent: 400,
+        usual: 100,
         lasts: ms(200),
     }
 }
@@ -102,7 +104,7 @@
     );
     let waiting = queue.offer(request(1, 500), START);
     assert!(matches!(waiting, SlotDecision::Wait(_)));
-    let started = queue.set_pace(Pace::USUAL, at(40));
+    let started = queue.set_pace(Pace::BEST, at(40));
     assert_eq!(started, [SlotAction::Start(number_of(waiting))]);
 }
 
@@ -235,7 +237,7 @@
         }
         _ => {
             let pace = if choice.is_multiple_of(2) {
-                Pace::USUAL
+                Pace::BEST
             } else {
                 slow()
             };
