Take a run of an upstream by its identity and its start; leave foreign records and announcements aside

Cause: an upstream that starts again under its identity had its announcements taken as late ones (its sequence starts anew), or as those of a run that leaves, for good. One record that could not be read made a whole read of the store fail, over and over. An announcement of another writer, or a late one of a run that the node does not know, ended the run that works; the model found the latter once it asked that a run that announces itself gets work.

Change: `born` is carried from the announcement through records, stored state and the view of other nodes; of two runs under one identity the later counts, and an acknowledged leaving binds for its own run. A run that is not known is believed in place of a known one only if the upstream does not say otherwise.

Also: what is left of a slow moment is learned as such (mean square of the lengths), not taken as the mean length.

--- a/src/coordination/own_upstream.rs
+++ b/src/coordination/own_upstream.rs
@@ -15,6 +15,8 @@
 pub struct Announcement {
     /// Identity of the upstream's run.
     pub instance: String,
+    /// When that run started, in Unix milliseconds by the upstream's clock, if it tells.
+    pub born: Option<u64>,
     /// Its service.
     pub service: ServiceName,
     /// Requests it runs at once.
@@ -32,6 +34,9 @@
 pub struct UpstreamRun {
     /// Its identity.
     pub instance: String,
+    /// When it started, in Unix milliseconds by its own clock, if it tells. An upstream may start again under the
+    /// identity that it had.
+    pub born: Option<u64>,
     /// Its service.
     pub service: ServiceName,
     /// Requests it runs at once.
@@ -54,11 +59,40 @@
     Changed,
 }
 
+/// What tells one run of an upstream from another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunIdentity {
+    /// Its identity.
+    pub instance: String,
+    /// When it started, if it tells.
+    pub born: Option<u64>,
+}
+
+impl RunIdentity {
+    /// Whether `other` is this run, or one before it under the same identity. Where one of them does not tell when it
+    /// started, they count as the same: a leaving that was acknowledged must not be undone by a guess.
+    fn covers(&self, other: &Self) -> bool {
+        let later = matches!((self.born, other.born), (Some(own), Some(other)) if other > own);
+        self.instance == other.instance && !later
+    }
+}
+
+impl UpstreamRun {
+    /// What tells it from other runs.
+    #[must_use]
+    pub fn identity(&self) -> RunIdentity {
+        RunIdentity {
+            instance: self.instance.clone(),
+            born: self.born,
+        }
+    }
+}
+
 /// What is known of the upstream beside the node.
 #[derive(Clone, Debug, Default)]
 pub struct OwnUpstream {
     current: Option<UpstreamRun>,
-    ended: VecDeque<String>,
+    ended: VecDeque<RunIdentity>,
 }
 
 impl OwnUpstream {
@@ -76,19 +110,24 @@
 
     /// Takes in an announcement.
     pub fn announce(&mut self, announcement: Announcement, now: Moment) -> AnnouncementEffect {
-        if self.ended.contains(&announcement.instance) {
+        let told = RunIdentity {
+            instance: announcement.instance.clone(),
+            born: announcement.born,
+        };
+        if self.has_ended(&told) {
             return AnnouncementEffect::Stale;
         }
         let run = UpstreamRun {
             warm_at: now + announcement.warmup_left,
             instance: announcement.instance,
+            born: announcement.born,
             service: announcement.service,
             slots: announcement.slots,
             leaving: announcement.leaving,
             sequence: announcement.sequence,
         };
         match &mut self.current {
-            Some(known) if known.instance == run.instance => update_run(known, run),
+            Some(known) if known.identity().covers(&told) => update_run(known, run),
             _ => {
                 self.end_current();
                 self.current = Some(run);
@@ -98,21 +137,27 @@
     }
 
     /// Takes in that a run leaves for good. True if that is news.
-    pub fn depart(&mut self, instance: &str) -> bool {
+    pub fn depart(&mut self, told: &RunIdentity) -> bool {
         match &mut self.current {
-            Some(known) if known.instance == instance => {
+            Some(known) if known.identity() == *told || is_untold(known, told) => {
                 !std::mem::replace(&mut known.leaving, true)
             }
+            // A late word of a run before the present one.
+            Some(known) if known.identity().covers(told) => false,
             _ => {
-                let known = self.ended.iter().any(|ended| ended == instance);
+                let known = self.has_ended(told);
                 if !known {
-                    self.remember(instance.to_owned());
+                    self.remember(told.clone());
                 }
                 !known
             }
         }
     }
 
+    fn has_ended(&self, told: &RunIdentity) -> bool {
+        self.ended.iter().any(|ended| ended.covers(told))
+    }
+
     /// Another run answered in place of `instance`: its announcements count no longer.
     pub fn disown(&mut self, instance: &str) {
         let is_current = self
@@ -126,22 +171,28 @@
 
     fn end_current(&mut self) {
         if let Some(run) = self.current.take() {
-            self.remember(run.instance);
+            self.remember(run.identity());
         }
     }
 
-    fn remember(&mut self, instance: String) {
-        self.ended.push_back(instance);
+    fn remember(&mut self, run: RunIdentity) {
+        self.ended.push_back(run);
         if self.ended.len() > REMEMBERED_RUNS {
             self.ended.pop_front();
         }
     }
 }
 
+/// Whether the word is of the same identity and one of the two does not tell when its run started.
+fn is_untold(known: &UpstreamRun, told: &RunIdentity) -> bool {
+    known.instance == told.instance && (known.born.is_none() || told.born.is_none())
+}
+
 /// A run that leaves never comes back to work under the same identity: a late announcement from
 /// before it left would have its node send it work again.
 fn update_run(known: &mut UpstreamRun, run: UpstreamRun) -> AnnouncementEffect {
-    if run.sequence <= known.sequence {
+    let earlier = matches!((run.born, known.born), (Some(told), Some(known)) if told < known);
+    if earlier || run.sequence <= known.sequence {
         return AnnouncementEffect::Stale;
     }
     let leaving = known.leaving || run.leaving;
@@ -150,6 +201,7 @@
     *known = UpstreamRun {
         leaving,
         warm_at,
+        born: run.born.or(known.born),
         ..run
     };
     if changed {
--- a/src/coordination/vm_pace.rs
+++ b/src/coordination/vm_pace.rs
@@ -20,6 +20,8 @@
 /// Times their mean length after which a slow moment counts as the usual pace from now on. Moments whose end does not
 /// depend on their age are longer once in 20 times.
 const LASTING: u32 = 3;
+/// Least mean length reckoned with, in seconds: the pause between two questions.
+const SHORTEST: f64 = 0.04;
 /// Time without any word after which it is not known whether a slow moment went on.
 const GAP: Duration = Duration::from_millis(300);
 
@@ -86,8 +88,9 @@
     /// None before the first figure: a start value would have an upstream that has just started wait.
     usual: Option<u16>,
     slow: Option<SlowMoment>,
-    /// Mean length of slow moments, in seconds.
+    /// Mean length of slow moments, in seconds, and mean of its square.
     length: f64,
+    squared: f64,
 }
 
 impl Default for PaceHistory {
@@ -96,6 +99,7 @@
             usual: None,
             slow: None,
             length: FIRST_LENGTH.as_secs_f64(),
+            squared: 2.0 * FIRST_LENGTH.as_secs_f64().powi(2),
         }
     }
 }
@@ -118,7 +122,7 @@
         Pace {
             percent,
             usual: self.usual.unwrap_or(percent),
-            lasts: self.mean_length(),
+            lasts: self.mean_rest(),
         }
     }
 
@@ -128,6 +132,7 @@
         if let Some(slow) = ended.filter(|slow| now.since(slow.told_at) <= GAP) {
             let length = now.since(slow.since).as_secs_f64();
             self.length += (length - self.length) * WEIGHT;
+            self.squared += (length * length - self.squared) * WEIGHT;
         }
     }
 
@@ -155,4 +160,10 @@
     fn mean_length(&self) -> Duration {
         Duration::from_secs_f64(self.length)
     }
+
+    /// What is left of a slow moment on average, seen at any instant of it: half of it if all last as long, more if
+    /// some last much longer than others.
+    fn mean_rest(&self) -> Duration {
+        Duration::from_secs_f64(self.squared / (2.0 * self.length.max(SHORTEST)))
+    }
 }
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -237,6 +237,7 @@
         requests,
     ));
     let announcement = Announcement {
+        born: None,
         instance: plan.name.to_string(),
         service: plan.service.clone(),
         slots: plan.slots,
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -12,7 +12,7 @@
         routing_table::RoutingTable,
     },
 };
-use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use std::{net::SocketAddr, time::Duration};
 
 /// Name of the header, on requests and answers between nodes.
@@ -196,12 +196,20 @@
     serde_json::from_value(serde_json::Value::from(name)).ok()
 }
 
+/// A node of another version may tell of records with other fields; the others hold all the same.
+fn read_records<'a, D: Deserializer<'a>>(from: D) -> Result<Vec<StoredRecord>, D::Error> {
+    let values = Vec::<serde_json::Value>::deserialize(from)?;
+    let records = values.into_iter().map(serde_json::from_value);
+    Ok(records.filter_map(Result::ok).collect())
+}
+
 /// State that a node sends to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateMessage {
     /// The routing table in force.
     pub table: Option<RoutingTable>,
-    /// Records of nodes.
+    /// Records of nodes. One that can't be read is left out.
+    #[serde(deserialize_with = "read_records")]
     pub nodes: Vec<StoredRecord>,
     /// Nodes that the receiver is to pass the message on to.
     #[serde(default)]
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -1,11 +1,11 @@
 //! Takes in what the upstream beside the node announces, and has it recorded in the store.
 
 use crate::{
-    coordination::own_upstream::{Announcement, AnnouncementEffect},
+    coordination::own_upstream::{Announcement, AnnouncementEffect, RunIdentity, UpstreamRun},
     proxy::{
         core::ProxyCore,
         events::ProxyEvent,
-        executing::{confirm_instance, limit_for, set_limit},
+        executing::{ask_instance, confirm_instance, limit_for, set_limit},
     },
     state::placement_view::NodeRecord,
 };
@@ -35,9 +35,12 @@
     let instance = announcement.instance.clone();
     let leaving = announcement.leaving;
     let sequence = announcement.sequence;
-    let before = core.own.borrow().current().map(|run| run.instance.clone());
+    if is_contradicted(core, &announcement).await {
+        return;
+    }
+    let before = identify_own(core);
     let effect = core.own.borrow_mut().announce(announcement, now);
-    if effect == AnnouncementEffect::Changed && before.as_ref() != Some(&instance) {
+    if effect == AnnouncementEffect::Changed && before != identify_own(core) {
         core.slots.restart();
     }
     if effect == AnnouncementEffect::Changed {
@@ -50,12 +53,31 @@
     }
 }
 
+/// Whether the upstream itself says that it is another run than the one that announces itself in place of a known one.
+///
+/// A word of a run that has ended may arrive late, and a node that was started since does not know that run. Were
+/// it believed, the run that works would count as ended for good.
+async fn is_contradicted(core: &Rc<ProxyCore>, announcement: &Announcement) -> bool {
+    let known = core.own.borrow().serving().map(UpstreamRun::identity);
+    if known.is_none_or(|known| known.instance == announcement.instance) {
+        return false;
+    }
+    let told = ask_instance(core, &announcement.service).await;
+    told.is_some_and(|told| told != announcement.instance)
+}
+
+/// The present run of the upstream beside this node.
+#[must_use]
+pub fn identify_own(core: &ProxyCore) -> Option<RunIdentity> {
+    core.own.borrow().current().map(UpstreamRun::identity)
+}
+
 /// Takes in that a run of the upstream leaves; returns once it may be acknowledged.
-pub async fn take_departure(core: &Rc<ProxyCore>, instance: &str, store: &Sender<RecordOrder>) {
-    let news = core.own.borrow_mut().depart(instance);
+pub async fn take_departure(core: &Rc<ProxyCore>, run: &RunIdentity, store: &Sender<RecordOrder>) {
+    let news = core.own.borrow_mut().depart(run);
     if news {
         core.log(&ProxyEvent::UpstreamDeparted {
-            instance: instance.to_owned(),
+            instance: run.instance.clone(),
         });
         take_change(core, store).await;
     }
@@ -90,10 +112,11 @@
     let unknown = core.own.borrow().current().is_none();
     let unchanged = core.stored.replace(Some(record.clone())).as_ref() == Some(&record);
     if record.leaving {
-        core.own.borrow_mut().depart(&record.instance);
+        core.own.borrow_mut().depart(&identify(&record));
     } else if unknown && !unchanged && confirm_instance(core, &record).await {
         let announcement = Announcement {
             instance: record.instance.clone(),
+            born: record.born,
             service: record.service.clone(),
             slots: record.slots,
             leaving: false,
@@ -112,6 +135,13 @@
     }
 }
 
+fn identify(record: &NodeRecord) -> RunIdentity {
+    RunIdentity {
+        instance: record.instance.clone(),
+        born: record.born,
+    }
+}
+
 /// The record of this node, if its upstream has announced itself.
 #[must_use]
 pub fn describe_own(core: &ProxyCore) -> Option<NodeRecord> {
@@ -123,6 +153,7 @@
         service: run.service.clone(),
         availability_zone: core.settings.availability_zone.clone(),
         instance: run.instance.clone(),
+        born: run.born,
         slots: run.slots,
         leaving: run.leaving,
         operators: core.settings.operators,
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -86,7 +86,7 @@
         }
         match self.nodes.get_mut(&stored.record.address) {
             Some(view) if stored.revision <= view.revision => false,
-            Some(view) if view.record.instance == stored.record.instance => {
+            Some(view) if is_same_run(&view.record, &stored.record) => {
                 let news = view.record != stored.record;
                 view.record = stored.record;
                 view.revision = stored.revision;
@@ -192,3 +192,8 @@
         }
     }
 }
+
+/// What is known of a node's load and answers holds for one run of its upstream.
+fn is_same_run(known: &NodeRecord, told: &NodeRecord) -> bool {
+    known.instance == told.instance && known.born == told.born
+}
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -165,6 +165,14 @@
     same && answer.status().is_success()
 }
 
+/// The identity that the upstream tells when it is asked; none if it does not answer.
+pub async fn ask_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
+    let uri = find_health_uri(core, service)?;
+    let answer = send_question(core, uri).await?;
+    let told = answer.headers().get(&core.settings.headers.instance)?;
+    told.to_str().ok().map(str::to_owned)
+}
+
 fn find_health_uri(core: &ProxyCore, service: &ServiceName) -> Option<Uri> {
     core.routes()?.health_path(service)?.parse().ok()
 }
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -14,7 +14,12 @@
 };
 use flume::{Receiver, Sender};
 use rand::RngExt;
-use std::{cell::Cell, collections::HashSet, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::{BTreeSet, HashSet},
+    rc::Rc,
+    time::Duration,
+};
 use tokio::task::spawn_local;
 
 /// Longest time that the first read of the nodes waits for the configuration.
@@ -28,6 +33,9 @@
 /// Pauses after failures of the store, doubled from the first to the second.
 const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
 
+/// Rejected records that are remembered, the latest.
+const REJECTED_KEPT: usize = 1_000;
+
 /// Keeps the node up to date with the store and the store with the node, until dropped. Records to be
 /// stored go to the sender that is returned.
 pub fn follow_store<S: StateStore>(core: &Rc<ProxyCore>, store: S) -> Sender<RecordOrder> {
@@ -37,6 +45,7 @@
             core: Rc::clone(core),
             store: store.clone(),
             orders: orders.clone(),
+            rejected: RefCell::default(),
         };
         spawn_local(follower.follow(topic));
     }
@@ -50,6 +59,8 @@
     core: Rc<ProxyCore>,
     store: S,
     orders: Sender<RecordOrder>,
+    /// Places of records that were found to be of another writer, so that each is told of once.
+    rejected: RefCell<BTreeSet<u64>>,
 }
 
 impl<S: StateStore> Follower<S> {
@@ -119,8 +130,12 @@
                 self.forget(|key| key == record.key, record.offset);
                 continue;
             };
-            let Some(stored) = decode_node(core, record, value) else {
-                continue;
+            let stored = match serde_json::from_slice(value) {
+                Ok(node) => describe_stored(record, node),
+                Err(error) => {
+                    self.tell_rejected(record, &error);
+                    continue;
+                }
             };
             if stored.record.address == core.settings.peers {
                 take_stored(core, stored.record).await;
@@ -143,6 +158,22 @@
         }
     }
 
+    /// Tells of a record of another writer.
+    fn tell_rejected(&self, record: &KeyedRecord, error: &serde_json::Error) {
+        let mut rejected = self.rejected.borrow_mut();
+        if !rejected.insert(record.offset) {
+            return;
+        }
+        if rejected.len() > REJECTED_KEPT {
+            rejected.pop_first();
+        }
+        drop(rejected);
+        self.core.log(&ProxyEvent::RecordRejected {
+            key: record.key.clone(),
+            error: error.to_string(),
+        });
+    }
+
     /// Forgets the nodes whose keys the store held up to a revision and does no longer.
     fn forget(&self, is_dropped: impl Fn(&str) -> bool, up_to: u64) {
         let core = &self.core;
@@ -204,19 +235,10 @@
     }
 }
 
-fn decode_node(core: &ProxyCore, record: &KeyedRecord, value: &[u8]) -> Option<StoredRecord> {
-    match serde_json::from_slice(value) {
-        Ok(node) => Some(StoredRecord {
-            revision: record.offset.saturating_add(1),
-            record: node,
-        }),
-        Err(error) => {
-            core.log(&ProxyEvent::RecordRejected {
-                key: record.key.clone(),
-                error: error.to_string(),
-            });
-            None
-        }
+const fn describe_stored(record: &KeyedRecord, node: NodeRecord) -> StoredRecord {
+    StoredRecord {
+        revision: record.offset.saturating_add(1),
+        record: node,
     }
 }
 
--- a/src/proxy/operating.rs
+++ b/src/proxy/operating.rs
@@ -8,7 +8,7 @@
         store::PublicationStore,
     },
     proxy::{
-        announcing::{RecordOrder, take_departure},
+        announcing::{RecordOrder, identify_own, take_departure},
         core::ProxyCore,
         directory::Directory,
         events::{ProxyEvent, in_millis},
@@ -77,9 +77,8 @@
 }
 
 async fn drain(core: &Rc<ProxyCore>, orders: &Sender<RecordOrder>) {
-    let instance = core.own.borrow().current().map(|run| run.instance.clone());
-    if let Some(instance) = instance {
-        take_departure(core, &instance, orders).await;
+    if let Some(run) = identify_own(core) {
+        take_departure(core, &run, orders).await;
     }
 }
 
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -25,6 +25,9 @@
     pub availability_zone: AvailabilityZoneName,
     /// Identity of the upstream's run.
     pub instance: String,
+    /// When that run started, in Unix milliseconds, if it told.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub born: Option<u64>,
     /// Requests that the upstream runs at once.
     pub slots: u16,
     /// The upstream has said that it leaves.
--- a/tests/integration/mesh_model.rs
+++ b/tests/integration/mesh_model.rs
@@ -41,10 +41,22 @@
     Confirmation,
     /// An older version is ignored.
     VersionOrder,
+    /// Runs under one identity are told apart by their starts.
+    Born,
+}
+
+/// How the two runs of the upstream name themselves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+enum Naming {
+    /// Each has an identity of its own.
+    Apart,
+    /// The second starts under the identity of the first, and its sequence starts anew.
+    Again,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct World {
+    naming: Naming,
     /// The run of the upstream that is up, and whether it has begun to leave.
     run: u8,
     leaving: bool,
@@ -66,8 +78,9 @@
 }
 
 impl World {
-    fn start() -> Self {
+    fn start(naming: Naming) -> Self {
         Self {
+            naming,
             run: 1,
             leaving: false,
             sequence: 0,
@@ -87,7 +100,7 @@
     fn serving(&self, without: Without) -> Option<u8> {
         let mut own = OwnUpstream::default();
         if let Some(run) = self.recalled {
-            own.announce(announcement(run, 0, false), Moment(0));
+            own.announce(self.announcement(run, 0, false, without), Moment(0));
         }
         for beat in &self.taken {
             let forgets = without == Without::LeavingStays && !beat.leaving;
@@ -95,14 +108,45 @@
                 own = OwnUpstream::default();
             }
             own.announce(
-                announcement(beat.run, beat.sequence, beat.leaving),
+                self.announcement(beat.run, beat.sequence, beat.leaving, without),
                 Moment(0),
             );
         }
-        own.serving().map(|run| match run.instance.as_str() {
-            "1" => 1,
-            _ => 2,
-        })
+        let serving = own.serving()?;
+        let first = match self.naming {
+            Naming::Apart => serving.instance == "1",
+            Naming::Again => serving.born != Some(2),
+        };
+        Some(if first { 1 } else { 2 })
+    }
+
+    fn announcement(&self, run: u8, sequence: u8, leaving: bool, without: Without) -> Announcement {
+        let instance = match self.naming {
+            Naming::Apart => run.to_string(),
+            Naming::Again => "1".to_owned(),
+        };
+        Announcement {
+            born: (without != Without::Born).then_some(u64::from(run)),
+            instance,
+            service: "desk".into(),
+            slots: 6,
+            leaving,
+            warmup_left: Duration::ZERO,
+            sequence: u64::from(sequence),
+        }
+    }
+
+    /// The second run has told its node that it works, nothing says that it leaves, and it gets no work. Where identities
+    /// differ, the node asks the upstream which one it is; that question is not part of the model.
+    fn loses_second_run(&self, without: Without) -> bool {
+        if self.naming == Naming::Apart {
+            return false;
+        }
+        let told = |leaving: bool| {
+            let mut beats = self.taken.iter();
+            beats.any(|beat| beat.run == 2 && beat.leaving == leaving)
+        };
+        told(false) && !told(true) && self.serving(without) != Some(2)
     }
 
     /// Work that is sent to another run than the one that is up gets 421 and does no harm.
@@ -212,17 +256,6 @@
     }
 }
 
-fn announcement(run: u8, sequence: u8, leaving: bool) -> Announcement {
-    Announcement {
-        instance: run.to_string(),
-        service: "desk".into(),
-        slots: 6,
-        leaving,
-        warmup_left: Duration::ZERO,
-        sequence: u64::from(sequence),
-    }
-}
-
 fn table(version: u8) -> RoutingTable {
     RoutingTable {
         version: ConfigurationVersion(u64::from(version)),
@@ -233,37 +266,54 @@
 }
 
 /// The shortest way to a state that breaks an invariant.
-fn find_violation(without: Without) -> Option<Vec<World>> {
+fn find_violation(naming: Naming, without: Without) -> Option<Vec<World>> {
     bfs(
-        &World::start(),
+        &World::start(naming),
         |world| world.steps(without),
-        |world| world.breaks_leaving(without) || world.breaks_version(without),
+        |world| {
+            world.breaks_leaving(without)
+                || world.breaks_version(without)
+                || world.loses_second_run(without)
+        },
     )
 }
 
 #[test]
 fn explore_no_violation() {
-    let found = find_violation(Without::Nothing);
+    let found = find_violation(Naming::Apart, Without::Nothing);
     assert!(found.is_none(), "{:#?}", found.unwrap_or_default());
 }
 
+#[test]
+fn explore_same_identity() {
+    let found = find_violation(Naming::Again, Without::Nothing);
+    assert!(found.is_none(), "{:#?}", found.unwrap_or_default());
+}
+
+/// Symptom: an upstream that starts again under its identity never gets work. Cause: its announcements count as late ones
+/// of the run before.
+#[test]
+fn explore_without_born() {
+    assert!(find_violation(Naming::Again, Without::Born).is_some());
+}
+
 /// Symptom: work goes to an upstream whose leaving was acknowledged. Sequence: an announcement from
 /// before arrives after the leaving. Cause: the last that arrives counts.
 #[test]
 fn explore_without_leaving_stays() {
-    assert!(find_violation(Without::LeavingStays).is_some());
+    assert!(find_violation(Naming::Apart, Without::LeavingStays).is_some());
 }
 
 /// Symptom: the same after a restart. Sequence: the leaving was acknowledged while the store was away,
 /// the node is restarted and finds the record from before. Cause: the record is taken at its word.
 #[test]
 fn explore_without_confirmation() {
-    assert!(find_violation(Without::Confirmation).is_some());
+    assert!(find_violation(Naming::Apart, Without::Confirmation).is_some());
 }
 
 /// Symptom: a node goes back to an older configuration. Sequence: a newer version reaches it by another
 /// node, then the older one by the store. Cause: the last that arrives counts.
 #[test]
 fn explore_without_version_order() {
-    assert!(find_violation(Without::VersionOrder).is_some());
+    assert!(find_violation(Naming::Apart, Without::VersionOrder).is_some());
 }
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -2,7 +2,7 @@
 
 use camphorturn::{
     coordination::{
-        own_upstream::{Announcement, AnnouncementEffect, OwnUpstream},
+        own_upstream::{Announcement, AnnouncementEffect, OwnUpstream, RunIdentity},
         placement::order_candidates,
         spreading::split_receivers,
         store_reading::{is_reader, plan_reading},
@@ -23,8 +23,16 @@
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
+fn run(instance: &str, born: Option<u64>) -> RunIdentity {
+    RunIdentity {
+        instance: instance.to_owned(),
+        born,
+    }
+}
+
 fn announcement(instance: &str, sequence: u64, leaving: bool) -> Announcement {
     Announcement {
+        born: None,
         instance: instance.to_owned(),
         service: "desk".into(),
         slots: 6,
@@ -45,6 +53,7 @@
         service: "desk".into(),
         availability_zone: zone.into(),
         instance: instance.to_owned(),
+        born: None,
         slots: 6,
         leaving: false,
         operators: None,
@@ -195,11 +204,45 @@
     assert_eq!(own.current().map(|run| run.instance.as_str()), Some("i-2"));
 }
 
+fn announcement_of(born: u64, sequence: u64, leaving: bool) -> Announcement {
+    Announcement {
+        born: Some(born),
+        ..announcement("i-1", sequence, leaving)
+    }
+}
+
+/// Symptom: an upstream never gets work again. Sequence: it leaves, and starts again under the identity that it had; its
+/// sequence starts anew. Cause: its announcements count as late ones of the run that left.
+#[test]
+fn announce_again_under_the_same_identity() {
+    let mut own = OwnUpstream::default();
+    own.announce(announcement_of(1_000, 7, true), Moment(0));
+    assert!(own.serving().is_none());
+    let again = own.announce(announcement_of(2_000, 1, false), Moment(0));
+    assert_eq!(again, AnnouncementEffect::Changed);
+    assert_eq!(own.serving().and_then(|run| run.born), Some(2_000));
+}
+
+/// Symptom: an upstream that has left gets work. Sequence: it has started again under its identity; words of its former run
+/// arrive late. Cause: the last that arrives counts.
+#[test]
+fn announce_late_word_of_a_former_run() {
+    let mut own = OwnUpstream::default();
+    own.announce(announcement_of(1_000, 7, false), Moment(0));
+    own.announce(announcement_of(2_000, 1, false), Moment(0));
+    let late = own.announce(announcement_of(1_000, 8, true), Moment(0));
+    assert_eq!(late, AnnouncementEffect::Stale);
+    assert!(!own.depart(&run("i-1", Some(1_000))));
+    assert_eq!(own.serving().and_then(|run| run.born), Some(2_000));
+    assert!(own.depart(&run("i-1", Some(2_000))));
+    assert!(own.serving().is_none());
+}
+
 #[test]
 fn depart_before_first_announcement() {
     let mut own = OwnUpstream::default();
-    assert!(own.depart("i-1"));
-    assert!(!own.depart("i-1"));
+    assert!(own.depart(&run("i-1", None)));
+    assert!(!own.depart(&run("i-1", None)));
     own.announce(announcement("i-1", 9, false), Moment(0));
     assert!(own.current().is_none());
 }
--- a/tests/integration/retiring.rs
+++ b/tests/integration/retiring.rs
@@ -34,6 +34,7 @@
         service: "desk".into(),
         availability_zone: "a".into(),
         instance: format!("i{number}"),
+        born: None,
         slots: 6,
         leaving: false,
         operators: None,
--- a/tests/integration/retiring_model.rs
+++ b/tests/integration/retiring_model.rs
@@ -204,6 +204,7 @@
                 service: "desk".into(),
                 availability_zone: "a".into(),
                 instance: run.to_string(),
+                born: None,
                 slots: 6,
                 leaving: false,
                 operators: None,
