Take what a node of another zone told a moment ago for its answer

Ruled out for now: asking without the body and sending it on a yes; it holds a slot for a round trip and needs a second message.

Change: a refusal tells when the request would have ended; for a quarter of that time it counts as the answer to the next question of its class at this entry node, which waits there, or goes elsewhere, without asking.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -6,7 +6,7 @@
 
 use crate::state::{
     moment::Moment,
-    names::{AvailabilityZoneName, ServiceName},
+    names::{AvailabilityZoneName, ClassName, ServiceName},
     placement_view::NodeView,
 };
 use std::{net::SocketAddr, time::Duration};
@@ -30,6 +30,8 @@
     pub near: bool,
     /// Expected load as a share of its limit, the request included; lower is better.
     pub cost: f64,
+    /// Time in which a request of the class would end there, if the node said so a moment ago when it had no slot.
+    pub told_finish: Option<Duration>,
 }
 
 /// The nodes of a service, the ones to ask first in front. `chance` (0 up to 1) gives the start
@@ -37,7 +39,7 @@
 #[must_use]
 pub fn order_candidates<'a>(
     views: impl Iterator<Item = &'a NodeView> + Clone,
-    service: &ServiceName,
+    (service, class): (&ServiceName, &ClassName),
     zone: &AvailabilityZoneName,
     mut chance: impl FnMut() -> f64,
     now: Moment,
@@ -52,6 +54,7 @@
                 address: view.record.address,
                 near: view.record.availability_zone == *zone,
                 cost: estimate_cost(view, usual_failures, now) * weigh_silence(view, now),
+                told_finish: view.told_finish(class, now),
             };
             (candidate, chance())
         })
--- a/src/coordination/slot_search.rs
+++ b/src/coordination/slot_search.rs
@@ -1,6 +1,9 @@
 //! Where a request looks for a slot: nodes of its zone, then of other zones, then the node where it would
 //! end soonest.
 //!
+//! Load pattern answered: all upstreams of a service are full for seconds, and each request would ask nodes of other zones
+//! for a slot in vain, with its body, paid for by the byte. What such a node told a moment ago is taken for its answer.
+//!
 //! Pure: each answer and each moment is told, and the next step returned.
 
 use crate::coordination::placement::PlacementCandidate;
@@ -128,8 +131,15 @@
             };
         }
         if self.phase == Phase::Far {
-            if let Some(next) = self.far.next() {
-                return SearchStep::AskAtOnce(next.address);
+            while let Some(next) = self.far.next() {
+                let Some(finish) = next.told_finish else {
+                    return SearchStep::AskAtOnce(next.address);
+                };
+                self.note_offer(Offer {
+                    node: next.address,
+                    near: false,
+                    finish,
+                });
             }
             self.phase = Phase::Wait;
         }
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -20,7 +20,11 @@
         repeats::{count_request, give_back_repeats, take_repeat},
         reply::ClientEnd,
     },
-    state::{moment::Moment, names::ServiceName, routing_table::Route},
+    state::{
+        moment::Moment,
+        names::{ClassName, ServiceName},
+        routing_table::Route,
+    },
     transport::{callers::CallerRequest, outgoing::SendError},
 };
 use bytes::Bytes;
@@ -73,7 +77,7 @@
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
         let kilobytes = core.class_bytes(&call.route.class) / 1_000.0;
-        let candidates = find_candidates(core, &call.service);
+        let candidates = find_candidates(core, &call.service, &call.route.class);
         Self {
             core: Rc::clone(core),
             search: SlotSearch::begin(candidates, call.route.target, kilobytes),
@@ -266,10 +270,12 @@
     }
 
     fn note_offer(&mut self, address: SocketAddr, finish: Duration) {
-        let directory = self.core.directory.borrow();
-        let near = directory.nodes.get(&address).is_some_and(|view| {
-            view.record.availability_zone == self.core.settings.availability_zone
-        });
+        let mut directory = self.core.directory.borrow_mut();
+        let Some(view) = directory.nodes.get_mut(&address) else {
+            return;
+        };
+        view.note_refused(&self.call.route.class, finish, self.core.timers.now());
+        let near = view.record.availability_zone == self.core.settings.availability_zone;
         drop(directory);
         self.search.note_offer(Offer {
             node: address,
@@ -323,12 +329,16 @@
     }
 }
 
-fn find_candidates(core: &ProxyCore, service: &ServiceName) -> Vec<PlacementCandidate> {
+fn find_candidates(
+    core: &ProxyCore,
+    service: &ServiceName,
+    class: &ClassName,
+) -> Vec<PlacementCandidate> {
     let directory = core.directory.borrow();
     let chance = || rand::rng().random_range(0.0..1.0);
     order_candidates(
         directory.nodes.values(),
-        service,
+        (service, class),
         &core.settings.availability_zone,
         chance,
         core.timers.now(),
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -2,16 +2,20 @@
 
 use crate::state::{
     moment::Moment,
-    names::{AvailabilityZoneName, NodeName, ServiceName},
+    names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
 };
 use serde::{Deserialize, Serialize};
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 /// Pause after the first failure to reach a node.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause between two tries to reach a node. Bounds how late a returned node is used.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 
+/// Part of the time told with a refusal for which it is taken to hold: a queue behind which a request would have ended
+/// then is not gone in a quarter of that.
+const REFUSAL_HOLDS: u32 = 4;
+
 /// What a node tells of itself and the upstream beside it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -78,6 +82,8 @@
     pub failures: u32,
     /// When the oldest request was sent there since which nothing was heard of it; none if nothing is awaited.
     pub silent_since: Option<Moment>,
+    /// When the node last had no slot for a class, and in which time a request would have ended there.
+    refusals: HashMap<ClassName, (Moment, Duration)>,
 }
 
 impl NodeView {
@@ -92,9 +98,23 @@
             paused_until: Moment::default(),
             failures: 0,
             silent_since: None,
+            refusals: HashMap::new(),
         }
     }
 
+    /// Notes that the node had no slot at once for a request of a class, which would have ended there in `finish`.
+    pub fn note_refused(&mut self, class: &ClassName, finish: Duration, now: Moment) {
+        self.refusals.insert(class.clone(), (now, finish));
+    }
+
+    /// Time in which a request of a class would end there, if it is known from a refusal that still holds.
+    #[must_use]
+    pub fn told_finish(&self, class: &ClassName, now: Moment) -> Option<Duration> {
+        let (told_at, finish) = *self.refusals.get(class)?;
+        let age = now.since(told_at);
+        (age <= finish / REFUSAL_HOLDS).then(|| finish.saturating_sub(age))
+    }
+
     /// Notes that a request is sent there.
     pub fn note_sent(&mut self, now: Moment) {
         self.outstanding += 1;
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -260,7 +260,13 @@
         },
         Moment(0),
     ));
-    let order = order_candidates(busy.iter(), &"desk".into(), &"a".into(), || 0.5, Moment(1));
+    let order = order_candidates(
+        busy.iter(),
+        (&"desk".into(), &"look".into()),
+        &"a".into(),
+        || 0.5,
+        Moment(1),
+    );
     let addresses: Vec<SocketAddr> = order.iter().map(|candidate| candidate.address).collect();
     assert_eq!(addresses, [address(3), address(2), address(1)]);
 }
@@ -270,8 +276,16 @@
     let mut unreachable = view(1, "a");
     unreachable.note_unreachable(Moment(0));
     let views = [unreachable, view(2, "a")];
-    let order =
-        |now| order_candidates(views.iter(), &"desk".into(), &"a".into(), || 0.5, now).len();
+    let order = |now| {
+        order_candidates(
+            views.iter(),
+            (&"desk".into(), &"look".into()),
+            &"a".into(),
+            || 0.5,
+            now,
+        )
+        .len()
+    };
     assert_eq!(order(Moment(1)), 1);
     assert_eq!(order(Moment(300_000)), 2);
 }
@@ -287,7 +301,13 @@
     busy.note_sent(Moment(0));
     let first = |silent: &NodeView, busy: &NodeView, now| {
         let views = [silent.clone(), busy.clone()];
-        let order = order_candidates(views.iter(), &"desk".into(), &"a".into(), || 0.5, now);
+        let order = order_candidates(
+            views.iter(),
+            (&"desk".into(), &"look".into()),
+            &"a".into(),
+            || 0.5,
+            now,
+        );
         order[0].address
     };
     assert_eq!(first(&silent, &busy, Moment(50_000)), address(1));
@@ -409,3 +429,17 @@
     // Ten seconds, and one burst.
     assert!((659..=661).contains(&granted), "{granted}");
 }
+
+#[test]
+fn told_finish_holds_for_a_while() {
+    let mut view = view(1, "a");
+    let class = "look".into();
+    view.note_refused(&class, Duration::from_millis(200), Moment(0));
+    let later = |millis: u64| Moment(millis * 1_000);
+    assert_eq!(
+        view.told_finish(&class, later(40)),
+        Some(Duration::from_millis(160))
+    );
+    assert_eq!(view.told_finish(&class, later(60)), None);
+    assert_eq!(view.told_finish(&"book".into(), later(0)), None);
+}
--- a/tests/integration/slot_search.rs
+++ b/tests/integration/slot_search.rs
@@ -22,6 +22,7 @@
         address: address(last),
         near,
         cost: 1.0,
+        told_finish: None,
     }
 }
 
@@ -56,6 +57,26 @@
     );
 }
 
+/// Symptom: under overload a fifth of the bytes between zones is questions with their bodies that are answered with no. Cause: a
+/// node that had no slot a moment ago is asked again for each request.
+#[test]
+fn find_next_takes_what_other_zones_told() {
+    let full = PlacementCandidate {
+        told_finish: Some(Duration::from_millis(250)),
+        ..candidate(2, false)
+    };
+    let mut search = SlotSearch::begin(vec![full, candidate(3, false)], TARGET, 0.0);
+    assert_eq!(search.find_next(time(0)), SearchStep::AskAtOnce(address(3)));
+    search.note_offer(offer(3, false, 280));
+    assert_eq!(
+        search.find_next(time(3)),
+        SearchStep::WaitAt {
+            node: address(2),
+            within: Duration::from_millis(297),
+        }
+    );
+}
+
 #[test]
 fn find_next_other_zone_by_bytes() {
     let asks_far = |kilobytes| {
