--- a/src/coordination/slot_search.rs
+++ b/src/coordination/slot_search.rs
@@ -112,6 +112,12 @@
         self.offers.push(offer);
     }
 
+    /// Whether a node is known that has no slot in time.
+    #[must_use]
+    pub fn has_offers(&self) -> bool {
+        !self.offers.is_empty()
+    }
+
     /// Whether the request was sent to wait.
     #[must_use]
     pub fn has_waited(&self) -> bool {
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -191,11 +191,21 @@
         match self.search.find_next(time) {
             SearchStep::AskAtOnce(node) => self.send(node, Duration::ZERO),
             SearchStep::WaitAt { node, within } => self.send(node, within),
-            SearchStep::GiveUp => return false,
+            SearchStep::GiveUp => {
+                self.note_told_refusal();
+                return false;
+            }
         }
         true
     }
 
+    /// Where nobody was asked since all had told of full queues a moment ago, that is why the request is refused.
+    fn note_told_refusal(&mut self) {
+        if self.last_refusal == RefusalReason::NoUpstream && self.search.has_offers() {
+            self.last_refusal = RefusalReason::QueueFull;
+        }
+    }
+
     fn send(&mut self, to: SocketAddr, within: Duration) {
         self.attempts.count_asked();
         let now = self.core.timers.now();
--- a/tests/integration/repeats.rs
+++ b/tests/integration/repeats.rs
@@ -23,7 +23,7 @@
     slack: 62.0,
     window: Duration::from_secs(10),
 };
-const LONG_UP: Duration = Duration::from_secs(3_600);
+const LONG_UP: Duration = Duration::from_hours(1);
 
 fn share(nodes: usize, uptime: Duration) -> RepeatShare {
     RepeatShare {
@@ -132,7 +132,7 @@
     calls: CallsPerRun,
 }
 
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ModelEvent {
     Request {
         entry: usize,
