--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -97,6 +97,11 @@
                     .to_owned(),
             ]
         }
+        "repeats_spent" => vec![
+            "It was to be repeated, and the calls that its run makes again were not within the budget \
+             of repeats."
+                .to_owned(),
+        ],
         "not_sent" => {
             vec!["No connection to the nodes that were asked could be opened.".to_owned()]
         }
--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -237,3 +237,17 @@
     let story = tell(&[]);
     assert_eq!((story.steps.len(), story.causes.len()), (0, 0));
 }
+
+#[test]
+fn explain_refused_repeat() {
+    let spent = "{\"refused\":\"repeats_spent\"}";
+    let story = tell(&[line(
+        "n1",
+        (2_010, 1_010),
+        3,
+        801,
+        &ended(spent, 10, ",\"asked\":2"),
+    )]);
+    assert_eq!(story.end, "refused: repeats spent");
+    assert_cause(&story, "budget of repeats");
+}
