Tell size, time and news of routing tables between nodes

Cause: the lines could not tell apart whether links are full of copies, of large tables or of messages sent again. Lines 827 to 829 and two counters tell each message with a table: bytes, whether it was taken, how long it took, whether it was news.

--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -57,6 +57,10 @@
     pub repeats: Cell<u64>,
     /// Questions to the upstream beside the node for its load.
     pub probes: Cell<u64>,
+    /// Bytes of messages with state that came from other nodes.
+    pub state_bytes: Cell<u64>,
+    /// Routing tables that came from other nodes and were no news.
+    pub stale_tables: Cell<u64>,
 }
 
 /// Adds one.
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -195,6 +195,35 @@
         /// The version in force here.
         before: u64,
     },
+    /// A message with a routing table was sent to another node.
+    TableSent {
+        /// The node.
+        to: SocketAddr,
+        /// Version of the table.
+        version: u64,
+        /// Bytes of the message.
+        bytes: usize,
+        /// Whether the other node took it in time.
+        taken: bool,
+        /// Time since it was sent.
+        took_ms: u64,
+    },
+    /// A routing table came from another node.
+    TableReceived {
+        /// Its version.
+        version: u64,
+        /// Bytes of the message.
+        bytes: usize,
+        /// Whether it was newer than the one in force.
+        news: bool,
+    },
+    /// A node that was asked for what is newer did not answer with it.
+    FetchFailed {
+        /// The node.
+        from: SocketAddr,
+        /// Time since it was asked.
+        took_ms: u64,
+    },
     /// The zone is told what was read from the store.
     ZoneTold {
         /// Nodes told.
@@ -342,6 +371,9 @@
             Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
             Self::TableInForce { .. } => (821, "table_in_force"),
             Self::StateFetched { .. } => (826, "state_fetched"),
+            Self::TableSent { .. } => (827, "table_sent"),
+            Self::TableReceived { .. } => (828, "table_received"),
+            Self::FetchFailed { .. } => (829, "fetch_failed"),
             Self::ZoneTold { .. } => (823, "zone_told"),
             Self::StateRejected { .. } => (824, "state_rejected"),
             Self::ReadingHandedOver { .. } => (825, "reading_handed_over"),
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -142,6 +142,16 @@
             "Questions to the upstream for its load",
             counters.probes.get(),
         ),
+        figure(
+            "state_bytes",
+            "Bytes of messages with state from other nodes",
+            counters.state_bytes.get(),
+        ),
+        figure(
+            "stale_tables",
+            "Routing tables from other nodes that were no news",
+            counters.stale_tables.get(),
+        ),
     ]
 }
 
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -3,7 +3,12 @@
 use crate::{
     coordination::spreading::split_receivers,
     protocol::hop::{STATE_HEADER, StateMessage},
-    proxy::{core::ProxyCore, directory::StateSource, events::ProxyEvent, retiring::is_reached},
+    proxy::{
+        core::{ProxyCore, count},
+        directory::StateSource,
+        events::{ProxyEvent, in_millis},
+        retiring::is_reached,
+    },
     state::{configuration::ConfigurationVersion, placement_view::StoredRecord},
     transport::{
         callers::{CallerReply, reply_json},
@@ -52,8 +57,13 @@
             wanted: Some(own),
             ..StateMessage::default()
         };
-        if let Some(answer) = ask_state(&core, from, &message).await {
-            take_message(&core, answer);
+        let asked = core.timers.now();
+        match ask_state(&core, from, &message).await {
+            Some(answer) => take_message(&core, answer),
+            None => core.log(&ProxyEvent::FetchFailed {
+                from,
+                took_ms: in_millis(core.timers.now().since(asked)),
+            }),
         }
         core.fetching.set(false);
     });
@@ -130,14 +140,26 @@
     to: SocketAddr,
     message: &StateMessage,
 ) -> Option<Response<Bytes>> {
-    let request = build_state(message)?;
+    let body = serde_json::to_vec(message).ok()?;
+    let bytes = body.len();
+    let request = build_state(body);
+    let begun = core.timers.now();
     let timeout = core.timers.after(TIMEOUT);
     let sent = tokio::select! {
         sent = core.outgoing.send(to, request, RULES, |_| true) => sent,
         _ = timeout.recv_async() => Err(SendError::Cut),
     };
-    if let (Ok(_), Some(table)) = (&sent, &message.table) {
-        core.directory.borrow_mut().note_version(to, table.version);
+    if let Some(table) = &message.table {
+        if sent.is_ok() {
+            core.directory.borrow_mut().note_version(to, table.version);
+        }
+        core.log(&ProxyEvent::TableSent {
+            to,
+            version: table.version.0,
+            bytes,
+            taken: sent.is_ok(),
+            took_ms: in_millis(core.timers.now().since(begun)),
+        });
     }
     sent.ok().filter(|answer| answer.status().is_success())
 }
@@ -153,7 +175,10 @@
         return Some(StateMessage::default());
     }
     match serde_json::from_slice(answer.body()) {
-        Ok(message) => Some(message),
+        Ok(message) => {
+            note_received(core, &message, answer.body().len());
+            Some(message)
+        }
         Err(error) => {
             log_malformed(core, &error);
             None
@@ -167,8 +192,7 @@
     });
 }
 
-fn build_state(message: &StateMessage) -> Option<Request<Full<Bytes>>> {
-    let body = serde_json::to_vec(message).ok()?;
+fn build_state(body: Vec<u8>) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("/state");
@@ -176,7 +200,7 @@
     request
         .headers_mut()
         .insert(HeaderName::from_static(STATE_HEADER), mark);
-    Some(request)
+    request
 }
 
 /// Takes in a message of another node, passes it on as told, and answers what is asked in it.
@@ -188,6 +212,7 @@
             return reply_json(StatusCode::BAD_REQUEST, "malformed state");
         }
     };
+    note_received(core, &message, body.len());
     let (wanted, reaches) = (message.wanted, message.reaches);
     take_message(core, message);
     let mut answer = match wanted {
@@ -204,6 +229,27 @@
     Response::new(Full::new(Bytes::from(body)))
 }
 
+/// Counts a message of another node, before it is taken in.
+fn note_received(core: &ProxyCore, message: &StateMessage, bytes: usize) {
+    let counters = &core.counters;
+    let added = u64::try_from(bytes).unwrap_or(u64::MAX);
+    counters
+        .state_bytes
+        .set(counters.state_bytes.get().saturating_add(added));
+    let Some(table) = &message.table else {
+        return;
+    };
+    let news = table.version > core.directory.borrow().version();
+    if !news {
+        count(&counters.stale_tables);
+    }
+    core.log(&ProxyEvent::TableReceived {
+        version: table.version.0,
+        bytes,
+        news,
+    });
+}
+
 fn take_message(core: &Rc<ProxyCore>, mut message: StateMessage) {
     if message.read_store {
         core.read_for_zone();
