Tell what changed: offer new routing tables, fetch them once, and answer 503 when behind

Cause: every reader of a zone sent the whole table to every node of it, nodes passed it on whether or not it was news, messages not taken within a second were sent to the next node, and nodes that were behind fetched it besides. A thin link carried 324 KB several times for a change of one route, was full for seconds, openings between nodes failed and more nodes took themselves for readers. A node that had heard of the newer version answered 404 for what it had not read yet. Change: a reader offers the version along the tree; who lacks it fetches it from the node that offered it, one node at a time, as the routes that changed since its own version, with their common terms told once and a digest of what comes of it (the whole table if that differs or the base isn't kept), and offers it on. Versions on requests lead to a fetch only if no offer comes within 300 ms. Nodes don't read from the store what others told them. Without a route and with a newer version heard of, the answer is 503.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -10,4 +10,5 @@
 pub mod slot_search;
 pub mod spreading;
 pub mod store_reading;
+pub mod table_sources;
 pub mod vm_pace;
--- /dev/null
+++ b/src/coordination/table_sources.rs
@@ -0,0 +1,122 @@
+//! From which node a newer routing table is fetched, and whom to tell of it then.
+//!
+//! One node of a zone offers a new version along a tree (`spreading`); whoever lacks it fetches it from the node that
+//! offered it, once, and offers it on. Versions also stand on requests between nodes. These lead to nodes of any zone, many of
+//! them to the same, so they count only where no offer comes in time.
+
+use crate::state::{configuration::ConfigurationVersion, moment::Moment};
+use std::{collections::VecDeque, net::SocketAddr, time::Duration};
+
+/// Time that a node waits for an offer after it heard of a version by a request. An offer needs some 20 ms a step of the
+/// tree where links are free; a change of 1,400 routes is 70 KB, which a link of 10 Mbit/s carries in 60 ms.
+const OFFER_PATIENCE: Duration = Duration::from_millis(300);
+/// Nodes that are remembered to have told of a version, the latest.
+const SOURCES_KEPT: usize = 8;
+
+/// A version that a node has told of.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TableOffer {
+    /// The node.
+    pub from: SocketAddr,
+    /// The version that it has in force.
+    pub version: ConfigurationVersion,
+    /// Nodes that are to be offered it next.
+    pub pass_on: Vec<SocketAddr>,
+}
+
+/// What to do about newer versions.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchStep {
+    /// Ask this node for what is newer.
+    Ask(SocketAddr, ConfigurationVersion),
+    /// Look again then, or when an offer comes.
+    Wait(Moment),
+    /// Nothing is to be fetched, or nobody is left to ask.
+    Done,
+}
+
+/// Who has told of versions that are not in force here.
+#[derive(Debug, Default)]
+pub struct TableSources {
+    heard: ConfigurationVersion,
+    /// Offers whose nodes have not been asked yet.
+    offers: Vec<TableOffer>,
+    /// Nodes that told of a version by a request, and when the first of them did.
+    hints: VecDeque<(SocketAddr, ConfigurationVersion)>,
+    hinted: Option<Moment>,
+    /// Offers whose nodes have been asked.
+    asked: Vec<TableOffer>,
+}
+
+impl TableSources {
+    /// The highest version heard of.
+    #[must_use]
+    pub const fn heard(&self) -> ConfigurationVersion {
+        self.heard
+    }
+
+    /// Takes in an offer along the tree.
+    pub fn note_offer(&mut self, offer: TableOffer) {
+        self.heard = self.heard.max(offer.version);
+        self.offers.push(offer);
+    }
+
+    /// Takes in a version that stood on a request or its answer; true if it is above `own`.
+    pub fn note_hint(
+        &mut self,
+        from: SocketAddr,
+        version: ConfigurationVersion,
+        own: ConfigurationVersion,
+        now: Moment,
+    ) -> bool {
+        if version <= own {
+            return false;
+        }
+        self.heard = self.heard.max(version);
+        self.hints.retain(|(known, _)| *known != from);
+        self.hints.push_back((from, version));
+        if self.hints.len() > SOURCES_KEPT {
+            self.hints.pop_front();
+        }
+        self.hinted.get_or_insert(now);
+        true
+    }
+
+    /// What to do next, with version `own` in force.
+    pub fn take_step(&mut self, own: ConfigurationVersion, now: Moment) -> FetchStep {
+        if self.heard <= own {
+            self.hints.clear();
+            self.hinted = None;
+            return FetchStep::Done;
+        }
+        let next = self.offers.iter().position(|offer| offer.version > own);
+        if let Some(next) = next {
+            let offer = self.offers.remove(next);
+            let (from, version) = (offer.from, offer.version);
+            self.asked.push(offer);
+            return FetchStep::Ask(from, version);
+        }
+        self.hints.retain(|(_, version)| *version > own);
+        let Some((from, version)) = self.hints.back().copied() else {
+            self.hinted = None;
+            return FetchStep::Done;
+        };
+        // Who knows nothing at all can't be offered anything: it is in no record.
+        let knows_nothing = own == ConfigurationVersion::default();
+        let due = self.hinted.map(|since| since + OFFER_PATIENCE);
+        if let Some(due) = due.filter(|due| *due > now && !knows_nothing) {
+            return FetchStep::Wait(due);
+        }
+        self.hints.pop_back();
+        FetchStep::Ask(from, version)
+    }
+
+    /// Offers that are to go on now: those that are no news with `own` in force, and, if nobody is left to ask, all
+    /// others too, since the nodes that come after may get through.
+    pub fn take_passable(&mut self, own: ConfigurationVersion, exhausted: bool) -> Vec<TableOffer> {
+        let goes_on = |offer: &mut TableOffer| exhausted || offer.version <= own;
+        let mut passable: Vec<TableOffer> = self.offers.extract_if(.., goes_on).collect();
+        passable.extend(self.asked.extract_if(.., goes_on));
+        passable
+    }
+}
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -83,6 +83,10 @@
         "no_upstream" if end.number("version") == 0 => {
             vec![format!("{} knew no configuration yet.", end.node)]
         }
+        "configuration_behind" => vec![format!(
+            "{} had no route for it and had heard of a newer configuration, which it did not have yet.",
+            end.node
+        )],
         "no_upstream" => vec![format!(
             "{} knew no node of the service that it could ask.",
             end.node
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -9,11 +9,11 @@
         configuration::ConfigurationVersion,
         names::{ClassName, ServiceName},
         placement_view::{NodeLoad, StoredRecord},
-        routing_table::RoutingTable,
+        table_change::TableChange,
     },
 };
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// Name of the header, on requests and answers between nodes.
 pub const HOP_HEADER: &str = "x-hop";
@@ -206,19 +206,29 @@
 /// State that a node sends to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateMessage {
-    /// The routing table in force.
-    pub table: Option<RoutingTable>,
+    /// What turns the routing table of the version asked about into the one in force.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change: Option<Rc<TableChange>>,
+    /// Where the store's topic of the configuration goes on after the record of that version.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store_next: Option<u64>,
+    /// The sender has this version in force and can be asked for it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub offered: Option<ConfigurationVersion>,
+    /// Where the sender takes messages from nodes.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub from: Option<SocketAddr>,
     /// Records of nodes. One that can't be read is left out.
-    #[serde(deserialize_with = "read_records")]
+    #[serde(default, deserialize_with = "read_records")]
     pub nodes: Vec<StoredRecord>,
     /// Nodes that the receiver is to pass the message on to.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub pass_on: Vec<SocketAddr>,
     /// The receiver is to answer with what is newer than this version.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wanted: Option<ConfigurationVersion>,
     /// The receiver is to read the store for its zone: the sender can't.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "is_false")]
     pub read_store: bool,
     /// The receiver is to find out whether it reaches that node.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -227,3 +237,11 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reached: Option<bool>,
 }
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
+}
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -8,6 +8,8 @@
 pub enum RefusalReason {
     /// No upstream of the service is known, or no configuration is.
     NoUpstream,
+    /// No route leads anywhere by the configuration in force, and the node has heard of a newer one.
+    ConfigurationBehind,
     /// No slot is free in time.
     QueueFull,
     /// It can't end in time any more.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -18,8 +18,10 @@
 mod reply;
 mod retiring;
 mod start;
+mod state_messages;
 mod state_sharing;
 mod stop;
+mod table_fetching;
 
 pub use self::{
     following::follow_store,
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -6,6 +6,7 @@
         own_upstream::OwnUpstream,
         repeat_budget::RepeatBudget,
         store_reading::{ReadingPlan, find_predecessor, is_first, is_reader, plan_reading},
+        table_sources::TableSources,
     },
     options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
@@ -32,6 +33,7 @@
     rc::Rc,
     time::Duration,
 };
+use tokio::sync::Notify;
 
 /// Bytes that a class is taken to need before any were seen.
 const FIRST_BYTES: f64 = 1_500.0;
@@ -104,8 +106,12 @@
     pub classes: RefCell<BTreeMap<ClassName, ClassCounts>>,
     /// Moving averages of the bytes of a request and its answer, by class.
     pub class_bytes: RefCell<HashMap<ClassName, f64>>,
-    /// Whether what is newer is being fetched from another node.
+    /// Whether a newer routing table is being fetched from other nodes.
     pub fetching: Cell<bool>,
+    /// Who has told of newer routing tables.
+    pub table_sources: RefCell<TableSources>,
+    /// Wakes whoever waits for an offer of a newer routing table.
+    pub offer_came: Notify,
     /// Until when this node reads the store in place of one that can't.
     reads_until: Cell<Moment>,
     /// Requests picked a service by weight so far; spreads them evenly.
@@ -133,6 +139,8 @@
             class_bytes: RefCell::default(),
             bounds: Cell::new(settings.bounds),
             fetching: Cell::new(false),
+            table_sources: RefCell::default(),
+            offer_came: Notify::new(),
             reads_until: Cell::default(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -6,6 +6,8 @@
         configuration::ConfigurationVersion,
         placement_view::{NodeRecord, NodeView, StoredRecord},
         routing_table::{RouteIndex, RoutingTable},
+        table_change::{ChangeError, TableChange},
+        table_history::TableHistory,
     },
 };
 use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
@@ -36,7 +38,9 @@
 /// The routing table in force and the nodes that are known.
 #[derive(Default)]
 pub struct Directory {
-    routes: Option<Rc<RouteIndex>>,
+    tables: TableHistory,
+    /// Version of a table that the store holds, and where its topic goes on after that record.
+    stored_table: Option<(ConfigurationVersion, u64)>,
     /// By the address where they take requests from nodes.
     pub nodes: BTreeMap<SocketAddr, NodeView>,
     shared: BTreeMap<SocketAddr, ConfigurationVersion>,
@@ -48,29 +52,43 @@
     /// The routing table in force.
     #[must_use]
     pub fn routes(&self) -> Option<Rc<RouteIndex>> {
-        self.routes.clone()
+        self.tables.current().cloned()
     }
 
     /// Its version; 0 if there is none.
     #[must_use]
     pub fn version(&self) -> ConfigurationVersion {
-        self.routes
-            .as_ref()
-            .map_or_else(ConfigurationVersion::default, |routes| {
-                routes.table().version
-            })
+        self.tables.version()
     }
 
     /// Puts a table in force unless it is older than the present one. True if it was newer.
-    ///
-    /// Versions reach a node by several ways. Without this check a late copy would undo a change
-    /// that an upstream has already seen the effect of.
     pub fn take_table(&mut self, table: RoutingTable) -> bool {
-        if table.version <= self.version() {
-            return false;
+        self.tables.take(table)
+    }
+
+    /// The table that a change makes of the one in force.
+    ///
+    /// # Errors
+    /// See [`ChangeError`].
+    pub fn apply_change(&self, change: &TableChange) -> Result<RoutingTable, ChangeError> {
+        change.apply(self.tables.current().map(|current| current.table()))
+    }
+
+    /// Notes where the store's topic of the configuration goes on after the record of a version.
+    pub fn note_stored_table(&mut self, version: ConfigurationVersion, next: u64) {
+        let known = self.stored_table.map_or(0, |(_, next)| next);
+        if next > known {
+            self.stored_table = Some((version, next));
         }
-        self.routes = Some(Rc::new(RouteIndex::new(table)));
-        true
+    }
+
+    /// Where the store's topic of the configuration goes on after what is in force here; none if that is not known.
+    #[must_use]
+    pub fn stored_table_next(&self) -> Option<u64> {
+        let known = self.stored_table;
+        known
+            .filter(|(version, _)| *version <= self.version())
+            .map(|(_, next)| next)
     }
 
     /// Takes in what is told of a node, unless what is known comes from a later record. True if it was
@@ -175,14 +193,14 @@
     }
 
     /// What a node that has `version` does not have yet.
-    #[must_use]
-    pub fn list_newer_than(&self, version: ConfigurationVersion) -> StateMessage {
-        let routes = self.routes.as_ref().filter(|_| self.version() > version);
+    pub fn list_newer_than(&mut self, version: ConfigurationVersion) -> StateMessage {
         // Only a node that knows nothing yet needs to be told of the other nodes: the store's records
         // reach the others by its readers.
         let knows_nothing = version == ConfigurationVersion::default();
+        let change = self.tables.change_since(version);
         StateMessage {
-            table: routes.map(|routes| routes.table().clone()),
+            store_next: change.as_ref().and_then(|_| self.stored_table_next()),
+            change,
             nodes: if knows_nothing {
                 self.list_records()
             } else {
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -27,7 +27,7 @@
 use std::{rc::Rc, time::Duration};
 use uuid::Uuid;
 
-/// When to come back to a node that knows no routes yet.
+/// When to come back to a node that knows no routes yet, or not the newest.
 const NO_ROUTES_RETRY: Duration = Duration::from_millis(200);
 /// Part of the time before the node is killed in which it takes requests. Clients send on while too
 /// few other nodes are ready; a request that is still under way at the end would be cut off.
@@ -159,7 +159,7 @@
     };
     let host = find_host(&req);
     let Some(route) = routes.find(host, req.uri.path()).cloned() else {
-        return ClientEnd::NoRoute;
+        return end_without_route(core);
     };
     drop(routes);
     let asked = read_time_left(core, &req);
@@ -186,6 +186,15 @@
     }
 }
 
+/// A client doesn't come back after it was told that there is no route. A node that has heard of a newer configuration doesn't
+/// know that: the route may be in it.
+fn end_without_route(core: &ProxyCore) -> ClientEnd {
+    if core.table_sources.borrow().heard() > core.directory.borrow().version() {
+        return ClientEnd::Refused(RefusalReason::ConfigurationBehind, NO_ROUTES_RETRY);
+    }
+    ClientEnd::NoRoute
+}
+
 fn pick_service(core: &ProxyCore, route: &Route) -> Option<ServiceName> {
     let pick = core.picks.get().wrapping_add(1);
     core.picks.set(pick);
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -195,27 +195,38 @@
         /// The version in force here.
         before: u64,
     },
-    /// A message with a routing table was sent to another node.
-    TableSent {
-        /// The node.
-        to: SocketAddr,
-        /// Version of the table.
+    /// Another node asked for what is newer and is told.
+    TableTold {
+        /// The node, if it said where it is.
+        to: Option<SocketAddr>,
+        /// Version that it has.
+        before: u64,
+        /// Version that it is told.
         version: u64,
         /// Bytes of the message.
         bytes: usize,
-        /// Whether the other node took it in time.
-        taken: bool,
-        /// Time since it was sent.
-        took_ms: u64,
     },
-    /// A routing table came from another node.
+    /// A node told what turns the routing table in force into a newer one.
     TableReceived {
-        /// Its version.
+        /// The node.
+        from: SocketAddr,
+        /// Version that it changes; 0 if it is a whole table.
+        base: u64,
+        /// Version that comes of it.
         version: u64,
         /// Bytes of the message.
         bytes: usize,
         /// Whether it was newer than the one in force.
         news: bool,
+        /// Time since the node was asked.
+        took_ms: u64,
+    },
+    /// What a node told could not be applied; the whole table is asked for.
+    ChangeRejected {
+        /// The node.
+        from: SocketAddr,
+        /// What is wrong.
+        error: String,
     },
     /// A node that was asked for what is newer did not answer with it.
     FetchFailed {
@@ -228,7 +239,7 @@
     ZoneTold {
         /// Nodes told.
         nodes: usize,
-        /// Whether a routing table is among it.
+        /// Whether a newer routing table is offered with it.
         table: bool,
         /// Records of nodes among it.
         records: usize,
@@ -371,9 +382,10 @@
             Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
             Self::TableInForce { .. } => (821, "table_in_force"),
             Self::StateFetched { .. } => (826, "state_fetched"),
-            Self::TableSent { .. } => (827, "table_sent"),
+            Self::TableTold { .. } => (827, "table_told"),
             Self::TableReceived { .. } => (828, "table_received"),
             Self::FetchFailed { .. } => (829, "fetch_failed"),
+            Self::ChangeRejected { .. } => (830, "change_rejected"),
             Self::ZoneTold { .. } => (823, "zone_told"),
             Self::StateRejected { .. } => (824, "state_rejected"),
             Self::ReadingHandedOver { .. } => (825, "reading_handed_over"),
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -77,14 +77,15 @@
                 None => self.store.read_newest(topic).await,
                 Some(from) => {
                     let wait = wait_for_turn(core).await;
+                    let from = self.skip_known(topic, from);
                     self.store.read_from(topic, from, wait).await
                 }
             };
             match read {
                 Ok(records) => {
                     retries.succeed();
-                    let from = next.replace(records.next);
-                    self.take_records(topic, &records, from.is_none()).await;
+                    let before = next.replace(records.next);
+                    self.take_records(topic, &records, before.is_none()).await;
                 }
                 Err(StoreError::Deleted) => next = None,
                 Err(error) => {
@@ -97,6 +98,18 @@
         }
     }
 
+    /// Where to read on. A configuration that other nodes told is not read again: it may be a megabyte, which takes a link
+    /// of 10 Mbit/s a second.
+    fn skip_known(&self, topic: StoreTopic, from: u64) -> u64 {
+        match topic {
+            StoreTopic::Configuration => {
+                let known = self.core.directory.borrow().stored_table_next();
+                known.map_or(from, |known| known.max(from))
+            }
+            StoreTopic::Nodes => from,
+        }
+    }
+
     /// Takes in records; `whole` if they are all that the topic holds.
     async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
         match topic {
@@ -114,7 +127,12 @@
         let mut news = false;
         for record in &records.records {
             match self.store.decode_table(record) {
-                Some(Ok(table)) => news |= core.take_table(table, StateSource::Store),
+                Some(Ok(table)) => {
+                    let version = table.version;
+                    news |= core.take_table(table, StateSource::Store);
+                    let next = record.offset.saturating_add(1);
+                    core.directory.borrow_mut().note_stored_table(version, next);
+                }
                 Some(Err(error)) => core.log(&ProxyEvent::ConfigurationRejected { error }),
                 None => {}
             }
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -11,7 +11,8 @@
     proxy::{
         core::ProxyCore,
         executing::{Executed, execute},
-        state_sharing::{answer_state, fetch_newer},
+        state_sharing::answer_state,
+        table_fetching::note_version_of,
     },
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
@@ -62,7 +63,7 @@
         .as_ref()
         .and_then(|value| HopAnswer::decode(value.to_str().ok()?))
         .ok_or(SendError::BadAnswer)?;
-    fetch_newer(core, to, answer.version);
+    note_version_of(core, to, answer.version);
     let response = (answer.verdict == Verdict::Answered).then_some(response);
     Ok(Executed { answer, response })
 }
@@ -120,7 +121,7 @@
     let Some(hop) = hop else {
         return reply_json(StatusCode::BAD_REQUEST, "not a message between nodes");
     };
-    fetch_newer(core, hop.from, hop.version);
+    note_version_of(core, hop.from, hop.version);
     let executed = execute(core, &hop, req).await;
     let mut reply = match executed.response {
         Some(response) => pass_on(response),
--- a/src/proxy/retiring.rs
+++ b/src/proxy/retiring.rs
@@ -8,7 +8,7 @@
         hop::StateMessage,
         store::{ConditionalAppend, StateStore},
     },
-    proxy::{core::ProxyCore, events::ProxyEvent, state_sharing::ask_state},
+    proxy::{core::ProxyCore, events::ProxyEvent, state_messages::ask_state},
     state::placement_view::NodeView,
 };
 use futures::future::join_all;
@@ -127,7 +127,7 @@
     };
     let asked = witnesses.into_iter().take(WITNESSES).map(|to| {
         let message = &message;
-        async move { ask_state(core, to, message).await?.reached }
+        async move { ask_state(core, to, message).await?.0.reached }
     });
     weigh_testimony(&join_all(asked).await)
 }
--- /dev/null
+++ b/src/proxy/table_fetching.rs
@@ -0,0 +1,192 @@
+//! A newer routing table, fetched from a node that offers it and offered on.
+//!
+//! A table goes to each node once and by the size of what changed. Were it sent to all that may lack it, a node with a
+//! link of 10 Mbit/s would get the same table of thousands of routes from several nodes, could not take it in time, be taken for lost and
+//! be sent it again; while that lasts, no requests pass between nodes either.
+
+use crate::{
+    coordination::table_sources::{FetchStep, TableOffer},
+    protocol::hop::StateMessage,
+    proxy::{
+        core::{ProxyCore, count},
+        directory::StateSource,
+        events::{ProxyEvent, in_millis},
+        state_messages::{ask_state, spread},
+    },
+    state::{configuration::ConfigurationVersion, table_change::ChangeError},
+};
+use std::{net::SocketAddr, rc::Rc};
+use tokio::task::spawn_local;
+
+/// Takes in the version that stood on a request or an answer of another node.
+pub fn note_version_of(core: &Rc<ProxyCore>, from: SocketAddr, version: ConfigurationVersion) {
+    core.directory.borrow_mut().note_version(from, version);
+    let (own, now) = (core.directory.borrow().version(), core.timers.now());
+    let is_news = core
+        .table_sources
+        .borrow_mut()
+        .note_hint(from, version, own, now);
+    if is_news {
+        start_fetching(core);
+    }
+}
+
+/// Takes in a version that another node offers.
+pub fn take_offer(core: &Rc<ProxyCore>, offer: TableOffer) {
+    let node = (offer.from, offer.version);
+    core.directory.borrow_mut().note_version(node.0, node.1);
+    core.table_sources.borrow_mut().note_offer(offer);
+    core.offer_came.notify_one();
+    start_fetching(core);
+}
+
+/// Offers the version in force to nodes, a few of which pass the offer on.
+pub fn offer_table(core: &Rc<ProxyCore>, receivers: &[SocketAddr]) {
+    let offer = TableOffer {
+        from: core.settings.peers,
+        version: core.directory.borrow().version(),
+        pass_on: receivers.to_vec(),
+    };
+    pass_on(core, &offer);
+}
+
+fn pass_on(core: &Rc<ProxyCore>, offer: &TableOffer) {
+    let message = StateMessage {
+        offered: Some(offer.version),
+        from: Some(offer.from),
+        ..StateMessage::default()
+    };
+    spread(core, &offer.pass_on, &message);
+}
+
+fn start_fetching(core: &Rc<ProxyCore>) {
+    if core.fetching.replace(true) {
+        return;
+    }
+    let core = Rc::clone(core);
+    spawn_local(async move {
+        fetch_until_current(&core).await;
+        core.fetching.set(false);
+    });
+}
+
+async fn fetch_until_current(core: &Rc<ProxyCore>) {
+    loop {
+        let (own, now) = (core.directory.borrow().version(), core.timers.now());
+        let step = core.table_sources.borrow_mut().take_step(own, now);
+        pass_on_offers(core, step == FetchStep::Done);
+        match step {
+            FetchStep::Ask(from, version) => fetch(core, from, version, own).await,
+            FetchStep::Wait(until) => {
+                let due = core.timers.after(until.since(now));
+                tokio::select! {
+                    _ = due.recv_async() => {}
+                    () = core.offer_came.notified() => {}
+                }
+            }
+            FetchStep::Done => return,
+        }
+    }
+}
+
+/// Passes on what is in force now, from here; and, once nobody is left to ask, the rest as it came.
+fn pass_on_offers(core: &Rc<ProxyCore>, exhausted: bool) {
+    let own = core.directory.borrow().version();
+    let offers = core
+        .table_sources
+        .borrow_mut()
+        .take_passable(own, exhausted);
+    for offer in offers {
+        if offer.version <= own {
+            offer_table(core, &offer.pass_on);
+        } else {
+            pass_on(core, &offer);
+        }
+    }
+}
+
+/// Fetches what is newer from one node. What can't be applied is asked for once more as a whole.
+async fn fetch(
+    core: &Rc<ProxyCore>,
+    from: SocketAddr,
+    version: ConfigurationVersion,
+    own: ConfigurationVersion,
+) {
+    core.log(&ProxyEvent::StateFetched {
+        from,
+        version: version.0,
+        before: own.0,
+    });
+    if let Err(error) = fetch_since(core, from, own).await {
+        core.log(&ProxyEvent::ChangeRejected {
+            from,
+            error: error.to_string(),
+        });
+        // An error of the whole table has no other way out than the next node or the store.
+        let _ = fetch_since(core, from, ConfigurationVersion::default()).await;
+    }
+}
+
+async fn fetch_since(
+    core: &Rc<ProxyCore>,
+    from: SocketAddr,
+    own: ConfigurationVersion,
+) -> Result<(), ChangeError> {
+    let message = StateMessage {
+        wanted: Some(own),
+        from: Some(core.settings.peers),
+        ..StateMessage::default()
+    };
+    let asked = core.timers.now();
+    let answer = ask_state(core, from, &message).await;
+    let took_ms = in_millis(core.timers.now().since(asked));
+    let Some((answer, bytes)) = answer else {
+        core.log(&ProxyEvent::FetchFailed { from, took_ms });
+        return Ok(());
+    };
+    note_received(core, from, &answer, bytes, took_ms);
+    take_fetched(core, answer)
+}
+
+fn note_received(
+    core: &ProxyCore,
+    from: SocketAddr,
+    answer: &StateMessage,
+    bytes: usize,
+    took_ms: u64,
+) {
+    let Some(change) = &answer.change else {
+        return;
+    };
+    let news = change.version > core.directory.borrow().version();
+    if !news {
+        count(&core.counters.stale_tables);
+    }
+    core.log(&ProxyEvent::TableReceived {
+        from,
+        base: change.base.unwrap_or_default().0,
+        version: change.version.0,
+        bytes,
+        news,
+        took_ms,
+    });
+}
+
+fn take_fetched(core: &ProxyCore, answer: StateMessage) -> Result<(), ChangeError> {
+    for stored in answer.nodes {
+        core.take_record(stored, StateSource::Peer);
+    }
+    let Some(change) = answer.change else {
+        return Ok(());
+    };
+    let is_news = change.version > core.directory.borrow().version();
+    if is_news {
+        let table = core.directory.borrow().apply_change(&change)?;
+        core.take_table(table, StateSource::Peer);
+    }
+    if let Some(next) = answer.store_next {
+        let mut directory = core.directory.borrow_mut();
+        directory.note_stored_table(change.version, next);
+    }
+    Ok(())
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,3 +11,5 @@
 pub mod rate_limit;
 pub mod routing_table;
 pub mod service_times;
+pub mod table_change;
+pub mod table_history;
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -9,7 +9,7 @@
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 /// One of the services that share a route's requests.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct WeightedService {
     /// The service.
     pub service: ServiceName,
@@ -18,7 +18,7 @@
 }
 
 /// One route: the class of work of the requests below a path prefix of a host.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Route {
     /// Name of the class of work, unique in the table.
     pub class: ClassName,
@@ -60,7 +60,7 @@
 }
 
 /// What operators tell of a service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ServiceFacts {
     /// The service.
     pub name: ServiceName,
@@ -69,7 +69,7 @@
 }
 
 /// Bounds on what clients send and how long they take.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Largest body in bytes.
     pub body_bytes: usize,
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -155,9 +155,9 @@
     let mut directory = Directory::default();
     directory.take_table(table(5));
     directory.take_own(record(1, "a", "i"));
-    let newer = |version| directory.list_newer_than(ConfigurationVersion(version));
-    assert_eq!(newer(5).table, None);
-    assert!(newer(4).table.is_some() && newer(4).nodes.is_empty());
+    let mut newer = |version| directory.list_newer_than(ConfigurationVersion(version));
+    assert_eq!(newer(5).change, None);
+    assert!(newer(4).change.is_some() && newer(4).nodes.is_empty());
     assert_eq!(newer(0).nodes.len(), 1);
 }
 
