Test changes of routing tables and the choice of whom to ask

Cause: TableChange, TableHistory and TableSources came without tests of their own; a wrong digest or a lost offer would show only in a mesh.

Conclusion: no fault found in the three.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -22,4 +22,6 @@
 mod settings_page;
 mod slot_queue;
 mod slot_search;
+mod table_change;
+mod table_sources;
 mod vm_pace;
--- /dev/null
+++ b/tests/integration/table_sources.rs
@@ -0,0 +1,222 @@
+//! From which node a newer routing table is fetched, and whom to tell of it then.
+
+use bolero::{TypeGenerator, check};
+use camphorturn::{
+    coordination::table_sources::{FetchStep, TableOffer, TableSources},
+    state::{configuration::ConfigurationVersion, moment::Moment},
+};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+
+const OWN: ConfigurationVersion = ConfigurationVersion(5);
+const NEWER: ConfigurationVersion = ConfigurationVersion(6);
+const NEWEST: ConfigurationVersion = ConfigurationVersion(7);
+const START: Moment = Moment(1_000_000);
+/// Time that a hint waits for an offer.
+const PATIENCE: Duration = Duration::from_millis(300);
+
+fn node(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7_000))
+}
+
+fn offer(from: u8, version: ConfigurationVersion, pass_on: &[u8]) -> TableOffer {
+    TableOffer {
+        from: node(from),
+        version,
+        pass_on: pass_on.iter().copied().map(node).collect(),
+    }
+}
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+#[test]
+fn take_step_nothing_heard() {
+    let mut sources = TableSources::default();
+    assert_eq!(sources.take_step(OWN, START), FetchStep::Done);
+    assert!(!sources.note_hint(node(1), OWN, OWN, START));
+    assert_eq!(sources.take_step(OWN, START), FetchStep::Done);
+    assert_eq!(sources.heard(), ConfigurationVersion(0));
+}
+
+#[test]
+fn take_step_offers_before_hints() {
+    let mut sources = TableSources::default();
+    assert!(sources.note_hint(node(1), NEWER, OWN, START));
+    sources.note_offer(offer(2, NEWER, &[]));
+    sources.note_offer(offer(3, NEWER, &[]));
+    let late = START + PATIENCE;
+    assert_eq!(sources.take_step(OWN, late), FetchStep::Ask(node(2), NEWER));
+    assert_eq!(sources.take_step(OWN, late), FetchStep::Ask(node(3), NEWER));
+    assert_eq!(sources.take_step(OWN, late), FetchStep::Ask(node(1), NEWER));
+    assert_eq!(sources.take_step(OWN, late), FetchStep::Done);
+}
+
+#[test]
+fn take_step_hint_waits() {
+    let mut sources = TableSources::default();
+    sources.note_hint(node(1), NEWER, OWN, START);
+    let due = START + PATIENCE;
+    assert_eq!(sources.take_step(OWN, START), FetchStep::Wait(due));
+    sources.note_hint(node(2), NEWER, OWN, START + millis(200));
+    let before = START + millis(299);
+    assert_eq!(sources.take_step(OWN, before), FetchStep::Wait(due));
+    assert_eq!(sources.take_step(OWN, due), FetchStep::Ask(node(2), NEWER));
+    assert_eq!(sources.take_step(OWN, due), FetchStep::Ask(node(1), NEWER));
+    assert_eq!(sources.take_step(OWN, due), FetchStep::Done);
+}
+
+/// Symptom: a node that starts serves nothing for long. Cause: it waits for an offer, though no other node knows it.
+#[test]
+fn take_step_hint_to_an_empty_node() {
+    let mut sources = TableSources::default();
+    let own = ConfigurationVersion::default();
+    sources.note_hint(node(1), NEWER, own, START);
+    assert_eq!(
+        sources.take_step(own, START),
+        FetchStep::Ask(node(1), NEWER)
+    );
+}
+
+#[test]
+fn take_step_offer_during_wait() {
+    let mut sources = TableSources::default();
+    sources.note_hint(node(1), NEWER, OWN, START);
+    let now = START + millis(20);
+    assert!(matches!(sources.take_step(OWN, now), FetchStep::Wait(_)));
+    sources.note_offer(offer(2, NEWER, &[]));
+    assert_eq!(sources.take_step(OWN, now), FetchStep::Ask(node(2), NEWER));
+}
+
+/// A wait for an offer begins anew with each version.
+#[test]
+fn take_step_wait_of_the_next_version() {
+    let mut sources = TableSources::default();
+    sources.note_hint(node(1), NEWER, OWN, START);
+    assert_eq!(sources.take_step(NEWER, START), FetchStep::Done);
+    let later = START + millis(250);
+    sources.note_hint(node(1), NEWEST, NEWER, later);
+    let due = later + PATIENCE;
+    assert_eq!(sources.take_step(NEWER, later), FetchStep::Wait(due));
+}
+
+#[test]
+fn take_passable_once_in_force() {
+    let mut sources = TableSources::default();
+    let (first, second) = (offer(1, NEWER, &[3, 4]), offer(2, NEWER, &[5]));
+    sources.note_offer(first.clone());
+    sources.note_offer(second.clone());
+    assert!(sources.take_passable(OWN, false).is_empty());
+    assert_eq!(
+        sources.take_step(OWN, START),
+        FetchStep::Ask(node(1), NEWER)
+    );
+    assert!(sources.take_passable(OWN, false).is_empty());
+    let mut passable = sources.take_passable(NEWER, false);
+    passable.sort_by_key(|offer| offer.from);
+    assert_eq!(passable, [first, second]);
+    assert!(sources.take_passable(NEWER, true).is_empty());
+    assert_eq!(sources.take_step(NEWER, START), FetchStep::Done);
+}
+
+/// Symptom: a version stops at a node that can't fetch it. Cause: the nodes behind it are never told.
+#[test]
+fn take_passable_nobody_left() {
+    let mut sources = TableSources::default();
+    let (failed, newest) = (offer(1, NEWER, &[3]), offer(2, NEWEST, &[4]));
+    sources.note_offer(failed.clone());
+    sources.note_offer(newest.clone());
+    assert!(matches!(
+        sources.take_step(OWN, START),
+        FetchStep::Ask(_, NEWER)
+    ));
+    assert!(matches!(
+        sources.take_step(OWN, START),
+        FetchStep::Ask(_, NEWEST)
+    ));
+    assert_eq!(sources.take_step(OWN, START), FetchStep::Done);
+    assert_eq!(sources.take_passable(OWN, true), [failed, newest]);
+    assert!(sources.take_passable(OWN, true).is_empty());
+}
+
+/// What nodes tell, and how the asking ends.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum Told {
+    Offer { from: u8, version: u8 },
+    Hint { from: u8, version: u8 },
+    Step { succeeds: bool, pause: u8 },
+}
+
+#[derive(Default)]
+struct Follower {
+    sources: TableSources,
+    own: ConfigurationVersion,
+    now: Moment,
+    /// Offers and hints by node, each good for one question.
+    told: HashMap<SocketAddr, usize>,
+    offered: usize,
+    passed_on: usize,
+}
+
+impl Follower {
+    fn take(&mut self, told: Told) {
+        match told {
+            Told::Offer { from, version } => {
+                let version = ConfigurationVersion(u64::from(version % 8));
+                self.sources.note_offer(offer(from % 4, version, &[]));
+                *self.told.entry(node(from % 4)).or_default() += 1;
+                self.offered += 1;
+            }
+            Told::Hint { from, version } => {
+                let version = ConfigurationVersion(u64::from(version % 8));
+                let from = node(from % 4);
+                let news = self.sources.note_hint(from, version, self.own, self.now);
+                assert_eq!(news, version > self.own);
+                *self.told.entry(from).or_default() += usize::from(news);
+            }
+            Told::Step { succeeds, pause } => {
+                self.now = self.now + millis(u64::from(pause));
+                self.step(succeeds);
+            }
+        }
+    }
+
+    fn step(&mut self, succeeds: bool) -> FetchStep {
+        let step = self.sources.take_step(self.own, self.now);
+        match step {
+            FetchStep::Ask(from, version) => {
+                assert!(version > self.own);
+                let left = self.told.get_mut(&from).expect("it told of a version");
+                *left = left.checked_sub(1).expect("it was asked before");
+                if succeeds {
+                    self.own = version;
+                }
+            }
+            FetchStep::Wait(until) => {
+                assert!(until > self.now && until.since(self.now) <= PATIENCE);
+            }
+            FetchStep::Done => {}
+        }
+        let exhausted = step == FetchStep::Done;
+        let passable = self.sources.take_passable(self.own, exhausted);
+        if !exhausted {
+            assert!(passable.iter().all(|offer| offer.version <= self.own));
+        }
+        self.passed_on += passable.len();
+        step
+    }
+}
+
+/// No offer is asked more than once, and none is lost: each goes on in the end.
+#[test]
+fn take_step_each_source_once() {
+    check!().with_type::<Vec<Told>>().for_each(|told| {
+        let mut follower = Follower::default();
+        for told in told {
+            follower.take(*told);
+        }
+        follower.now = follower.now + PATIENCE;
+        while follower.step(false) != FetchStep::Done {}
+        assert_eq!(follower.passed_on, follower.offered);
+    });
+}
