Model in virtual time how a new routing table reaches all nodes

Ruled out by it, at 60, 300 and 870 nodes in 3 or 5 zones with links of 10 to 200 Mbit/s: a node without the version, a second copy without a failed question, more than 2.5 s (8 s at 870), for 1,400 routes, for one, for one 1.5 s after 1,400, with requests that tell versions, with one in eight nodes dark, and with a lost reader in each zone while requests go on.

Change: tests/integration/table_spreading. TableSources, split_receivers, is_reader and TableHistory decide and give the sizes; the glue of table_fetching.rs and state_messages.rs that needs sockets is written out. Links share by segments of 8 KiB. Assumed, not measured: 1 ms of work a message, 0.6 us a byte of a table, a head of 200 B, a connection for each message.

--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -24,4 +24,5 @@
 mod slot_search;
 mod table_change;
 mod table_sources;
+mod table_spreading;
 mod vm_pace;
--- /dev/null
+++ b/tests/integration/table_spreading/calls.rs
@@ -0,0 +1,159 @@
+//! Messages with state between the nodes of a modelled mesh, as `src/proxy/state_messages.rs` has them.
+
+use super::{
+    mesh::{Call, Dark, Event, Mesh, Purpose, address},
+    network::{Leg, Transfer},
+};
+use camphorturn::{coordination::table_sources::TableOffer, protocol::hop::StateMessage};
+use std::time::Duration;
+
+/// Time to open a connection, as in a node.
+const OPENING: Duration = Duration::from_millis(250);
+/// Longest time for a message with state, as in a node.
+const ANSWERING: Duration = Duration::from_secs(1);
+/// Bytes of an opening, each way.
+const OPENING_BYTES: usize = 60;
+/// Bytes of the head of a message and of its packets.
+const HEAD_BYTES: usize = 200;
+/// Assumed work of a node with a tenth of a core on a message.
+const WORK: Duration = Duration::from_millis(1);
+/// Assumed work on each byte of a table: one end writes it, the other reads and applies it.
+const WORK_PER_BYTE: Duration = Duration::from_nanos(600);
+
+impl Mesh {
+    pub fn call(&mut self, from: usize, to: usize, purpose: Purpose) {
+        let call = self.calls.len();
+        self.calls.push(Call {
+            from,
+            to,
+            purpose,
+            opened: false,
+            ended: false,
+            answer: None,
+        });
+        self.timeline.after(OPENING, Event::OpeningDue(call));
+        self.timeline.after(ANSWERING, Event::AnswerDue(call));
+        self.send(call, Leg::Open, OPENING_BYTES);
+    }
+
+    pub fn send(&mut self, call: usize, leg: Leg, bytes: usize) {
+        let (asking, asked) = (self.calls[call].from, self.calls[call].to);
+        let (from, to) = match leg {
+            Leg::Open | Leg::Question => (asking, asked),
+            Leg::Opened | Leg::Answer => (asked, asking),
+        };
+        let transfer = Transfer {
+            call,
+            leg,
+            from,
+            to,
+            bytes,
+        };
+        self.network.send(&mut self.timeline, transfer);
+    }
+
+    pub fn take_leg(&mut self, transfer: &Transfer) {
+        let number = transfer.call;
+        let call = &mut self.calls[number];
+        if call.ended || self.nodes[call.from].is_dark() {
+            return;
+        }
+        match transfer.leg {
+            Leg::Open if self.nodes[call.to].dark == Some(Dark::Unreachable) => {}
+            // A mute node's link carries nothing of a table; its system still opens connections.
+            Leg::Open if self.nodes[call.to].is_dark() => call.opened = true,
+            Leg::Open => self.send(number, Leg::Opened, OPENING_BYTES),
+            Leg::Opened => {
+                call.opened = true;
+                let bytes = question_bytes(call);
+                self.send(number, Leg::Question, bytes);
+            }
+            Leg::Question => self.timeline.after(WORK, Event::Handled(number)),
+            Leg::Answer => self.take_answer(number),
+        }
+    }
+
+    /// The node that was called has taken in the message, and answers.
+    pub fn answer(&mut self, number: usize) {
+        let to = self.calls[number].to;
+        if self.nodes[to].is_dark() {
+            return;
+        }
+        let mut bytes = 0;
+        match self.calls[number].purpose.clone() {
+            Purpose::Offer(message, pass_on) => {
+                let (Some(version), Some(from)) = (message.offered, message.from) else {
+                    unreachable!("an offer tells version and node");
+                };
+                self.take_offer(
+                    to,
+                    TableOffer {
+                        from,
+                        version,
+                        pass_on,
+                    },
+                );
+            }
+            Purpose::Fetch(wanted) => {
+                let has = self.nodes[to].own;
+                if let Some(size) = self.tables.size_of_change(wanted, has) {
+                    bytes = size;
+                    self.calls[number].answer = Some((has, size));
+                }
+            }
+        }
+        self.send(number, Leg::Answer, HEAD_BYTES + bytes);
+    }
+
+    pub fn take_answer(&mut self, number: usize) {
+        let call = &mut self.calls[number];
+        call.ended = true;
+        if let Purpose::Fetch(_) = call.purpose {
+            let bytes = call.answer.map_or(0, |(_, bytes)| bytes);
+            let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+            let work = WORK + WORK_PER_BYTE * bytes;
+            self.timeline.after(work, Event::Fetched(number));
+        }
+    }
+
+    pub fn take_fetched(&mut self, number: usize) {
+        let (node, answer) = (self.calls[number].from, self.calls[number].answer);
+        if self.nodes[node].is_dark() {
+            return;
+        }
+        if let Some((version, _)) = answer {
+            self.nodes[node].copies += 1;
+            self.take_table(node, version);
+        }
+        self.fetch_on(node);
+    }
+
+    pub fn give_up(&mut self, number: usize) {
+        let call = &mut self.calls[number];
+        if call.ended || self.nodes[call.from].is_dark() {
+            return;
+        }
+        call.ended = true;
+        let (from, to, purpose) = (call.from, call.to, call.purpose.clone());
+        self.network.abandon(number, [from, to]);
+        match purpose {
+            Purpose::Offer(message, rest) => self.send_to_first(from, message, rest),
+            Purpose::Fetch(_) => {
+                self.nodes[from].failed += 1;
+                self.fetch_on(from);
+            }
+        }
+    }
+}
+
+fn question_bytes(call: &Call) -> usize {
+    let message = match &call.purpose {
+        Purpose::Offer(message, _) => message.clone(),
+        Purpose::Fetch(own) => StateMessage {
+            wanted: Some(*own),
+            from: Some(address(call.from)),
+            ..StateMessage::default()
+        },
+    };
+    HEAD_BYTES + serde_json::to_vec(&message).map_or(0, |body| body.len())
+}
--- /dev/null
+++ b/tests/integration/table_spreading/glue.rs
@@ -0,0 +1,109 @@
+//! What a node does between its decisions on a newer table, as `src/proxy/table_fetching.rs` has it.
+
+use super::mesh::{Event, Mesh, Purpose, address, node_at};
+use camphorturn::{
+    coordination::{
+        spreading::split_receivers,
+        table_sources::{FetchStep, TableOffer},
+    },
+    protocol::hop::StateMessage,
+    state::configuration::ConfigurationVersion,
+};
+use std::net::SocketAddr;
+
+impl Mesh {
+    pub fn offer(&mut self, node: usize, receivers: &[SocketAddr]) {
+        let version = self.nodes[node].own;
+        self.spread(node, address(node), version, receivers);
+    }
+
+    pub fn spread(
+        &mut self,
+        node: usize,
+        from: SocketAddr,
+        version: ConfigurationVersion,
+        receivers: &[SocketAddr],
+    ) {
+        let message = StateMessage {
+            offered: Some(version),
+            from: Some(from),
+            ..StateMessage::default()
+        };
+        for part in split_receivers(receivers) {
+            self.send_to_first(node, message.clone(), part);
+        }
+    }
+
+    pub fn send_to_first(
+        &mut self,
+        node: usize,
+        mut message: StateMessage,
+        mut rest: Vec<SocketAddr>,
+    ) {
+        let Some(to) = rest.pop() else {
+            return;
+        };
+        message.pass_on.clone_from(&rest);
+        self.call(node, node_at(to), Purpose::Offer(message, rest));
+    }
+
+    pub fn start_fetching(&mut self, node: usize) {
+        if !self.nodes[node].fetching {
+            self.nodes[node].fetching = true;
+            self.fetch_on(node);
+        }
+    }
+
+    pub fn fetch_on(&mut self, node: usize) {
+        let now = self.timeline.now();
+        let own = self.nodes[node].own;
+        self.nodes[node].waits_until = None;
+        let step = self.nodes[node].sources.take_step(own, now);
+        self.pass_on_offers(node, step == FetchStep::Done);
+        match step {
+            FetchStep::Ask(from, _) => self.call(node, node_at(from), Purpose::Fetch(own)),
+            FetchStep::Wait(until) => {
+                self.nodes[node].waits_until = Some(until);
+                self.timeline.at(until, Event::Look(node, until));
+            }
+            FetchStep::Done => self.nodes[node].fetching = false,
+        }
+    }
+
+    pub fn pass_on_offers(&mut self, node: usize, exhausted: bool) {
+        let own = self.nodes[node].own;
+        let offers = self.nodes[node].sources.take_passable(own, exhausted);
+        for offer in offers {
+            if offer.version <= own {
+                self.offer(node, &offer.pass_on);
+            } else {
+                self.spread(node, offer.from, offer.version, &offer.pass_on);
+            }
+        }
+    }
+
+    pub fn take_offer(&mut self, node: usize, offer: TableOffer) {
+        let from = node_at(offer.from);
+        self.nodes[node].known.insert(from, offer.version);
+        self.nodes[node].sources.note_offer(offer);
+        if self.nodes[node].waits_until.is_some() {
+            self.fetch_on(node);
+        }
+        self.start_fetching(node);
+    }
+
+    pub fn note_version_of(&mut self, node: usize, from: usize, version: ConfigurationVersion) {
+        let now = self.timeline.now();
+        let known = &mut self.nodes[node];
+        if known.is_dark() {
+            return;
+        }
+        known.known.insert(from, version);
+        if known
+            .sources
+            .note_hint(address(from), version, known.own, now)
+        {
+            self.start_fetching(node);
+        }
+    }
+}
--- /dev/null
+++ b/tests/integration/table_spreading/tables.rs
@@ -0,0 +1,102 @@
+//! Routing tables of the modelled meshes, and the bytes of what nodes tell of them.
+
+use arcstr::ArcStr;
+use camphorturn::{
+    protocol::hop::StateMessage,
+    state::{
+        configuration::ConfigurationVersion,
+        names::{ClassName, ServiceName},
+        routing_table::{ClientLimits, Route, RoutingTable, ServiceFacts, WeightedService},
+        table_history::TableHistory,
+    },
+};
+use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
+
+/// A table of as many routes, spread evenly over as many services.
+pub fn build_table(version: u64, routes: usize, services: usize) -> RoutingTable {
+    let routes = (0..routes).map(|number| Rc::new(build_route(number, number % services)));
+    RoutingTable {
+        version: ConfigurationVersion(version),
+        routes: routes.collect(),
+        services: (0..services).map(build_service).collect(),
+        limits: ClientLimits::default(),
+    }
+}
+
+pub fn build_service(number: usize) -> ServiceFacts {
+    ServiceFacts {
+        name: service_name(number),
+        health_path: ArcStr::from("/health"),
+    }
+}
+
+fn service_name(number: usize) -> ServiceName {
+    ServiceName::from(format!("service-{number}").as_str())
+}
+
+fn build_route(number: usize, service: usize) -> Route {
+    Route {
+        class: ClassName::from(format!("pickup-window-{number:04}").as_str()),
+        host: ArcStr::from("api.bakery.example"),
+        path_prefix: ArcStr::from(format!("/pickup-windows/{number:04}/")),
+        idempotent: true,
+        timeout: Duration::from_secs(5),
+        target: Duration::from_millis(250),
+        priority: 1,
+        max_attempts: 2,
+        services: vec![WeightedService {
+            service: service_name(service),
+            weight: 1,
+        }],
+    }
+}
+
+/// Bytes of the answer that tells what is newer than a version; none if nothing is.
+pub fn encode_change(history: &mut TableHistory, since: ConfigurationVersion) -> Option<usize> {
+    let answer = StateMessage {
+        change: Some(history.change_since(since)?),
+        store_next: Some(123_456),
+        ..StateMessage::default()
+    };
+    let body = serde_json::to_vec(&answer).expect("a message can be written");
+    Some(body.len())
+}
+
+/// The versions that are published in a modelled mesh.
+pub struct Tables {
+    versions: Vec<RoutingTable>,
+    sizes: RefCell<HashMap<(u64, u64), Option<usize>>>,
+}
+
+impl Tables {
+    /// Versions from 1 on with these numbers of routes and services.
+    pub fn new(sizes: &[(usize, usize)]) -> Self {
+        let versions = (1..).zip(sizes);
+        Self {
+            versions: versions
+                .map(|(version, (routes, services))| build_table(version, *routes, *services))
+                .collect(),
+            sizes: RefCell::default(),
+        }
+    }
+
+    pub fn newest(&self) -> ConfigurationVersion {
+        self.versions.last().expect("a version").version
+    }
+
+    /// Bytes of what a node that has a version tells one that has another.
+    pub fn size_of_change(
+        &self,
+        since: ConfigurationVersion,
+        has: ConfigurationVersion,
+    ) -> Option<usize> {
+        let mut sizes = self.sizes.borrow_mut();
+        *sizes.entry((since.0, has.0)).or_insert_with(|| {
+            let mut history = TableHistory::default();
+            for table in self.versions.iter().filter(|table| table.version <= has) {
+                history.take(table.clone());
+            }
+            encode_change(&mut history, since)
+        })
+    }
+}
