Failing tests: a lost reader leaves nodes without the version

Cause: two faults in whom a reader tells, found by the model. Both need a reader that is lost within 40 ms of its offer and a mesh where no request tells of the version. 1. The other reader was offered the version and has fetched it; its own read of the store then is no news (take_configuration), so it offers it to nobody. All nodes whose only offer leads to the lost reader lack the version: seed 7, 14 of 20 nodes of a zone. 2. The lost reader had taken the other's offer as well and passed it on in its own name, so the nodes behind it have two offers that both lead to it: seeds 81, 111 and 130, one or two nodes.

Ruled out: that it is a fault of the glue as modelled. In the traces of the seeds each step is one of the code's: an offer that is acknowledged is not sent to another, pass_on_offers tells `from` itself once in force, take_table is false for a version in force.

No check changed.

--- a/tests/integration/table_spreading.rs
+++ b/tests/integration/table_spreading.rs
@@ -104,7 +104,12 @@
 }
 
 /// Plays a plan with several seeds; all nodes that are not dark have the version in time, each by one copy.
-fn check_all(plan: Plan, tables: &Rc<Tables>, seeds: u64, bound: Duration) -> Vec<Outcome> {
+fn check_all(
+    plan: Plan,
+    tables: &Rc<Tables>,
+    seeds: impl IntoIterator<Item = u64>,
+    bound: Duration,
+) -> Vec<Outcome> {
     let play_seed = |seed| {
         let plan = Plan { seed, ..plan };
         let mesh = play(plan, tables, Duration::from_millis(1_500));
@@ -114,7 +119,7 @@
         assert_eq!(outcome.surplus, 0, "{plan:?}: {outcome:?}");
         outcome
     };
-    (0..seeds).map(play_seed).collect()
+    seeds.into_iter().map(play_seed).collect()
 }
 
 /// Bytes that a node takes in at most for a change of so many: that once, and what it takes to offer and ask.
@@ -139,7 +144,7 @@
             zones,
             ..PLAN
         };
-        for outcome in check_all(plan, tables, seeds, bound) {
+        for outcome in check_all(plan, tables, 0..seeds, bound) {
             println!("{name}, {change} B, {nodes} nodes: {outcome:?}");
             assert_eq!(outcome.failed, 0, "{outcome:?}");
             assert!(outcome.most_bytes_in <= byte_bound(change), "{outcome:?}");
@@ -192,8 +197,8 @@
 #[test]
 fn spread_small_after_large_change() {
     let tables = Rc::new(Tables::new(&SIZES));
-    check_all(PLAN, &tables, 8, BOUND);
-    check_all(LARGE, &tables, 1, LARGE_BOUND);
+    check_all(PLAN, &tables, 0..8, BOUND);
+    check_all(LARGE, &tables, 0..1, LARGE_BOUND);
 }
 
 /// Requests tell versions too, and so lead many nodes to the same.
@@ -204,12 +209,12 @@
         request_pause,
         ..PLAN
     };
-    check_all(plan, &large_change(), 8, BOUND);
+    check_all(plan, &large_change(), 0..8, BOUND);
     let plan = Plan {
         request_pause,
         ..LARGE
     };
-    check_all(plan, &large_change(), 1, LARGE_BOUND);
+    check_all(plan, &large_change(), 0..1, LARGE_BOUND);
 }
 
 /// Symptom: nodes lack a version. Sequence: a node that is to pass it on is dark. Cause: the nodes behind it aren't told.
@@ -220,12 +225,40 @@
         dark_one_in,
         ..PLAN
     };
-    check_all(plan, &large_change(), 8, BOUND);
+    check_all(plan, &large_change(), 0..8, BOUND);
     let plan = Plan {
         dark_one_in,
         ..LARGE
     };
-    check_all(plan, &large_change(), 2, LARGE_BOUND);
+    check_all(plan, &large_change(), 0..2, LARGE_BOUND);
+}
+
+/// Symptom: most nodes of a zone lack a version. Sequence: a reader offers it and is lost before it is asked. Cause: the other
+/// reader took it from a node that was offered it, so its own read brings nothing new and it tells nobody.
+#[test]
+fn spread_from_lost_reader_in_quiet_mesh() {
+    let plan = Plan {
+        loses_readers: true,
+        ..PLAN
+    };
+    check_all(plan, &large_change(), 0..8, BOUND);
+    let plan = Plan {
+        loses_readers: true,
+        ..LARGE
+    };
+    check_all(plan, &large_change(), 0..2, LARGE_BOUND);
+}
+
+/// Symptom: a node or two lack a version, though both readers offered it. Sequence: a reader takes the other's offer, passes it
+/// on in its own name and is lost. Cause: it stands in the middle of the other's tree, so the nodes behind it have heard of
+/// the version from nobody else. The seeds are those of 0 to 199 in which that happens.
+#[test]
+fn spread_past_lost_reader_in_quiet_mesh() {
+    let plan = Plan {
+        loses_readers: true,
+        ..PLAN
+    };
+    check_all(plan, &large_change(), [81, 111, 130], BOUND);
 }
 
 /// Symptom: nodes lack a version. Sequence: a reader offers it and is lost before it is asked, while requests tell of the
@@ -237,13 +270,13 @@
         request_pause: Some(REQUEST_PAUSE),
         ..PLAN
     };
-    check_all(plan, &large_change(), 8, BOUND);
+    check_all(plan, &large_change(), 0..8, BOUND);
     let plan = Plan {
         loses_readers: true,
         request_pause: Some(REQUEST_PAUSE),
         ..LARGE
     };
-    check_all(plan, &large_change(), 1, LARGE_BOUND);
+    check_all(plan, &large_change(), 0..1, LARGE_BOUND);
 }
 
 #[test]
