Bound the silence of an answer, not its whole time, where documents are large

Ruled out: a longer bound, which keeps a node waiting for a VM that is dark. Requests of clients keep their own deadline.

--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -52,6 +52,7 @@
         connect_timeout: CONNECT_TIMEOUT.min(time_left),
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
+        patience: None,
     };
     let started = core.timers.now();
     let percent = core.slots.load().slowdown_percent;
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -201,6 +201,7 @@
         connect_timeout: ANSWER_TIMEOUT,
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
+        patience: None,
     };
     let timeout = core.timers.after(ANSWER_TIMEOUT);
     let names = &core.settings.headers;
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -55,6 +55,7 @@
         connect_timeout: CONNECT_TIMEOUT,
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
+        patience: None,
     };
     let is_answer = |parts: &Parts| parts.headers.contains_key(HOP_HEADER);
     let mut response = core.outgoing.send(to, request, rules, is_answer).await?;
--- a/src/proxy/state_messages.rs
+++ b/src/proxy/state_messages.rs
@@ -4,7 +4,7 @@
     coordination::spreading::split_receivers,
     protocol::hop::{STATE_HEADER, StateMessage},
     proxy::{core::ProxyCore, events::ProxyEvent},
-    transport::outgoing::{SendError, SendRules},
+    transport::outgoing::{Patience, SendRules},
 };
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, Request, Response, Uri};
@@ -19,10 +19,15 @@
     connect_timeout: Duration::from_millis(250),
     idle_limit: Duration::from_secs(20),
     body_limit: BODY_LIMIT,
+    patience: Some(Patience {
+        head: TIMEOUT,
+        piece: TIMEOUT,
+    }),
 };
 /// Largest answer, in bytes: a routing table of some ten thousand routes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
-/// Longest time for a message with state.
+/// Longest time in which nothing comes of an answer to a message with state: that of a VM which is dark or whose link is
+/// full.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Sends a message to a few of the receivers, which pass it on to the rest.
@@ -52,11 +57,7 @@
     message: &StateMessage,
 ) -> Option<Response<Bytes>> {
     let request = build_state(serde_json::to_vec(message).ok()?);
-    let timeout = core.timers.after(TIMEOUT);
-    let sent = tokio::select! {
-        sent = core.outgoing.send(to, request, RULES, |_| true) => sent,
-        _ = timeout.recv_async() => Err(SendError::Cut),
-    };
+    let sent = core.outgoing.send(to, request, RULES, |_| true).await;
     sent.ok().filter(|answer| answer.status().is_success())
 }
 
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -5,14 +5,17 @@
 //! cancel reaches the other side.
 
 use crate::{state::moment::Moment, timers::TimerService};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures::{
     FutureExt,
     future::{Either, select},
 };
 use http::{HeaderMap, Request, Response, response::Parts};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
@@ -58,6 +61,18 @@
     pub idle_limit: Duration,
     /// Largest answer body, in bytes.
     pub body_limit: usize,
+    /// How long nothing may come; none if whoever sends the request bounds its time.
+    pub patience: Option<Patience>,
+}
+
+/// How long nothing may come of an answer. A bound on the whole answer would have a node with a thin link give up on each
+/// large document and ask for it anew, which keeps the link full.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// Until its head.
+    pub head: Duration,
+    /// Between two pieces of its body.
+    pub piece: Duration,
 }
 
 struct Connection {
@@ -114,7 +129,7 @@
         let mut req = req;
         if !rules.fresh {
             while let Some(mut connection) = self.take_idle(address, rules.idle_limit) {
-                match exchange(&mut connection, req, rules.body_limit, &is_answer).await {
+                match self.exchange(&mut connection, req, rules, &is_answer).await {
                     Ok(answer) => {
                         self.give_back(address, connection, answer.headers());
                         return Ok(answer);
@@ -125,7 +140,7 @@
             }
         }
         let mut connection = self.open(address, rules.connect_timeout).await?;
-        match exchange(&mut connection, req, rules.body_limit, &is_answer).await {
+        match self.exchange(&mut connection, req, rules, &is_answer).await {
             Ok(answer) => {
                 self.give_back(address, connection, answer.headers());
                 Ok(answer)
@@ -135,6 +150,62 @@
         }
     }
 
+    async fn exchange(
+        &self,
+        connection: &mut Connection,
+        req: Request<Full<Bytes>>,
+        rules: SendRules,
+        is_answer: impl Fn(&Parts) -> bool,
+    ) -> Result<Response<Bytes>, Failure> {
+        let sent = connection.tx.try_send_request(req);
+        let head = rules.patience.map(|patience| patience.head);
+        let response = match self.within(head, sent).await? {
+            Ok(response) => response,
+            Err(mut error) => {
+                return Err(match error.take_message() {
+                    Some(req) => Failure::Returned(Box::new(req)),
+                    None if error.error().is_parse() => Failure::Ended(SendError::BadAnswer),
+                    None => Failure::Ended(SendError::Cut),
+                });
+            }
+        };
+        let (parts, incoming) = response.into_parts();
+        if !is_answer(&parts) {
+            return Err(Failure::Ended(SendError::BadAnswer));
+        }
+        let body = self.read_body(incoming, rules).await?;
+        Ok(Response::from_parts(parts, body))
+    }
+
+    async fn read_body(&self, incoming: Incoming, rules: SendRules) -> Result<Bytes, Failure> {
+        let mut body = Limited::new(incoming, rules.body_limit);
+        let mut bytes = BytesMut::new();
+        let piece = rules.patience.map(|patience| patience.piece);
+        while let Some(frame) = self.within(piece, body.frame()).await? {
+            let frame = frame.map_err(|_| Failure::Ended(SendError::BadAnswer))?;
+            if let Ok(data) = frame.into_data() {
+                bytes.extend_from_slice(&data);
+            }
+        }
+        Ok(bytes.freeze())
+    }
+
+    /// Awaits a part of an answer, for `limit` at the most.
+    async fn within<T>(
+        &self,
+        limit: Option<Duration>,
+        part: impl Future<Output = T>,
+    ) -> Result<T, Failure> {
+        let Some(limit) = limit else {
+            return Ok(part.await);
+        };
+        let timeout = self.timers.after(limit);
+        match select(pin!(part), timeout.recv_async()).await {
+            Either::Left((part, _)) => Ok(part),
+            Either::Right(_) => Err(Failure::Ended(SendError::Cut)),
+        }
+    }
+
     async fn open(&self, address: SocketAddr, limit: Duration) -> Result<Connection, SendError> {
         let timeout = self.timers.after(limit);
         let opening = pin!(open_connection(address));
@@ -227,29 +298,3 @@
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
-
-async fn exchange(
-    connection: &mut Connection,
-    req: Request<Full<Bytes>>,
-    body_limit: usize,
-    is_answer: impl Fn(&Parts) -> bool,
-) -> Result<Response<Bytes>, Failure> {
-    let response = match connection.tx.try_send_request(req).await {
-        Ok(response) => response,
-        Err(mut error) => {
-            return Err(match error.take_message() {
-                Some(req) => Failure::Returned(Box::new(req)),
-                None if error.error().is_parse() => Failure::Ended(SendError::BadAnswer),
-                None => Failure::Ended(SendError::Cut),
-            });
-        }
-    };
-    let (parts, incoming) = response.into_parts();
-    if !is_answer(&parts) {
-        return Err(Failure::Ended(SendError::BadAnswer));
-    }
-    match Limited::new(incoming, body_limit).collect().await {
-        Ok(body) => Ok(Response::from_parts(parts, body.to_bytes())),
-        Err(_) => Err(Failure::Ended(SendError::BadAnswer)),
-    }
-}
--- a/tests/integration/outgoing.rs
+++ b/tests/integration/outgoing.rs
@@ -48,6 +48,7 @@
             connect_timeout: Duration::from_secs(20),
             idle_limit: Duration::from_secs(1),
             body_limit: 64 * 1024,
+            patience: None,
         };
         let request = Request::new(Full::new(Bytes::new()));
         let sent = outgoing.send(address, request, rules, |_| true).await;
