Offer a table until each node of the zone is known to have it

Cause (found by the review, in the record and by tests): readers told their zone only what was news from the store, once, and only to nodes without a single failure at that moment; a node passed an offer on only after all it had heard of were asked. Ruled out: a second telling by the store's reads alone (a reader that was told first finds no news there). Change: a reader offers the version in force, whatever way it came, along the tree at first and then directly, with growing pauses, until each node of the zone has said that it has it. An offer goes on after its node was asked once; it goes before nodes heard of by requests. A node that was told doesn't begin with the whole document; a change of another base is asked for again from the own version; a whole table needs no digest.

--- a/src/coordination/spreading.rs
+++ b/src/coordination/spreading.rs
@@ -1,6 +1,6 @@
 //! How a message reaches all nodes of a zone: each passes it on to a few.
 //!
-//! One VM with a narrow link and a tenth of a core can't send a large routing table to a hundred nodes
+//! One VM with a narrow link and a tenth of a core can't tell a hundred nodes, each of which then fetches a routing table from it,
 //! within the time in which it must be in force. With four receivers a node, four steps reach 340.
 
 use std::net::SocketAddr;
--- a/src/coordination/table_sources.rs
+++ b/src/coordination/table_sources.rs
@@ -27,8 +27,10 @@
 /// What to do about newer versions.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FetchStep {
-    /// Ask this node for what is newer.
-    Ask(SocketAddr, ConfigurationVersion),
+    /// Ask this node for what is newer, which offers the version.
+    AskOffering(SocketAddr, ConfigurationVersion),
+    /// Ask this node, which told of the version by a request; an offer that comes meanwhile goes first.
+    AskHeard(SocketAddr, ConfigurationVersion),
     /// Look again then, or when an offer comes.
     Wait(Moment),
     /// Nothing is to be fetched, or nobody is left to ask.
@@ -41,8 +43,9 @@
     heard: ConfigurationVersion,
     /// Offers whose nodes have not been asked yet.
     offers: Vec<TableOffer>,
-    /// Nodes that told of a version by a request, and when the first of them did.
+    /// Nodes that told of a version by a request.
     hints: VecDeque<(SocketAddr, ConfigurationVersion)>,
+    /// When the first of them told of the highest.
     hinted: Option<Moment>,
     /// Offers whose nodes have been asked.
     asked: Vec<TableOffer>,
@@ -72,7 +75,10 @@
         if version <= own {
             return false;
         }
-        self.heard = self.heard.max(version);
+        if version > self.heard {
+            self.heard = version;
+            self.hinted = Some(now);
+        }
         self.hints.retain(|(known, _)| *known != from);
         self.hints.push_back((from, version));
         if self.hints.len() > SOURCES_KEPT {
@@ -94,7 +100,7 @@
             let offer = self.offers.remove(next);
             let (from, version) = (offer.from, offer.version);
             self.asked.push(offer);
-            return FetchStep::Ask(from, version);
+            return FetchStep::AskOffering(from, version);
         }
         self.hints.retain(|(_, version)| *version > own);
         let Some((from, version)) = self.hints.back().copied() else {
@@ -108,15 +114,14 @@
             return FetchStep::Wait(due);
         }
         self.hints.pop_back();
-        FetchStep::Ask(from, version)
+        FetchStep::AskHeard(from, version)
     }
 
-    /// Offers that are to go on now: those that are no news with `own` in force, and, if nobody is left to ask, all
-    /// others too, since the nodes that come after may get through.
-    pub fn take_passable(&mut self, own: ConfigurationVersion, exhausted: bool) -> Vec<TableOffer> {
-        let goes_on = |offer: &mut TableOffer| exhausted || offer.version <= own;
-        let mut passable: Vec<TableOffer> = self.offers.extract_if(.., goes_on).collect();
-        passable.extend(self.asked.extract_if(.., goes_on));
+    /// Offers that are to go on now: those that are no news with `own` in force, and those whose nodes have been asked.
+    pub fn take_passable(&mut self, own: ConfigurationVersion) -> Vec<TableOffer> {
+        let no_news = |offer: &mut TableOffer| offer.version <= own;
+        let mut passable: Vec<TableOffer> = self.offers.extract_if(.., no_news).collect();
+        passable.append(&mut self.asked);
         passable
     }
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -22,6 +22,7 @@
 mod state_sharing;
 mod stop;
 mod table_fetching;
+mod table_offering;
 
 pub use self::{
     following::follow_store,
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -3,6 +3,7 @@
 use crate::{
     coordination::{
         calls_per_run::CallsPerRun,
+        offer_rounds::OfferRounds,
         own_upstream::OwnUpstream,
         repeat_budget::RepeatBudget,
         store_reading::{ReadingPlan, find_predecessor, is_first, is_reader, plan_reading},
@@ -18,7 +19,7 @@
         class_counts::ClassCounts,
         moment::Moment,
         names::{ClassName, ServiceName},
-        placement_view::{NodeRecord, StoredRecord},
+        placement_view::{NodeRecord, NodeView, StoredRecord},
         routing_table::{RouteIndex, RoutingTable},
     },
     timers::TimerService,
@@ -112,6 +113,10 @@
     pub table_sources: RefCell<TableSources>,
     /// Wakes whoever waits for an offer of a newer routing table.
     pub offer_came: Notify,
+    /// Whom of its zone this node has offered the routing table in force.
+    pub offer_rounds: RefCell<OfferRounds>,
+    /// Wakes whoever waits for a newer routing table.
+    pub table_taken: Notify,
     /// Until when this node reads the store in place of one that can't.
     reads_until: Cell<Moment>,
     /// Requests picked a service by weight so far; spreads them evenly.
@@ -141,6 +146,8 @@
             fetching: Cell::new(false),
             table_sources: RefCell::default(),
             offer_came: Notify::new(),
+            offer_rounds: RefCell::default(),
+            table_taken: Notify::new(),
             reads_until: Cell::default(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
@@ -190,6 +197,7 @@
         let news = self.directory.borrow_mut().take_table(table);
         if news {
             self.log(&event);
+            self.table_taken.notify_one();
         }
         news
     }
@@ -261,6 +269,25 @@
         self.list_reachable(|record| record.availability_zone == *own_zone)
     }
 
+    /// The other nodes of the zone that are not known to have the routing table in force, each with whether it can be
+    /// reached as far as is known.
+    #[must_use]
+    pub fn list_lacking(&self) -> Vec<(SocketAddr, bool)> {
+        let now = self.timers.now();
+        let directory = self.directory.borrow();
+        if directory.routes().is_none() {
+            return Vec::new();
+        }
+        let own_zone = &self.settings.availability_zone;
+        let views = directory.nodes.values();
+        views
+            .filter(|view| view.record.availability_zone == *own_zone)
+            .filter(|view| view.record.address != self.settings.peers)
+            .filter(|view| !directory.has_version(view.record.address))
+            .map(|view| (view.record.address, is_reachable(view, now)))
+            .collect()
+    }
+
     /// The other nodes that can be reached, as far as is known, and whose record is `wanted`.
     fn list_reachable(&self, wanted: impl Fn(&NodeRecord) -> bool) -> Vec<SocketAddr> {
         let now = self.timers.now();
@@ -268,7 +295,7 @@
         let views = directory.nodes.values();
         views
             .filter(|view| wanted(&view.record))
-            .filter(|view| view.failures == 0 && view.paused_until <= now)
+            .filter(|view| is_reachable(view, now))
             .map(|view| view.record.address)
             .filter(|address| *address != self.settings.peers)
             .collect()
@@ -311,3 +338,8 @@
         self.stopping_since.get().is_some()
     }
 }
+
+/// Whether a node can be reached as far as is known.
+fn is_reachable(view: &NodeView, now: Moment) -> bool {
+    view.failures == 0 && view.paused_until <= now
+}
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -165,7 +165,7 @@
     let asked = read_time_left(core, &req);
     let time_left = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
     let Some(service) = pick_service(core, &route) else {
-        return ClientEnd::NoRoute;
+        return end_without_route(core);
     };
     line.note_route(&route, &service, time_left);
     if time_left.is_zero() {
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -195,6 +195,15 @@
         /// The version in force here.
         before: u64,
     },
+    /// Nodes of the zone that are not known to have the routing table in force are offered it.
+    TableOffered {
+        /// Version in force.
+        version: u64,
+        /// Nodes that it reaches along the tree.
+        along_tree: usize,
+        /// Nodes that are told directly.
+        directly: usize,
+    },
     /// Another node asked for what is newer and is told.
     TableTold {
         /// The node, if it said where it is.
@@ -239,8 +248,6 @@
     ZoneTold {
         /// Nodes told.
         nodes: usize,
-        /// Whether a newer routing table is offered with it.
-        table: bool,
         /// Records of nodes among it.
         records: usize,
     },
@@ -382,6 +389,7 @@
             Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
             Self::TableInForce { .. } => (821, "table_in_force"),
             Self::StateFetched { .. } => (826, "state_fetched"),
+            Self::TableOffered { .. } => (820, "table_offered"),
             Self::TableTold { .. } => (827, "table_told"),
             Self::TableReceived { .. } => (828, "table_received"),
             Self::FetchFailed { .. } => (829, "fetch_failed"),
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -9,6 +9,7 @@
         events::ProxyEvent,
         retiring::retire_gone_nodes,
         state_sharing::{hand_reading_over, share_with_zone},
+        table_offering::keep_zone_current,
     },
     state::placement_view::{NodeRecord, StoredRecord},
 };
@@ -50,6 +51,7 @@
         spawn_local(follower.follow(topic));
     }
     spawn_local(retire_gone_nodes(Rc::clone(core), store.clone()));
+    spawn_local(keep_zone_current(Rc::clone(core)));
     spawn_local(write_records(Rc::clone(core), store, written));
     orders
 }
@@ -77,7 +79,7 @@
                 None => self.store.read_newest(topic).await,
                 Some(from) => {
                     let wait = wait_for_turn(core).await;
-                    let from = self.skip_known(topic, from);
+                    let from = self.skip_known(topic).map_or(from, |known| known.max(from));
                     self.store.read_from(topic, from, wait).await
                 }
             };
@@ -89,6 +91,7 @@
                 }
                 Err(StoreError::Deleted) => next = None,
                 Err(error) => {
+                    next = next.or(self.skip_known(topic));
                     if retries.is_to_be_handed_over() && core.is_zone_reader() {
                         hand_reading_over(core);
                     }
@@ -98,22 +101,19 @@
         }
     }
 
-    /// Where to read on. A configuration that other nodes told is not read again: it may be a megabyte, which takes a link
-    /// of 10 Mbit/s a second.
-    fn skip_known(&self, topic: StoreTopic, from: u64) -> u64 {
+    /// Where the store goes on after what other nodes told. A configuration is not read again: it may be a megabyte, which
+    /// takes a link of 10 Mbit/s a second.
+    fn skip_known(&self, topic: StoreTopic) -> Option<u64> {
         match topic {
-            StoreTopic::Configuration => {
-                let known = self.core.directory.borrow().stored_table_next();
-                known.map_or(from, |known| known.max(from))
-            }
-            StoreTopic::Nodes => from,
+            StoreTopic::Configuration => self.core.directory.borrow().stored_table_next(),
+            StoreTopic::Nodes => None,
         }
     }
 
     /// Takes in records; `whole` if they are all that the topic holds.
     async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
         match topic {
-            StoreTopic::Configuration => self.take_configuration(records, whole),
+            StoreTopic::Configuration => self.take_configuration(records),
             StoreTopic::Nodes => {
                 self.take_nodes(records, whole).await;
                 let pause = self.core.plan_reading().records_pause;
@@ -122,14 +122,13 @@
         }
     }
 
-    fn take_configuration(&self, records: &Records, whole: bool) {
+    fn take_configuration(&self, records: &Records) {
         let core = &self.core;
-        let mut news = false;
         for record in &records.records {
             match self.store.decode_table(record) {
                 Some(Ok(table)) => {
                     let version = table.version;
-                    news |= core.take_table(table, StateSource::Store);
+                    core.take_table(table, StateSource::Store);
                     let next = record.offset.saturating_add(1);
                     core.directory.borrow_mut().note_stored_table(version, next);
                 }
@@ -137,7 +136,6 @@
                 None => {}
             }
         }
-        share_with_zone(core, news && !whole, Vec::new());
     }
 
     async fn take_nodes(&self, records: &Records, whole: bool) {
@@ -172,7 +170,7 @@
         }
         core.directory.borrow_mut().note_read(records.next);
         if !whole {
-            share_with_zone(core, false, news);
+            share_with_zone(core, news);
         }
     }
 
--- a/src/proxy/state_messages.rs
+++ b/src/proxy/state_messages.rs
@@ -17,13 +17,16 @@
 const RULES: SendRules = SendRules {
     fresh: false,
     connect_timeout: Duration::from_millis(250),
-    idle_limit: Duration::from_secs(20),
+    idle_limit: IDLE_LIMIT,
     body_limit: BODY_LIMIT,
     patience: Some(Patience {
         head: TIMEOUT,
         piece: TIMEOUT,
     }),
 };
+/// Longest time that a kept connection to another node may have been idle. A VM that lost power meanwhile shows when a
+/// connection is opened, and only after the whole patience on a kept one.
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
 /// Largest answer, in bytes: a routing table of some ten thousand routes.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
 /// Longest time in which nothing comes of an answer to a message with state: that of a VM which is dark or whose link is
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -9,7 +9,7 @@
         events::ProxyEvent,
         retiring::is_reached,
         state_messages::{count_bytes, log_malformed, send_state, spread},
-        table_fetching::{offer_table, take_offer},
+        table_fetching::take_offer,
     },
     state::placement_view::StoredRecord,
     transport::callers::{CallerReply, reply_json},
@@ -18,15 +18,14 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use rand::seq::SliceRandom;
-use std::{net::SocketAddr, rc::Rc};
+use std::rc::Rc;
 use tokio::task::spawn_local;
 
 /// Nodes that are asked to read the store in place of one that can't.
 const STAND_INS: usize = 2;
-/// Tells the nodes of the zone what this one has read from the store: offers them a newer routing table, and sends
-/// records of nodes.
-pub fn share_with_zone(core: &Rc<ProxyCore>, new_table: bool, records: Vec<StoredRecord>) {
-    if !new_table && records.is_empty() {
+/// Tells the nodes of the zone the records of nodes that this one has read from the store.
+pub fn share_with_zone(core: &Rc<ProxyCore>, records: Vec<StoredRecord>) {
+    if records.is_empty() {
         return;
     }
     let mut receivers = core.list_zone();
@@ -35,23 +34,13 @@
     receivers.shuffle(&mut rand::rng());
     core.log(&ProxyEvent::ZoneTold {
         nodes: receivers.len(),
-        table: new_table,
         records: records.len(),
     });
-    if new_table {
-        let directory = core.directory.borrow();
-        let lack = receivers.iter().filter(|to| !directory.has_version(**to));
-        let lack: Vec<SocketAddr> = lack.copied().collect();
-        drop(directory);
-        offer_table(core, &lack);
-    }
-    if !records.is_empty() {
-        let message = StateMessage {
-            nodes: records,
-            ..StateMessage::default()
-        };
-        spread(core, &receivers, &message);
-    }
+    let message = StateMessage {
+        nodes: records,
+        ..StateMessage::default()
+    };
+    spread(core, &receivers, &message);
 }
 
 /// Has a few other nodes of the zone read the store for a while. The store may turn away both nodes that read for
@@ -82,11 +71,15 @@
     };
     count_bytes(core, body.len());
     let (wanted, reaches, from) = (message.wanted, message.reaches, message.from);
+    let is_offer = message.offered.is_some();
     take_message(core, message);
     let mut answer = match wanted {
         Some(version) => core.directory.borrow_mut().list_newer_than(version),
         None => StateMessage::default(),
     };
+    if is_offer {
+        answer.offered = Some(core.directory.borrow().version());
+    }
     if let Some(suspect) = reaches {
         answer.reached = Some(is_reached(core, suspect).await);
     }
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -11,7 +11,8 @@
         core::{ProxyCore, count},
         directory::StateSource,
         events::{ProxyEvent, in_millis},
-        state_messages::{ask_state, spread},
+        state_messages::ask_state,
+        table_offering::{offer_table, pass_on},
     },
     state::{configuration::ConfigurationVersion, table_change::ChangeError},
 };
@@ -40,25 +41,6 @@
     start_fetching(core);
 }
 
-/// Offers the version in force to nodes, a few of which pass the offer on.
-pub fn offer_table(core: &Rc<ProxyCore>, receivers: &[SocketAddr]) {
-    let offer = TableOffer {
-        from: core.settings.peers,
-        version: core.directory.borrow().version(),
-        pass_on: receivers.to_vec(),
-    };
-    pass_on(core, &offer);
-}
-
-fn pass_on(core: &Rc<ProxyCore>, offer: &TableOffer) {
-    let message = StateMessage {
-        offered: Some(offer.version),
-        from: Some(offer.from),
-        ..StateMessage::default()
-    };
-    spread(core, &offer.pass_on, &message);
-}
-
 fn start_fetching(core: &Rc<ProxyCore>) {
     if core.fetching.replace(true) {
         return;
@@ -73,10 +55,15 @@
 async fn fetch_until_current(core: &Rc<ProxyCore>) {
     loop {
         let (own, now) = (core.directory.borrow().version(), core.timers.now());
+        pass_on_offers(core, own);
         let step = core.table_sources.borrow_mut().take_step(own, now);
-        pass_on_offers(core, step == FetchStep::Done);
         match step {
-            FetchStep::Ask(from, version) => fetch(core, from, version, own).await,
+            FetchStep::AskOffering(from, version) => fetch(core, from, version, own).await,
+            // Whoever offers the version is nearer than who was heard of by a request.
+            FetchStep::AskHeard(from, version) => tokio::select! {
+                () = fetch(core, from, version, own) => {}
+                () = core.offer_came.notified() => {}
+            },
             FetchStep::Wait(until) => {
                 let due = core.timers.after(until.since(now));
                 tokio::select! {
@@ -89,13 +76,10 @@
     }
 }
 
-/// Passes on what is in force now, from here; and, once nobody is left to ask, the rest as it came.
-fn pass_on_offers(core: &Rc<ProxyCore>, exhausted: bool) {
-    let own = core.directory.borrow().version();
-    let offers = core
-        .table_sources
-        .borrow_mut()
-        .take_passable(own, exhausted);
+/// Passes on what is in force now, from here, and offers of nodes that were asked in vain, as they came: the nodes that
+/// come after may get through, and must not wait for this one.
+fn pass_on_offers(core: &Rc<ProxyCore>, own: ConfigurationVersion) {
+    let offers = core.table_sources.borrow_mut().take_passable(own);
     for offer in offers {
         if offer.version <= own {
             offer_table(core, &offer.pass_on);
@@ -105,7 +89,8 @@
     }
 }
 
-/// Fetches what is newer from one node. What can't be applied is asked for once more as a whole.
+/// Fetches what is newer from one node. What can't be applied is asked for once more: since the version that has come into
+/// force meanwhile, else as a whole.
 async fn fetch(
     core: &Rc<ProxyCore>,
     from: SocketAddr,
@@ -122,8 +107,12 @@
             from,
             error: error.to_string(),
         });
-        // An error of the whole table has no other way out than the next node or the store.
-        let _ = fetch_since(core, from, ConfigurationVersion::default()).await;
+        let since = match error {
+            ChangeError::Base(_) => core.directory.borrow().version(),
+            ChangeError::Terms(_) | ChangeError::Digest => ConfigurationVersion::default(),
+        };
+        // If this fails too, the next node or the store is asked.
+        let _ = fetch_since(core, from, since).await;
     }
 }
 
--- /dev/null
+++ b/src/proxy/table_offering.rs
@@ -0,0 +1,91 @@
+//! Keeps the nodes of a zone at the version that its readers have in force.
+
+use crate::{
+    coordination::{offer_rounds::OfferRound, table_sources::TableOffer},
+    protocol::hop::StateMessage,
+    proxy::{
+        core::ProxyCore,
+        events::ProxyEvent,
+        state_messages::{ask_state, spread},
+    },
+    state::configuration::ConfigurationVersion,
+};
+use rand::seq::SliceRandom;
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::task::spawn_local;
+
+/// How often a reader looks which nodes of its zone lack the version in force, beside at each new one.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+
+/// Offers the version in force to the nodes of the zone that lack it, as long as this node reads for the zone; until
+/// dropped.
+pub async fn keep_zone_current(core: Rc<ProxyCore>) {
+    loop {
+        if core.is_zone_reader() || core.stands_in() {
+            offer_to_lacking(&core);
+        }
+        let due = core.timers.after(LOOK_PAUSE);
+        tokio::select! {
+            _ = due.recv_async() => {}
+            () = core.table_taken.notified() => {}
+        }
+    }
+}
+
+fn offer_to_lacking(core: &Rc<ProxyCore>) {
+    let version = core.directory.borrow().version();
+    let lacking = core.list_lacking();
+    let now = core.timers.now();
+    let round = core
+        .offer_rounds
+        .borrow_mut()
+        .plan_round(version, &lacking, now);
+    if round == OfferRound::default() {
+        return;
+    }
+    core.log(&ProxyEvent::TableOffered {
+        version: version.0,
+        along_tree: round.along_tree.len(),
+        directly: round.directly.len(),
+    });
+    let mut receivers = round.along_tree;
+    // The other reader of the zone offers it too; with another order the loss of a node that passes on is made up for.
+    receivers.shuffle(&mut rand::rng());
+    offer_table(core, &receivers);
+    for to in round.directly {
+        let core = Rc::clone(core);
+        spawn_local(async move { offer_directly(&core, to, version).await });
+    }
+}
+
+async fn offer_directly(core: &ProxyCore, to: SocketAddr, version: ConfigurationVersion) {
+    let message = StateMessage {
+        offered: Some(version),
+        from: Some(core.settings.peers),
+        ..StateMessage::default()
+    };
+    let answer = ask_state(core, to, &message).await;
+    if let Some(has) = answer.and_then(|(answer, _)| answer.offered) {
+        core.directory.borrow_mut().note_version(to, has);
+    }
+}
+
+/// Offers the version in force to nodes, a few of which pass the offer on.
+pub fn offer_table(core: &Rc<ProxyCore>, receivers: &[SocketAddr]) {
+    let offer = TableOffer {
+        from: core.settings.peers,
+        version: core.directory.borrow().version(),
+        pass_on: receivers.to_vec(),
+    };
+    pass_on(core, &offer);
+}
+
+/// Passes an offer on as it came.
+pub fn pass_on(core: &Rc<ProxyCore>, offer: &TableOffer) {
+    let message = StateMessage {
+        offered: Some(offer.version),
+        from: Some(offer.from),
+        ..StateMessage::default()
+    };
+    spread(core, &offer.pass_on, &message);
+}
--- a/src/state/table_change.rs
+++ b/src/state/table_change.rs
@@ -190,7 +190,9 @@
                 table.routes.push(Rc::new(route));
             }
         }
-        if digest_table(&table) != self.digest {
+        // What a whole table holds doesn't rest on what is known here, and a node of another release may work its digest out
+        // otherwise.
+        if base.is_some() && digest_table(&table) != self.digest {
             return Err(ChangeError::Digest);
         }
         Ok(table)
