--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -19,6 +19,7 @@
 mod repeats;
 mod retiring;
 mod retiring_model;
+mod routing_table;
 mod settings_page;
 mod slot_queue;
 mod slot_search;
