Find a request's route by a map from prefixes

Change: a map from prefix to route for each host, asked from the longest place where a prefix may end to the shortest. A place is a length with the last byte of the prefix, so that prefixes without a slash at the end, empty ones and letters of several bytes need no second way. Ruled out: looking up each start of a path that ends in a slash; a path of thousands of slashes would be hashed as many times, the lengths in the table bound that. The first route of several with one prefix stays, as before.

--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -6,7 +6,12 @@
 };
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
-use std::{collections::HashMap, rc::Rc, time::Duration};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeSet, HashMap},
+    rc::Rc,
+    time::Duration,
+};
 
 /// One of the services that share a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -103,23 +108,16 @@
 #[derive(Clone, Debug)]
 pub struct RouteIndex {
     table: RoutingTable,
-    /// By host; the routes of one host are sorted by the length of their prefix, longest first.
-    hosts: HashMap<ArcStr, Vec<Rc<Route>>>,
+    hosts: HashMap<ArcStr, HostRoutes>,
 }
 
 impl RouteIndex {
-    /// Sorts the routes of a table by host and length of prefix.
+    /// Sorts the routes of a table by host and prefix.
     #[must_use]
     pub fn new(table: RoutingTable) -> Self {
-        let mut hosts: HashMap<ArcStr, Vec<Rc<Route>>> = HashMap::new();
+        let mut hosts: HashMap<ArcStr, HostRoutes> = HashMap::new();
         for route in &table.routes {
-            hosts
-                .entry(route.host.clone())
-                .or_default()
-                .push(Rc::clone(route));
-        }
-        for routes in hosts.values_mut() {
-            routes.sort_by_key(|route| std::cmp::Reverse(route.path_prefix.len()));
+            hosts.entry(route.host.clone()).or_default().add(route);
         }
         Self { table, hosts }
     }
@@ -146,8 +144,54 @@
             Some(routes) => routes,
             None => self.hosts.get(name.to_ascii_lowercase().as_str())?,
         };
-        routes
-            .iter()
-            .find(|route| path.starts_with(route.path_prefix.as_str()))
+        routes.find(path)
+    }
+}
+
+/// The routes of one host by their prefixes.
+#[derive(Clone, Debug, Default)]
+struct HostRoutes {
+    by_prefix: HashMap<ArcStr, Rc<Route>>,
+    ends: BTreeSet<PrefixEnd>,
+}
+
+impl HostRoutes {
+    /// The first route of a prefix stays.
+    fn add(&mut self, route: &Rc<Route>) {
+        self.ends.insert(PrefixEnd::of(&route.path_prefix));
+        let prefix = route.path_prefix.clone();
+        self.by_prefix
+            .entry(prefix)
+            .or_insert_with(|| Rc::clone(route));
+    }
+
+    fn find(&self, path: &str) -> Option<&Rc<Route>> {
+        let fitting = self.ends.iter().filter_map(|end| end.cut(path));
+        let mut found = fitting.filter_map(|prefix| self.by_prefix.get(prefix));
+        found.next()
+    }
+}
+
+/// Where a prefix ends, the longest first. A path is looked up only where a prefix may end: a client's path may have
+/// thousands of slashes, and looking up each start of it would take time by the square of its length.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct PrefixEnd {
+    length: Reverse<usize>,
+    /// Mostly a slash; none if the prefix is empty.
+    last: Option<u8>,
+}
+
+impl PrefixEnd {
+    fn of(prefix: &str) -> Self {
+        Self {
+            length: Reverse(prefix.len()),
+            last: prefix.bytes().last(),
+        }
+    }
+
+    /// The start of `path` up to there, if it ends in the same byte.
+    fn cut(self, path: &str) -> Option<&str> {
+        let start = path.get(..self.length.0)?;
+        (start.bytes().last() == self.last).then_some(start)
     }
 }
