--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -31,7 +31,7 @@
 use futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::Response;
 use rand::RngExt;
-use std::{cell::Cell, net::SocketAddr, ops::Range, rc::Rc, time::Duration};
+use std::{net::SocketAddr, ops::Range, rc::Rc, time::Duration};
 
 /// Spread of the times at which refused clients are to come back.
 const COME_BACK_SPREAD: Range<f64> = 0.8..1.2;
@@ -70,7 +70,7 @@
     earlier: Option<ClientEnd>,
     last_refusal: RefusalReason,
     /// Repeats taken from the budget.
-    paid: Cell<u16>,
+    paid: u16,
 }
 
 impl Carrier {
@@ -86,7 +86,7 @@
             attempts,
             earlier: None,
             last_refusal: RefusalReason::NoUpstream,
-            paid: Cell::default(),
+            paid: 0,
         }
     }
 
@@ -161,13 +161,13 @@
         self.attempts.arrivals().saturating_add(under_way) < self.call.route.max_attempts
     }
 
-    fn take_repeat(&self) -> bool {
+    fn take_repeat(&mut self) -> bool {
         if !self.may_reach_another() {
             return false;
         }
         let granted = take_repeat(&self.core, &self.call.service);
         if granted {
-            self.paid.set(self.paid.get().saturating_add(1));
+            self.paid = self.paid.saturating_add(1);
             count(&self.core.counters.repeats);
         } else {
             self.core.log(&ProxyEvent::RepeatWithheld {
@@ -334,7 +334,7 @@
     fn drop(&mut self) {
         let under_way = u16::try_from(self.under_way.len()).unwrap_or(u16::MAX);
         let arrivals = self.attempts.arrivals().saturating_add(under_way);
-        let unspent = self.paid.get().saturating_sub(arrivals.saturating_sub(1));
+        let unspent = self.paid.saturating_sub(arrivals.saturating_sub(1));
         give_back_repeats(&self.core, &self.call.service, unspent);
     }
 }
--- a/src/proxy/repeats.rs
+++ b/src/proxy/repeats.rs
@@ -1,10 +1,14 @@
 //! What this node spends of the budgets of repeats.
 
 use crate::{
-    coordination::repeat_budget::RepeatShare,
+    coordination::repeat_budget::{RepeatBudget, RepeatShare},
     proxy::core::ProxyCore,
-    state::names::{ClassName, ServiceName},
+    state::{
+        moment::Moment,
+        names::{ClassName, ServiceName},
+    },
 };
+use std::collections::HashMap;
 
 /// Counts a request that begins at this node.
 pub fn count_request(core: &ProxyCore, service: &ServiceName) {
@@ -32,28 +36,47 @@
 
 /// Whether the budgets hold the calls that a repeated run of a class makes again.
 pub fn has_room_for_calls(core: &ProxyCore, class: &ClassName) -> bool {
-    let (now, share) = (core.timers.now(), find_share(core));
-    let calls = core.calls.borrow().bound_calls(class, now);
-    let mut budgets = core.repeats.borrow_mut();
-    calls.into_iter().all(|(service, amount)| {
-        let budget = budgets.entry(service).or_default();
-        budget.has_room(now, share, amount)
-    })
+    let calls = ExpectedCalls::of_run(core, class);
+    calls.check_each(&mut core.repeats.borrow_mut(), RepeatBudget::has_room)
 }
 
 /// Takes the calls that a repeated run of a class makes again; false, and nothing taken, if a budget does not hold
 /// them.
 pub fn take_calls(core: &ProxyCore, class: &ClassName) -> bool {
-    if !has_room_for_calls(core, class) {
-        return false;
-    }
-    let (now, share) = (core.timers.now(), find_share(core));
-    let calls = core.calls.borrow().bound_calls(class, now);
+    let calls = ExpectedCalls::of_run(core, class);
     let mut budgets = core.repeats.borrow_mut();
-    calls.into_iter().all(|(service, amount)| {
-        let budget = budgets.entry(service).or_default();
-        budget.take(now, share, amount)
-    })
+    calls.check_each(&mut budgets, RepeatBudget::has_room)
+        && calls.check_each(&mut budgets, RepeatBudget::take)
+}
+
+/// The calls that a repeated run makes again at each service, at the most, and this node's part of the budgets now.
+struct ExpectedCalls {
+    now: Moment,
+    share: RepeatShare,
+    amounts: Vec<(ServiceName, f64)>,
+}
+
+impl ExpectedCalls {
+    fn of_run(core: &ProxyCore, class: &ClassName) -> Self {
+        let now = core.timers.now();
+        Self {
+            now,
+            share: find_share(core),
+            amounts: core.calls.borrow().bound_calls(class, now),
+        }
+    }
+
+    /// Whether `check` holds for the budget of each service.
+    fn check_each(
+        &self,
+        budgets: &mut HashMap<ServiceName, RepeatBudget>,
+        check: impl Fn(&mut RepeatBudget, Moment, RepeatShare, f64) -> bool,
+    ) -> bool {
+        self.amounts.iter().all(|(service, amount)| {
+            let budget = budgets.entry(service.clone()).or_default();
+            check(budget, self.now, self.share, *amount)
+        })
+    }
 }
 
 fn find_share(core: &ProxyCore) -> RepeatShare {
