One type for the identity of a run, in records, announcements and the upstream's run

Cause: instance and born stood beside each other in NodeRecord, Announcement, UpstreamRun and RunIdentity, and were copied one by one; forgetting born would make two runs one. Change: RunIdentity moved to src/state/run_identity.rs and stands in all of them, flattened in the record, whose stored form stays. directory.rs compares it whole.

Other tests changed only in how they build and read the two fields.

--- a/src/coordination/own_upstream.rs
+++ b/src/coordination/own_upstream.rs
@@ -3,7 +3,7 @@
 //! The node is the only way to its upstream, so what is decided here binds: once a leaving is taken
 //! in, no request reaches that run of the upstream any more, whatever other nodes believe.
 
-use crate::state::{moment::Moment, names::ServiceName};
+use crate::state::{moment::Moment, names::ServiceName, run_identity::RunIdentity};
 use std::{collections::VecDeque, time::Duration};
 
 /// Runs that are remembered after they have ended. A late announcement of one of them must not bring
@@ -13,10 +13,8 @@
 /// One announcement of an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Announcement {
-    /// Identity of the upstream's run.
-    pub instance: String,
-    /// When that run started, in Unix milliseconds by the upstream's clock, if it tells.
-    pub born: Option<u64>,
+    /// The upstream's run.
+    pub run: RunIdentity,
     /// Its service.
     pub service: ServiceName,
     /// Requests it runs at once.
@@ -32,11 +30,8 @@
 /// The present run of the upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct UpstreamRun {
-    /// Its identity.
-    pub instance: String,
-    /// When it started, in Unix milliseconds by its own clock, if it tells. An upstream may start again under the
-    /// identity that it had.
-    pub born: Option<u64>,
+    /// What tells it from other runs.
+    pub identity: RunIdentity,
     /// Its service.
     pub service: ServiceName,
     /// Requests it runs at once.
@@ -59,35 +54,6 @@
     Changed,
 }
 
-/// What tells one run of an upstream from another.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RunIdentity {
-    /// Its identity.
-    pub instance: String,
-    /// When it started, if it tells.
-    pub born: Option<u64>,
-}
-
-impl RunIdentity {
-    /// Whether `other` is this run, or one before it under the same identity. Where one of them does not tell when it
-    /// started, they count as the same: a leaving that was acknowledged must not be undone by a guess.
-    fn covers(&self, other: &Self) -> bool {
-        let later = matches!((self.born, other.born), (Some(own), Some(other)) if other > own);
-        self.instance == other.instance && !later
-    }
-}
-
-impl UpstreamRun {
-    /// What tells it from other runs.
-    #[must_use]
-    pub fn identity(&self) -> RunIdentity {
-        RunIdentity {
-            instance: self.instance.clone(),
-            born: self.born,
-        }
-    }
-}
-
 /// What is known of the upstream beside the node.
 #[derive(Clone, Debug, Default)]
 pub struct OwnUpstream {
@@ -110,24 +76,19 @@
 
     /// Takes in an announcement.
     pub fn announce(&mut self, announcement: Announcement, now: Moment) -> AnnouncementEffect {
-        let told = RunIdentity {
-            instance: announcement.instance.clone(),
-            born: announcement.born,
-        };
-        if self.has_ended(&told) {
+        if self.has_ended(&announcement.run) {
             return AnnouncementEffect::Stale;
         }
         let run = UpstreamRun {
             warm_at: now + announcement.warmup_left,
-            instance: announcement.instance,
-            born: announcement.born,
+            identity: announcement.run,
             service: announcement.service,
             slots: announcement.slots,
             leaving: announcement.leaving,
             sequence: announcement.sequence,
         };
         match &mut self.current {
-            Some(known) if known.identity().covers(&told) => update_run(known, run),
+            Some(known) if known.identity.covers(&run.identity) => update_run(known, run),
             _ => {
                 self.end_current();
                 self.current = Some(run);
@@ -139,11 +100,11 @@
     /// Takes in that a run leaves for good. True if that is news.
     pub fn depart(&mut self, told: &RunIdentity) -> bool {
         match &mut self.current {
-            Some(known) if known.identity() == *told || is_untold(known, told) => {
+            Some(known) if known.identity == *told || is_untold(&known.identity, told) => {
                 !std::mem::replace(&mut known.leaving, true)
             }
             // A late word of a run before the present one.
-            Some(known) if known.identity().covers(told) => false,
+            Some(known) if known.identity.covers(told) => false,
             _ => {
                 let known = self.has_ended(told);
                 if !known {
@@ -163,7 +124,7 @@
         let is_current = self
             .current
             .as_ref()
-            .is_some_and(|run| run.instance == instance);
+            .is_some_and(|run| run.identity.instance == instance);
         if is_current {
             self.end_current();
         }
@@ -171,7 +132,7 @@
 
     fn end_current(&mut self) {
         if let Some(run) = self.current.take() {
-            self.remember(run.identity());
+            self.remember(run.identity);
         }
     }
 
@@ -184,14 +145,14 @@
 }
 
 /// Whether the word is of the same identity and one of the two does not tell when its run started.
-fn is_untold(known: &UpstreamRun, told: &RunIdentity) -> bool {
+fn is_untold(known: &RunIdentity, told: &RunIdentity) -> bool {
     known.instance == told.instance && (known.born.is_none() || told.born.is_none())
 }
 
 /// A run that leaves never comes back to work under the same identity: a late announcement from
 /// before it left would have its node send it work again.
 fn update_run(known: &mut UpstreamRun, run: UpstreamRun) -> AnnouncementEffect {
-    let earlier = matches!((run.born, known.born), (Some(told), Some(known)) if told < known);
+    let earlier = !run.identity.covers(&known.identity);
     if earlier || run.sequence <= known.sequence {
         return AnnouncementEffect::Stale;
     }
@@ -201,7 +162,10 @@
     *known = UpstreamRun {
         leaving,
         warm_at,
-        born: run.born.or(known.born),
+        identity: RunIdentity {
+            born: run.identity.born.or(known.identity.born),
+            instance: run.identity.instance,
+        },
         ..run
     };
     if changed {
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -8,7 +8,7 @@
         ProxyListeners, announcing::take_announcement, core::ProxyCore, follow_store,
         operating::answer_operators, run_proxy,
     },
-    state::names::NodeName,
+    state::{names::NodeName, run_identity::RunIdentity},
     timers::TimerService,
     transport::operators::server::{OperatorServer, serve_operators},
 };
@@ -237,8 +237,10 @@
         requests,
     ));
     let announcement = Announcement {
-        born: None,
-        instance: plan.name.to_string(),
+        run: RunIdentity {
+            instance: plan.name.to_string(),
+            born: None,
+        },
         service: plan.service.clone(),
         slots: plan.slots,
         leaving: false,
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -1,13 +1,13 @@
 //! Takes in what the upstream beside the node announces, and has it recorded in the store.
 
 use crate::{
-    coordination::own_upstream::{Announcement, AnnouncementEffect, RunIdentity, UpstreamRun},
+    coordination::own_upstream::{Announcement, AnnouncementEffect},
     proxy::{
         core::ProxyCore,
         events::ProxyEvent,
         executing::{ask_instance, confirm_instance, limit_for, set_limit},
     },
-    state::placement_view::NodeRecord,
+    state::{placement_view::NodeRecord, run_identity::RunIdentity},
 };
 use flume::Sender;
 use std::{rc::Rc, time::Duration};
@@ -32,7 +32,7 @@
     store: &Sender<RecordOrder>,
 ) {
     let now = core.timers.now();
-    let instance = announcement.instance.clone();
+    let instance = announcement.run.instance.clone();
     let leaving = announcement.leaving;
     let sequence = announcement.sequence;
     if is_contradicted(core, &announcement).await {
@@ -58,18 +58,18 @@
 /// A word of a run that has ended may arrive late, and a node that was started since does not know that run. Were
 /// it believed, the run that works would count as ended for good.
 async fn is_contradicted(core: &Rc<ProxyCore>, announcement: &Announcement) -> bool {
-    let known = core.own.borrow().serving().map(UpstreamRun::identity);
-    if known.is_none_or(|known| known.instance == announcement.instance) {
+    let known = core.own.borrow().serving().map(|run| run.identity.clone());
+    if known.is_none_or(|known| known.instance == announcement.run.instance) {
         return false;
     }
     let told = ask_instance(core, &announcement.service).await;
-    told.is_some_and(|told| told != announcement.instance)
+    told.is_some_and(|told| told != announcement.run.instance)
 }
 
 /// The present run of the upstream beside this node.
 #[must_use]
 pub fn identify_own(core: &ProxyCore) -> Option<RunIdentity> {
-    core.own.borrow().current().map(UpstreamRun::identity)
+    core.own.borrow().current().map(|run| run.identity.clone())
 }
 
 /// Takes in that a run of the upstream leaves; returns once it may be acknowledged.
@@ -112,11 +112,10 @@
     let unknown = core.own.borrow().current().is_none();
     let unchanged = core.stored.replace(Some(record.clone())).as_ref() == Some(&record);
     if record.leaving {
-        core.own.borrow_mut().depart(&identify(&record));
+        core.own.borrow_mut().depart(&record.run);
     } else if unknown && !unchanged && confirm_instance(core, &record).await {
         let announcement = Announcement {
-            instance: record.instance.clone(),
-            born: record.born,
+            run: record.run.clone(),
             service: record.service.clone(),
             slots: record.slots,
             leaving: false,
@@ -129,19 +128,12 @@
             set_limit(core, limit_for(record.slots));
             core.directory.borrow_mut().take_own(record.clone());
             core.log(&ProxyEvent::UpstreamRecalled {
-                instance: record.instance.clone(),
+                instance: record.run.instance.clone(),
             });
         }
     }
 }
 
-fn identify(record: &NodeRecord) -> RunIdentity {
-    RunIdentity {
-        instance: record.instance.clone(),
-        born: record.born,
-    }
-}
-
 /// The record of this node, if its upstream has announced itself.
 #[must_use]
 pub fn describe_own(core: &ProxyCore) -> Option<NodeRecord> {
@@ -152,8 +144,7 @@
         address: core.settings.peers,
         service: run.service.clone(),
         availability_zone: core.settings.availability_zone.clone(),
-        instance: run.instance.clone(),
-        born: run.born,
+        run: run.identity.clone(),
         slots: run.slots,
         leaving: run.leaving,
         operators: core.settings.operators,
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -195,7 +195,7 @@
             known: stored.record.name.clone(),
             address: stored.record.address,
             service: stored.record.service.clone(),
-            instance: stored.record.instance.clone(),
+            instance: stored.record.run.instance.clone(),
             leaving: stored.record.leaving,
             revision: stored.revision,
         };
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -195,5 +195,5 @@
 
 /// What is known of a node's load and answers holds for one run of its upstream.
 fn is_same_run(known: &NodeRecord, told: &NodeRecord) -> bool {
-    known.instance == told.instance && known.born == told.born
+    known.run == told.run
 }
--- a/src/proxy/executing/attempt_line.rs
+++ b/src/proxy/executing/attempt_line.rs
@@ -87,7 +87,7 @@
             request: std::mem::take(&mut self.request),
             from: self.from,
             class: self.class.clone(),
-            instance: own.current().map(|run| run.instance.clone()),
+            instance: own.current().map(|run| run.identity.instance.clone()),
             end,
             running: self.running,
             queued: self.queued,
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -39,7 +39,12 @@
     req: CallerRequest,
     time_left: Duration,
 ) -> (Verdict, Option<Response<Bytes>>) {
-    let Some(instance) = core.own.borrow().serving().map(|run| run.instance.clone()) else {
+    let Some(instance) = core
+        .own
+        .borrow()
+        .serving()
+        .map(|run| run.identity.instance.clone())
+    else {
         return (Verdict::Refused(RefusalReason::Draining), None);
     };
     let names = &core.settings.headers;
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -161,7 +161,7 @@
         return false;
     };
     let told = answer.headers().get(&core.settings.headers.instance);
-    let same = told.is_some_and(|told| told.as_bytes() == record.instance.as_bytes());
+    let same = told.is_some_and(|told| told.as_bytes() == record.run.instance.as_bytes());
     same && answer.status().is_success()
 }
 
--- a/src/proxy/operating.rs
+++ b/src/proxy/operating.rs
@@ -134,7 +134,7 @@
     let own = core.own.borrow();
     let run = own.current()?;
     Some(UpstreamStatus {
-        instance: run.instance.clone(),
+        instance: run.identity.instance.clone(),
         leaving: run.leaving,
         slots: run.slots,
         limit: load.limit,
--- a/src/proxy/retiring.rs
+++ b/src/proxy/retiring.rs
@@ -143,7 +143,7 @@
         Ok(ConditionalAppend::Stored) => core.log(&ProxyEvent::NodeRetired {
             known: record.name,
             address: suspect,
-            instance: record.instance,
+            instance: record.run.instance,
         }),
         // Looked at again in the next step, by what the store holds then.
         Ok(ConditionalAppend::Overtaken) | Err(_) => {}
--- a/src/state.rs
+++ b/src/state.rs
@@ -10,4 +10,5 @@
 pub mod published;
 pub mod rate_limit;
 pub mod routing_table;
+pub mod run_identity;
 pub mod service_times;
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -3,6 +3,7 @@
 use crate::state::{
     moment::Moment,
     names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
+    run_identity::RunIdentity,
 };
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
@@ -27,11 +28,9 @@
     pub service: ServiceName,
     /// Availability zone of the VM.
     pub availability_zone: AvailabilityZoneName,
-    /// Identity of the upstream's run.
-    pub instance: String,
-    /// When that run started, in Unix milliseconds, if it told.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub born: Option<u64>,
+    /// The upstream's run.
+    #[serde(flatten)]
+    pub run: RunIdentity,
     /// Requests that the upstream runs at once.
     pub slots: u16,
     /// The upstream has said that it leaves.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -23,4 +23,5 @@
 mod settings_page;
 mod slot_queue;
 mod slot_search;
+mod stored_records;
 mod vm_pace;
--- a/tests/integration/mesh_model.rs
+++ b/tests/integration/mesh_model.rs
@@ -12,6 +12,7 @@
         configuration::ConfigurationVersion,
         moment::Moment,
         routing_table::{ClientLimits, RoutingTable},
+        run_identity::RunIdentity,
     },
 };
 use pathfinding::prelude::bfs;
@@ -114,8 +115,8 @@
         }
         let serving = own.serving()?;
         let first = match self.naming {
-            Naming::Apart => serving.instance == "1",
-            Naming::Again => serving.born != Some(2),
+            Naming::Apart => serving.identity.instance == "1",
+            Naming::Again => serving.identity.born != Some(2),
         };
         Some(if first { 1 } else { 2 })
     }
@@ -126,8 +127,10 @@
             Naming::Again => "1".to_owned(),
         };
         Announcement {
-            born: (without != Without::Born).then_some(u64::from(run)),
-            instance,
+            run: RunIdentity {
+                instance,
+                born: (without != Without::Born).then_some(u64::from(run)),
+            },
             service: "desk".into(),
             slots: 6,
             leaving,
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -2,7 +2,7 @@
 
 use camphorturn::{
     coordination::{
-        own_upstream::{Announcement, AnnouncementEffect, OwnUpstream, RunIdentity},
+        own_upstream::{Announcement, AnnouncementEffect, OwnUpstream},
         placement::order_candidates,
         spreading::split_receivers,
         store_reading::{is_reader, plan_reading},
@@ -19,6 +19,7 @@
         placement_view::{NodeLoad, NodeRecord, NodeView, StoredRecord},
         rate_limit::RateLimit,
         routing_table::{ClientLimits, Route, RouteIndex, RoutingTable, WeightedService},
+        run_identity::RunIdentity,
     },
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -32,8 +33,7 @@
 
 fn announcement(instance: &str, sequence: u64, leaving: bool) -> Announcement {
     Announcement {
-        born: None,
-        instance: instance.to_owned(),
+        run: run(instance, None),
         service: "desk".into(),
         slots: 6,
         leaving,
@@ -52,8 +52,7 @@
         address: address(last),
         service: "desk".into(),
         availability_zone: zone.into(),
-        instance: instance.to_owned(),
-        born: None,
+        run: run(instance, None),
         slots: 6,
         leaving: false,
         operators: None,
@@ -147,7 +146,7 @@
     };
     assert!(directory.take_record(stored(7, "i-2"), StateSource::Store));
     assert!(!directory.take_record(stored(3, "i-1"), StateSource::Store));
-    assert_eq!(directory.nodes[&address(1)].record.instance, "i-2");
+    assert_eq!(directory.nodes[&address(1)].record.run.instance, "i-2");
 }
 
 #[test]
@@ -175,9 +174,9 @@
                     Moment(0),
                 );
                 if own.current().is_some_and(|run| run.leaving) {
-                    left.extend(own.current().map(|run| run.instance.clone()));
+                    left.extend(own.current().map(|run| run.identity.instance.clone()));
                 }
-                let serving = own.serving().map(|run| run.instance.clone());
+                let serving = own.serving().map(|run| run.identity.instance.clone());
                 assert!(serving.is_none_or(|serving| !left.contains(&serving)));
             }
         });
@@ -201,12 +200,15 @@
     own.announce(announcement("i-2", 1, false), Moment(0));
     let effect = own.announce(announcement("i-1", 6, false), Moment(0));
     assert_eq!(effect, AnnouncementEffect::Stale);
-    assert_eq!(own.current().map(|run| run.instance.as_str()), Some("i-2"));
+    assert_eq!(
+        own.current().map(|run| run.identity.instance.as_str()),
+        Some("i-2")
+    );
 }
 
 fn announcement_of(born: u64, sequence: u64, leaving: bool) -> Announcement {
     Announcement {
-        born: Some(born),
+        run: run("i-1", Some(born)),
         ..announcement("i-1", sequence, leaving)
     }
 }
@@ -220,7 +222,7 @@
     assert!(own.serving().is_none());
     let again = own.announce(announcement_of(2_000, 1, false), Moment(0));
     assert_eq!(again, AnnouncementEffect::Changed);
-    assert_eq!(own.serving().and_then(|run| run.born), Some(2_000));
+    assert_eq!(own.serving().and_then(|run| run.identity.born), Some(2_000));
 }
 
 /// Symptom: an upstream that has left gets work. Sequence: it has started again under its identity; words of its former run
@@ -233,7 +235,7 @@
     let late = own.announce(announcement_of(1_000, 8, true), Moment(0));
     assert_eq!(late, AnnouncementEffect::Stale);
     assert!(!own.depart(&run("i-1", Some(1_000))));
-    assert_eq!(own.serving().and_then(|run| run.born), Some(2_000));
+    assert_eq!(own.serving().and_then(|run| run.identity.born), Some(2_000));
     assert!(own.depart(&run("i-1", Some(2_000))));
     assert!(own.serving().is_none());
 }
--- a/tests/integration/retiring.rs
+++ b/tests/integration/retiring.rs
@@ -7,6 +7,7 @@
     state::{
         moment::Moment,
         placement_view::{NodeRecord, StoredRecord},
+        run_identity::RunIdentity,
     },
 };
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
@@ -33,8 +34,10 @@
         address: address(number),
         service: "desk".into(),
         availability_zone: "a".into(),
-        instance: format!("i{number}"),
-        born: None,
+        run: RunIdentity {
+            instance: format!("i{number}"),
+            born: None,
+        },
         slots: 6,
         leaving: false,
         operators: None,
--- a/tests/integration/retiring_model.rs
+++ b/tests/integration/retiring_model.rs
@@ -6,7 +6,10 @@
 
 use camphorturn::{
     proxy::directory::{Directory, StateSource},
-    state::placement_view::{NodeRecord, StoredRecord},
+    state::{
+        placement_view::{NodeRecord, StoredRecord},
+        run_identity::RunIdentity,
+    },
 };
 use pathfinding::prelude::{bfs, bfs_reach};
 
@@ -203,8 +206,10 @@
                 address: ([10, 0, 0, 1], 7_000).into(),
                 service: "desk".into(),
                 availability_zone: "a".into(),
-                instance: run.to_string(),
-                born: None,
+                run: RunIdentity {
+                    instance: run.to_string(),
+                    born: None,
+                },
                 slots: 6,
                 leaving: false,
                 operators: None,
