--- a/src/state.rs
+++ b/src/state.rs
@@ -12,3 +12,5 @@
 pub mod routing_table;
 pub mod run_identity;
 pub mod service_times;
+pub mod table_change;
+pub mod table_history;
