Take repeated starts and lines of tests together

Ruled out: one builder for the drawn routes of routing_table and its example, which are two programs.

--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -135,14 +135,19 @@
     }
 }
 
+/// Entries by their names; the last of one name counts.
+fn by_name<Name: Ord, Entry>(
+    entries: &[Entry],
+    name: impl Fn(&Entry) -> &Name,
+) -> BTreeMap<&Name, &Entry> {
+    entries.iter().map(|entry| (name(entry), entry)).collect()
+}
+
 fn list_service_changes(newer: &Configuration, earlier: &Configuration) -> Vec<String> {
-    let by_name = |configuration: &Configuration| -> BTreeMap<ServiceName, ServiceEntry> {
-        let services = configuration.services.iter();
-        services
-            .map(|entry| (entry.name.clone(), entry.clone()))
-            .collect()
-    };
-    let (newer, earlier) = (by_name(newer), by_name(earlier));
+    let (newer, earlier) = (
+        by_name(&newer.services, |entry| &entry.name),
+        by_name(&earlier.services, |entry| &entry.name),
+    );
     let mut changes = Vec::new();
     for (name, entry) in &newer {
         match earlier.get(name) {
@@ -154,19 +159,16 @@
             Some(_) => {}
         }
     }
-    let dropped = earlier.keys().filter(|name| !newer.contains_key(name));
+    let dropped = earlier.keys().filter(|name| !newer.contains_key(*name));
     changes.extend(dropped.map(|name| format!("service {name} dropped")));
     changes
 }
 
 fn list_class_changes(newer: &Configuration, earlier: &Configuration) -> Vec<String> {
-    let by_name = |configuration: &Configuration| -> BTreeMap<ClassName, ClassEntry> {
-        let classes = configuration.classes.iter();
-        classes
-            .map(|entry| (entry.name.clone(), entry.clone()))
-            .collect()
-    };
-    let (newer, earlier) = (by_name(newer), by_name(earlier));
+    let (newer, earlier) = (
+        by_name(&newer.classes, |entry| &entry.name),
+        by_name(&earlier.classes, |entry| &entry.name),
+    );
     let mut changes = Vec::new();
     for (name, entry) in &newer {
         match earlier.get(name) {
@@ -174,7 +176,7 @@
             Some(before) => changes.extend(list_fields(name, entry, before)),
         }
     }
-    let dropped = earlier.keys().filter(|name| !newer.contains_key(name));
+    let dropped = earlier.keys().filter(|name| !newer.contains_key(*name));
     changes.extend(dropped.map(|name| format!("class {name} dropped")));
     changes
 }
--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -6,6 +6,9 @@
     runs::split_runs,
 };
 
+/// When n1 and n2 were started, in milliseconds of the day.
+const STARTED: u64 = 1_000;
+
 /// Members of the line on the end of request `r1`.
 fn ended(end: &str, took: u64, more: &str) -> String {
     format!(
@@ -33,13 +36,27 @@
 /// The story of `r1`, with n1 and n2 started one second before.
 fn tell(lines: &[String]) -> RequestStory {
     let mut all = vec![
-        started("n1", (1_000, 0), "10.0.0.1:1"),
-        started("n2", (1_000, 0), "10.0.0.2:1"),
+        started("n1", (STARTED, 0), "10.0.0.1:1"),
+        started("n2", (STARTED, 0), "10.0.0.2:1"),
     ];
     all.extend_from_slice(lines);
     tell_request(&split_runs(all.iter().map(String::as_str)).runs, "r1")
 }
 
+/// Lines of n1 at a time of day: what came of the attempt at n2, and of the request.
+fn entry_lines(wall: u64, attempt: &str, request: &str) -> [String; 2] {
+    let time = (wall, wall - STARTED);
+    [
+        line("n1", time, 2, 802, attempt),
+        line("n1", time, 3, 801, request),
+    ]
+}
+
+/// Line of n2 on the same attempt.
+fn executing_line(wall: u64, attempt: &str) -> String {
+    line("n2", (wall, wall - STARTED), 2, 803, attempt)
+}
+
 fn assert_cause(story: &RequestStory, part: &str) {
     assert!(
         story.causes.iter().any(|cause| cause.contains(part)),
@@ -51,29 +68,10 @@
 
 #[test]
 fn explain_refused_for_lack_of_slots() {
-    let story = tell(&[
-        line(
-            "n2",
-            (2_004, 1_004),
-            2,
-            803,
-            &executed(FULL, 1, ",\"pace_percent\":400"),
-        ),
-        line(
-            "n1",
-            (2_010, 1_010),
-            2,
-            802,
-            &returned(FULL, 2, ",\"finish_ms\":572"),
-        ),
-        line(
-            "n1",
-            (2_010, 1_010),
-            3,
-            801,
-            &ended(FULL, 10, ",\"asked\":1"),
-        ),
-    ]);
+    let at_n2 = executing_line(2_004, &executed(FULL, 1, ",\"pace_percent\":400"));
+    let refused = returned(FULL, 2, ",\"finish_ms\":572");
+    let [attempt, end] = entry_lines(2_010, &refused, &ended(FULL, 10, ",\"asked\":1"));
+    let story = tell(&[at_n2, attempt, end]);
     assert_eq!(story.end, "refused: queue full");
     assert_cause(&story, "the soonest end was 572 ms away");
     assert_cause(&story, "The VM of n2 worked at 400%");
@@ -84,17 +82,10 @@
 #[test]
 fn explain_unknown_after_a_cut() {
     let cut = "{\"unknown\":\"upstream_cut\"}";
-    let story = tell(&[
-        line("n2", (2_004, 1_004), 2, 803, &executed(cut, 5, "")),
-        line("n1", (2_010, 1_010), 2, 802, &returned(cut, 7, "")),
-        line(
-            "n1",
-            (2_010, 1_010),
-            3,
-            801,
-            &ended(cut, 10, ",\"arrivals\":1"),
-        ),
-    ]);
+    let at_n2 = executing_line(2_004, &executed(cut, 5, ""));
+    let end = ended(cut, 10, ",\"arrivals\":1");
+    let [attempt, end] = entry_lines(2_010, &returned(cut, 7, ""), &end);
+    let story = tell(&[at_n2, attempt, end]);
     assert_cause(&story, "The upstream beside n2 closed the connection");
     assert_cause(&story, "(run i7)");
 }
@@ -102,17 +93,9 @@
 #[test]
 fn explain_unknown_after_a_restart() {
     let lost = "{\"unknown\":\"node_lost\"}";
-    let story = tell(&[
-        line("n1", (2_010, 1_010), 2, 802, &returned(lost, 7, "")),
-        line(
-            "n1",
-            (2_010, 1_010),
-            3,
-            801,
-            &ended(lost, 10, ",\"arrivals\":1"),
-        ),
-        started("n2", (2_500, 0), "10.0.0.2:1"),
-    ]);
+    let end = ended(lost, 10, ",\"arrivals\":1");
+    let [attempt, end] = entry_lines(2_010, &returned(lost, 7, ""), &end);
+    let story = tell(&[attempt, end, started("n2", (2_500, 0), "10.0.0.2:1")]);
     assert_cause(&story, "n2 was started anew at that time");
 }
 
@@ -120,23 +103,11 @@
 fn explain_late_answer() {
     let answered = "{\"answered\":200}";
     let slow = ",\"waited_ms\":120,\"expected_ms\":90,\"pace_percent\":100";
-    let story = tell(&[
-        line("n2", (2_400, 1_400), 2, 803, &executed(answered, 395, slow)),
-        line(
-            "n1",
-            (2_405, 1_405),
-            2,
-            802,
-            &returned(answered, 400, ",\"waited_ms\":120"),
-        ),
-        line(
-            "n1",
-            (2_405, 1_405),
-            3,
-            801,
-            &ended(answered, 402, ",\"arrivals\":1"),
-        ),
-    ]);
+    let at_n2 = executing_line(2_400, &executed(answered, 395, slow));
+    let attempt = returned(answered, 400, ",\"waited_ms\":120");
+    let end = ended(answered, 402, ",\"arrivals\":1");
+    let [attempt, end] = entry_lines(2_405, &attempt, &end);
+    let story = tell(&[at_n2, attempt, end]);
     assert_cause(&story, "answered 102 ms after its target");
     assert_cause(&story, "waited 120 ms for a slot and ran for 280 ms");
     assert_cause(&story, "took 275 ms for what takes 90 ms");
@@ -178,31 +149,14 @@
 #[test]
 fn explain_deadline_with_an_attempt_under_way() {
     let passed = "{\"unknown\":\"deadline_passed\"}";
-    let attempt = line(
-        "n1",
-        (3_000, 2_000),
-        2,
-        802,
-        &returned("\"abandoned\"", 1_990, ""),
-    );
-    let end = line(
-        "n1",
-        (3_000, 2_000),
-        3,
-        801,
-        &ended(passed, 2_000, ",\"asked\":1"),
-    );
+    let abandoned = returned("\"abandoned\"", 1_990, "");
+    let end = ended(passed, 2_000, ",\"asked\":1");
+    let [attempt, end] = entry_lines(3_000, &abandoned, &end);
     let silent = tell(&[attempt.clone(), end.clone()]);
     assert_cause(&silent, "n2 had not answered 1990 ms after it was asked");
     let slow = ",\"waited_ms\":300,\"expected_ms\":90,\"pace_percent\":400";
-    let executed = line(
-        "n2",
-        (3_001, 2_001),
-        2,
-        803,
-        &executed("\"client_left\"", 1_991, slow),
-    );
-    let told = tell(&[attempt, end, executed]);
+    let at_n2 = executing_line(3_001, &executed("\"client_left\"", 1_991, slow));
+    let told = tell(&[attempt, end, at_n2]);
     assert_cause(
         &told,
         "At n2 it waited 300 ms for a slot and ran for 1690 ms",
