Split the state of a node, the carrier and the offer of a slot by their jobs

Change: core/counters.rs, core/duties.rs (what a node does by its place among the nodes), state/class_bytes.rs (the averages, a type of its own), entry/carrier/judging.rs, and describe and may_start beside offer. The logic was moved, not changed.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -157,18 +157,8 @@
     pub fn offer(&mut self, request: SlotRequest, now: Moment) -> SlotDecision {
         let on_time = self.forecast(&request, now);
         let fits = on_time <= request.target_left;
-        let takes = self.pace.stretch_usual(request.expected);
-        let latest = now + request.target_left.saturating_sub(takes);
-        let waiting = Waiting {
-            number: SlotNumber(self.next_number),
-            priority: request.priority,
-            expected: request.expected,
-            on_time_until: fits.then_some(latest),
-            until: now + request.time_left.saturating_sub(takes),
-        };
-        let has_room = self.running.len() < self.limit && self.waiting.is_empty();
-        let starts_now = has_room && self.pace.pays_to_start(request.expected);
-        if starts_now && !(self.pace.is_slow() && request.within.is_zero()) {
+        let waiting = self.describe(&request, fits, now);
+        if self.may_start(&request) {
             self.next_number += 1;
             self.late_share.note_idle();
             self.start(&waiting, now);
@@ -187,6 +177,26 @@
         SlotDecision::Wait(waiting.number)
     }
 
+    /// The request as it would wait; `fits` if it could end in time.
+    fn describe(&self, request: &SlotRequest, fits: bool, now: Moment) -> Waiting {
+        let takes = self.pace.stretch_usual(request.expected);
+        let latest = now + request.target_left.saturating_sub(takes);
+        Waiting {
+            number: SlotNumber(self.next_number),
+            priority: request.priority,
+            expected: request.expected,
+            on_time_until: fits.then_some(latest),
+            until: now + request.time_left.saturating_sub(takes),
+        }
+    }
+
+    /// Whether a new request runs at once. At a slow moment one that wants a slot at once goes to another node.
+    fn may_start(&self, request: &SlotRequest) -> bool {
+        let has_room = self.running.len() < self.limit && self.waiting.is_empty();
+        let goes_elsewhere = self.pace.is_slow() && request.within.is_zero();
+        has_room && self.pace.pays_to_start(request.expected) && !goes_elsewhere
+    }
+
     /// Takes in that a request at the upstream ended.
     pub fn finish(&mut self, number: SlotNumber, now: Moment) -> Vec<SlotAction> {
         self.running.retain(|running| running.number != number);
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -1,11 +1,13 @@
 //! What the parts of a node share on its event-loop thread.
 
+mod counters;
+mod duties;
+
+pub use self::counters::{ProxyCounters, count};
+
 use crate::{
     coordination::{
-        calls_per_run::CallsPerRun,
-        own_upstream::OwnUpstream,
-        repeat_budget::RepeatBudget,
-        store_reading::{ReadingPlan, find_predecessor, is_first, is_reader, plan_reading},
+        calls_per_run::CallsPerRun, own_upstream::OwnUpstream, repeat_budget::RepeatBudget,
         table_sources::TableSources,
     },
     options::proxy_settings::{NodeBounds, ProxySettings},
@@ -15,6 +17,7 @@
         executing::Slots,
     },
     state::{
+        class_bytes::ClassBytes,
         class_counts::ClassCounts,
         moment::Moment,
         names::{ClassName, ServiceName},
@@ -29,47 +32,10 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
     rc::Rc,
-    time::Duration,
 };
 use tokio::sync::Notify;
 
-/// Bytes that a class is taken to need before any were seen.
-const FIRST_BYTES: f64 = 1_500.0;
-/// How long a node reads the store in place of one that can't; asked again as long as that lasts.
-const STANDING_IN: Duration = Duration::from_secs(8);
-/// Weight of the newest in the moving average of bytes.
-const BYTES_WEIGHT: f64 = 0.1;
-
-/// Counts since the start, for the metrics page.
-#[derive(Debug, Default)]
-pub struct ProxyCounters {
-    /// Requests of clients.
-    pub requests: Cell<u64>,
-    /// Of these, answered by an upstream.
-    pub answered: Cell<u64>,
-    /// Of these, refused without having run.
-    pub refused: Cell<u64>,
-    /// Of these, ended without it being known whether they ran.
-    pub unknown: Cell<u64>,
-    /// Requests run at the upstream beside the node.
-    pub executed: Cell<u64>,
-    /// Requests sent to a second upstream.
-    pub repeats: Cell<u64>,
-    /// Questions to the upstream beside the node for its load.
-    pub probes: Cell<u64>,
-    /// Bytes of messages with state that came from other nodes.
-    pub state_bytes: Cell<u64>,
-    /// Routing tables that came from other nodes and were no news.
-    pub stale_tables: Cell<u64>,
-}
-
-/// Adds one.
-pub fn count(counter: &Cell<u64>) {
-    counter.set(counter.get() + 1);
-}
-
 /// State and edges of one node. No borrow is held over an `await`.
 pub struct ProxyCore {
     /// What the node was told at its start.
@@ -104,8 +70,8 @@
     pub started: Moment,
     /// What became of the requests of each class.
     pub classes: RefCell<BTreeMap<ClassName, ClassCounts>>,
-    /// Moving averages of the bytes of a request and its answer, by class.
-    pub class_bytes: RefCell<HashMap<ClassName, f64>>,
+    /// Usual bytes of a request and its answer, by class.
+    pub class_bytes: RefCell<ClassBytes>,
     /// Whether a newer routing table is being fetched from other nodes.
     pub fetching: Cell<bool>,
     /// Who has told of newer routing tables.
@@ -214,82 +180,6 @@
         news
     }
 
-    /// How this node reads the store next.
-    #[must_use]
-    pub fn plan_reading(&self) -> ReadingPlan {
-        let reader = self.stands_in() || self.is_zone_reader();
-        plan_reading(reader, self.directory.borrow().nodes.len())
-    }
-
-    /// Whether this node reads the store in place of one that can't.
-    #[must_use]
-    pub fn stands_in(&self) -> bool {
-        self.timers.now() < self.reads_until.get()
-    }
-
-    /// Whether this node is one of those that read the store for their zone.
-    #[must_use]
-    pub fn is_zone_reader(&self) -> bool {
-        is_reader(self.settings.peers, self.list_zone().into_iter())
-    }
-
-    /// Whether this node does what one node of the mesh does.
-    #[must_use]
-    pub fn is_first(&self) -> bool {
-        is_first(
-            self.settings.peers,
-            self.list_reachable(|_| true).into_iter(),
-        )
-    }
-
-    /// The node that goes directly before this one, of those that can be reached as far as is known.
-    #[must_use]
-    pub fn find_predecessor(&self) -> Option<SocketAddr> {
-        let others = self.list_reachable(|_| true).into_iter();
-        find_predecessor(self.settings.peers, others)
-    }
-
-    /// Reads the store for the zone for a while, in place of a node that can't.
-    pub fn read_for_zone(&self) {
-        self.reads_until.set(self.timers.now() + STANDING_IN);
-    }
-
-    /// The other nodes of the zone that can be reached.
-    #[must_use]
-    pub fn list_zone(&self) -> Vec<SocketAddr> {
-        let own_zone = &self.settings.availability_zone;
-        self.list_reachable(|record| record.availability_zone == *own_zone)
-    }
-
-    /// The other nodes that can be reached, as far as is known, and whose record is `wanted`.
-    fn list_reachable(&self, wanted: impl Fn(&NodeRecord) -> bool) -> Vec<SocketAddr> {
-        let now = self.timers.now();
-        let directory = self.directory.borrow();
-        let views = directory.nodes.values();
-        views
-            .filter(|view| wanted(&view.record))
-            .filter(|view| view.failures == 0 && view.paused_until <= now)
-            .map(|view| view.record.address)
-            .filter(|address| *address != self.settings.peers)
-            .collect()
-    }
-
-    /// Usual bytes of a request of a class with its answer.
-    #[must_use]
-    pub fn class_bytes(&self, class: &ClassName) -> f64 {
-        let known = self.class_bytes.borrow().get(class).copied();
-        known.unwrap_or(FIRST_BYTES)
-    }
-
-    /// Learns the bytes of a request and its answer, without heads.
-    pub fn note_bytes(&self, class: &ClassName, bytes: usize) {
-        #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
-        let bytes = bytes as f64;
-        let mut known = self.class_bytes.borrow_mut();
-        let average = known.entry(class.clone()).or_insert(bytes);
-        *average += (bytes - *average) * BYTES_WEIGHT;
-    }
-
     /// Counts the end of a request of a class.
     pub fn count_class(&self, class: &ClassName, count: impl FnOnce(&mut ClassCounts)) {
         let mut classes = self.classes.borrow_mut();
--- /dev/null
+++ b/src/proxy/core/duties.rs
@@ -0,0 +1,75 @@
+//! What a node does for its zone or for the whole mesh, by its place among the nodes that can be reached.
+
+use crate::{
+    coordination::store_reading::{
+        ReadingPlan, find_predecessor, is_first, is_reader, plan_reading,
+    },
+    proxy::core::ProxyCore,
+    state::placement_view::NodeRecord,
+};
+use std::{net::SocketAddr, time::Duration};
+
+/// How long a node reads the store in place of one that can't; asked again as long as that lasts.
+const STANDING_IN: Duration = Duration::from_secs(8);
+
+impl ProxyCore {
+    /// How this node reads the store next.
+    #[must_use]
+    pub fn plan_reading(&self) -> ReadingPlan {
+        let reader = self.stands_in() || self.is_zone_reader();
+        plan_reading(reader, self.directory.borrow().nodes.len())
+    }
+
+    /// Whether this node reads the store in place of one that can't.
+    #[must_use]
+    pub fn stands_in(&self) -> bool {
+        self.timers.now() < self.reads_until.get()
+    }
+
+    /// Whether this node is one of those that read the store for their zone.
+    #[must_use]
+    pub fn is_zone_reader(&self) -> bool {
+        is_reader(self.settings.peers, self.list_zone().into_iter())
+    }
+
+    /// Whether this node does what one node of the mesh does.
+    #[must_use]
+    pub fn is_first(&self) -> bool {
+        is_first(
+            self.settings.peers,
+            self.list_reachable(|_| true).into_iter(),
+        )
+    }
+
+    /// The node that goes directly before this one, of those that can be reached as far as is known.
+    #[must_use]
+    pub fn find_predecessor(&self) -> Option<SocketAddr> {
+        let others = self.list_reachable(|_| true).into_iter();
+        find_predecessor(self.settings.peers, others)
+    }
+
+    /// Reads the store for the zone for a while, in place of a node that can't.
+    pub fn read_for_zone(&self) {
+        self.reads_until.set(self.timers.now() + STANDING_IN);
+    }
+
+    /// The other nodes of the zone that can be reached.
+    #[must_use]
+    pub fn list_zone(&self) -> Vec<SocketAddr> {
+        let own_zone = &self.settings.availability_zone;
+        self.list_reachable(|record| record.availability_zone == *own_zone)
+    }
+
+    /// The other nodes that can be reached, as far as is known, and whose record is `wanted`.
+    fn list_reachable(&self, wanted: impl Fn(&NodeRecord) -> bool) -> Vec<SocketAddr> {
+        let now = self.timers.now();
+        let directory = self.directory.borrow();
+        let views = directory.nodes.values();
+        views
+            .filter(|view| wanted(&view.record))
+            .filter(|view| view.failures == 0 && view.paused_until <= now)
+            .map(|view| view.record.address)
+            .filter(|address| *address != self.settings.peers)
+            .collect()
+    }
+}
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -53,7 +53,8 @@
         ..
     }) = &result
     {
-        core.note_bytes(&hop.class, call.req.body.len() + response.body().len());
+        let bytes = call.req.body.len() + response.body().len();
+        core.class_bytes.borrow_mut().note(&hop.class, bytes);
     }
     Returned { to, result }
 }
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -1,12 +1,14 @@
 //! Carries one request: asks nodes for a slot until one runs it.
 
+mod judging;
+
 use crate::{
     coordination::{
         placement::{PlacementCandidate, order_candidates},
-        slot_search::{Offer, SearchStep, SearchTime, SlotSearch, find_hedge_delay},
+        slot_search::{SearchStep, SearchTime, SlotSearch, find_hedge_delay},
     },
     protocol::{
-        hop::{HopAnswer, HopRequest, Verdict},
+        hop::HopRequest,
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{
@@ -16,7 +18,6 @@
             request_attempts::RequestAttempts,
         },
         events::ProxyEvent,
-        executing::Executed,
         repeats::{count_request, give_back_repeats, take_repeat},
         reply::ClientEnd,
     },
@@ -25,11 +26,10 @@
         names::{ClassName, ServiceName},
         routing_table::Route,
     },
-    transport::{callers::CallerRequest, outgoing::SendError},
+    transport::callers::CallerRequest,
 };
-use bytes::Bytes;
 use futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use http::Response;
+use judging::Step;
 use rand::RngExt;
 use std::{net::SocketAddr, ops::Range, rc::Rc, time::Duration};
 
@@ -50,15 +50,6 @@
     pub deadline: Moment,
 }
 
-/// What an attempt's end means for the request.
-enum Step {
-    End(ClientEnd),
-    /// It did not reach an upstream; another node may be asked.
-    Elsewhere,
-    /// It reached an upstream; another one costs a repeat.
-    Repeat,
-}
-
 /// Carries one request.
 pub struct Carrier {
     core: Rc<ProxyCore>,
@@ -76,7 +67,7 @@
 impl Carrier {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
-        let kilobytes = core.class_bytes(&call.route.class) / 1_000.0;
+        let kilobytes = core.class_bytes.borrow().usual(&call.route.class) / 1_000.0;
         let candidates = find_candidates(core, &call.service, &call.route.class);
         Self {
             core: Rc::clone(core),
@@ -230,92 +221,6 @@
             .push(Box::pin(run_attempt(core, call, attempts, to, hop)));
     }
 
-    fn judge(&mut self, returned: Returned) -> Step {
-        let Returned { to, result } = returned;
-        match result {
-            Ok(Executed { answer, response }) => self.judge_answer(to, answer, response),
-            Err(SendError::NotSent) => {
-                self.last_refusal = RefusalReason::NotSent;
-                Step::Elsewhere
-            }
-            Err(_) => {
-                self.attempts.count_arrival();
-                self.judge_unknown(UnknownCause::NodeLost)
-            }
-        }
-    }
-
-    fn judge_answer(
-        &mut self,
-        to: SocketAddr,
-        answer: HopAnswer,
-        response: Option<Response<Bytes>>,
-    ) -> Step {
-        match (answer.verdict, response) {
-            (Verdict::Answered, Some(response)) => {
-                self.attempts.count_arrival();
-                self.judge_response(response)
-            }
-            (Verdict::Answered, None) => {
-                self.attempts.count_arrival();
-                self.judge_unknown(UnknownCause::BadAnswer)
-            }
-            (Verdict::Unknown(cause), _) => {
-                self.attempts.count_arrival();
-                self.judge_unknown(cause)
-            }
-            (Verdict::Refused(RefusalReason::UpstreamShed), _) => {
-                self.attempts.count_arrival();
-                self.last_refusal = RefusalReason::UpstreamShed;
-                Step::Repeat
-            }
-            (Verdict::Refused(reason), _) => {
-                self.last_refusal = reason;
-                if reason == RefusalReason::QueueFull {
-                    self.note_offer(to, answer.finish);
-                }
-                Step::Elsewhere
-            }
-        }
-    }
-
-    fn note_offer(&mut self, address: SocketAddr, finish: Duration) {
-        let mut directory = self.core.directory.borrow_mut();
-        let Some(view) = directory.nodes.get_mut(&address) else {
-            return;
-        };
-        view.note_refused(&self.call.route.class, finish, self.core.timers.now());
-        let near = view.record.availability_zone == self.core.settings.availability_zone;
-        drop(directory);
-        self.search.note_offer(Offer {
-            node: address,
-            near,
-            finish,
-        });
-    }
-
-    /// A server error of an idempotent request may be a matter of that upstream only.
-    fn judge_response(&mut self, response: Response<Bytes>) -> Step {
-        let failed = response.status().is_server_error();
-        let end = ClientEnd::Answered(Box::new(response));
-        if failed && self.call.route.idempotent {
-            self.earlier = Some(end);
-            return Step::Repeat;
-        }
-        Step::End(end)
-    }
-
-    fn judge_unknown(&mut self, cause: UnknownCause) -> Step {
-        let end = ClientEnd::Unknown(cause);
-        if !self.call.route.idempotent || cause == UnknownCause::DeadlinePassed {
-            return Step::End(end);
-        }
-        if self.earlier.is_none() {
-            self.earlier = Some(end);
-        }
-        Step::Repeat
-    }
-
     fn give_up(&mut self) -> ClientEnd {
         match self.earlier.take() {
             Some(end) => end,
--- /dev/null
+++ b/src/proxy/entry/carrier/judging.rs
@@ -0,0 +1,117 @@
+//! What the end of an attempt means for its request.
+
+use crate::{
+    coordination::slot_search::Offer,
+    protocol::{
+        hop::{HopAnswer, Verdict},
+        outcome::{RefusalReason, UnknownCause},
+    },
+    proxy::{
+        entry::{attempt::Returned, carrier::Carrier},
+        executing::Executed,
+        reply::ClientEnd,
+    },
+    transport::outgoing::SendError,
+};
+use bytes::Bytes;
+use http::Response;
+use std::{net::SocketAddr, time::Duration};
+
+/// What an attempt's end means for the request.
+pub enum Step {
+    /// The request ends with it.
+    End(ClientEnd),
+    /// It did not reach an upstream; another node may be asked.
+    Elsewhere,
+    /// It reached an upstream; another one costs a repeat.
+    Repeat,
+}
+
+impl Carrier {
+    /// Learns from the end of an attempt.
+    pub fn judge(&mut self, returned: Returned) -> Step {
+        let Returned { to, result } = returned;
+        match result {
+            Ok(Executed { answer, response }) => self.judge_answer(to, answer, response),
+            Err(SendError::NotSent) => {
+                self.last_refusal = RefusalReason::NotSent;
+                Step::Elsewhere
+            }
+            Err(_) => {
+                self.attempts.count_arrival();
+                self.judge_unknown(UnknownCause::NodeLost)
+            }
+        }
+    }
+
+    fn judge_answer(
+        &mut self,
+        to: SocketAddr,
+        answer: HopAnswer,
+        response: Option<Response<Bytes>>,
+    ) -> Step {
+        match (answer.verdict, response) {
+            (Verdict::Answered, Some(response)) => {
+                self.attempts.count_arrival();
+                self.judge_response(response)
+            }
+            (Verdict::Answered, None) => {
+                self.attempts.count_arrival();
+                self.judge_unknown(UnknownCause::BadAnswer)
+            }
+            (Verdict::Unknown(cause), _) => {
+                self.attempts.count_arrival();
+                self.judge_unknown(cause)
+            }
+            (Verdict::Refused(RefusalReason::UpstreamShed), _) => {
+                self.attempts.count_arrival();
+                self.last_refusal = RefusalReason::UpstreamShed;
+                Step::Repeat
+            }
+            (Verdict::Refused(reason), _) => {
+                self.last_refusal = reason;
+                if reason == RefusalReason::QueueFull {
+                    self.note_offer(to, answer.finish);
+                }
+                Step::Elsewhere
+            }
+        }
+    }
+
+    fn note_offer(&mut self, address: SocketAddr, finish: Duration) {
+        let mut directory = self.core.directory.borrow_mut();
+        let Some(view) = directory.nodes.get_mut(&address) else {
+            return;
+        };
+        view.note_refused(&self.call.route.class, finish, self.core.timers.now());
+        let near = view.record.availability_zone == self.core.settings.availability_zone;
+        drop(directory);
+        self.search.note_offer(Offer {
+            node: address,
+            near,
+            finish,
+        });
+    }
+
+    /// A server error of an idempotent request may be a matter of that upstream only.
+    fn judge_response(&mut self, response: Response<Bytes>) -> Step {
+        let failed = response.status().is_server_error();
+        let end = ClientEnd::Answered(Box::new(response));
+        if failed && self.call.route.idempotent {
+            self.earlier = Some(end);
+            return Step::Repeat;
+        }
+        Step::End(end)
+    }
+
+    fn judge_unknown(&mut self, cause: UnknownCause) -> Step {
+        let end = ClientEnd::Unknown(cause);
+        if !self.call.route.idempotent || cause == UnknownCause::DeadlinePassed {
+            return Step::End(end);
+        }
+        if self.earlier.is_none() {
+            self.earlier = Some(end);
+        }
+        Step::Repeat
+    }
+}
