--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! Pure data and its transitions. Nothing here reads a clock or a socket.
 
+pub mod class_bytes;
 pub mod class_counts;
 pub mod configuration;
 pub mod failure_share;
@@ -10,6 +11,7 @@
 pub mod published;
 pub mod rate_limit;
 pub mod routing_table;
+pub mod run_identity;
 pub mod service_times;
 pub mod table_change;
 pub mod table_history;
