camphorturn misses: which requests were not served on time, when and why

Nothing told when a class was not served on time, nor for which causes.

Ruled out: a second classification beside that of `explain`. How a request ended (log_reading/outcome.rs), the attempt that took longest (log_reading/request_lines.rs) and whether a call took most of its time (log_reading/late_cause.rs) were moved out of cause.rs and request_story.rs, and both use them. A share made of lines as they stand, too: one in 16 requests on time has a line, of refused ones each.

Change: `camphorturn misses` breaks requests down by class, by window of the time they came (--window, 2 s) and by cause, the windows with the worst share on time first. Each figure has the number of lines, of how many requests one has a line (--one-in, 16; half of that for late ones, from the rule that the writer of lines uses) and the estimate; shares have a range for the size of the sample. Lines left out by nodes (805), missing by their numbers, and requests without a line on their end are told. Lines that no node numbered are named with file and number of the line. An answer without its times is no longer taken for one within its target, by `explain` either.

Conclusion: it says when and why for what lines tell of.

--- a/src/bin/camphorturn.rs
+++ b/src/bin/camphorturn.rs
@@ -3,8 +3,8 @@
 use camphorturn::{
     commands::{
         check::run_check, dev::run_dev, drain::run_drain, explain::run_explain,
-        history::run_history, logs::run_logs, publish::run_publish, status::run_status,
-        timeline::run_timeline,
+        history::run_history, logs::run_logs, misses::run_misses, publish::run_publish,
+        status::run_status, timeline::run_timeline,
     },
     options::{
         access::{AccessArguments, OperatorAccess},
@@ -38,6 +38,7 @@
         Command::Timeline(arguments) => run_timeline(arguments, &TimerService::system(), out),
         Command::Explain(arguments) => run_explain(arguments, out),
         Command::Logs(arguments) => run_logs(arguments, out),
+        Command::Misses(arguments) => run_misses(arguments, out),
         Command::Drain(arguments) => with_access(&arguments.access, |access| {
             run_drain(arguments, access, out)
         }),
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -8,6 +8,7 @@
 pub mod log_source;
 pub mod logs;
 pub mod mesh;
+pub mod misses;
 pub mod publish;
 pub mod status;
 pub mod timeline;
--- a/src/commands/log_source.rs
+++ b/src/commands/log_source.rs
@@ -8,6 +8,7 @@
     transport::operators::client::{AskError, OperatorClient},
 };
 use bpaf::Bpaf;
+use serde::Serialize;
 use std::{
     collections::HashMap,
     fs, io,
@@ -56,6 +57,25 @@
     pub unreached: Vec<String>,
     /// Lines that nodes no longer hold.
     pub dropped: u64,
+    /// Lines that no node numbered, with their places.
+    pub passed_over: Vec<PassedLine>,
+}
+
+/// A line that no node numbered.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PassedLine {
+    /// The file, `standard input`, or the address of the node.
+    pub source: String,
+    /// Number of the line there, from 1.
+    pub line: usize,
+    /// The line.
+    pub text: String,
+}
+
+/// What one file, standard input or one node gave.
+struct SourceLines<'a> {
+    source: String,
+    lines: Vec<&'a str>,
 }
 
 impl SourceArguments {
@@ -74,18 +94,48 @@
             return Ok(NodeLines::new(&self.access)?.collect());
         }
         let texts = match self.files.as_slice() {
-            [] => vec![read_input()?],
+            [] => vec![("standard input".to_owned(), read_input()?)],
             files => {
-                let read = files.iter().map(|path| read_lossy(path));
-                read.collect::<Result<_, _>>()?
+                let read = files
+                    .iter()
+                    .map(|path| Ok((path.display().to_string(), read_lossy(path)?)));
+                read.collect::<Result<_, SourceError>>()?
             }
         };
-        let lines = texts.iter().flat_map(|text| text.lines());
-        Ok(CollectedLines {
-            read: split_runs(lines),
-            ..CollectedLines::default()
-        })
+        let sources = texts.iter().map(|(source, text)| SourceLines {
+            source: source.clone(),
+            lines: text.lines().collect(),
+        });
+        let mut collected = CollectedLines::default();
+        collected.read_all(&sources.collect::<Vec<_>>());
+        Ok(collected)
+    }
+}
+
+impl CollectedLines {
+    fn read_all(&mut self, sources: &[SourceLines<'_>]) {
+        let lines = sources.iter().flat_map(|source| &source.lines);
+        self.read = split_runs(lines.copied());
+        let places = self.read.other_places.iter();
+        self.passed_over = places
+            .filter_map(|place| find_line(sources, *place))
+            .collect();
+    }
+}
+
+/// The line at a position in all sources together.
+fn find_line(sources: &[SourceLines<'_>], mut place: usize) -> Option<PassedLine> {
+    for source in sources {
+        if let Some(text) = source.lines.get(place) {
+            return Some(PassedLine {
+                source: source.source.clone(),
+                line: place + 1,
+                text: (*text).to_owned(),
+            });
+        }
+        place -= source.lines.len();
     }
+    None
 }
 
 fn read_lossy(path: &Path) -> Result<String, SourceError> {
@@ -140,12 +190,16 @@
                 Ok(page) => {
                     self.next.insert(address, page.next);
                     collected.dropped += page.dropped;
-                    texts.extend(page.lines);
+                    texts.push((address.to_string(), page.lines));
                 }
                 Err(problem) => collected.unreached.push(format!("{address}: {problem}")),
             }
         }
-        collected.read = split_runs(texts.iter().map(String::as_str));
+        let sources = texts.iter().map(|(source, lines)| SourceLines {
+            source: source.clone(),
+            lines: lines.iter().map(String::as_str).collect(),
+        });
+        collected.read_all(&sources.collect::<Vec<_>>());
         collected
     }
 
--- a/src/log_reading.rs
+++ b/src/log_reading.rs
@@ -4,9 +4,13 @@
 
 pub mod cause;
 pub mod clocks;
+pub mod late_cause;
 pub mod line;
 pub mod matching;
+pub mod misses;
 pub mod order;
+pub mod outcome;
+pub mod request_lines;
 pub mod request_story;
 pub mod runs;
 pub mod sentence;
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -3,7 +3,8 @@
 use crate::{
     log_reading::{
         line::{LineEnd, LogLine, numbers},
-        order::TimedLine,
+        outcome::RequestOutcome,
+        request_lines::RequestLines,
         sentence::NodeNames,
     },
     state::names::NodeName,
@@ -14,29 +15,16 @@
 /// Times the expected time from which an upstream counts as slow by itself.
 const SLOW_FACTOR: u64 = 2;
 
-/// What is known of a request.
-#[derive(Clone, Debug, Default)]
-pub struct RequestLines<'a> {
-    /// Its end at the node that took it.
-    pub end: Option<&'a LogLine>,
-    /// Its attempts as that node saw them.
-    pub returned: Vec<&'a LogLine>,
-    /// Its attempts as the nodes beside upstreams saw them.
-    pub executed: Vec<&'a LogLine>,
-    /// What the nodes that had to do with it began to believe shortly before and during it.
-    pub beliefs: Vec<&'a TimedLine>,
-}
-
 /// Sentences on the cause; none if the lines don't show it.
 #[must_use]
 pub fn find_causes(lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
     let Some(end) = lines.end else {
         return find_causes_without_end(lines);
     };
-    match end.end() {
-        LineEnd::Refused(reason) => explain_refusal(reason, end, lines, names),
-        LineEnd::Unknown(cause) => explain_unknown(cause, end, lines, names),
-        LineEnd::Answered(status) if status >= 500 => {
+    match RequestOutcome::judge(end) {
+        RequestOutcome::Refused(reason) => explain_refusal(reason, end, lines, names),
+        RequestOutcome::Unknown(cause) => explain_unknown(cause, end, lines, names),
+        RequestOutcome::UpstreamFailed(status) => {
             let mut causes = vec![format!(
                 "The upstream itself answered {status}; {} upstreams were tried.",
                 end.number("arrivals")
@@ -44,16 +32,14 @@
             causes.extend(explain_slowest(lines, names));
             causes
         }
-        LineEnd::Answered(_) if end.number("took_ms") > end.number("target_ms") => {
-            explain_late(end, lines, names)
-        }
-        LineEnd::Answered(_) => vec!["It was answered within its target.".to_owned()],
-        LineEnd::CLIENT_LEFT => explain_client_left(end, lines, names),
-        LineEnd::Other("no_route") => vec![format!(
+        RequestOutcome::Late => explain_late(end, lines, names),
+        RequestOutcome::OnTime => vec!["It was answered within its target.".to_owned()],
+        RequestOutcome::ClientLeft => explain_client_left(end, lines, names),
+        RequestOutcome::NoRoute => vec![format!(
             "Configuration {} has no route for its host and path.",
             end.number("version")
         )],
-        LineEnd::Other(_) => Vec::new(),
+        RequestOutcome::Other(_) => Vec::new(),
     }
 }
 
@@ -222,35 +208,25 @@
 
 /// Where the time of the slowest attempt went.
 fn explain_slowest(lines: &RequestLines<'_>, names: &NodeNames) -> Vec<String> {
-    let returned = lines.returned.iter();
-    let Some(slowest) = returned.max_by_key(|line| line.number("took_ms")) else {
+    let Some(slowest) = lines.find_slowest(names) else {
         return Vec::new();
     };
-    let took = slowest.number("took_ms");
-    let node = names.find(slowest.text("to"));
-    let executed = lines
-        .executed
-        .iter()
-        .find(|line| line.node.as_str() == node);
-    let abandoned = slowest.end() == LineEnd::ABANDONED;
-    let waited = match executed {
-        Some(executed) if abandoned => executed.number("waited_ms"),
-        _ => slowest.number("waited_ms"),
-    };
-    let mut causes = vec![if abandoned && executed.is_none() {
+    let (node, took) = (slowest.node, slowest.took_ms);
+    let mut causes = vec![if slowest.is_abandoned() && slowest.executed.is_none() {
         format!("{node} had not answered {took} ms after it was asked, and tells nothing of it.")
     } else {
         format!(
-            "At {node} it waited {waited} ms for a slot and ran for {} ms.",
-            took.saturating_sub(waited)
+            "At {node} it waited {} ms for a slot and ran for {} ms.",
+            slowest.waited_ms,
+            slowest.ran_ms()
         )
     }];
-    if let Some(executed) = executed {
+    let pace = slowest.returned.number("pace_percent");
+    if let Some(executed) = slowest.executed {
         causes.extend(describe_slow(executed));
-    } else if slowest.number("pace_percent") >= SLOW_PACE {
+    } else if pace >= SLOW_PACE {
         causes.push(format!(
-            "The VM of {node} worked at {}% of the usual time.",
-            slowest.number("pace_percent")
+            "The VM of {node} worked at {pace}% of the usual time."
         ));
     }
     causes.extend(explain_shortage(lines));
--- a/src/log_reading/request_story.rs
+++ b/src/log_reading/request_story.rs
@@ -2,10 +2,12 @@
 
 use crate::{
     log_reading::{
-        cause::{RequestLines, find_causes},
+        cause::find_causes,
+        late_cause::is_most,
         line::{LogLine, numbers},
         matching::as_float,
         order::{TimedLine, order_lines},
+        request_lines::{RequestLines, find_caller},
         runs::NodeRun,
         sentence::{NodeNames, describe_line},
     },
@@ -19,8 +21,6 @@
 const BELIEFS_BEFORE_MS: f64 = 3_000.0;
 /// How long after its end a node may tell of what led to it, such as its own restart.
 const BELIEFS_AFTER_MS: f64 = 3_000.0;
-/// What stands between the id of a request and the own part of the id of a call that it made.
-const CALL_SEPARATOR: char = '.';
 
 /// One step of a request.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -144,8 +144,7 @@
 fn find_slowest_call(lines: &RequestLines<'_>, calls: &[CallStory]) -> Option<String> {
     let end = lines.end?;
     let slowest = calls.iter().max_by_key(|call| call.took_ms)?;
-    let most = end.number("took_ms") / 2;
-    (slowest.took_ms >= most).then(|| {
+    is_most(slowest.took_ms, end).then(|| {
         format!(
             "Most of its time went into a call that its upstream made: {} of class {}, {} ms, {}.",
             slowest.request, slowest.class, slowest.took_ms, slowest.end
@@ -171,14 +170,12 @@
     asked.chain(told).collect()
 }
 
-/// A call made for a request has an identity that begins with that of the request and a dot.
 fn list_calls(ordered: &[TimedLine], request: &str) -> Vec<CallStory> {
     let ends = ordered.iter().map(|timed| &timed.line);
     let ends = ends.filter(|line| line.number == numbers::REQUEST_ENDED);
     let calls = ends.filter_map(|line| {
         let id = line.request()?;
-        let own = id.strip_prefix(request)?.strip_prefix(CALL_SEPARATOR)?;
-        (!own.contains(CALL_SEPARATOR)).then(|| CallStory {
+        (find_caller(id) == Some(request)).then(|| CallStory {
             request: id.to_owned(),
             class: line.text("class").to_owned(),
             end: line.end().describe(),
--- a/src/log_reading/runs.rs
+++ b/src/log_reading/runs.rs
@@ -19,6 +19,8 @@
     pub runs: Vec<NodeRun>,
     /// Lines that are no numbered lines of a node.
     pub other_lines: usize,
+    /// Their positions in the input, from 0 and with empty lines counted.
+    pub other_places: Vec<usize>,
 }
 
 /// Splits texts into runs. The lines of one process must stand in their order; those of several may be
@@ -29,9 +31,13 @@
 pub fn split_runs<'a>(texts: impl Iterator<Item = &'a str>) -> ReadLines {
     let mut read = ReadLines::default();
     let mut by_node: BTreeMap<NodeName, Vec<NodeRun>> = BTreeMap::new();
-    for text in texts.filter(|text| !text.trim().is_empty()) {
+    let filled = texts
+        .enumerate()
+        .filter(|(_, text)| !text.trim().is_empty());
+    for (place, text) in filled {
         let Some(line) = LogLine::parse(text) else {
             read.other_lines += 1;
+            read.other_places.push(place);
             continue;
         };
         let runs = by_node.entry(line.node.clone()).or_default();
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -8,6 +8,7 @@
         explain::{ExplainArguments, explain_arguments},
         history::{HistoryArguments, history_arguments},
         logs::{LogsArguments, logs_arguments},
+        misses::{MissesArguments, misses_arguments},
         publish::{PublishArguments, publish_arguments},
         status::{StatusArguments, status_arguments},
         timeline::{TimelineArguments, timeline_arguments},
@@ -41,6 +42,9 @@
     /// Sum up what the lines of all nodes say
     #[bpaf(command)]
     Logs(#[bpaf(external(logs_arguments))] LogsArguments),
+    /// Show which requests were not served on time, when and why
+    #[bpaf(command)]
+    Misses(#[bpaf(external(misses_arguments))] MissesArguments),
     /// Let an upstream take no new work and finish what it has
     #[bpaf(command)]
     Drain(#[bpaf(external(drain_arguments))] DrainArguments),
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -7,6 +7,10 @@
 use http::HeaderName;
 use std::{net::SocketAddr, time::Duration};
 
+/// Of late requests so many times more are written than of those that go as they should. Written in full they
+/// would take 9% of a node's processor time on a day of high load.
+const LATE_MORE: u64 = 2;
+
 /// Names of the headers that clients and upstreams use. They differ between platforms; the node
 /// only knows what each holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +60,15 @@
     pub kept: usize,
 }
 
+impl LineRules {
+    /// Of late requests, one in so many is written.
+    #[must_use]
+    pub const fn one_in_late(&self) -> u64 {
+        let one_in = self.one_in / LATE_MORE;
+        if one_in == 0 { 1 } else { one_in }
+    }
+}
+
 /// Bounds on what a node does. They may change while it runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NodeBounds {
--- a/src/proxy/events/lines.rs
+++ b/src/proxy/events/lines.rs
@@ -26,10 +26,6 @@
 /// The same of ordinary ones: a sample, since a line costs a fifth of what a node spends on a request.
 const ORDINARY: (f64, f64) = (5.0, 20.0);
 
-/// Of late requests so many times more are written than of those that go as they should. Written in full they
-/// would take 9% of a node's processor time on a day of high load.
-const LATE_MORE: u64 = 2;
-
 /// A line that goes out, with what every line has.
 #[derive(Serialize)]
 struct Line<'a> {
@@ -105,7 +101,7 @@
     fn is_sampled(&self, weight: Weight, event: &ProxyEvent) -> bool {
         let one_in = match weight {
             Weight::Telling => 1,
-            Weight::Late => self.rules.one_in / LATE_MORE,
+            Weight::Late => self.rules.one_in_late(),
             Weight::Ordinary => self.rules.one_in,
         };
         event.request().is_none_or(|request| {
--- a/tests/integration/command_line.rs
+++ b/tests/integration/command_line.rs
@@ -203,7 +203,7 @@
     let publish = ["publish", "--author", "a", "--note", "n"];
     let publish = [&publish[..], &access, &[SAMPLE]].concat();
     assert_eq!(run(&publish).status.code(), Some(3));
-    for command in ["history", "status", "timeline"] {
+    for command in ["history", "status", "timeline", "misses"] {
         let arguments = [&[command][..], &access].concat();
         assert_eq!(run(&arguments).status.code(), Some(3), "{command}");
     }
@@ -262,6 +262,9 @@
     assert_steps(&story, &events);
     let timeline = run_at(&mesh, &["timeline", "--event", "851"]);
     assert_eq!(text_of(&timeline.stdout).lines().count(), 9);
+    let misses = parse(&run_at(&mesh, &["misses", "--json", "--one-in", "1"]));
+    assert_eq!(misses["unreached"].as_array().map(Vec::len), Some(0));
+    assert!(misses["total"]["lines"].as_u64() > Some(0), "{misses}");
     let summary = parse(&run_at(&mesh, &["logs", "--json"]));
     assert_eq!(summary["beliefs"]["node_started"], 9);
     let unknown = run_at(&mesh, &["explain", "no-such-request"]);
@@ -302,6 +305,67 @@
     assert!(text_of(&from_input.stdout).contains("1 lines of 1 nodes"));
 }
 
+/// Lines with two damaged ones: the second is cut off, the fourth no line of a node.
+const DAMAGED: &str = "{\"time\":\"2026-12-02T21:00:00Z\",\"level\":\"WARN\",\"event\":801,\
+    \"name\":\"request_ended\",\"node\":\"n1\",\"seq\":1,\"up_ms\":5,\"request\":\"r1\",\
+    \"class\":\"lookups\",\"end\":{\"refused\":\"no_upstream\"}}\n\
+    {\"time\":\"2026-12-02T21:00:0\n\n\
+    panicked at the disk\n\
+    {\"time\":\"2026-12-02T21:00:03Z\",\"level\":\"INFO\",\"event\":801,\
+    \"name\":\"request_ended\",\"node\":\"n1\",\"seq\":2,\"up_ms\":3005,\"request\":\"r2\",\
+    \"class\":\"lookups\",\"end\":{\"answered\":200},\"took_ms\":4,\"target_ms\":300}\n";
+
+#[test]
+fn misses_names_the_places_of_damaged_lines() {
+    let first = ScratchFile::new("misses-first.log", "");
+    let log = ScratchFile::new("misses-damaged.log", DAMAGED);
+    let output = run(&["misses", first.name(), log.name()]);
+    assert_eq!(output.status.code(), Some(0), "{output:?}");
+    let complaints = text_of(&output.stderr);
+    let cut = format!("{}:2: {{\"time\":\"2026-12-02T21:00:0\n", log.name());
+    assert!(complaints.contains(&cut), "{complaints}");
+    let other = format!("{}:4: panicked at the disk\n", log.name());
+    assert!(complaints.contains(&other), "{complaints}");
+    let view = parse(&run(&["misses", "--json", log.name()]));
+    assert_eq!(view["passed_over"][1]["line"], 4, "{view}");
+    assert_eq!(view["total"]["lines"], 2, "{view}");
+    assert_eq!(view["windows"].as_array().map(Vec::len), Some(2), "{view}");
+}
+
+#[test]
+fn misses_says_that_figures_are_samples() {
+    let log = ScratchFile::new("misses-sampled.log", DAMAGED);
+    let text = text_of(&run(&["misses", log.name()]).stdout);
+    assert!(text.contains("a sample, one in 16 requests"), "{text}");
+    assert!(text.contains("1 on time (one in 16)"), "{text}");
+    assert!(
+        text.contains("refused: no upstream, no node asked"),
+        "{text}"
+    );
+    let all = text_of(&run(&["misses", "--one-in", "1", log.name()]).stdout);
+    assert!(all.contains("about 50% on time"), "{all}");
+}
+
+#[test]
+fn misses_reads_standard_input_and_checks_arguments() {
+    let log = ScratchFile::new("misses-input.log", DAMAGED);
+    let mut command = Command::new(TOOL);
+    command
+        .args(["misses", "--window", "1m"])
+        .stdin(File::open(log.name()).expect("the file is there"));
+    let from_input = command.output().expect("the program runs");
+    let complaints = text_of(&from_input.stderr);
+    assert!(complaints.contains("standard input:4: "), "{complaints}");
+    assert!(text_of(&from_input.stdout).contains("Windows of 60000 ms"));
+    for wrong in [["--window", "0s"], ["--window", "soon"], ["--one-in", "0"]] {
+        let output = run(&["misses", wrong[0], wrong[1], log.name()]);
+        assert_eq!(output.status.code(), Some(2), "{output:?}");
+    }
+    let empty = ScratchFile::new("misses-empty.log", "");
+    assert_eq!(run(&["misses", empty.name()]).status.code(), Some(1));
+    assert_eq!(run(&["misses", "no-such-file.log"]).status.code(), Some(2));
+}
+
 #[test]
 fn help_does_not_show_the_token() {
     // Symptom: the operators' token stands in a log or on a shared screen.
@@ -309,7 +373,9 @@
     // Cause: the parser prints the values of the variables that it reads with their names.
     let secret = "a-secret-of-operators";
     let node = closed_address();
-    for command in ["status", "timeline", "explain", "drain", "publish"] {
+    for command in [
+        "status", "timeline", "explain", "misses", "drain", "publish",
+    ] {
         let output = run_with_token(secret, &[command, "--help"]);
         assert_eq!(output.status.code(), Some(0));
         let text = text_of(&output.stdout);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod log_reading;
 mod mesh_model;
 mod metrics_page;
+mod misses;
 mod operators;
 mod options;
 mod outgoing;
