--- a/src/commands/misses/text.rs
+++ b/src/commands/misses/text.rs
@@ -10,8 +10,8 @@
 const SHOWN_WINDOWS: usize = 10;
 /// Kinds of a class that are shown in a window.
 const SHOWN_KINDS: usize = 4;
-/// What stands for the class of a request without a route.
-const NO_CLASS: &str = "(no route)";
+/// What stands for the class of a request without one, as without a route.
+const NO_CLASS: &str = "(no class)";
 
 /// Writes the report.
 pub fn write_report(report: &MissReport, out: &mut dyn Write) -> io::Result<()> {
