misses: bear damaged numbers and control characters in lines

Cause: a damaged line with a number of lines, a `seq` or a time beyond all measure ended the command without a report: `report_misses_bears_absurd_numbers` failed with "attempt to add with overflow". `logs` summed up dropped lines in the same way. Lines that no node numbered were shown with their control characters, which can clear a terminal.

Ruled out: passing such lines over. They have the form of a line, and the request they tell of would be lost.

Change: these sums stay at the greatest number, a time later than a date can tell counts in the last window, and control characters are replaced where lines are shown.

Conclusion: such lines are counted, and the report comes.

--- a/src/commands/misses.rs
+++ b/src/commands/misses.rs
@@ -119,7 +119,8 @@
 fn write_passed(passed: &[PassedLine]) -> io::Result<()> {
     let mut err = io::stderr().lock();
     for PassedLine { source, line, text } in passed.iter().take(SHOWN_PASSED) {
-        let start: String = text.chars().take(SHOWN_TEXT).collect();
+        let start = text.chars().take(SHOWN_TEXT).map(show_character);
+        let start: String = start.collect();
         writeln!(err, "  {source}:{line}: {start}")?;
     }
     if passed.len() > SHOWN_PASSED {
@@ -129,6 +130,15 @@
     Ok(())
 }
 
+/// A damaged line may hold what would change the colours of a terminal or clear it.
+fn show_character(character: char) -> char {
+    if character.is_control() {
+        char::REPLACEMENT_CHARACTER
+    } else {
+        character
+    }
+}
+
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "the parser passes a reference"
--- a/src/log_reading/misses.rs
+++ b/src/log_reading/misses.rs
@@ -22,6 +22,10 @@
     time::{Duration, UNIX_EPOCH},
 };
 
+/// The last second that a date with four digits of the year can tell, in milliseconds since the Unix epoch. A
+/// damaged line may tell a later time, which could not be written.
+const LATEST_MS: f64 = 253_402_300_799_000.0;
+
 /// Requests by class, window of time and cause.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct MissReport {
@@ -90,9 +94,10 @@
         windows.entry(number).or_default().add(class, kind);
     }
     for (at_ms, dropped) in ordered.iter().filter_map(read_dropped) {
-        all.dropped += dropped;
+        all.dropped = all.dropped.saturating_add(dropped);
         let number = find_window(at_ms, window);
-        windows.entry(number).or_default().dropped += dropped;
+        let counts = windows.entry(number).or_default();
+        counts.dropped = counts.dropped.saturating_add(dropped);
     }
     let mut windows: Vec<MissWindow> = windows
         .into_iter()
@@ -104,7 +109,7 @@
         sampling,
         without_end: requests.without_end,
         dropped_lines: all.dropped,
-        missing_lines: runs.iter().map(count_gaps).sum(),
+        missing_lines: runs.iter().map(count_gaps).fold(0, u64::saturating_add),
         total: all.total.close(sampling),
         classes: close_classes(all.classes, sampling),
         windows,
@@ -155,7 +160,9 @@
 fn count_gaps(run: &NodeRun) -> u64 {
     let pairs = run.lines.windows(2);
     let gap = |one: &LogLine, next: &LogLine| next.seq.saturating_sub(one.seq).saturating_sub(1);
-    pairs.map(|pair| gap(&pair[0], &pair[1])).sum()
+    pairs
+        .map(|pair| gap(&pair[0], &pair[1]))
+        .fold(0, u64::saturating_add)
 }
 
 /// Windows begin at whole multiples of their length, so that those of two reports can be compared.
@@ -165,7 +172,7 @@
     reason = "whole milliseconds since the Unix epoch, never before it"
 )]
 fn find_window(at_ms: f64, window: Duration) -> u64 {
-    at_ms.max(0.0) as u64 / to_millis(window)
+    at_ms.clamp(0.0, LATEST_MS) as u64 / to_millis(window)
 }
 
 /// At least one, since it divides.
--- a/src/log_reading/summary.rs
+++ b/src/log_reading/summary.rs
@@ -83,7 +83,9 @@
                 *self.attempts.entry(line.end().describe()).or_default() += 1;
             }
             numbers::REPEAT_WITHHELD => self.withheld += 1,
-            numbers::LINES_DROPPED => self.dropped += line.number("lines"),
+            numbers::LINES_DROPPED => {
+                self.dropped = self.dropped.saturating_add(line.number("lines"));
+            }
             number if number >= numbers::FIRST_BELIEF => {
                 *self.beliefs.entry(line.name.clone()).or_default() += 1;
             }
--- a/tests/integration/command_line.rs
+++ b/tests/integration/command_line.rs
@@ -310,7 +310,7 @@
     \"name\":\"request_ended\",\"node\":\"n1\",\"seq\":1,\"up_ms\":5,\"request\":\"r1\",\
     \"class\":\"lookups\",\"end\":{\"refused\":\"no_upstream\"}}\n\
     {\"time\":\"2026-12-02T21:00:0\n\n\
-    panicked at the disk\n\
+    panicked at the disk\u{1b}[2J\n\
     {\"time\":\"2026-12-02T21:00:03Z\",\"level\":\"INFO\",\"event\":801,\
     \"name\":\"request_ended\",\"node\":\"n1\",\"seq\":2,\"up_ms\":3005,\"request\":\"r2\",\
     \"class\":\"lookups\",\"end\":{\"answered\":200},\"took_ms\":4,\"target_ms\":300}\n";
@@ -324,7 +324,7 @@
     let complaints = text_of(&output.stderr);
     let cut = format!("{}:2: {{\"time\":\"2026-12-02T21:00:0\n", log.name());
     assert!(complaints.contains(&cut), "{complaints}");
-    let other = format!("{}:4: panicked at the disk\n", log.name());
+    let other = format!("{}:4: panicked at the disk\u{fffd}[2J\n", log.name());
     assert!(complaints.contains(&other), "{complaints}");
     let view = parse(&run(&["misses", "--json", log.name()]));
     assert_eq!(view["passed_over"][1]["line"], 4, "{view}");
--- a/tests/integration/misses.rs
+++ b/tests/integration/misses.rs
@@ -274,3 +274,27 @@
     assert_eq!(list_kinds(&report.total), [("not_understood", "", 1)]);
     assert_eq!(report.total.on_time_share_estimate, None);
 }
+
+/// Symptom: the command ends without a report. Sequence: one damaged line tells of a time or a number of lines
+/// beyond all measure. Cause: a date that can't be written, or a sum that overflows.
+#[test]
+fn report_misses_bears_absurd_numbers() {
+    let most = u64::MAX;
+    let dropped = format!("\"lines\":{most}");
+    let mut lines = Lines::new()
+        .end(900, "r1", ANSWERED, 10)
+        .end(901, "r2", ANSWERED, most)
+        .add(902, 805, &dropped)
+        .add(903, 805, &dropped);
+    lines
+        .all
+        .push(line("n1", (BEGIN, most), most, 801, "\"request\":\"r3\""));
+    lines
+        .all
+        .push(line("n2", (BEGIN, 10), most, 801, "\"request\":\"r4\""));
+    let report = lines.report();
+    assert_eq!(report.total.lines, 4);
+    let told: u64 = report.windows.iter().map(|window| window.total.lines).sum();
+    assert_eq!(told, 4);
+    assert_eq!((report.dropped_lines, report.missing_lines), (most, most));
+}
