--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -39,7 +39,12 @@
     req: CallerRequest,
     time_left: Duration,
 ) -> (Verdict, Option<Response<Bytes>>) {
-    let Some(instance) = core.own.borrow().serving().map(|run| run.instance.clone()) else {
+    let Some(instance) = core
+        .own
+        .borrow()
+        .serving()
+        .map(|run| run.identity.instance.clone())
+    else {
         return (Verdict::Refused(RefusalReason::Draining), None);
     };
     let names = &core.settings.headers;
@@ -52,6 +57,7 @@
         connect_timeout: CONNECT_TIMEOUT.min(time_left),
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
+        patience: None,
     };
     let started = core.timers.now();
     let percent = core.slots.load().slowdown_percent;
