Test the reader's rounds of offers, and model them

Cause: the fetch steps, the passing on of offers and the offers of readers changed; their tests and the model's glue did not compile.

Change: - table_sources: a step says whether it asks who offered or who was heard of, and each test demands which. An offer goes on at the next passing on after its node was asked, no longer when nobody is left to ask: `take_passable_asked_in_vain` replaces `take_passable_nobody_left` and demands that it goes on before the next node is asked. The drawn test demands it of each offer. New: an offer during a question to who was heard of. - The model has the rounds (at each new table, each 500 ms), direct offers and their answers, the end of a question by an offer, an offer that is remembered until the next wait, a question put again for another base, and a second between two pieces of an answer.

--- a/tests/integration/table_sources.rs
+++ b/tests/integration/table_sources.rs
@@ -46,9 +46,18 @@
     sources.note_offer(offer(2, NEWER, &[]));
     sources.note_offer(offer(3, NEWER, &[]));
     let late = START + PATIENCE;
-    assert_eq!(sources.take_step(OWN, late), FetchStep::Ask(node(2), NEWER));
-    assert_eq!(sources.take_step(OWN, late), FetchStep::Ask(node(3), NEWER));
-    assert_eq!(sources.take_step(OWN, late), FetchStep::Ask(node(1), NEWER));
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskOffering(node(2), NEWER)
+    );
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskOffering(node(3), NEWER)
+    );
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskHeard(node(1), NEWER)
+    );
     assert_eq!(sources.take_step(OWN, late), FetchStep::Done);
 }
 
@@ -61,8 +70,14 @@
     sources.note_hint(node(2), NEWER, OWN, START + millis(200));
     let before = START + millis(299);
     assert_eq!(sources.take_step(OWN, before), FetchStep::Wait(due));
-    assert_eq!(sources.take_step(OWN, due), FetchStep::Ask(node(2), NEWER));
-    assert_eq!(sources.take_step(OWN, due), FetchStep::Ask(node(1), NEWER));
+    assert_eq!(
+        sources.take_step(OWN, due),
+        FetchStep::AskHeard(node(2), NEWER)
+    );
+    assert_eq!(
+        sources.take_step(OWN, due),
+        FetchStep::AskHeard(node(1), NEWER)
+    );
     assert_eq!(sources.take_step(OWN, due), FetchStep::Done);
 }
 
@@ -74,7 +89,7 @@
     sources.note_hint(node(1), NEWER, own, START);
     assert_eq!(
         sources.take_step(own, START),
-        FetchStep::Ask(node(1), NEWER)
+        FetchStep::AskHeard(node(1), NEWER)
     );
 }
 
@@ -85,7 +100,32 @@
     let now = START + millis(20);
     assert!(matches!(sources.take_step(OWN, now), FetchStep::Wait(_)));
     sources.note_offer(offer(2, NEWER, &[]));
-    assert_eq!(sources.take_step(OWN, now), FetchStep::Ask(node(2), NEWER));
+    assert_eq!(
+        sources.take_step(OWN, now),
+        FetchStep::AskOffering(node(2), NEWER)
+    );
+}
+
+/// An offer that comes while a node that was heard of is asked goes before all others that were heard of.
+#[test]
+fn take_step_offer_during_question() {
+    let mut sources = TableSources::default();
+    sources.note_hint(node(1), NEWER, OWN, START);
+    sources.note_hint(node(2), NEWER, OWN, START);
+    let late = START + PATIENCE;
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskHeard(node(2), NEWER)
+    );
+    sources.note_offer(offer(3, NEWER, &[]));
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskOffering(node(3), NEWER)
+    );
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskHeard(node(1), NEWER)
+    );
 }
 
 /// A wait for an offer begins anew with each version.
@@ -106,37 +146,47 @@
     let (first, second) = (offer(1, NEWER, &[3, 4]), offer(2, NEWER, &[5]));
     sources.note_offer(first.clone());
     sources.note_offer(second.clone());
-    assert!(sources.take_passable(OWN, false).is_empty());
+    assert!(sources.take_passable(OWN).is_empty());
     assert_eq!(
         sources.take_step(OWN, START),
-        FetchStep::Ask(node(1), NEWER)
+        FetchStep::AskOffering(node(1), NEWER)
     );
-    assert!(sources.take_passable(OWN, false).is_empty());
-    let mut passable = sources.take_passable(NEWER, false);
+    let mut passable = sources.take_passable(NEWER);
     passable.sort_by_key(|offer| offer.from);
     assert_eq!(passable, [first, second]);
-    assert!(sources.take_passable(NEWER, true).is_empty());
+    assert!(sources.take_passable(NEWER).is_empty());
     assert_eq!(sources.take_step(NEWER, START), FetchStep::Done);
 }
 
-/// Symptom: a version stops at a node that can't fetch it. Cause: the nodes behind it are never told.
+/// Symptom: a version stops at a node that can't fetch it. Cause: the nodes behind it are told only when it has nobody left
+/// to ask, or never.
 #[test]
-fn take_passable_nobody_left() {
+fn take_passable_asked_in_vain() {
     let mut sources = TableSources::default();
     let (failed, newest) = (offer(1, NEWER, &[3]), offer(2, NEWEST, &[4]));
     sources.note_offer(failed.clone());
     sources.note_offer(newest.clone());
+    sources.note_hint(node(5), NEWEST, OWN, START);
+    assert!(sources.take_passable(OWN).is_empty());
     assert!(matches!(
         sources.take_step(OWN, START),
-        FetchStep::Ask(_, NEWER)
+        FetchStep::AskOffering(_, NEWER)
     ));
+    assert_eq!(sources.take_passable(OWN), [failed]);
+    assert!(sources.take_passable(OWN).is_empty());
     assert!(matches!(
         sources.take_step(OWN, START),
-        FetchStep::Ask(_, NEWEST)
+        FetchStep::AskOffering(_, NEWEST)
     ));
-    assert_eq!(sources.take_step(OWN, START), FetchStep::Done);
-    assert_eq!(sources.take_passable(OWN, true), [failed, newest]);
-    assert!(sources.take_passable(OWN, true).is_empty());
+    assert_eq!(sources.take_passable(OWN), [newest]);
+    assert!(sources.take_passable(OWN).is_empty());
+    let late = START + PATIENCE;
+    assert_eq!(
+        sources.take_step(OWN, late),
+        FetchStep::AskHeard(node(5), NEWEST)
+    );
+    assert_eq!(sources.take_step(OWN, late), FetchStep::Done);
+    assert!(sources.take_passable(OWN).is_empty());
 }
 
 /// What nodes tell, and how the asking ends.
@@ -154,6 +204,8 @@
     now: Moment,
     /// Offers and hints by node, each good for one question.
     told: HashMap<SocketAddr, usize>,
+    /// Nodes whose offers were asked since the last passing on.
+    asked: Vec<(SocketAddr, ConfigurationVersion)>,
     offered: usize,
     passed_on: usize,
 }
@@ -182,9 +234,16 @@
     }
 
     fn step(&mut self, succeeds: bool) -> FetchStep {
+        let passable = self.sources.take_passable(self.own);
+        let is_asked = |offer: &TableOffer| self.asked.contains(&(offer.from, offer.version));
+        let (asked, unasked): (Vec<_>, Vec<_>) = passable.iter().partition(|offer| is_asked(offer));
+        assert!(asked.len() >= self.asked.len());
+        assert!(unasked.iter().all(|offer| offer.version <= self.own));
+        self.asked.clear();
+        self.passed_on += passable.len();
         let step = self.sources.take_step(self.own, self.now);
         match step {
-            FetchStep::Ask(from, version) => {
+            FetchStep::AskOffering(from, version) | FetchStep::AskHeard(from, version) => {
                 assert!(version > self.own);
                 let left = self.told.get_mut(&from).expect("it told of a version");
                 *left = left.checked_sub(1).expect("it was asked before");
@@ -197,12 +256,9 @@
             }
             FetchStep::Done => {}
         }
-        let exhausted = step == FetchStep::Done;
-        let passable = self.sources.take_passable(self.own, exhausted);
-        if !exhausted {
-            assert!(passable.iter().all(|offer| offer.version <= self.own));
+        if let FetchStep::AskOffering(from, version) = step {
+            self.asked.push((from, version));
         }
-        self.passed_on += passable.len();
         step
     }
 }
--- a/tests/integration/table_spreading/calls.rs
+++ b/tests/integration/table_spreading/calls.rs
@@ -9,7 +9,7 @@
 
 /// Time to open a connection, as in a node.
 const OPENING: Duration = Duration::from_millis(250);
-/// Longest time for a message with state, as in a node.
+/// Longest time until an answer begins and between two pieces of it, as in a node.
 const ANSWERING: Duration = Duration::from_secs(1);
 /// Bytes of an opening, each way.
 const OPENING_BYTES: usize = 60;
@@ -21,7 +21,7 @@
 const WORK_PER_BYTE: Duration = Duration::from_nanos(600);
 
 impl Mesh {
-    pub fn call(&mut self, from: usize, to: usize, purpose: Purpose) {
+    pub fn call(&mut self, from: usize, to: usize, purpose: Purpose) -> usize {
         let call = self.calls.len();
         self.calls.push(Call {
             from,
@@ -29,11 +29,40 @@
             purpose,
             opened: false,
             ended: false,
+            progress: self.timeline.now(),
+            is_again: false,
             answer: None,
         });
         self.timeline.after(OPENING, Event::OpeningDue(call));
         self.timeline.after(ANSWERING, Event::AnswerDue(call));
         self.send(call, Leg::Open, OPENING_BYTES);
+        call
+    }
+
+    /// Notes that a piece of an answer has come.
+    pub fn note_piece(&mut self, transfer: usize) {
+        let (call, leg) = self.network.part_of(transfer);
+        if leg == Leg::Answer {
+            self.calls[call].progress = self.timeline.now();
+        }
+    }
+
+    /// Gives a call up if nothing has come of its answer for too long.
+    pub fn look_for_answer(&mut self, number: usize) {
+        let due = self.calls[number].progress + ANSWERING;
+        if due > self.timeline.now() {
+            self.timeline.at(due, Event::AnswerDue(number));
+        } else {
+            self.give_up(number);
+        }
+    }
+
+    /// Ends a call whose answer is no longer wanted.
+    pub fn cancel(&mut self, number: usize) {
+        let call = &mut self.calls[number];
+        call.ended = true;
+        let ends = [call.from, call.to];
+        self.network.abandon(number, ends);
     }
 
     pub fn send(&mut self, call: usize, leg: Leg, bytes: usize) {
@@ -65,6 +94,7 @@
             Leg::Open => self.send(number, Leg::Opened, OPENING_BYTES),
             Leg::Opened => {
                 call.opened = true;
+                call.progress = self.timeline.now();
                 let bytes = question_bytes(call);
                 self.send(number, Leg::Question, bytes);
             }
@@ -93,6 +123,21 @@
                         pass_on,
                     },
                 );
+                bytes = self.told_bytes(to);
+            }
+            Purpose::DirectOffer(version) => {
+                let from = address(self.calls[number].from);
+                let pass_on = Vec::new();
+                self.take_offer(
+                    to,
+                    TableOffer {
+                        from,
+                        version,
+                        pass_on,
+                    },
+                );
+                bytes = self.told_bytes(to);
+                self.calls[number].answer = Some((self.nodes[to].own, 0));
             }
             Purpose::Fetch(wanted) => {
                 let has = self.nodes[to].own;
@@ -105,10 +150,25 @@
         self.send(number, Leg::Answer, HEAD_BYTES + bytes);
     }
 
+    /// Bytes of the answer to an offer: the version that the node has.
+    fn told_bytes(&self, node: usize) -> usize {
+        let told = StateMessage {
+            offered: Some(self.nodes[node].own),
+            ..StateMessage::default()
+        };
+        serde_json::to_vec(&told).map_or(0, |body| body.len())
+    }
+
     pub fn take_answer(&mut self, number: usize) {
         let call = &mut self.calls[number];
         call.ended = true;
+        if let (Purpose::DirectOffer(_), Some((has, _))) = (&call.purpose, call.answer) {
+            self.nodes[call.from].known.insert(call.to, has);
+        }
         if let Purpose::Fetch(_) = call.purpose {
+            if self.nodes[call.from].asks_heard == Some(number) {
+                self.nodes[call.from].asks_heard = None;
+            }
             let bytes = call.answer.map_or(0, |(_, bytes)| bytes);
             let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
             let work = WORK + WORK_PER_BYTE * bytes;
@@ -123,7 +183,19 @@
         }
         if let Some((version, _)) = answer {
             self.nodes[node].copies += 1;
-            self.take_table(node, version);
+            let (own, call) = (self.nodes[node].own, &self.calls[number]);
+            let Purpose::Fetch(base) = call.purpose else {
+                unreachable!("only a question brings a table");
+            };
+            if version > own && base != own {
+                if !call.is_again {
+                    let again = self.call(node, call.to, Purpose::Fetch(own));
+                    self.calls[again].is_again = true;
+                    return;
+                }
+            } else if self.take_table(node, version) && self.nodes[node].is_reader {
+                self.look_at_zone(node, false);
+            }
         }
         self.fetch_on(node);
     }
@@ -138,7 +210,9 @@
         self.network.abandon(number, [from, to]);
         match purpose {
             Purpose::Offer(message, rest) => self.send_to_first(from, message, rest),
+            Purpose::DirectOffer(_) => {}
             Purpose::Fetch(_) => {
+                self.nodes[from].asks_heard = None;
                 self.nodes[from].failed += 1;
                 self.fetch_on(from);
             }
@@ -149,6 +223,11 @@
 fn question_bytes(call: &Call) -> usize {
     let message = match &call.purpose {
         Purpose::Offer(message, _) => message.clone(),
+        Purpose::DirectOffer(version) => StateMessage {
+            offered: Some(*version),
+            from: Some(address(call.from)),
+            ..StateMessage::default()
+        },
         Purpose::Fetch(own) => StateMessage {
             wanted: Some(*own),
             from: Some(address(call.from)),
--- a/tests/integration/table_spreading/glue.rs
+++ b/tests/integration/table_spreading/glue.rs
@@ -56,23 +56,39 @@
 
     pub fn fetch_on(&mut self, node: usize) {
         let now = self.timeline.now();
-        let own = self.nodes[node].own;
-        self.nodes[node].waits_until = None;
-        let step = self.nodes[node].sources.take_step(own, now);
-        self.pass_on_offers(node, step == FetchStep::Done);
-        match step {
-            FetchStep::Ask(from, _) => self.call(node, node_at(from), Purpose::Fetch(own)),
-            FetchStep::Wait(until) => {
-                self.nodes[node].waits_until = Some(until);
-                self.timeline.at(until, Event::Look(node, until));
+        loop {
+            let own = self.nodes[node].own;
+            self.nodes[node].waits_until = None;
+            self.pass_on_offers(node);
+            match self.nodes[node].sources.take_step(own, now) {
+                FetchStep::AskOffering(from, _) => {
+                    self.call(node, node_at(from), Purpose::Fetch(own));
+                    return;
+                }
+                // An offer that came since the last wait ends this one before it begins.
+                FetchStep::AskHeard(..) | FetchStep::Wait(_)
+                    if std::mem::take(&mut self.nodes[node].offer_came) => {}
+                FetchStep::AskHeard(from, _) => {
+                    let call = self.call(node, node_at(from), Purpose::Fetch(own));
+                    self.nodes[node].asks_heard = Some(call);
+                    return;
+                }
+                FetchStep::Wait(until) => {
+                    self.nodes[node].waits_until = Some(until);
+                    self.timeline.at(until, Event::Look(node, until));
+                    return;
+                }
+                FetchStep::Done => {
+                    self.nodes[node].fetching = false;
+                    return;
+                }
             }
-            FetchStep::Done => self.nodes[node].fetching = false,
         }
     }
 
-    pub fn pass_on_offers(&mut self, node: usize, exhausted: bool) {
+    pub fn pass_on_offers(&mut self, node: usize) {
         let own = self.nodes[node].own;
-        let offers = self.nodes[node].sources.take_passable(own, exhausted);
+        let offers = self.nodes[node].sources.take_passable(own);
         for offer in offers {
             if offer.version <= own {
                 self.offer(node, &offer.pass_on);
@@ -86,8 +102,13 @@
         let from = node_at(offer.from);
         self.nodes[node].known.insert(from, offer.version);
         self.nodes[node].sources.note_offer(offer);
-        if self.nodes[node].waits_until.is_some() {
+        if let Some(call) = self.nodes[node].asks_heard.take() {
+            self.cancel(call);
+            self.fetch_on(node);
+        } else if self.nodes[node].waits_until.is_some() {
             self.fetch_on(node);
+        } else {
+            self.nodes[node].offer_came = true;
         }
         self.start_fetching(node);
     }
--- a/tests/integration/table_spreading/mesh.rs
+++ b/tests/integration/table_spreading/mesh.rs
@@ -1,15 +1,17 @@
 //! Nodes of a modelled mesh that tell each other a new routing table.
 //!
 //! Who is offered a version, asked for it and told of it next is decided by the code of the node; the glue between these
-//! decisions, which in a node needs sockets, is written out here as `src/proxy/table_fetching.rs` and
-//! `src/proxy/state_messages.rs` have it. Sizes are those of the messages that a node would send.
+//! decisions, which in a node needs sockets, is written out here as `src/proxy/table_fetching.rs`,
+//! `src/proxy/table_offering.rs` and `src/proxy/state_messages.rs` have it. Sizes are those of the messages that a node would send.
 
 use super::{
     network::{Network, NetworkEvent, Timeline},
     tables::Tables,
 };
 use camphorturn::{
-    coordination::{store_reading::is_reader, table_sources::TableSources},
+    coordination::{
+        offer_rounds::OfferRounds, store_reading::is_reader, table_sources::TableSources,
+    },
     protocol::hop::StateMessage,
     state::{configuration::ConfigurationVersion, moment::Moment},
 };
@@ -30,6 +32,11 @@
 /// Longest time from a reader's offer to its loss; the offer itself gets through in a few milliseconds.
 const LOSS_WITHIN: Duration = Duration::from_millis(40);
 
+/// How often a reader looks which nodes of its zone lack the version in force, as in a node.
+const LOOK_PAUSE: Duration = Duration::from_millis(500);
+/// Sets the draws for rounds of offers apart from all others.
+const ROUND_SEED: u64 = 1 << 32;
+
 /// How a node is dark.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Dark {
@@ -61,6 +68,7 @@
     Handled(usize),
     Fetched(usize),
     Look(usize, Moment),
+    LookAtZone(usize, Moment),
     Read(usize, ConfigurationVersion),
     Lost(usize),
     Request(usize),
@@ -77,6 +85,8 @@
 pub enum Purpose {
     /// An offer, and who is told in place of the receiver if that fails.
     Offer(StateMessage, Vec<SocketAddr>),
+    /// An offer of this version that is not passed on.
+    DirectOffer(ConfigurationVersion),
     /// A question for what is newer than this version.
     Fetch(ConfigurationVersion),
 }
@@ -88,7 +98,11 @@
     pub purpose: Purpose,
     pub opened: bool,
     pub ended: bool,
-    /// The version that the answer leads to, and its bytes.
+    /// When it was begun, its question sent, or a piece of its answer received: the latest.
+    pub progress: Moment,
+    /// A question put again, as the answer to the first changes another version than that in force.
+    pub is_again: bool,
+    /// The version that the answer leads to or tells, and the bytes of the change.
     pub answer: Option<(ConfigurationVersion, usize)>,
 }
 
@@ -99,6 +113,13 @@
     pub sources: TableSources,
     pub fetching: bool,
     pub waits_until: Option<Moment>,
+    /// The question to a node that was heard of by a request, which an offer ends.
+    pub asks_heard: Option<usize>,
+    /// An offer has come since the last wait for one.
+    pub offer_came: bool,
+    pub rounds: OfferRounds,
+    /// When it looks at its zone next, if it reads.
+    pub looks_at: Moment,
     pub known: HashMap<usize, ConfigurationVersion>,
     pub own: ConfigurationVersion,
     /// When each version came to be in force, with all older ones.
@@ -125,6 +146,7 @@
 pub struct Mesh {
     pub plan: Plan,
     pub random: StdRng,
+    pub round_random: StdRng,
     pub tables: Rc<Tables>,
     pub timeline: Timeline<Event>,
     pub network: Network,
@@ -153,6 +175,7 @@
         let mut mesh = Self {
             plan,
             random: StdRng::seed_from_u64(plan.seed),
+            round_random: StdRng::seed_from_u64(plan.seed ^ ROUND_SEED),
             tables: Rc::clone(tables),
             timeline: Timeline::default(),
             network: Network::default(),
@@ -178,7 +201,11 @@
             sources: TableSources::default(),
             fetching: false,
             waits_until: None,
-            known: HashMap::new(),
+            asks_heard: None,
+            offer_came: false,
+            rounds: OfferRounds::default(),
+            looks_at: Moment(0),
+            known: (0..self.plan.nodes).map(|other| (other, own)).collect(),
             own,
             in_force: Vec::new(),
             copies: 0,
@@ -190,6 +217,10 @@
         let zone = self.list_zone(number);
         let reads = is_reader(address(number), zone.into_iter());
         self.nodes[number].is_reader = reads;
+        if reads {
+            let first = LOOK_PAUSE.mul_f64(self.round_random.random_range(0.0..1.0));
+            self.plan_look(number, first);
+        }
         let one_in = self.plan.dark_one_in;
         if one_in > 0 && !reads && self.random.random_range(0..one_in) == 0 {
             let reachable = self.random.random_bool(0.5);
@@ -236,12 +267,16 @@
     pub fn take(&mut self, event: Event) {
         match event {
             Event::Network(event) => {
+                if let NetworkEvent::Received(transfer, _) = event {
+                    self.note_piece(transfer);
+                }
                 if let Some(transfer) = self.network.go_on(&mut self.timeline, event) {
                     self.take_leg(&transfer);
                 }
             }
             Event::OpeningDue(call) if self.calls[call].opened => {}
-            Event::OpeningDue(call) | Event::AnswerDue(call) => self.give_up(call),
+            Event::OpeningDue(call) => self.give_up(call),
+            Event::AnswerDue(call) => self.look_for_answer(call),
             Event::Handled(call) => self.answer(call),
             Event::Fetched(call) => self.take_fetched(call),
             Event::Look(node, until) => {
@@ -249,6 +284,11 @@
                     self.fetch_on(node);
                 }
             }
+            Event::LookAtZone(node, due) => {
+                if self.nodes[node].looks_at == due {
+                    self.look_at_zone(node, false);
+                }
+            }
             Event::Read(node, version) => self.read(node, version),
             Event::Lost(node) => self.darken(node, Dark::Unreachable),
             Event::Request(node) => self.request(node),
@@ -267,16 +307,43 @@
         true
     }
 
+    fn plan_look(&mut self, node: usize, pause: Duration) {
+        let due = self.timeline.now() + pause;
+        self.nodes[node].looks_at = due;
+        self.timeline.at(due, Event::LookAtZone(node, due));
+    }
+
+    /// A reader offers the version in force to those of its zone that aren't known to have it, as is due.
+    pub fn look_at_zone(&mut self, node: usize, has_read: bool) {
+        if self.nodes[node].is_dark() {
+            return;
+        }
+        self.plan_look(node, LOOK_PAUSE);
+        let (now, own) = (self.timeline.now(), self.nodes[node].own);
+        let mut zone = self.list_zone(node);
+        let known = &self.nodes[node].known;
+        zone.retain(|to| known.get(&node_at(*to)).is_none_or(|has| *has < own));
+        let lacking: Vec<_> = zone.into_iter().map(|to| (to, true)).collect();
+        let round = self.nodes[node].rounds.plan_round(own, &lacking, now);
+        let mut receivers = round.along_tree;
+        // Reads draw as if there were no other rounds, so that a seed stands for the same losses with and without them.
+        receivers.shuffle(if has_read {
+            &mut self.random
+        } else {
+            &mut self.round_random
+        });
+        self.offer(node, &receivers);
+        for to in round.directly {
+            self.call(node, node_at(to), Purpose::DirectOffer(own));
+        }
+    }
+
     /// A reader reads a version and offers it to those of its zone that may lack it.
     pub fn read(&mut self, node: usize, version: ConfigurationVersion) {
         if self.nodes[node].is_dark() || !self.take_table(node, version) {
             return;
         }
-        let mut receivers = self.list_zone(node);
-        receivers.shuffle(&mut self.random);
-        let known = &self.nodes[node].known;
-        receivers.retain(|to| known.get(&node_at(*to)).is_none_or(|has| *has < version));
-        self.offer(node, &receivers);
+        self.look_at_zone(node, true);
         let zone = self.list_zone(node);
         let mut readers = zone.iter().map(|other| &self.nodes[node_at(*other)]);
         let is_first = readers.all(|other| !other.is_reader || other.own < version);
--- a/tests/integration/table_spreading/network.rs
+++ b/tests/integration/table_spreading/network.rs
@@ -142,6 +142,12 @@
         }
     }
 
+    /// The call of a transfer, and which part of it that is.
+    pub fn part_of(&self, transfer: usize) -> (usize, Leg) {
+        let transfer = &self.transfers[transfer].transfer;
+        (transfer.call, transfer.leg)
+    }
+
     /// Nothing leaves a node any more.
     pub fn cut(&mut self, node: usize) {
         self.links[node].is_cut = true;
