--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -31,6 +31,7 @@
     RanRequest {
         target: target.to_owned(),
         instance: "u1-1".to_owned(),
+        born: 1,
         at,
     }
 }
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -19,6 +19,9 @@
     time::{sleep, timeout},
 };
 
+/// Bytes of records after which an answer to a read ends, as on the platform; one record it always holds.
+const READ_LIMIT: usize = 1_000_000;
+
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreCondition {
@@ -95,8 +98,12 @@
 
     /// Appends a record, as the operator does.
     pub fn put(&self, topic: &str, key: &str, value: &str) {
-        let value = Bytes::copy_from_slice(value.as_bytes());
-        append(&self.state, topic, key, value);
+        self.put_bytes(topic, key, value.as_bytes());
+    }
+
+    /// Appends a record of any bytes, as some other writer may.
+    pub fn put_bytes(&self, topic: &str, key: &str, value: &[u8]) {
+        append(&self.state, topic, key, Bytes::copy_from_slice(value));
     }
 
     /// Deletes the records that were appended so far; the newest of each key stays.
@@ -253,6 +260,9 @@
     body.extend_from_slice(&(records.len() as u64).to_be_bytes());
     body.extend_from_slice(&(state.first.get() as u64).to_be_bytes());
     for record in records.iter().skip(from) {
+        if body.len() > READ_LIMIT {
+            break;
+        }
         let length = 1 + record.key.len() + record.value.len();
         body.extend_from_slice(&u32::try_from(length).unwrap_or(0).to_be_bytes());
         body.push(u8::try_from(record.key.len()).unwrap_or(0));
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -1,7 +1,10 @@
 //! An application upstream: ids, signature, load, drain, reuse of its address, and
 //! answers that are late, doubled, cut or lost.
 
+mod answer;
+
 use crate::http::{PlainRequest, build_answer, read_request, write_all};
+use answer::Answer;
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     cell::{Cell, RefCell},
@@ -11,7 +14,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -65,8 +68,10 @@
 pub struct RanRequest {
     /// Its target.
     pub target: String,
-    /// The run of the upstream.
+    /// Identity of the upstream's run.
     pub instance: String,
+    /// When that run started, in Unix milliseconds.
+    pub born: u64,
     /// When it began.
     pub at: Instant,
 }
@@ -141,6 +146,9 @@
     random: RefCell<StdRng>,
     slots: Semaphore,
     instance: RefCell<String>,
+    born: Cell<u64>,
+    crashed: Cell<bool>,
+    crashes: Notify,
     slowdown: Cell<u16>,
     acts: RefCell<VecDeque<UpstreamAct>>,
     arrivals: RefCell<Vec<PlainRequest>>,
@@ -178,6 +186,9 @@
             random: RefCell::new(StdRng::seed_from_u64(settings.seed)),
             slots: Semaphore::new(settings.slots.into()),
             instance: RefCell::new(settings.instance.clone()),
+            born: Cell::new(read_clock()),
+            crashed: Cell::default(),
+            crashes: Notify::new(),
             slowdown: Cell::new(100),
             acts: RefCell::default(),
             arrivals: RefCell::default(),
@@ -213,6 +224,38 @@
     /// Another run takes the address.
     pub fn replace(&self, instance: &str) {
         instance.clone_into(&mut self.state.instance.borrow_mut());
+        self.be_born();
+    }
+
+    /// When the present run started, in whole Unix milliseconds, as its heartbeats tell.
+    #[must_use]
+    pub fn born(&self) -> u64 {
+        self.state.born.get()
+    }
+
+    /// Whether it has crashed and not started again.
+    #[must_use]
+    pub fn is_crashed(&self) -> bool {
+        self.state.crashed.get()
+    }
+
+    /// Ends all connections in the middle of whatever they carry, and takes none until [`Self::start_again`].
+    pub fn crash(&self) {
+        self.state.crashed.set(true);
+        self.state.crashes.notify_waiters();
+    }
+
+    /// Starts again after a crash, under the identity that it had.
+    pub fn start_again(&self) {
+        self.state.crashed.set(false);
+        self.state.leaving.set(false);
+        self.be_born();
+    }
+
+    /// Runs under one identity are told apart by their start alone, so two of them never share a millisecond.
+    fn be_born(&self) {
+        let born = &self.state.born;
+        born.set(read_clock().max(born.get() + 1));
     }
 
     /// How long work takes, in percent of the usual; told, not acted.
@@ -256,9 +299,28 @@
     }
 }
 
+/// Whole Unix milliseconds.
+fn read_clock() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| {
+        u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
+    })
+}
+
 async fn accept(listener: TcpListener, state: Rc<State>) {
     while let Ok((stream, _)) = listener.accept().await {
-        spawn_local(serve(stream, Rc::clone(&state)));
+        spawn_local(serve_until_crash(stream, Rc::clone(&state)));
+    }
+}
+
+async fn serve_until_crash(stream: TcpStream, state: Rc<State>) {
+    // A connection that was taken just before a crash hears nothing of it.
+    if state.crashed.get() {
+        return;
+    }
+    tokio::select! {
+        () = state.crashes.notified() => {}
+        () = serve(stream, Rc::clone(&state)) => {}
     }
 }
 
@@ -324,7 +386,7 @@
     }
     let act = state.acts.borrow_mut().pop_front();
     let act = act.unwrap_or(UpstreamAct::Answer);
-    let answer = Answer::to(state, &request);
+    let answer = Answer::to(&state.settings, &request);
     if act != UpstreamAct::Shed {
         note_run(state, &request);
     }
@@ -348,6 +410,7 @@
     runs.push(RanRequest {
         target: request.target.clone(),
         instance: state.instance.borrow().clone(),
+        born: state.born.get(),
         at: Instant::now(),
     });
 }
@@ -395,65 +458,3 @@
         () = wait_closed(stream) => false,
     }
 }
-
-/// What an answer is made of.
-struct Answer {
-    names: UpstreamNames,
-    id: String,
-    body: Vec<u8>,
-}
-
-impl Answer {
-    fn to(state: &State, request: &PlainRequest) -> Self {
-        let names = state.settings.names;
-        let body = if state.settings.echoes {
-            let start = format!("{} {}\n", request.method, request.target);
-            [start.as_bytes(), &request.body].concat()
-        } else {
-            b"whole body".to_vec()
-        };
-        Self {
-            names,
-            id: request
-                .header(names.request_id)
-                .unwrap_or_default()
-                .to_owned(),
-            body,
-        }
-    }
-
-    /// The bytes to send, and whether the connection is kept.
-    fn build(&self, act: UpstreamAct, load: &str) -> (Vec<u8>, bool) {
-        let names = self.names;
-        let id = self.id.as_str();
-        let head = |id| {
-            [
-                (names.request_id, id),
-                (names.load, load),
-                (names.signature, "signed"),
-            ]
-        };
-        match act {
-            UpstreamAct::Answer | UpstreamAct::Hold => {
-                (build_answer(200, &head(id), &self.body), true)
-            }
-            UpstreamAct::Fail => (build_answer(500, &head(id), b"failed"), true),
-            UpstreamAct::Shed => {
-                let headers = [(names.request_id, id), (names.not_executed, "1")];
-                (build_answer(503, &headers, b""), true)
-            }
-            UpstreamAct::LoseAnswer => (Vec::new(), false),
-            UpstreamAct::CutBody => {
-                let mut answer = build_answer(200, &head(id), &self.body);
-                answer.truncate(answer.len() - 4);
-                (answer, false)
-            }
-            UpstreamAct::ForeignId => (build_answer(200, &head("another"), &self.body), true),
-            UpstreamAct::Unsigned => {
-                let headers = [(names.request_id, id)];
-                (build_answer(200, &headers, &self.body), true)
-            }
-            UpstreamAct::AnswerTwice => (build_answer(200, &head(id), &self.body).repeat(2), true),
-        }
-    }
-}
--- /dev/null
+++ b/stand-ins/src/upstream/answer.rs
@@ -0,0 +1,69 @@
+//! What an upstream sends in answer to a request.
+
+use crate::{
+    http::{PlainRequest, build_answer},
+    upstream::{UpstreamAct, UpstreamNames, UpstreamSettings},
+};
+
+/// What an answer is made of.
+pub struct Answer {
+    names: UpstreamNames,
+    id: String,
+    body: Vec<u8>,
+}
+
+impl Answer {
+    /// The answer to a request at an upstream with those settings.
+    pub fn to(settings: &UpstreamSettings, request: &PlainRequest) -> Self {
+        let names = settings.names;
+        let body = if settings.echoes {
+            let start = format!("{} {}\n", request.method, request.target);
+            [start.as_bytes(), &request.body].concat()
+        } else {
+            b"whole body".to_vec()
+        };
+        Self {
+            names,
+            id: request
+                .header(names.request_id)
+                .unwrap_or_default()
+                .to_owned(),
+            body,
+        }
+    }
+
+    /// The bytes to send, and whether the connection is kept.
+    pub fn build(&self, act: UpstreamAct, load: &str) -> (Vec<u8>, bool) {
+        let names = self.names;
+        let id = self.id.as_str();
+        let head = |id| {
+            [
+                (names.request_id, id),
+                (names.load, load),
+                (names.signature, "signed"),
+            ]
+        };
+        match act {
+            UpstreamAct::Answer | UpstreamAct::Hold => {
+                (build_answer(200, &head(id), &self.body), true)
+            }
+            UpstreamAct::Fail => (build_answer(500, &head(id), b"failed"), true),
+            UpstreamAct::Shed => {
+                let headers = [(names.request_id, id), (names.not_executed, "1")];
+                (build_answer(503, &headers, b""), true)
+            }
+            UpstreamAct::LoseAnswer => (Vec::new(), false),
+            UpstreamAct::CutBody => {
+                let mut answer = build_answer(200, &head(id), &self.body);
+                answer.truncate(answer.len() - 4);
+                (answer, false)
+            }
+            UpstreamAct::ForeignId => (build_answer(200, &head("another"), &self.body), true),
+            UpstreamAct::Unsigned => {
+                let headers = [(names.request_id, id)];
+                (build_answer(200, &headers, &self.body), true)
+            }
+            UpstreamAct::AnswerTwice => (build_answer(200, &head(id), &self.body).repeat(2), true),
+        }
+    }
+}
