Soak: routes that grow by hundreds, small changes in series, thin links, crashes, foreign bytes

Cause: the soak would not have met proper requests answered 404 after large configurations: each configuration added one route, faults came one by one, nodes reached each other without any bound, and a denied route counted only if it was of the first configuration or had been served before. It had no upstreams that start again under their id and no records of other writers. Change: series of 300 to 1,400 routes with one to four small changes and orders to nodes between them, at least one a seed; series of two to five orders to one node; links of 10 Mbit/s between nodes for even seeds; crashes of upstreams; foreign bytes as records, configurations and heartbeats; the check; from 1 to 200 nodes by `--nodes`. Clients use connections until the process is gone, as before; half of the requests now go to the newest routes.

--- a/soak/src/arguments.rs
+++ b/soak/src/arguments.rs
@@ -19,7 +19,7 @@
         #[bpaf(argument("SECONDS"), fallback(12))]
         seconds: u64,
         /// Nodes, two services between them
-        #[bpaf(argument("NODES"), fallback(6))]
+        #[bpaf(argument("NODES"), parse(check_nodes), fallback(6))]
         nodes: usize,
         /// Print a JSON object a seed
         json: bool,
@@ -28,10 +28,26 @@
     #[bpaf(command)]
     Serve {
         /// Nodes, two services between them
-        #[bpaf(argument("NODES"), fallback(6))]
+        #[bpaf(argument("NODES"), parse(check_nodes), fallback(6))]
         nodes: usize,
     },
     /// Be one node; the tool starts itself so
     #[bpaf(command, hide)]
-    Node,
+    Node {
+        /// Port to listen on for other nodes, which connect to a link in front of it
+        #[bpaf(argument("PORT"))]
+        behind_link: Option<u16>,
+    },
+}
+
+/// Each node has an address of its own that differs in the last byte. A process takes some 10 MB, and the tool some
+/// ten files for each.
+const MOST_NODES: usize = 200;
+
+fn check_nodes(nodes: usize) -> Result<usize, String> {
+    if (1..=MOST_NODES).contains(&nodes) {
+        Ok(nodes)
+    } else {
+        Err(format!("from 1 to {MOST_NODES} nodes"))
+    }
 }
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,6 +1,6 @@
 //! Callers on each VM: kept connections, requests all the time, also while the node stops.
 
-use crate::{history::CallerRecord, world::World};
+use crate::{configurations::DrawnTarget, history::CallerRecord, world::World};
 use bytes::Bytes;
 use camphorturn::local_mesh::client::{CallFailure, CallerCall, CallerClient};
 use http::{HeaderMap, HeaderValue, Method, header::HOST};
@@ -27,19 +27,9 @@
     let mut number = 0;
     while !world.is_over() {
         number += 1;
-        let newest = world.route_version();
-        let route_version = random.random_range(0..=newest);
-        let idempotent = random.random_range(0..2) == 0;
-        let call = OneCall {
-            node,
-            target: name_target(
-                route_version,
-                idempotent,
-                &format!("{node}-{caller}-{number}"),
-            ),
-            idempotent,
-            route_version,
-        };
+        let id = format!("{node}-{caller}-{number}");
+        let drawn = world.configurations.borrow().draw_target(&mut random, &id);
+        let call = OneCall { node, drawn };
         let record = call.run(&world, &client).await;
         let unreached = record.answer == Err(CallFailure::NotSent);
         if !unreached {
@@ -50,20 +40,9 @@
     }
 }
 
-/// Version 0 has two routes; each later one adds one for what may be repeated.
-fn name_target(route_version: u64, idempotent: bool, id: &str) -> String {
-    match (route_version, idempotent) {
-        (0, true) => format!("/look/{id}"),
-        (_, false) => format!("/book/{id}"),
-        (version, true) => format!("/v{version}/{id}"),
-    }
-}
-
 struct OneCall {
     node: usize,
-    target: String,
-    idempotent: bool,
-    route_version: u64,
+    drawn: DrawnTarget,
 }
 
 impl OneCall {
@@ -78,13 +57,9 @@
         CallerRecord {
             node: self.node,
             node_run,
-            route_version: if self.idempotent {
-                self.route_version
-            } else {
-                0
-            },
-            target: self.target,
-            idempotent: self.idempotent,
+            route_version: self.drawn.route_version,
+            target: self.drawn.target,
+            idempotent: self.drawn.idempotent,
             sent,
             ended: Instant::now(),
             answer,
@@ -94,18 +69,18 @@
     fn build(&self) -> CallerCall {
         let mut headers = HeaderMap::new();
         headers.insert(HOST, HeaderValue::from_static("shop.example"));
-        if let Ok(id) = HeaderValue::from_str(self.target.trim_start_matches('/')) {
+        if let Ok(id) = HeaderValue::from_str(self.drawn.target.trim_start_matches('/')) {
             headers.insert("camphorturn-request-id", id);
         }
         let time_left = HeaderValue::from_static(TIME_LEFT_MS);
         headers.insert("camphorturn-timeout-ms", time_left);
         CallerCall {
-            method: if self.idempotent {
+            method: if self.drawn.idempotent {
                 Method::GET
             } else {
                 Method::POST
             },
-            target: self.target.clone(),
+            target: self.drawn.target.clone(),
             headers,
             body: Bytes::new(),
         }
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,11 +1,11 @@
 //! The promises, checked against what callers and upstreams saw.
 
-use crate::history::{Acknowledged, CallerRecord, History, Violation};
+use crate::history::{Acknowledged, CallerRecord, Hindrance, History, Violation};
 use camphorturn::local_mesh::client::CallFailure;
 use camphorturn_stand_ins::upstream::RanRequest;
 use std::{
     collections::{BTreeMap, HashMap},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time after an acknowledged leaving from which no request may reach that run of the upstream.
@@ -13,6 +13,10 @@
 /// Time after the order to stop in which clients may still bring requests.
 const STOP_TAKES: Duration = Duration::from_secs(3);
 
+/// Time after an acknowledged change from which each node has it in force that nothing keeps from learning of it, and in
+/// which a node that something kept from it, or that has started, makes up for that. The platform's users count on it.
+pub const IN_FORCE_BOUND: Duration = Duration::from_millis(2_500);
+
 /// Every promise that was broken.
 #[must_use]
 pub fn find_violations(history: &History, runs: &[RanRequest]) -> Vec<Violation> {
@@ -21,11 +25,13 @@
         by_target.entry(&run.target).or_default().push(run);
     }
     let none = Vec::new();
+    let changes = index_changes(history);
     let mut found = Vec::new();
     for request in &history.requests {
         let ran = by_target.get(request.target.as_str()).unwrap_or(&none);
         found.extend(check_request(request, ran));
         found.extend(check_planned_stop(request, ran, history));
+        found.extend(check_in_force(request, &changes, &history.hindrances));
     }
     found.extend(check_unasked(history, runs));
     found.extend(check_drains(history, runs));
@@ -61,6 +67,45 @@
     Some(violation(promise, request, ran))
 }
 
+/// When each configuration was acknowledged.
+fn index_changes(history: &History) -> HashMap<u64, Instant> {
+    let changes = history.acknowledged.iter();
+    changes
+        .filter_map(|acknowledged| match acknowledged {
+            Acknowledged::Change { route_version, at } => Some((*route_version, *at)),
+            Acknowledged::Leaving { .. } => None,
+        })
+        .collect()
+}
+
+/// A route of an acknowledged change is no longer denied once the change is to be in force.
+fn check_in_force(
+    request: &CallerRecord,
+    changes: &HashMap<u64, Instant>,
+    hindrances: &[Hindrance],
+) -> Option<Violation> {
+    let acknowledged = *changes.get(&request.route_version)?;
+    let owed = acknowledged + IN_FORCE_BOUND;
+    if !matches!(request.answer, Ok((404, _))) || request.sent < owed {
+        return None;
+    }
+    let hinders = |hindrance: &Hindrance| {
+        hindrance.node.is_none_or(|node| node == request.node)
+            && hindrance.from <= request.ended
+            && hindrance.to + IN_FORCE_BOUND > request.sent
+    };
+    if hindrances.iter().any(hinders) {
+        return None;
+    }
+    let promise = "an acknowledged change is in force in time";
+    let found = violation(promise, request, &[]);
+    let since = request.sent.duration_since(acknowledged).as_millis();
+    Some(Violation {
+        seen: format!("{}, sent {since} ms after the change", found.seen),
+        ..found
+    })
+}
+
 /// A request that was read and run is answered by a node that stops as planned.
 fn check_planned_stop(
     request: &CallerRecord,
@@ -108,10 +153,13 @@
 
 fn check_drains(history: &History, runs: &[RanRequest]) -> Vec<Violation> {
     let mut found = Vec::new();
-    for Acknowledged::Leaving { instance, at } in &history.acknowledged {
-        let late = runs
-            .iter()
-            .filter(|run| run.instance == *instance && run.at > *at + DRAIN_BOUND);
+    for acknowledged in &history.acknowledged {
+        let Acknowledged::Leaving { instance, born, at } = acknowledged else {
+            continue;
+        };
+        let late = runs.iter().filter(|run| {
+            run.instance == *instance && run.born == *born && run.at > *at + DRAIN_BOUND
+        });
         found.extend(late.map(|run| Violation {
             promise: "a leaving upstream gets no work",
             seen: format!(
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -30,11 +30,31 @@
 pub enum Acknowledged {
     /// A node took in that a run of its upstream leaves.
     Leaving {
-        /// The run.
+        /// Identity of the run.
         instance: String,
+        /// When it started, which tells it from others under its identity.
+        born: u64,
         /// When.
         at: Instant,
     },
+    /// The store took in a configuration.
+    Change {
+        /// Which one.
+        route_version: u64,
+        /// When.
+        at: Instant,
+    },
+}
+
+/// A span in which a node, or each node, is kept from learning of changes.
+#[derive(Clone, Debug)]
+pub struct Hindrance {
+    /// The node; none is each.
+    pub node: Option<usize>,
+    /// From.
+    pub from: Instant,
+    /// To.
+    pub to: Instant,
 }
 
 /// A span in which something was done to a node.
@@ -59,6 +79,8 @@
     pub acknowledged: Vec<Acknowledged>,
     /// What was done to nodes.
     pub disturbances: Vec<Disturbance>,
+    /// What kept nodes from learning of changes.
+    pub hindrances: Vec<Hindrance>,
 }
 
 /// A broken promise.
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod arguments;
 pub mod callers;
 pub mod checks;
+pub mod configurations;
+pub mod foreign;
+mod heartbeats;
 pub mod history;
 pub mod link;
 pub mod machine;
@@ -17,7 +20,11 @@
 mod world;
 
 use arguments::{Command, command};
-use camphorturn_platform::{arguments::Arguments, daemon::run_daemon};
+use camphorturn_platform::{
+    arguments::Arguments,
+    daemon::{run_daemon, run_daemon_on},
+    node::PlatformListeners,
+};
 use play::{PlayOptions, play_seed};
 use report::write_report;
 use serve::serve;
@@ -28,7 +35,7 @@
 #[must_use]
 pub fn run_tool() -> ExitCode {
     match command().run() {
-        Command::Node => run_daemon(Arguments { check: false }),
+        Command::Node { behind_link } => run_node(behind_link),
         Command::Serve { nodes } => finish(block_on(serve(nodes)).map(|()| true)),
         Command::Run {
             seed,
@@ -44,6 +51,19 @@
     }
 }
 
+/// Runs a node until it has stopped. Behind a link it listens at another port than it tells others: theirs is the link's.
+fn run_node(behind_link: Option<u16>) -> ExitCode {
+    let arguments = Arguments { check: false };
+    let Some(port) = behind_link else {
+        return run_daemon(arguments);
+    };
+    run_daemon_on(arguments, async move |settings| {
+        let mut behind = settings.clone();
+        behind.proxy.peers.set_port(port);
+        PlatformListeners::bind(&behind).await
+    })
+}
+
 fn finish(result: io::Result<bool>) -> ExitCode {
     match result {
         Ok(true) => ExitCode::SUCCESS,
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -1,6 +1,13 @@
 //! A link between two programs: forwards bytes over loopback, and does to them what networks do.
 
-use std::{cell::Cell, future::pending, io, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::Cell,
+    future::pending,
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
@@ -9,11 +16,13 @@
     },
     sync::Notify,
     task::spawn_local,
-    time::sleep,
+    time::{sleep, sleep_until},
 };
 
 /// Bytes forwarded at a time.
 const CHUNK: usize = 16 * 1024;
+/// Pieces that a thin link has passed within this time wait no longer: timers are no finer.
+const TIMER_STEP: Duration = Duration::from_millis(1);
 
 /// What a link does to bytes.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -34,6 +43,10 @@
     condition: Cell<LinkCondition>,
     changed: Notify,
     reset: Notify,
+    /// Bytes a second each way; none if there is no bound.
+    rate: Option<u32>,
+    /// When questions and answers have been carried that were taken so far.
+    carried: [Cell<Option<Instant>>; 2],
 }
 
 /// A link to one address.
@@ -49,9 +62,20 @@
     /// # Errors
     /// If no port is free.
     pub async fn open(to: SocketAddr) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        Self::open_at(([127, 0, 0, 1], 0).into(), to, None).await
+    }
+
+    /// Opens a link from `near` to `to`. A thin one carries `rate` bytes a second each way, all connections together.
+    ///
+    /// # Errors
+    /// If the address is taken.
+    pub async fn open_at(near: SocketAddr, to: SocketAddr, rate: Option<u32>) -> io::Result<Self> {
+        let listener = TcpListener::bind(near).await?;
         let address = listener.local_addr()?;
-        let state = Rc::new(State::default());
+        let state = Rc::new(State {
+            rate,
+            ..State::default()
+        });
         spawn_local(accept(listener, to, Rc::clone(&state)));
         Ok(Self { address, state })
     }
@@ -106,12 +130,29 @@
     let mut piece = vec![0; CHUNK];
     while let Ok(read @ 1..) = from.read(&mut piece).await {
         hold(state, direction).await;
+        pass_thin(state, direction, read).await;
         if to.write_all(&piece[..read]).await.is_err() {
             return;
         }
     }
 }
 
+/// Returns once a thin link has carried a piece, after those before it.
+async fn pass_thin(state: &State, direction: Direction, bytes: usize) {
+    let Some(rate) = state.rate else {
+        return;
+    };
+    let carried = &state.carried[direction as usize];
+    let now = Instant::now();
+    let begins = carried.get().map_or(now, |until| until.max(now));
+    let bytes = u32::try_from(bytes).unwrap_or(u32::MAX);
+    let ends = begins + Duration::from_secs(1) * bytes / rate;
+    carried.set(Some(ends));
+    if ends > now + TIMER_STEP {
+        sleep_until(ends.into()).await;
+    }
+}
+
 /// Returns once a piece may be forwarded.
 async fn hold(state: &State, direction: Direction) {
     loop {
--- a/soak/src/machine.rs
+++ b/soak/src/machine.rs
@@ -20,7 +20,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Ports of every VM; its address tells it apart. Below the range of ports that the system hands out.
@@ -29,6 +29,8 @@
 const READY_PORT: u16 = 20_043;
 const ANNOUNCEMENTS_PORT: u16 = 20_044;
 const METRICS_PORT: u16 = 20_045;
+/// Where a node listens for other nodes whose link to it is thin: they connect to the link.
+const BEHIND_LINK_PORT: u16 = 20_046;
 /// Time for a planned stop, in seconds.
 const GRACE_SECONDS: u64 = 5;
 /// Slots of every upstream.
@@ -49,6 +51,8 @@
     pub service: &'static str,
     /// Folder for its settings and its log.
     pub folder: PathBuf,
+    /// Bytes a second that the link from other nodes carries each way; none if it is not thin.
+    pub link_rate: Option<u32>,
 }
 
 /// A running VM.
@@ -67,6 +71,10 @@
     pub upstream_run: Cell<u64>,
     /// Whether the upstream has begun to leave.
     pub leaving: Cell<bool>,
+    /// When the node's process was first told to end, or killed.
+    pub told_to_end: Cell<Option<Instant>>,
+    heartbeats: Cell<u64>,
+    peers_link: Option<Link>,
     slack: Cell<u32>,
     process: RefCell<Option<Child>>,
 }
@@ -92,6 +100,12 @@
         };
         let upstream = StandInUpstream::start_with(settings).await?;
         let upstream_link = Link::open(upstream.address).await?;
+        let mut peers_link = None;
+        if plan.link_rate.is_some() {
+            let (near, to) = (PEERS_PORT, BEHIND_LINK_PORT);
+            let (near, to) = ((plan.ip, near).into(), (plan.ip, to).into());
+            peers_link = Some(Link::open_at(near, to, plan.link_rate).await?);
+        }
         Ok(Self {
             upstream: Rc::new(upstream),
             upstream_link,
@@ -99,6 +113,9 @@
             node_run: Cell::new(0),
             upstream_run: Cell::new(1),
             leaving: Cell::new(false),
+            told_to_end: Cell::default(),
+            heartbeats: Cell::new(0),
+            peers_link,
             slack: Cell::new(64),
             process: RefCell::default(),
             plan,
@@ -143,10 +160,25 @@
     pub fn replace_upstream(&self) {
         self.upstream_run.set(self.upstream_run.get() + 1);
         self.leaving.set(false);
+        self.heartbeats.set(0);
         self.upstream.set_leaving(false);
         self.upstream.replace(&self.instance());
     }
 
+    /// The upstream starts again after a crash, under the identity that it had.
+    pub fn restart_upstream(&self) {
+        self.leaving.set(false);
+        self.heartbeats.set(0);
+        self.upstream.start_again();
+    }
+
+    /// Number of the next heartbeat of the present run.
+    #[must_use]
+    pub fn count_heartbeat(&self) -> u64 {
+        self.heartbeats.set(self.heartbeats.get() + 1);
+        self.heartbeats.get()
+    }
+
     /// Starts the node's process.
     ///
     /// # Errors
@@ -157,19 +189,27 @@
             .create(true)
             .append(true)
             .open(self.log_path())?;
-        let child = Command::new(env::current_exe()?)
-            .arg("node")
+        let mut command = Command::new(env::current_exe()?);
+        command.arg("node");
+        if self.peers_link.is_some() {
+            command.args(["--behind-link", &BEHIND_LINK_PORT.to_string()]);
+        }
+        let child = command
             .env("CAMPHORTURN_NODE_FILE", self.settings_path())
             .stdin(Stdio::null())
             .stdout(log)
             .spawn()?;
         self.node_run.set(self.node_run.get() + 1);
+        self.told_to_end.set(None);
         *self.process.borrow_mut() = Some(child);
         Ok(())
     }
 
     /// Sends a signal to the node's process, if it runs.
     pub fn signal(&self, signal: Signal) {
+        if matches!(signal, Signal::SIGTERM | Signal::SIGKILL) && self.told_to_end.get().is_none() {
+            self.told_to_end.set(Some(Instant::now()));
+        }
         if let Some(child) = self.process.borrow().as_ref() {
             // Until it is waited for, the number stays with the process.
             let id = i32::try_from(child.id()).map(Pid::from_raw);
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! What is done when: drawn from a seed.
 
+use crate::foreign::{Damage, ForeignPlace};
 use camphorturn_stand_ins::{store::StoreCondition, upstream::UpstreamAct};
 use rand::{Rng, RngExt, SeedableRng, rngs::StdRng};
 use std::time::Duration;
@@ -9,26 +10,47 @@
 /// How long a fault lasts.
 const LASTS_MS: (u64, u64) = (200, 2_500);
 
+/// Routes of a configuration that grows by many at once, and most of all those of a seed. The platform has grown by
+/// 1,400 at once, and by 2,800 in all.
+const GROWTH: (usize, usize) = (300, 1_400);
+const MOST_ROUTES: usize = 4_200;
+/// Pause between two changes of a series, and between two orders to one node: shorter than what they set off.
+const SERIES_PAUSES_MS: (u64, u64) = (20, 700);
+/// Bytes a second of a thin link, each way: 10 Mbit/s.
+const THIN_LINK: u32 = 1_250_000;
+
+const ILLS: [IllLink; 4] = {
+    use IllLink::{AnswersLost, Reset, Silent, Slow};
+    [Slow, Reset, AnswersLost, Silent]
+};
+const ACTS: [UpstreamAct; 7] = [
+    UpstreamAct::Fail,
+    UpstreamAct::Shed,
+    UpstreamAct::LoseAnswer,
+    UpstreamAct::CutBody,
+    UpstreamAct::ForeignId,
+    UpstreamAct::Unsigned,
+    UpstreamAct::AnswerTwice,
+];
+const PLACES: [ForeignPlace; 5] = [
+    ForeignPlace::OwnRecord,
+    ForeignPlace::OtherRecord,
+    ForeignPlace::Configuration,
+    ForeignPlace::OtherConfiguration,
+    ForeignPlace::Heartbeat,
+];
+
 /// One fault.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
-    /// A node is told to stop; it is started again after its end.
-    Stop {
-        /// The node.
-        node: usize,
-    },
-    /// A node is killed and started again.
-    Kill {
-        /// The node.
-        node: usize,
-    },
+    /// This node is told to stop; it is started again after its end.
+    Stop(usize),
+    /// This node is killed and started again.
+    Kill(usize),
     /// Every node is killed at the same moment, and started again.
     KillAll,
-    /// A node stands still for a while.
-    Freeze {
-        /// The node.
-        node: usize,
-    },
+    /// This node stands still for a while.
+    Freeze(usize),
     /// The settings file of a node changes, with or without a signal.
     Reload {
         /// The node.
@@ -63,18 +85,18 @@
         /// How many requests.
         times: usize,
     },
-    /// An upstream leaves and comes back as another run at the same address.
-    Leave {
-        /// The node beside it.
-        node: usize,
-    },
-    /// An upstream is replaced by another run without a word.
-    Replace {
-        /// The node beside it.
-        node: usize,
-    },
+    /// The upstream of this node leaves and comes back as another run at the same address.
+    Leave(usize),
+    /// The upstream of this node is replaced by another run without a word.
+    Replace(usize),
     /// The operator publishes a configuration with one more route.
     Configure,
+    /// The operator publishes a configuration with that many more routes.
+    Grow(usize),
+    /// The upstream of this node crashes, and starts again after a while under the identity that it had.
+    Crash(usize),
+    /// Somebody writes what does not belong in a place that has to do with this node.
+    Foreign(usize, ForeignPlace, Damage),
 }
 
 /// How a link is ill.
@@ -101,21 +123,92 @@
     pub fault: Fault,
 }
 
-/// The faults of a seed, in the order of their times.
+/// The faults of a seed, in the order of their times. One series of changes at least is among them.
 #[must_use]
 pub fn draw_faults(seed: u64, span: Duration, nodes: usize) -> Vec<PlannedFault> {
-    let mut random = StdRng::seed_from_u64(seed);
+    let mut draw = Draw {
+        random: StdRng::seed_from_u64(seed),
+        nodes,
+        routes_left: MOST_ROUTES,
+        faults: Vec::new(),
+    };
+    let first = draw.random.random_range(Duration::ZERO..span / 2);
+    draw.add_changes(first);
     let mut at = Duration::ZERO;
-    let mut faults = Vec::new();
     while at < span {
-        faults.push(PlannedFault {
-            at,
-            lasts: draw_span(&mut random, LASTS_MS),
-            fault: draw_fault(&mut random, nodes),
-        });
-        at += draw_span(&mut random, PAUSES_MS);
+        match draw.random.random_range(0..16) {
+            0 => draw.add_changes(at),
+            1 => draw.add_orders(at),
+            _ => {
+                let fault = draw_fault(&mut draw.random, nodes);
+                draw.add(at, fault);
+            }
+        }
+        at += draw_span(&mut draw.random, PAUSES_MS);
+    }
+    draw.faults.sort_by_key(|fault| fault.at);
+    draw.faults
+}
+
+/// Bytes a second between nodes; none if nothing bounds them. Half of the seeds have thin links.
+#[must_use]
+pub fn draw_link_rate(seed: u64) -> Option<u32> {
+    seed.is_multiple_of(2).then_some(THIN_LINK)
+}
+
+struct Draw {
+    random: StdRng,
+    nodes: usize,
+    routes_left: usize,
+    faults: Vec<PlannedFault>,
+}
+
+impl Draw {
+    fn add(&mut self, at: Duration, fault: Fault) {
+        let lasts = draw_span(&mut self.random, LASTS_MS);
+        self.faults.push(PlannedFault { at, lasts, fault });
+    }
+
+    /// Many routes at once, small changes right after them, and nodes that end or stand still meanwhile.
+    fn add_changes(&mut self, begin: Duration) {
+        let routes = self.random.random_range(GROWTH.0..=GROWTH.1);
+        let routes = routes.min(self.routes_left);
+        self.routes_left -= routes;
+        if routes > 0 {
+            self.add(begin, Fault::Grow(routes));
+        }
+        let mut at = begin;
+        for _ in 0..self.random.random_range(1..=4) {
+            at += draw_span(&mut self.random, SERIES_PAUSES_MS);
+            self.add(at, Fault::Configure);
+            if self.random.random_range(0..2) == 0 {
+                let node = self.random.random_range(0..self.nodes);
+                let order = draw_order(&mut self.random, node);
+                let between = at + draw_span(&mut self.random, SERIES_PAUSES_MS);
+                self.add(between, order);
+            }
+        }
+    }
+
+    /// Several orders to one node, each before the one before it has had its whole effect.
+    fn add_orders(&mut self, begin: Duration) {
+        let node = self.random.random_range(0..self.nodes);
+        let mut at = begin;
+        for _ in 0..self.random.random_range(2..=5) {
+            let order = draw_order(&mut self.random, node);
+            self.add(at, order);
+            at += draw_span(&mut self.random, SERIES_PAUSES_MS);
+        }
+    }
+}
+
+fn draw_order(random: &mut impl Rng, node: usize) -> Fault {
+    match random.random_range(0..7) {
+        0..3 => Fault::Stop(node),
+        3..5 => Fault::Kill(node),
+        5 => Fault::Freeze(node),
+        _ => Fault::Reload { node, told: true },
     }
-    faults
 }
 
 fn draw_span(random: &mut impl Rng, (least, most): (u64, u64)) -> Duration {
@@ -124,11 +217,11 @@
 
 fn draw_fault(random: &mut impl Rng, nodes: usize) -> Fault {
     let node = random.random_range(0..nodes);
-    match random.random_range(0..100) {
-        0..15 => Fault::Stop { node },
-        15..27 => Fault::Kill { node },
+    match random.random_range(0..115) {
+        0..15 => Fault::Stop(node),
+        15..27 => Fault::Kill(node),
         27..29 => Fault::KillAll,
-        29..39 => Fault::Freeze { node },
+        29..39 => Fault::Freeze(node),
         39..43 => Fault::Reload {
             node,
             told: random.random_range(0..2) == 0,
@@ -137,20 +230,31 @@
         53..56 => Fault::StoreForgets,
         56..63 => Fault::StoreLink {
             node,
-            ill: draw_ill(random),
+            ill: pick(random, &ILLS),
         },
         63..71 => Fault::UpstreamLink {
             node,
-            ill: draw_ill(random),
+            ill: pick(random, &ILLS),
         },
         71..82 => Fault::Act {
             node,
-            act: draw_act(random),
+            act: pick(random, &ACTS),
             times: random.random_range(1..20),
         },
-        82..88 => Fault::Leave { node },
-        88..92 => Fault::Replace { node },
-        _ => Fault::Configure,
+        82..88 => Fault::Leave(node),
+        88..92 => Fault::Replace(node),
+        92..100 => Fault::Configure,
+        100..107 => Fault::Crash(node),
+        _ => Fault::Foreign(node, pick(random, &PLACES), draw_damage(random)),
+    }
+}
+
+fn draw_damage(random: &mut impl Rng) -> Damage {
+    let field = random.random_range(0..12);
+    match random.random_range(0..3) {
+        0 => Damage::Unreadable,
+        1 => Damage::Missing(field),
+        _ => Damage::OtherType(field),
     }
 }
 
@@ -165,23 +269,6 @@
     }
 }
 
-fn draw_ill(random: &mut impl Rng) -> IllLink {
-    match random.random_range(0..4) {
-        0 => IllLink::Slow,
-        1 => IllLink::Reset,
-        2 => IllLink::AnswersLost,
-        _ => IllLink::Silent,
-    }
-}
-
-fn draw_act(random: &mut impl Rng) -> UpstreamAct {
-    match random.random_range(0..7) {
-        0 => UpstreamAct::Fail,
-        1 => UpstreamAct::Shed,
-        2 => UpstreamAct::LoseAnswer,
-        3 => UpstreamAct::CutBody,
-        4 => UpstreamAct::ForeignId,
-        5 => UpstreamAct::Unsigned,
-        _ => UpstreamAct::AnswerTwice,
-    }
+fn pick<T: Copy>(random: &mut impl Rng, from: &[T]) -> T {
+    from[random.random_range(0..from.len())]
 }
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -6,7 +6,7 @@
     history::{Disturbance, Violation},
     link::Link,
     machine::Machine,
-    plan::{Fault, IllLink, PlannedFault, draw_faults},
+    plan::{Fault, IllLink, PlannedFault, draw_faults, draw_link_rate},
     report::PlayReport,
     world::World,
 };
@@ -49,7 +49,7 @@
 pub async fn play_seed(seed: u64, options: PlayOptions) -> io::Result<PlayReport> {
     let span = Duration::from_secs(options.seconds);
     let faults = draw_faults(seed, span, options.nodes);
-    let world = World::start(options.nodes).await?;
+    let world = World::start(options.nodes, draw_link_rate(seed)).await?;
     let mut violations = Vec::new();
     if !world.wait_ready(READY_PATIENCE).await {
         violations.push(Violation {
@@ -110,20 +110,21 @@
 }
 
 async fn play_fault(world: Rc<World>, planned: PlannedFault) {
-    let lasts = planned.lasts;
+    let (lasts, from) = (planned.lasts, Instant::now());
     let machine = |node: usize| &world.machines[node];
     match planned.fault {
-        Fault::Stop { node } => {
+        Fault::Stop(node) => {
             note(&world, node, STOP_PATIENCE, true);
             machine(node).signal(Signal::SIGTERM);
         }
-        Fault::Kill { node } => kill(&world, node),
+        Fault::Kill(node) => kill(&world, node),
         Fault::KillAll => (0..world.machines.len()).for_each(|node| kill(&world, node)),
-        Fault::Freeze { node } => {
+        Fault::Freeze(node) => {
             note(&world, node, lasts + KILL_ECHO, false);
             machine(node).signal(Signal::SIGSTOP);
             sleep(lasts).await;
             machine(node).signal(Signal::SIGCONT);
+            world.note_hindrance(Some(node), from);
         }
         Fault::Reload { node, told } => {
             if let Err(error) = machine(node).change_settings() {
@@ -137,25 +138,39 @@
             world.store.set_condition(condition);
             sleep(lasts).await;
             world.store.set_condition(StoreCondition::Well);
+            world.note_hindrance(None, from);
         }
         Fault::StoreForgets => world.store.forget_history(),
         Fault::StoreLink { node, ill } => {
             harm(&machine(node).store_link, ill, lasts).await;
+            world.note_hindrance(Some(node), from);
         }
         Fault::UpstreamLink { node, ill } => {
             harm(&machine(node).upstream_link, ill, lasts).await;
         }
         Fault::Act { node, act, times } => machine(node).upstream.plan(&vec![act; times]),
-        Fault::Leave { node } => {
+        Fault::Leave(node) => {
             machine(node).leaving.set(true);
             machine(node).upstream.set_leaving(true);
             sleep(LEAVE_LASTS).await;
             machine(node).replace_upstream();
         }
-        Fault::Replace { node } => machine(node).replace_upstream(),
-        // Operators' writes fail while the store is ill.
-        Fault::Configure if world.store.condition() == StoreCondition::Well => world.publish(),
-        Fault::Configure => {}
+        Fault::Replace(node) => machine(node).replace_upstream(),
+        Fault::Crash(node) => {
+            machine(node).upstream.crash();
+            sleep(lasts).await;
+            machine(node).restart_upstream();
+        }
+        Fault::Configure => publish(&world, 1),
+        Fault::Grow(routes) => publish(&world, routes),
+        Fault::Foreign(node, place, damage) => world.put_foreign(node, place, damage).await,
+    }
+}
+
+/// Operators' writes fail while the store is ill.
+fn publish(world: &World, routes: usize) {
+    if world.store.condition() == StoreCondition::Well {
+        world.publish(routes);
     }
 }
 
--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -12,7 +12,7 @@
 /// # Errors
 /// If they can't be started.
 pub async fn serve(nodes: usize) -> io::Result<()> {
-    let world = World::start(nodes).await?;
+    let world = World::start(nodes, None).await?;
     if !world.wait_ready(READY_PATIENCE).await {
         return Err(io::Error::other("the nodes did not become ready"));
     }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,7 +1,10 @@
 //! Store, VMs and what has been seen so far.
 
 use crate::{
-    history::{Acknowledged, History},
+    configurations::{Configurations, SERVICES},
+    foreign::{Damage, ForeignPlace, damage},
+    heartbeats::{send_foreign, send_heartbeats},
+    history::{Acknowledged, Hindrance, History},
     machine::{Machine, MachinePlan},
 };
 use bytes::Bytes;
@@ -11,7 +14,6 @@
     upstream::{RanRequest, RunRecord},
 };
 use http::{HeaderMap, Method};
-use serde_json::json;
 use std::{
     cell::{Cell, RefCell},
     env, fs, io,
@@ -27,14 +29,16 @@
     time::{sleep, timeout},
 };
 
-/// The service that callers' requests go to, and the one beside it.
-const SERVICES: [&str; 2] = ["desk", "records"];
+/// Topics of the store.
+const CONFIGURATION_TOPIC: &str = "keyed.op";
+const CONFIGURATION_KEY: &str = "config";
+const NODES_TOPIC: &str = "keyed.nodes";
+/// Key of records that no node and no operator writes.
+const FOREIGN_KEY: &str = "10.254.0.\u{f6}/&=+ 1";
 /// Availability zones.
 const ZONES: [&str; 2] = ["a", "b"];
-/// Pause between two announcements of an upstream.
-const ANNOUNCE_PAUSE: Duration = Duration::from_millis(250);
-/// Longest wait for an answer to an announcement or a question.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest wait for an answer to a heartbeat or a question.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a process is looked at, and the pause before it is started again.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 const RESTART_PAUSE: Duration = Duration::from_millis(200);
@@ -49,8 +53,9 @@
     pub history: RefCell<History>,
     /// Folder with settings and logs.
     pub folder: PathBuf,
+    /// What the operator has published.
+    pub configurations: RefCell<Configurations>,
     runs: RunRecord,
-    version: Cell<u64>,
     over: Cell<bool>,
 }
 
@@ -59,7 +64,7 @@
     ///
     /// # Errors
     /// If a port can't be bound, a file written or a process started.
-    pub async fn start(nodes: usize) -> io::Result<Rc<Self>> {
+    pub async fn start(nodes: usize, link_rate: Option<u32>) -> io::Result<Rc<Self>> {
         let folder = env::temp_dir().join(format!("camphorturn-soak-{}", process::id()));
         fs::create_dir_all(&folder)?;
         let store = StandInStore::start().await?;
@@ -72,6 +77,7 @@
                 zone: ZONES[number / 2 % ZONES.len()],
                 service: SERVICES[number % SERVICES.len()],
                 folder: folder.clone(),
+                link_rate,
             };
             machines.push(Machine::open(plan, store.address, RunRecord::clone(&runs)).await?);
         }
@@ -80,32 +86,66 @@
             machines,
             history: RefCell::default(),
             folder,
+            configurations: RefCell::default(),
             runs,
-            version: Cell::new(0),
             over: Cell::new(false),
         });
-        world.publish();
+        world.write_configuration();
         for machine in &world.machines {
             machine.start_node()?;
         }
         for number in 0..nodes {
-            spawn_local(announce(Rc::clone(&world), number));
+            spawn_local(send_heartbeats(Rc::clone(&world), number));
             spawn_local(supervise(Rc::clone(&world), number));
         }
         Ok(world)
     }
 
-    /// Publishes the next configuration: each version adds a route.
-    pub fn publish(&self) {
-        let version = self.version.get() + 1;
-        self.store.put("keyed.op", "config", &describe(version));
-        self.version.set(version);
+    /// Publishes a configuration with that many more routes.
+    pub fn publish(&self, routes: usize) {
+        self.configurations.borrow_mut().add(routes);
+        self.write_configuration();
+        let change = Acknowledged::Change {
+            route_version: self.configurations.borrow().newest(),
+            at: Instant::now(),
+        };
+        self.history.borrow_mut().acknowledged.push(change);
     }
 
-    /// The newest version's route; 0 means that only the first two exist.
-    #[must_use]
-    pub fn route_version(&self) -> u64 {
-        self.version.get() - 1
+    fn write_configuration(&self) {
+        let document = self.configurations.borrow().describe();
+        self.store
+            .put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, &document);
+    }
+
+    /// Puts foreign bytes in a place of the store, or into a heartbeat.
+    pub async fn put_foreign(&self, node: usize, place: ForeignPlace, how: Damage) {
+        let machine = &self.machines[node];
+        let own = machine.plan.ip.to_string();
+        let (topic, key) = match place {
+            ForeignPlace::OwnRecord => (NODES_TOPIC, own.as_str()),
+            ForeignPlace::OtherRecord => (NODES_TOPIC, FOREIGN_KEY),
+            ForeignPlace::Configuration => (CONFIGURATION_TOPIC, CONFIGURATION_KEY),
+            ForeignPlace::OtherConfiguration => (CONFIGURATION_TOPIC, FOREIGN_KEY),
+            ForeignPlace::Heartbeat => return send_foreign(machine, how).await,
+        };
+        let proper = if topic == NODES_TOPIC {
+            self.store.newest(topic, &own).unwrap_or_default()
+        } else {
+            self.configurations.borrow().describe()
+        };
+        self.store.put_bytes(topic, key, &damage(&proper, how));
+        if key == CONFIGURATION_KEY {
+            // A node that starts finds nothing else there.
+            self.write_configuration();
+        }
+    }
+
+    /// Notes what has kept a node, or each, from learning of changes until now.
+    pub fn note_hindrance(&self, node: Option<usize>, from: Instant) {
+        let to = Instant::now();
+        let mut history = self.history.borrow_mut();
+        history.hindrances.push(Hindrance { node, from, to });
     }
 
     /// Whether the callers are to end.
@@ -129,7 +169,7 @@
     /// Whether a node says that clients may come.
     pub async fn is_ready(&self, node: usize) -> bool {
         let client = CallerClient::new(self.machines[node].ready());
-        let call = build_call(Method::GET, "/-/ready".to_owned(), String::new());
+        let call = build_call(Method::GET, "/-/ready".to_owned(), Vec::new());
         let answer = timeout(ANSWER_TIMEOUT, client.call(call)).await;
         matches!(answer, Ok(Ok(answer)) if answer.status.is_success())
     }
@@ -167,42 +207,8 @@
     Ipv4Addr::new(127, part(100 + id % 100), part(id / 100 % 250), last)
 }
 
-/// The operator's configuration, as the platform has it.
-fn describe(version: u64) -> String {
-    let path = |name: String, prefix: String, kind: &str, service: &str| {
-        json!({
-            "name": name, "path_prefix": prefix, "kind": kind, "timeout_s": 2,
-            "latency_target_s": 0.3, "priority": 1, "service": service, "max_attempts": 2,
-        })
-    };
-    let mut paths = vec![
-        path("look".into(), "/look/".into(), "safe", SERVICES[0]),
-        path(
-            "book".into(),
-            "/book/".into(),
-            "non_idempotent",
-            SERVICES[0],
-        ),
-    ];
-    for number in 1..version {
-        let service = SERVICES[usize::from(number.is_multiple_of(2))];
-        let name = format!("v{number}");
-        paths.push(path(name.clone(), format!("/{name}/"), "safe", service));
-    }
-    let service = |name| json!({ "name": name, "health_path": "/health", "max_connections": 260 });
-    json!({
-        "version": format!("{version:08x}"), "base_version": "00000000",
-        "services": SERVICES.map(service),
-        "limits": {
-            "max_header_bytes": 16384, "max_body_bytes": 1_048_576, "header_timeout_s": 3,
-            "idle_timeout_s": 15,
-        },
-        "virtual_hosts": [{ "host": "shop.example", "paths": paths }],
-    })
-    .to_string()
-}
-
-fn build_call(method: Method, target: String, body: String) -> CallerCall {
+/// A call of the platform.
+pub fn build_call(method: Method, target: String, body: Vec<u8>) -> CallerCall {
     CallerCall {
         method,
         target,
@@ -211,45 +217,18 @@
     }
 }
 
-/// The upstream of a VM announces itself to its node until the end.
-async fn announce(world: Rc<World>, number: usize) {
-    let machine = &world.machines[number];
-    let client = CallerClient::new(machine.announcements());
-    let mut sequence = 0;
-    while !world.is_over() {
-        sequence += 1;
-        let (instance, leaving) = (machine.instance(), machine.leaving.get());
-        let body = json!({
-            "service": machine.plan.service, "address": machine.upstream_link.address.to_string(),
-            "zone": machine.plan.zone, "version": "v1", "slots": 6,
-            "state": if leaving { "draining" } else { "ready" },
-            "warmup_left_s": 0, "sequence": sequence,
-        });
-        let target = format!("/-/rpc?call=instances.heartbeat&of={instance}");
-        let call = client.call(build_call(Method::POST, target, body.to_string()));
-        let answer = timeout(ANSWER_TIMEOUT, call).await;
-        let taken = matches!(answer, Ok(Ok(answer)) if answer.status.is_success());
-        if taken && leaving {
-            let at = Instant::now();
-            let mut history = world.history.borrow_mut();
-            history
-                .acknowledged
-                .push(Acknowledged::Leaving { instance, at });
-        }
-        sleep(ANNOUNCE_PAUSE).await;
-    }
-}
-
 /// Starts a node's process again whenever it has ended.
 async fn supervise(world: Rc<World>, number: usize) {
     let machine = &world.machines[number];
     while !world.is_over() {
         sleep(LOOK_PAUSE).await;
         if machine.has_ended() && !world.is_over() {
+            let from = machine.told_to_end.get().unwrap_or_else(Instant::now);
             sleep(RESTART_PAUSE).await;
             if let Err(error) = machine.start_node() {
                 eprintln!("node {number} can't be started again: {error}");
             }
+            world.note_hindrance(Some(number), from);
         }
     }
 }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -2,8 +2,8 @@
 
 use camphorturn::local_mesh::client::CallFailure;
 use camphorturn_soak::{
-    checks::find_violations,
-    history::{Acknowledged, CallerRecord, Disturbance, History},
+    checks::{IN_FORCE_BOUND, find_violations},
+    history::{Acknowledged, CallerRecord, Disturbance, Hindrance, History},
 };
 use camphorturn_stand_ins::upstream::RanRequest;
 use std::time::{Duration, Instant};
@@ -140,6 +140,7 @@
         )],
         acknowledged: vec![Acknowledged::Leaving {
             instance: "u1-1".to_owned(),
+            born: 1,
             at: now,
         }],
         ..History::default()
@@ -150,6 +151,11 @@
         check(&history, &[ran("/look/1", now + MILLISECOND)]),
         [""; 0]
     );
+    let started_again = RanRequest {
+        born: 2,
+        ..ran("/look/1", late)
+    };
+    assert_eq!(check(&history, &[started_again]), [""; 0]);
 }
 
 #[test]
@@ -178,3 +184,38 @@
     };
     assert_eq!(check(&history(after_restart), &runs), [""; 0]);
 }
+
+/// A node denies a route of a change so long after it.
+fn check_denied(after: Duration, hindrances: &[Hindrance]) -> Vec<&'static str> {
+    let at = Instant::now();
+    let answer = Ok((404, String::new()));
+    let denied = CallerRecord {
+        route_version: 1,
+        ..request("/v1-0/1", answer, at + after)
+    };
+    let history = History {
+        requests: vec![denied],
+        acknowledged: vec![Acknowledged::Change {
+            route_version: 1,
+            at,
+        }],
+        hindrances: hindrances.to_vec(),
+        ..History::default()
+    };
+    check(&history, &[])
+}
+
+#[test]
+fn check_change_denied_too_long() {
+    let broken = ["an acknowledged change is in force in time"];
+    assert_eq!(check_denied(IN_FORCE_BOUND / 2, &[]), [""; 0]);
+    assert_eq!(check_denied(IN_FORCE_BOUND + MILLISECOND, &[]), broken);
+    // The same for a node that was hindered until twice the bound, and for one that was not.
+    let from = Instant::now();
+    let to = from + 2 * IN_FORCE_BOUND;
+    for (node, shortly_after) in [(None, &[][..]), (Some(1), &[]), (Some(2), &broken)] {
+        let hindered = [Hindrance { node, from, to }];
+        assert_eq!(check_denied(2 * IN_FORCE_BOUND, &hindered), shortly_after);
+        assert_eq!(check_denied(4 * IN_FORCE_BOUND, &hindered), broken);
+    }
+}
--- /dev/null
+++ b/soak/tests/plan.rs
@@ -0,0 +1,47 @@
+//! What a seed draws.
+
+use camphorturn_soak::{
+    foreign::{Damage, damage},
+    plan::{Fault, draw_faults},
+};
+use serde_json::Value;
+use std::time::Duration;
+
+const SPAN: Duration = Duration::from_secs(12);
+
+#[test]
+fn draw_faults_same_for_same_seed() {
+    assert_eq!(draw_faults(9, SPAN, 6), draw_faults(9, SPAN, 6));
+    assert_ne!(draw_faults(9, SPAN, 6), draw_faults(10, SPAN, 6));
+}
+
+#[test]
+fn draw_faults_every_kind_in_order() {
+    let (mut foreign, mut crashes) = (0, 0);
+    for seed in 0..20 {
+        let faults = draw_faults(seed, SPAN, 6);
+        assert!(faults.is_sorted_by_key(|fault| fault.at));
+        let mut kinds = faults.iter().map(|planned| planned.fault);
+        assert!(
+            kinds.any(|fault| matches!(fault, Fault::Grow(300..))),
+            "seed {seed}"
+        );
+        assert!(kinds.any(|fault| fault == Fault::Configure), "seed {seed}");
+        for planned in faults {
+            foreign += usize::from(matches!(planned.fault, Fault::Foreign(..)));
+            crashes += usize::from(matches!(planned.fault, Fault::Crash(_)));
+        }
+    }
+    assert!(foreign > 0 && crashes > 0, "{foreign}, {crashes}");
+}
+
+#[test]
+fn damage_field() {
+    let proper = r#"{"a":1,"b":"x"}"#;
+    let read = |bytes: Vec<u8>| serde_json::from_slice::<Value>(&bytes).ok();
+    let missing = damage(proper, Damage::Missing(2));
+    assert_eq!(read(missing), serde_json::from_str(r#"{"b":"x"}"#).ok());
+    let other = damage(proper, Damage::OtherType(1));
+    assert_eq!(read(other), serde_json::from_str(r#"{"a":1,"b":7}"#).ok());
+    assert_eq!(read(damage(proper, Damage::Unreadable)), None);
+}
--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -22,3 +22,8 @@
 fn play_short_seed() {
     play("7");
 }
+
+#[test]
+fn play_short_seed_with_thin_links() {
+    play("8");
+}
