--- a/soak/src/arguments.rs
+++ b/soak/src/arguments.rs
@@ -45,9 +45,6 @@
 const MOST_NODES: usize = 200;
 
 fn check_nodes(nodes: usize) -> Result<usize, String> {
-    if (1..=MOST_NODES).contains(&nodes) {
-        Ok(nodes)
-    } else {
-        Err(format!("from 1 to {MOST_NODES} nodes"))
-    }
+    let checked = Some(nodes).filter(|nodes| (1..=MOST_NODES).contains(nodes));
+    checked.ok_or_else(|| format!("from 1 to {MOST_NODES} nodes"))
 }
--- a/soak/src/link.rs
+++ b/soak/src/link.rs
@@ -93,8 +93,12 @@
 }
 
 async fn accept(listener: TcpListener, to: SocketAddr, state: Rc<State>) {
-    while let Ok((near, _)) = listener.accept().await {
-        spawn_local(carry(near, to, Rc::clone(&state)));
+    loop {
+        match listener.accept().await {
+            Ok((near, _)) => drop(spawn_local(carry(near, to, Rc::clone(&state)))),
+            // Files run out for a moment. A listener that ended would leave its port to some other program.
+            Err(_) => sleep(TIMER_STEP).await,
+        }
     }
 }
 
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -23,7 +23,7 @@
 };
 
 /// Longest wait until all nodes are ready, at the start and after the faults. Reached only by a failure.
-const READY_PATIENCE: Duration = Duration::from_secs(30);
+pub const READY_PATIENCE: Duration = Duration::from_secs(30);
 /// How long callers go on after the faults.
 const CALM: Duration = Duration::from_secs(2);
 /// Time in which a stopping process has to end, with a margin over its settings for a busy machine.
--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -1,12 +1,9 @@
 //! Nodes without faults, to look at.
 
-use crate::world::World;
-use std::{io, time::Duration};
+use crate::{play::READY_PATIENCE, world::World};
+use std::io;
 use tokio::signal::ctrl_c;
 
-/// Longest wait until all nodes are ready.
-const READY_PATIENCE: Duration = Duration::from_secs(20);
-
 /// Runs nodes until Ctrl-C.
 ///
 /// # Errors
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -22,6 +22,9 @@
 /// Bytes of records after which an answer to a read ends, as on the platform; one record it always holds.
 const READ_LIMIT: usize = 1_000_000;
 
+/// Pause after a connection that could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreCondition {
@@ -143,8 +146,14 @@
 }
 
 async fn accept(listener: TcpListener, state: Rc<State>) {
-    while let Ok((stream, client)) = listener.accept().await {
-        spawn_local(serve(stream, client.ip(), Rc::clone(&state)));
+    loop {
+        match listener.accept().await {
+            Ok((stream, client)) => {
+                spawn_local(serve(stream, client.ip(), Rc::clone(&state)));
+            }
+            // Files run out for a moment. A listener that ended would leave its port to some other program.
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
     }
 }
 
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -115,6 +115,8 @@
     }
 }
 
+/// Pause after a connection that could not be taken.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 /// Slots unless told otherwise.
 const SLOTS: u16 = 6;
 
@@ -308,8 +310,12 @@
 }
 
 async fn accept(listener: TcpListener, state: Rc<State>) {
-    while let Ok((stream, _)) = listener.accept().await {
-        spawn_local(serve_until_crash(stream, Rc::clone(&state)));
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(spawn_local(serve_until_crash(stream, Rc::clone(&state)))),
+            // Files run out for a moment. A listener that ended would leave its port to some other program.
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
     }
 }
 
