Soak: thin links of 4 Mbit/s, as many as the tool has files for; a folder for each seed

What all nodes sent to all over thin links had filled them. Change: thin links carry 4 Mbit/s, and as many nodes have one as 1,300 pairs of nodes allow: all of 36, 13 of 100. The folder's name tells the seed.

--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -16,8 +16,8 @@
 const MOST_ROUTES: usize = 4_200;
 /// Pause between two changes of a series, and between two orders to one node: shorter than what they set off.
 const SERIES_PAUSES_MS: (u64, u64) = (20, 700);
-/// Bytes a second of a thin link, each way: 10 Mbit/s.
-const THIN_LINK: u32 = 1_250_000;
+/// Bytes a second of a thin link, each way: 4 Mbit/s. The thinnest of the platform carry 10, among more nodes.
+const THIN_LINK: u32 = 500_000;
 
 const ILLS: [IllLink; 4] = {
     use IllLink::{AnswersLost, Reset, Silent, Slow};
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -6,7 +6,7 @@
     history::{Disturbance, Violation},
     link::Link,
     machine::Machine,
-    plan::{Fault, IllLink, PlannedFault, draw_faults, draw_link_rate},
+    plan::{Fault, IllLink, PlannedFault, draw_faults},
     report::PlayReport,
     world::World,
 };
@@ -49,7 +49,7 @@
 pub async fn play_seed(seed: u64, options: PlayOptions) -> io::Result<PlayReport> {
     let span = Duration::from_secs(options.seconds);
     let faults = draw_faults(seed, span, options.nodes);
-    let world = World::start(options.nodes, draw_link_rate(seed)).await?;
+    let world = World::start(options.nodes, Some(seed)).await?;
     let mut violations = Vec::new();
     if !world.wait_ready(READY_PATIENCE).await {
         violations.push(Violation {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,6 +6,7 @@
     heartbeats::{send_foreign, send_heartbeats},
     history::{Acknowledged, Hindrance, History},
     machine::{Machine, MachinePlan},
+    plan::draw_link_rate,
 };
 use bytes::Bytes;
 use camphorturn::local_mesh::client::{CallerCall, CallerClient};
@@ -37,10 +38,9 @@
 const FOREIGN_KEY: &str = "10.254.0.\u{f6}/&=+ 1";
 /// Availability zones.
 const ZONES: [&str; 2] = ["a", "b"];
-/// Where links are thin, one node in so many has one, up to a bound: the connections of all others to it take files of
-/// this process, twelve for each pair of nodes, and 20,000 are usual.
-const THIN_EVERY: usize = 3;
-const THIN_MOST: usize = 12;
+/// Where links are thin, most pairs of a node with a thin link and another: the connections of a pair take some twelve
+/// files of this process, and 20,000 are usual. All of 36 nodes have thin links, 20 of 64, 13 of 100.
+const THIN_PAIRS: usize = 1_300;
 /// Longest wait for an answer to a heartbeat or a question.
 pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 /// How often a process is looked at, and the pause before it is started again.
@@ -68,21 +68,22 @@
     ///
     /// # Errors
     /// If a port can't be bound, a file written or a process started.
-    pub async fn start(nodes: usize, link_rate: Option<u32>) -> io::Result<Rc<Self>> {
-        let folder = env::temp_dir().join(format!("camphorturn-soak-{}", process::id()));
+    pub async fn start(nodes: usize, seed: Option<u64>) -> io::Result<Rc<Self>> {
+        let link_rate = seed.and_then(draw_link_rate);
+        let name = format!("camphorturn-soak-{}-{}", process::id(), seed.unwrap_or(0));
+        let folder = env::temp_dir().join(name);
         fs::create_dir_all(&folder)?;
         let store = StandInStore::start().await?;
         let runs = RunRecord::default();
         let mut machines = Vec::new();
         for number in 0..nodes {
-            let thin = number.is_multiple_of(THIN_EVERY) && number < THIN_EVERY * THIN_MOST;
             let plan = MachinePlan {
                 number,
                 ip: choose_ip(number),
                 zone: ZONES[number / 2 % ZONES.len()],
                 service: SERVICES[number % SERVICES.len()],
                 folder: folder.clone(),
-                link_rate: link_rate.filter(|_| thin),
+                link_rate: link_rate.filter(|_| number < THIN_PAIRS / nodes),
             };
             machines.push(Machine::open(plan, store.address, RunRecord::clone(&runs)).await?);
         }
