--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -1,18 +1,15 @@
 //! Nodes without faults, to look at.
 
-use crate::world::World;
-use std::{io, time::Duration};
+use crate::{play::READY_PATIENCE, world::World};
+use std::io;
 use tokio::signal::ctrl_c;
 
-/// Longest wait until all nodes are ready.
-const READY_PATIENCE: Duration = Duration::from_secs(20);
-
 /// Runs nodes until Ctrl-C.
 ///
 /// # Errors
 /// If they can't be started.
 pub async fn serve(nodes: usize) -> io::Result<()> {
-    let world = World::start(nodes).await?;
+    let world = World::start(nodes, None).await?;
     if !world.wait_ready(READY_PATIENCE).await {
         return Err(io::Error::other("the nodes did not become ready"));
     }
