--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -82,7 +82,7 @@
 pub fn order_ring(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
     let own_rank = rank(own);
     let mut ring: Vec<SocketAddr> = others.filter(|other| *other != own).collect();
-    ring.sort_by_key(|other| {
+    ring.sort_by_cached_key(|other| {
         let rank = rank(*other);
         (rank < own_rank, rank)
     });
