--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -60,6 +60,8 @@
     refused: RefCell<Vec<IpAddr>>,
     topics: RefCell<HashMap<String, Vec<Record>>>,
     calls: Cell<u32>,
+    /// By path and topic.
+    calls_by_kind: RefCell<HashMap<(String, String), u32>>,
     appended: Notify,
 }
 
@@ -132,6 +134,14 @@
     pub fn calls(&self) -> u32 {
         self.state.calls.get()
     }
+
+    /// Calls of one path about one topic, taken so far.
+    #[must_use]
+    pub fn calls_of(&self, path: &str, topic: &str) -> u32 {
+        let key = (path.to_owned(), topic.to_owned());
+        let calls = self.state.calls_by_kind.borrow();
+        calls.get(&key).copied().unwrap_or(0)
+    }
 }
 
 fn append(state: &State, topic: &str, key: &str, value: Bytes) -> usize {
@@ -159,7 +169,7 @@
 
 async fn serve(mut stream: TcpStream, client: IpAddr, state: Rc<State>) {
     while let Ok(Some(request)) = read_request(&mut stream).await {
-        state.calls.set(state.calls.get() + 1);
+        count_call(&state, &request);
         let is_refused = state.refused.borrow().contains(&client);
         let answer = match state.condition.get() {
             _ if is_refused => build_answer(503, &[], b"refused"),
@@ -189,6 +199,13 @@
     }
 }
 
+fn count_call(state: &State, request: &PlainRequest) {
+    state.calls.set(state.calls.get() + 1);
+    let topic = request.parameter("topic").unwrap_or_default();
+    let key = (request.path().to_owned(), topic.to_owned());
+    *state.calls_by_kind.borrow_mut().entry(key).or_default() += 1;
+}
+
 async fn answer(request: &PlainRequest, state: &State) -> Vec<u8> {
     let topic = request.parameter("topic").unwrap_or_default();
     match request.path() {
