Ask a neighbour for the configuration after a start; at the first start, read once the own record is stored

And each start read the configuration though its neighbours had it. At the first start of the whole mesh a node reads records once its own is stored: with all that came before it, it knows at once whether it reads for its zone, and waits for the readers' offer else. A node that becomes a reader by that tells its zone what followed its own record. Calls are counted by call and reason on the metrics page.

--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -299,6 +299,7 @@
             kept: KEPT_LINES,
         },
         operators: Some(operators),
+        first_start: false,
         headers: HeaderNames::product(),
     })
 }
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -101,6 +101,8 @@
     pub lines: LineRules,
     /// Where operators' tools reach the node, if they can.
     pub operators: Option<SocketAddr>,
+    /// The whole mesh starts for the first time: the store holds no records of it, and nobody waits for it yet.
+    pub first_start: bool,
     /// Header names of the platform.
     pub headers: HeaderNames,
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -227,6 +227,9 @@
     /// The receiver is to answer with what is newer than this version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wanted: Option<ConfigurationVersion>,
+    /// The sender has read the records of nodes; they need not be told with the answer.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub has_records: bool,
     /// The receiver is to read the store for its zone: the sender can't.
     #[serde(default, skip_serializing_if = "is_false")]
     pub read_store: bool,
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -21,6 +21,7 @@
 mod state_messages;
 mod state_sharing;
 mod stop;
+pub mod store_calls;
 mod table_fetching;
 mod table_offering;
 
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -46,6 +46,10 @@
     pub timers: TimerService,
     /// The routing table in force and the nodes that are known.
     pub directory: RefCell<Directory>,
+    /// Whether the records of nodes have been read since the start.
+    records_read: Cell<bool>,
+    /// Wakes whoever waits for that.
+    records_came: Notify,
     /// What the store holds of this node, as far as is known.
     pub stored: RefCell<Option<NodeRecord>>,
     /// The upstream beside the node, by its announcements.
@@ -94,6 +98,8 @@
     pub fn new(settings: ProxySettings, timers: TimerService) -> Rc<Self> {
         Rc::new(Self {
             directory: RefCell::new(Directory::default()),
+            records_read: Cell::new(false),
+            records_came: Notify::new(),
             stored: RefCell::default(),
             own: RefCell::default(),
             slots: Slots::new(settings.bounds.probes_per_second),
@@ -187,6 +193,25 @@
         news
     }
 
+    /// Notes that the store's records of nodes have been read once.
+    pub fn note_records(&self) {
+        self.records_read.set(true);
+        self.records_came.notify_one();
+    }
+
+    /// Whether the store's records of nodes have been read since the start.
+    #[must_use]
+    pub fn has_records(&self) -> bool {
+        self.records_read.get()
+    }
+
+    /// Waits until the store's records of nodes have been read since the start.
+    pub async fn wait_for_records(&self) {
+        while !self.has_records() {
+            self.records_came.notified().await;
+        }
+    }
+
     /// Counts the end of a request of a class.
     pub fn count_class(&self, class: &ClassName, count: impl FnOnce(&mut ClassCounts)) {
         let mut classes = self.classes.borrow_mut();
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -1,5 +1,6 @@
 //! Counts of a node for its metrics page.
 
+use crate::proxy::store_calls::StoreCallCounts;
 use std::cell::Cell;
 
 /// Counts since the start, for the metrics page.
@@ -23,6 +24,8 @@
     pub state_bytes: Cell<u64>,
     /// Routing tables that came from other nodes and were no news.
     pub stale_tables: Cell<u64>,
+    /// Calls to the store.
+    pub store_calls: StoreCallCounts,
 }
 
 /// Adds one.
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -82,6 +82,11 @@
         }
     }
 
+    /// Forgets where the store's topic of the configuration goes on.
+    pub fn forget_stored_table(&mut self) {
+        self.stored_table = None;
+    }
+
     /// Where the store's topic of the configuration goes on after what is in force here; none if that is not known.
     #[must_use]
     pub fn stored_table_next(&self) -> Option<u64> {
@@ -192,11 +197,15 @@
         known.is_some_and(|version| *version >= self.version())
     }
 
-    /// What a node that has `version` does not have yet.
-    pub fn list_newer_than(&mut self, version: ConfigurationVersion) -> StateMessage {
+    /// What a node that has `version` does not have yet, and the records of nodes if it has read none.
+    pub fn list_newer_than(
+        &mut self,
+        version: ConfigurationVersion,
+        has_records: bool,
+    ) -> StateMessage {
         // Only a node that knows nothing yet needs to be told of the other nodes: the store's records
         // reach the others by its readers.
-        let knows_nothing = version == ConfigurationVersion::default();
+        let knows_nothing = version == ConfigurationVersion::default() && !has_records;
         let change = self.tables.change_since(version);
         StateMessage {
             store_next: change.as_ref().and_then(|_| self.stored_table_next()),
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -1,5 +1,14 @@
 //! Keeps a node up to date with the store, and the store with the node.
 
+mod retries;
+mod starting;
+mod writing;
+
+use self::{
+    retries::Retries,
+    starting::{learn_table, wait_for_own_record, wait_for_routes},
+    writing::write_records,
+};
 use crate::{
     protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic},
     proxy::{
@@ -9,31 +18,23 @@
         events::ProxyEvent,
         retiring::retire_gone_nodes,
         state_sharing::{hand_reading_over, share_with_zone},
+        store_calls::{CallReason, StoreCall},
         table_offering::keep_zone_current,
     },
     state::placement_view::{NodeRecord, StoredRecord},
 };
-use flume::{Receiver, Sender};
+use flume::Sender;
 use rand::RngExt;
 use std::{
-    cell::{Cell, RefCell},
+    cell::RefCell,
     collections::{BTreeSet, HashSet},
     rc::Rc,
     time::Duration,
 };
 use tokio::task::spawn_local;
 
-/// Longest time that the first read of the nodes waits for the configuration.
-const ROUTES_PATIENCE: Duration = Duration::from_millis(500);
-/// How often it looks whether that is there.
-const ROUTES_STEP: Duration = Duration::from_millis(10);
 /// How often a node that only makes sure looks whether it has become a reader.
 const ROLE_STEP: Duration = Duration::from_secs(1);
-/// Failures in a row after which others are asked again to read in this node's place; some eight seconds.
-const HAND_OVER_EVERY: u32 = 10;
-/// Pauses after failures of the store, doubled from the first to the second.
-const RETRY_PAUSES: (Duration, Duration) = (Duration::from_millis(100), Duration::from_millis(800));
-
 /// Rejected records that are remembered, the latest.
 const REJECTED_KEPT: usize = 1_000;
 
@@ -71,27 +72,43 @@
         let core = &self.core;
         let mut retries = Retries::new(core, name_topic(topic));
         let mut next: Option<u64> = None;
-        if topic == StoreTopic::Nodes {
-            wait_for_routes(core).await;
+        match topic {
+            StoreTopic::Configuration => learn_table(core).await,
+            StoreTopic::Nodes => wait_for_own_record(core).await,
         }
+        let mut urgent = match topic {
+            StoreTopic::Configuration => core.routes().is_none(),
+            StoreTopic::Nodes => true,
+        };
+        let mut reason = CallReason::Start;
         loop {
-            let read = match next {
-                None => self.store.read_newest(topic).await,
-                Some(from) => {
-                    let wait = wait_for_turn(core).await;
-                    let from = self.skip_known(topic).map_or(from, |known| known.max(from));
-                    self.store.read_from(topic, from, wait).await
-                }
-            };
+            let mut wait = Duration::ZERO;
+            if !std::mem::take(&mut urgent) {
+                wait = wait_for_turn(core).await;
+                reason = if retries.is_failing() {
+                    CallReason::Retry
+                } else if wait.is_zero() {
+                    CallReason::MakingSure
+                } else {
+                    CallReason::Reading
+                };
+            }
+            let read = self.read(topic, next, wait, reason).await;
             match read {
                 Ok(records) => {
                     retries.succeed();
                     let before = next.replace(records.next);
                     self.take_records(topic, &records, before.is_none()).await;
                 }
-                Err(StoreError::Deleted) => next = None,
+                Err(StoreError::Deleted) => {
+                    next = None;
+                    self.forget_place(topic);
+                    (urgent, reason) = (true, CallReason::Retry);
+                }
                 Err(error) => {
                     next = next.or(self.skip_known(topic));
+                    urgent = next.is_none();
+                    reason = CallReason::Retry;
                     if retries.is_to_be_handed_over() && core.is_zone_reader() {
                         hand_reading_over(core);
                     }
@@ -101,6 +118,27 @@
         }
     }
 
+    /// Reads what comes after `next` or after what other nodes told, whichever is later; all if neither is known.
+    async fn read(
+        &self,
+        topic: StoreTopic,
+        next: Option<u64>,
+        wait: Duration,
+        reason: CallReason,
+    ) -> Result<Records, StoreError> {
+        let calls = &self.core.counters.store_calls;
+        match next.max(self.skip_known(topic)) {
+            None => {
+                calls.count(StoreCall::ReadNewest, reason);
+                self.store.read_newest(topic).await
+            }
+            Some(from) => {
+                calls.count(StoreCall::ReadFrom, reason);
+                self.store.read_from(topic, from, wait).await
+            }
+        }
+    }
+
     /// Where the store goes on after what other nodes told. A configuration is not read again: it may be a megabyte, which
     /// takes a link of 10 Mbit/s a second.
     fn skip_known(&self, topic: StoreTopic) -> Option<u64> {
@@ -110,6 +148,13 @@
         }
     }
 
+    /// Forgets where the store goes on after what other nodes told: it has deleted the records from there on.
+    fn forget_place(&self, topic: StoreTopic) {
+        if topic == StoreTopic::Configuration {
+            self.core.directory.borrow_mut().forget_stored_table();
+        }
+    }
+
     /// Takes in records; `whole` if they are all that the topic holds.
     async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
         match topic {
@@ -141,6 +186,7 @@
     async fn take_nodes(&self, records: &Records, whole: bool) {
         let core = &self.core;
         let mut news = Vec::new();
+        let mut own = None;
         for record in &records.records {
             let Some(value) = &record.value else {
                 self.forget(|key| key == record.key, record.offset);
@@ -154,7 +200,7 @@
                 }
             };
             if stored.record.address == core.settings.peers {
-                take_stored(core, stored.record).await;
+                own = Some(stored);
             } else if core.take_record(stored.clone(), StateSource::Store) {
                 news.push(stored);
             }
@@ -169,8 +215,14 @@
             self.forget(|key| !kept.contains(key), records.next);
         }
         core.directory.borrow_mut().note_read(records.next);
-        if !whole {
-            share_with_zone(core, news);
+        core.note_records();
+        if whole {
+            news = list_unshared(core, news, own.as_ref());
+        }
+        share_with_zone(core, news);
+        if let Some(own) = own {
+            wait_for_routes(core).await;
+            take_stored(core, own.record).await;
         }
     }
 
@@ -229,12 +281,26 @@
     }
 }
 
-/// A node finds in the records which upstream it has, and asks that one by a path that it learns from
-/// the configuration.
-async fn wait_for_routes(core: &ProxyCore) {
-    let since = core.timers.now();
-    while core.routes().is_none() && core.timers.now().since(since) < ROUTES_PATIENCE {
-        let _ = core.timers.after(ROUTES_STEP).recv_async().await;
+/// Of what a node has read as a whole, what others may not have heard of. Those that read before stop as soon as the record
+/// of a node that comes before them is there, and what followed it may have come after their last read.
+fn list_unshared(
+    core: &ProxyCore,
+    read: Vec<StoredRecord>,
+    own: Option<&StoredRecord>,
+) -> Vec<StoredRecord> {
+    match own {
+        Some(own) if core.is_zone_reader() => {
+            let later = |stored: &StoredRecord| stored.revision > own.revision;
+            read.into_iter().filter(later).collect()
+        }
+        _ => Vec::new(),
+    }
+}
+
+const fn describe_stored(record: &KeyedRecord, node: NodeRecord) -> StoredRecord {
+    StoredRecord {
+        revision: record.offset.saturating_add(1),
+        record: node,
     }
 }
 
@@ -250,93 +316,3 @@
         let _ = core.timers.after(ROLE_STEP).recv_async().await;
     }
 }
-
-const fn describe_stored(record: &KeyedRecord, node: NodeRecord) -> StoredRecord {
-    StoredRecord {
-        revision: record.offset.saturating_add(1),
-        record: node,
-    }
-}
-
-/// Writes this node's record whenever it changes, until dropped. Only the newest is of use.
-async fn write_records<S: StateStore>(
-    core: Rc<ProxyCore>,
-    store: S,
-    orders: Receiver<RecordOrder>,
-) {
-    let mut retries = Retries::new(&core, "records");
-    while let Ok(mut order) = orders.recv_async().await {
-        loop {
-            if let Some(newer) = orders.drain().last() {
-                order = newer;
-            }
-            match append(&store, &order.record).await {
-                Ok(()) => {
-                    retries.succeed();
-                    // Whoever waited for it may have given up.
-                    let _ = order.done.try_send(());
-                    break;
-                }
-                Err(error) => retries.fail(&error).await,
-            }
-        }
-    }
-}
-
-async fn append<S: StateStore>(store: &S, record: &NodeRecord) -> Result<(), StoreError> {
-    let value = serde_json::to_vec(record).map_err(|_| StoreError::Malformed("own record"))?;
-    store.append_node(record, &value).await
-}
-
-/// Paces calls after failures, and logs when the store is lost and regained.
-struct Retries<'a> {
-    core: &'a ProxyCore,
-    what: &'static str,
-    failures: Cell<u32>,
-}
-
-impl<'a> Retries<'a> {
-    fn new(core: &'a ProxyCore, what: &'static str) -> Self {
-        Self {
-            core,
-            what,
-            failures: Cell::new(0),
-        }
-    }
-
-    /// True at the second failure in a row, and seldom after it: when the whole store is away, nodes that are
-    /// asked to read it only add to the calls.
-    fn is_to_be_handed_over(&self) -> bool {
-        self.failures.get() % HAND_OVER_EVERY == 1
-    }
-
-    fn succeed(&self) {
-        let failures = self.failures.take();
-        if failures > 0 {
-            self.core.log(&ProxyEvent::StoreRegained {
-                what: self.what,
-                failures,
-            });
-        }
-    }
-
-    async fn fail(&mut self, error: &StoreError) {
-        let failures = self.failures.get();
-        if failures == 0 {
-            self.core.log(&ProxyEvent::StoreLost {
-                what: self.what,
-                error: error.to_string(),
-            });
-        }
-        self.failures.set(failures + 1);
-        let (least, most) = RETRY_PAUSES;
-        let pause = (least * 2_u32.saturating_pow(failures.min(8))).min(most);
-        let spread = rand::rng().random_range(0.7..1.3);
-        let _ = self
-            .core
-            .timers
-            .after(pause.mul_f64(spread))
-            .recv_async()
-            .await;
-    }
-}
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -1,6 +1,12 @@
 //! What a node counts, as the text that scrapers of metrics read. `docs/operators/metrics.md` lists it.
 
-use crate::{proxy::core::ProxyCore, state::class_counts::ClassCounts};
+use crate::{
+    proxy::{
+        core::ProxyCore,
+        store_calls::{CallReason, StoreCall},
+    },
+    state::class_counts::ClassCounts,
+};
 use prometheus_client::{
     collector::Collector,
     encoding::{DescriptorEncoder, EncodeMetric, NoLabelSet, text::encode},
@@ -28,6 +34,7 @@
     counters: Vec<Figure>,
     gauges: Vec<Figure>,
     classes: Vec<(String, ClassCounts)>,
+    store_calls: Vec<(StoreCall, CallReason, u64)>,
 }
 
 /// The figures of a node as text.
@@ -51,6 +58,7 @@
             classes: classes
                 .map(|(class, counts)| (class.to_string(), *counts))
                 .collect(),
+            store_calls: core.counters.store_calls.list(),
         }
     }
 
@@ -68,6 +76,17 @@
         Ok(())
     }
 
+    fn encode_store_calls(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
+        let help = "Calls to the store";
+        let mut metric =
+            encoder.encode_descriptor("store_calls", help, None, MetricType::Counter)?;
+        for (call, reason, count) in &self.store_calls {
+            let labels = [("call", call.name()), ("reason", reason.name())];
+            ConstCounter::new(*count).encode(metric.encode_family(&labels)?)?;
+        }
+        Ok(())
+    }
+
     fn encode_latency(&self, encoder: &mut DescriptorEncoder<'_>) -> Result<(), fmt::Error> {
         let help = "Time of answered requests in seconds";
         let mut metric =
@@ -103,6 +122,7 @@
         self.encode_class_counter(encoder, requests, |counts| counts.requests)?;
         let on_target = ("class_on_target", "Of these, answered within the target");
         self.encode_class_counter(encoder, on_target, |counts| counts.on_target)?;
+        self.encode_store_calls(encoder)?;
         self.encode_latency(encoder)
     }
 }
--- a/src/proxy/retiring.rs
+++ b/src/proxy/retiring.rs
@@ -8,7 +8,12 @@
         hop::StateMessage,
         store::{ConditionalAppend, StateStore},
     },
-    proxy::{core::ProxyCore, events::ProxyEvent, state_messages::ask_state},
+    proxy::{
+        core::ProxyCore,
+        events::ProxyEvent,
+        state_messages::ask_state,
+        store_calls::{CallReason, StoreCall},
+    },
     state::placement_view::NodeView,
 };
 use futures::future::join_all;
@@ -139,6 +144,8 @@
     let Some(record) = core.directory.borrow().find_record(suspect) else {
         return;
     };
+    let calls = &core.counters.store_calls;
+    calls.count(StoreCall::Drop, CallReason::Retirement);
     match store.drop_node(&record, end).await {
         Ok(ConditionalAppend::Stored) => core.log(&ProxyEvent::NodeRetired {
             known: record.name,
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -71,10 +71,14 @@
     };
     count_bytes(core, body.len());
     let (wanted, reaches, from) = (message.wanted, message.reaches, message.from);
+    let has_records = message.has_records;
     let is_offer = message.offered.is_some();
     take_message(core, message);
     let mut answer = match wanted {
-        Some(version) => core.directory.borrow_mut().list_newer_than(version),
+        Some(version) => core
+            .directory
+            .borrow_mut()
+            .list_newer_than(version, has_records),
         None => StateMessage::default(),
     };
     if is_offer {
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -90,6 +90,15 @@
     }
 }
 
+/// Fetches the table in force at another node, after a start.
+pub async fn fetch_first_table(core: &Rc<ProxyCore>, from: SocketAddr) {
+    let own = core.directory.borrow().version();
+    if let Err(error) = fetch_since(core, from, own).await {
+        let error = error.to_string();
+        core.log(&ProxyEvent::ChangeRejected { from, error });
+    }
+}
+
 /// Fetches what is newer from one node. What can't be applied is asked for once more: since the version that has come into
 /// force meanwhile, else as a whole.
 async fn fetch(
@@ -124,6 +133,7 @@
 ) -> Result<(), ChangeError> {
     let message = StateMessage {
         wanted: Some(own),
+        has_records: core.has_records(),
         from: Some(core.settings.peers),
         ..StateMessage::default()
     };
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -34,6 +34,7 @@
         },
         lines: LineRules { one_in: 1, kept: 0 },
         operators: None,
+        first_start: false,
         headers: HeaderNames::product(),
     };
     ProxyCore::new(settings, TimerService::fake())
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -154,10 +154,13 @@
     let mut directory = Directory::default();
     directory.take_table(table(5));
     directory.take_own(record(1, "a", "i"));
-    let mut newer = |version| directory.list_newer_than(ConfigurationVersion(version));
-    assert_eq!(newer(5).change, None);
-    assert!(newer(4).change.is_some() && newer(4).nodes.is_empty());
-    assert_eq!(newer(0).nodes.len(), 1);
+    let mut newer = |version, has_records| {
+        directory.list_newer_than(ConfigurationVersion(version), has_records)
+    };
+    assert_eq!(newer(5, false).change, None);
+    assert!(newer(4, false).change.is_some() && newer(4, false).nodes.is_empty());
+    assert_eq!(newer(0, false).nodes.len(), 1);
+    assert!(newer(0, true).change.is_some() && newer(0, true).nodes.is_empty());
 }
 
 #[test]
