Switches that take one mechanism out, for measuring

Cause: what a mechanism is worth was measured by patches by hand, which nobody can repeat. With the feature ablation, which no shipped build has, CAMPHORTURN_WITHOUT names what is taken out; without it each switch is a constant. A feature and not a block of settings: a shipped node must not be able to lose a mechanism by its settings. Ruled out: environment variables in every build (read by processes of users).

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -5,6 +5,7 @@
 //! no slot anywhere waits, at the node with the shortest wait.
 
 use crate::state::{
+    ablation::Mechanism,
     moment::Moment,
     names::{AvailabilityZoneName, ClassName, ServiceName},
     placement_view::NodeView,
@@ -90,11 +91,17 @@
     let slowdown = f64::from(load.slowdown_percent.max(100)) / 100.0;
     let busy = own.max(told * weight) + 1.0;
     let failures = load.failed_percent.saturating_sub(usual_failures);
+    if Mechanism::FailureWeighing.is_off() {
+        return busy / limit * (1.0 + (slowdown - 1.0) * weight);
+    }
     let failing = 1.0 + FAILURE_COST * f64::from(failures) / 100.0;
     busy / limit * (1.0 + (slowdown - 1.0) * weight) * failing
 }
 
 fn weigh_silence(view: &NodeView, now: Moment) -> f64 {
+    if Mechanism::SilenceWeighing.is_off() {
+        return 1.0;
+    }
     let (from, doubles) = SILENCE;
     let beyond = view.silence(now).saturating_sub(from);
     1.0 + beyond.as_secs_f64() / doubles.as_secs_f64()
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -15,7 +15,10 @@
 mod forecast;
 mod late_share;
 
-use crate::{coordination::vm_pace::Pace, state::moment::Moment};
+use crate::{
+    coordination::vm_pace::Pace,
+    state::{ablation::Mechanism, moment::Moment},
+};
 use forecast::forecast_start;
 use late_share::LateShare;
 use std::time::Duration;
@@ -77,7 +80,12 @@
     /// Requests that can still be on time go before those of their priority that can't: work for an
     /// answer that is late already would make the next one late as well.
     fn rank(&self, now: Moment) -> (u8, bool) {
-        (self.priority, self.is_late(now))
+        let priority = if Mechanism::Ranks.is_off() {
+            0
+        } else {
+            self.priority
+        };
+        (priority, self.is_late(now))
     }
 
     fn is_late(&self, now: Moment) -> bool {
--- a/src/coordination/slot_search.rs
+++ b/src/coordination/slot_search.rs
@@ -6,7 +6,7 @@
 //!
 //! Pure: each answer and each moment is told, and the next step returned.
 
-use crate::coordination::placement::PlacementCandidate;
+use crate::{coordination::placement::PlacementCandidate, state::ablation::Mechanism};
 use std::{net::SocketAddr, time::Duration, vec::IntoIter};
 
 /// Nodes of the own availability zone asked for a slot at once.
@@ -94,8 +94,17 @@
         let (near, far): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|candidate| candidate.near);
         let near: Vec<_> = near.into_iter().take(NEAR_ASKED).collect();
-        let far: Vec<_> = far.into_iter().take(FAR_ASKED).collect();
-        let (share, each_kb) = NEAR_SHARE;
+        let far_asked = if Mechanism::FarQuestions.is_off() {
+            0
+        } else {
+            FAR_ASKED
+        };
+        let far: Vec<_> = far.into_iter().take(far_asked).collect();
+        let (share, each_kb) = if Mechanism::OwnZoneFirst.is_off() {
+            (0.0, 0.0)
+        } else {
+            NEAR_SHARE
+        };
         Self {
             near: near.into_iter(),
             far: far.into_iter(),
@@ -189,6 +198,9 @@
     #[must_use]
     pub fn find_come_back(&self, spread: f64) -> Duration {
         let (least, most) = COME_BACK;
+        if Mechanism::ComeBackTimes.is_off() {
+            return least.mul_f64(spread);
+        }
         let soonest = self.offers.iter().map(|offer| offer.finish).min();
         let wait = soonest.map_or(least, |finish| finish.saturating_sub(self.target));
         wait.clamp(least, most).mul_f64(spread)
--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -5,6 +5,7 @@
 //! the readers from the nodes it knows. Two that know different nodes may both read, or neither; the
 //! slow reads of all others and the versions on requests between nodes make up for the latter.
 
+use crate::state::ablation::Mechanism;
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
@@ -53,6 +54,9 @@
 /// be reached.
 #[must_use]
 pub fn is_reader(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> bool {
+    if Mechanism::Readers.is_off() {
+        return true;
+    }
     let own_rank = rank(own);
     let before = others.filter(|other| rank(*other) < own_rank).count();
     before < READERS
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -12,7 +12,7 @@
         executing::{Executed, execute},
         peers::send_hop,
     },
-    state::{moment::Moment, placement_view::NodeView},
+    state::{ablation::Mechanism, moment::Moment, placement_view::NodeView},
     transport::{callers::CallerRequest, outgoing::SendError},
 };
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
@@ -175,6 +175,9 @@
 
     /// Leaves the node out for a while.
     fn leave_out(&self) {
+        if Mechanism::LeavingOut.is_off() {
+            return;
+        }
         let now = self.core.timers.now();
         let mut directory = self.core.directory.borrow_mut();
         let Some(view) = directory.nodes.get_mut(&self.to) else {
@@ -206,13 +209,14 @@
 
 /// A node whose upstream takes no work at all is left out for a while.
 fn pause_after_refusal(view: &mut NodeView, reason: RefusalReason, now: Moment) {
-    let takes_none = matches!(
-        reason,
-        RefusalReason::Draining
-            | RefusalReason::UpstreamDown
-            | RefusalReason::UnknownClass
-            | RefusalReason::NotSent
-    );
+    let takes_none = !Mechanism::LeavingOut.is_off()
+        && matches!(
+            reason,
+            RefusalReason::Draining
+                | RefusalReason::UpstreamDown
+                | RefusalReason::UnknownClass
+                | RefusalReason::NotSent
+        );
     if takes_none {
         view.paused_until = now + REFUSAL_PAUSE;
     }
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -22,6 +22,7 @@
         reply::ClientEnd,
     },
     state::{
+        ablation::Mechanism,
         moment::Moment,
         names::{ClassName, ServiceName},
         routing_table::Route,
@@ -131,6 +132,9 @@
 
     fn hedge(&mut self) {
         // One that waits for a slot is better off waiting than at two upstreams.
+        if Mechanism::Hedging.is_off() {
+            return;
+        }
         if self.under_way.len() == 1 && !self.search.has_waited() && self.take_repeat() {
             // Without another node to ask the first attempt is all there is.
             let _ = self.ask_next();
@@ -138,7 +142,7 @@
     }
 
     fn repeat(&mut self) -> bool {
-        self.may_repeat() && self.take_repeat() && self.ask_next()
+        !Mechanism::Retries.is_off() && self.may_repeat() && self.take_repeat() && self.ask_next()
     }
 
     fn may_repeat(&self) -> bool {
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -8,6 +8,7 @@
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{core::ProxyCore, events::ProxyEvent, executing::pace::note_load},
+    state::ablation::Mechanism,
     transport::{
         callers::CallerRequest,
         outgoing::{SendError, SendRules},
@@ -53,7 +54,7 @@
         return (Verdict::Refused(RefusalReason::NotSent), None);
     };
     let rules = SendRules {
-        fresh: !hop.idempotent,
+        fresh: !hop.idempotent && !Mechanism::FreshConnections.is_off(),
         connect_timeout: CONNECT_TIMEOUT.min(time_left),
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -10,7 +10,8 @@
         executing::slots::apply,
     },
     state::{
-        moment::Moment, names::ServiceName, placement_view::NodeRecord, rate_limit::RateLimit,
+        ablation::Mechanism, moment::Moment, names::ServiceName, placement_view::NodeRecord,
+        rate_limit::RateLimit,
     },
     transport::outgoing::SendRules,
 };
@@ -131,7 +132,7 @@
 
 /// Asks for the pace unless it is known well enough. Several requests share one question.
 pub async fn refresh_pace(core: &Rc<ProxyCore>) {
-    if !core.slots.pace.is_stale(core.timers.now()) {
+    if Mechanism::PaceQuestions.is_off() || !core.slots.pace.is_stale(core.timers.now()) {
         return;
     }
     let under_way = core.slots.pace.asking.borrow().clone();
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -4,8 +4,8 @@
     coordination::slot_queue::{SlotAction, SlotNumber, SlotQueue},
     proxy::{core::ProxyCore, executing::pace::PaceKnowledge},
     state::{
-        failure_share::FailureShare, moment::Moment, names::ClassName, placement_view::NodeLoad,
-        service_times::ServiceTimes,
+        ablation::Mechanism, failure_share::FailureShare, moment::Moment, names::ClassName,
+        placement_view::NodeLoad, service_times::ServiceTimes,
     },
 };
 use flume::Sender;
@@ -105,6 +105,9 @@
 /// Requests that are let run at once at an upstream with that many slots.
 #[must_use]
 pub fn limit_for(slots: u16) -> usize {
+    if Mechanism::SlotLimit.is_off() {
+        return usize::from(slots).max(1);
+    }
     #[expect(
         clippy::cast_possible_truncation,
         clippy::cast_sign_loss,
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! Pure data and its transitions. Nothing here reads a clock or a socket.
 
+pub mod ablation;
 pub mod class_bytes;
 pub mod class_counts;
 pub mod configuration;
--- /dev/null
+++ b/src/state/ablation.rs
@@ -0,0 +1,79 @@
+//! Switches that take one mechanism out of a node, to measure what it is worth.
+//!
+//! They are no settings: without the feature `ablation`, which no shipped build has, each is a constant and compiles to
+//! nothing. With it the variable `CAMPHORTURN_WITHOUT` names what is taken out. `docs/design/decisions-under-load.md`
+//! tells how it is used.
+
+/// A mechanism that can be taken out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mechanism {
+    /// The upstream is asked for the pace of its VM before a start.
+    PaceQuestions,
+    /// A node whose upstream fails more requests than others is asked later.
+    FailureWeighing,
+    /// A node that says nothing is asked later.
+    SilenceWeighing,
+    /// A node that could not be reached, or takes no work, isn't asked for a while.
+    LeavingOut,
+    /// A refused client is told to come back once the queue is over, instead of after the least time.
+    ComeBackTimes,
+    /// What must run once goes out on a connection of its own.
+    FreshConnections,
+    /// A request is sent to a second upstream after the first failed.
+    Retries,
+    /// A late idempotent request is sent to a second upstream beside the first.
+    Hedging,
+    /// Requests wait by their priority.
+    Ranks,
+    /// Nodes of other zones are asked for a slot.
+    FarQuestions,
+    /// The own zone is preferred while it answers soon enough.
+    OwnZoneFirst,
+    /// What a node told with a refusal is its answer for a while.
+    ToldRefusals,
+    /// The upstream gets fewer requests than it has slots.
+    SlotLimit,
+    /// Two nodes of a zone read the store for the others.
+    Readers,
+}
+
+impl Mechanism {
+    /// The word that takes it out.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::PaceQuestions => "pace_questions",
+            Self::FailureWeighing => "failure_weighing",
+            Self::SilenceWeighing => "silence_weighing",
+            Self::LeavingOut => "leaving_out",
+            Self::ComeBackTimes => "come_back_times",
+            Self::FreshConnections => "fresh_connections",
+            Self::Retries => "retries",
+            Self::Hedging => "hedging",
+            Self::Ranks => "ranks",
+            Self::FarQuestions => "far_questions",
+            Self::OwnZoneFirst => "own_zone_first",
+            Self::ToldRefusals => "told_refusals",
+            Self::SlotLimit => "slot_limit",
+            Self::Readers => "readers",
+        }
+    }
+
+    /// Whether it is taken out of this process.
+    #[cfg(not(feature = "ablation"))]
+    #[must_use]
+    pub const fn is_off(self) -> bool {
+        false
+    }
+
+    /// Whether it is taken out of this process.
+    #[cfg(feature = "ablation")]
+    #[must_use]
+    pub fn is_off(self) -> bool {
+        use std::sync::OnceLock;
+        static WITHOUT: OnceLock<String> = OnceLock::new();
+        let without =
+            WITHOUT.get_or_init(|| std::env::var("CAMPHORTURN_WITHOUT").unwrap_or_default());
+        without == self.name()
+    }
+}
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -1,6 +1,7 @@
 //! What an entry node knows of the nodes that it may send requests to.
 
 use crate::state::{
+    ablation::Mechanism,
     moment::Moment,
     names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
     run_identity::RunIdentity,
@@ -109,6 +110,9 @@
     /// Time in which a request of a class would end there, if it is known from a refusal that still holds.
     #[must_use]
     pub fn told_finish(&self, class: &ClassName, now: Moment) -> Option<Duration> {
+        if Mechanism::ToldRefusals.is_off() {
+            return None;
+        }
         let (told_at, finish) = *self.refusals.get(class)?;
         let age = now.since(told_at);
         (age <= finish / REFUSAL_HOLDS).then(|| finish.saturating_sub(age))
