Second reader of a zone reads seldom; at the first start neighbours are asked until one has the configuration

Change: the second reader waits 12 s in its read of the configuration (a change still reaches it at once) and reads the records every 8 s. At the first start a node asks neighbours every 200 ms until one has the table. Ruled out: one reader a mesh: where it is lost, nothing finds out in the 3 s in which a change is to be in force.

--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -1,22 +1,26 @@
 //! Which nodes read the platform's store, and how often the others make sure.
 //!
-//! Each call to the store is paid for, so a few nodes of each availability zone read it and tell the
+//! Each call to the store is paid for, so two nodes of each availability zone read it and tell the
 //! others of their zone; bytes within a zone cost nothing. Nobody is appointed: each node works out
 //! the readers from the nodes it knows. Two that know different nodes may both read, or neither; the
 //! slow reads of all others and the versions on requests between nodes make up for the latter.
 
-use crate::state::ablation::Mechanism;
+use crate::{protocol::store::StoreTopic, state::ablation::Mechanism};
 use std::{
     hash::{DefaultHasher, Hash, Hasher},
     net::SocketAddr,
     time::Duration,
 };
 
-/// Readers of a zone. With two, the loss of one delays nothing.
-const READERS: usize = 2;
-/// Longest wait of one read of a reader. A store that falls silent and comes back may leave a read
+/// Longest wait of one read of the first reader of a zone. A store that falls silent and comes back may leave a read
 /// unanswered, and a change must be in force within seconds of its return.
-const READER_WAIT: Duration = Duration::from_secs(4);
+const FIRST_WAIT: Duration = Duration::from_secs(4);
+/// Longest wait of one read of the configuration by the second reader. It is there for the loss of the first; while that
+/// one reads, it also finds out when a store that was silent is back.
+const SECOND_WAIT: Duration = Duration::from_secs(12);
+/// Pause between two reads of the nodes' records by the second reader. A record only says where to ask, so one that is
+/// learned late while nobody has noticed the loss of the first reader costs little; each read is paid for.
+const SECOND_RECORDS_PAUSE: Duration = Duration::from_secs(8);
 /// Pause between the reads of all other nodes, at the least, for each node that is known, and at the
 /// most. Their reads together cost the same however many nodes there are, up to the longest pause.
 const OTHERS_PAUSE: (Duration, Duration, Duration) = (
@@ -33,6 +37,17 @@
     Duration::from_secs(2),
 );
 
+/// What a node reads for its zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadingRole {
+    /// It reads for its zone.
+    First,
+    /// It reads as well, so that the loss of the first delays no change of the configuration.
+    Second,
+    /// It hears from the readers and makes sure now and then.
+    Other,
+}
+
 /// How a node reads a topic next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadingPlan {
@@ -50,16 +65,24 @@
     each.saturating_mul(nodes).clamp(least, most)
 }
 
-/// Whether `own` is among the readers of its zone; `others` are the other nodes of the zone that can
-/// be reached.
+/// What `own` reads for its zone; `others` are the other nodes of the zone that can be reached.
 #[must_use]
-pub fn is_reader(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> bool {
+pub fn find_reading_role(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> ReadingRole {
     if Mechanism::Readers.is_off() {
-        return true;
+        return ReadingRole::First;
     }
     let own_rank = rank(own);
-    let before = others.filter(|other| rank(*other) < own_rank).count();
-    before < READERS
+    match others.filter(|other| rank(*other) < own_rank).count() {
+        0 => ReadingRole::First,
+        1 => ReadingRole::Second,
+        _ => ReadingRole::Other,
+    }
+}
+
+/// Whether `own` is among the readers of its zone.
+#[must_use]
+pub fn is_reader(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> bool {
+    find_reading_role(own, others) != ReadingRole::Other
 }
 
 /// Whether `own` goes before all `others`, which are the other nodes that can be reached. Of what one node of the mesh
@@ -93,13 +116,14 @@
     ring
 }
 
-/// How to read next, with that many nodes known.
+/// How to read a topic next, with that many nodes known.
 #[must_use]
-pub fn plan_reading(reader: bool, nodes: usize) -> ReadingPlan {
-    let (wait, pause) = if reader {
-        (READER_WAIT, Duration::ZERO)
-    } else {
-        (Duration::ZERO, scale(OTHERS_PAUSE, nodes))
+pub fn plan_reading(role: ReadingRole, topic: StoreTopic, nodes: usize) -> ReadingPlan {
+    let (wait, pause) = match (role, topic) {
+        (ReadingRole::First, _) => (FIRST_WAIT, Duration::ZERO),
+        (ReadingRole::Second, StoreTopic::Configuration) => (SECOND_WAIT, Duration::ZERO),
+        (ReadingRole::Second, StoreTopic::Nodes) => (Duration::ZERO, SECOND_RECORDS_PAUSE),
+        (ReadingRole::Other, _) => (Duration::ZERO, scale(OTHERS_PAUSE, nodes)),
     };
     ReadingPlan {
         wait,
--- a/src/proxy/core/duties.rs
+++ b/src/proxy/core/duties.rs
@@ -4,9 +4,11 @@
     coordination::{
         offer_rounds::RingNode,
         store_reading::{
-            ReadingPlan, find_predecessor, is_first, is_reader, order_ring, plan_reading,
+            ReadingPlan, ReadingRole, find_predecessor, find_reading_role, is_first, order_ring,
+            plan_reading,
         },
     },
+    protocol::store::StoreTopic,
     proxy::core::ProxyCore,
     state::{
         moment::Moment,
@@ -19,11 +21,19 @@
 const STANDING_IN: Duration = Duration::from_secs(8);
 
 impl ProxyCore {
-    /// How this node reads the store next.
+    /// How this node reads a topic of the store next.
     #[must_use]
-    pub fn plan_reading(&self) -> ReadingPlan {
-        let reader = self.stands_in() || self.is_zone_reader();
-        plan_reading(reader, self.directory.borrow().nodes.len())
+    pub fn plan_reading(&self, topic: StoreTopic) -> ReadingPlan {
+        let role = if self.stands_in() {
+            ReadingRole::First
+        } else {
+            self.find_reading_role()
+        };
+        plan_reading(role, topic, self.directory.borrow().nodes.len())
+    }
+
+    fn find_reading_role(&self) -> ReadingRole {
+        find_reading_role(self.settings.peers, self.list_zone().into_iter())
     }
 
     /// Whether this node reads the store in place of one that can't.
@@ -35,7 +45,7 @@
     /// Whether this node is one of those that read the store for their zone.
     #[must_use]
     pub fn is_zone_reader(&self) -> bool {
-        is_reader(self.settings.peers, self.list_zone().into_iter())
+        self.find_reading_role() != ReadingRole::Other
     }
 
     /// Whether this node does what one node of the mesh does.
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -84,7 +84,7 @@
         loop {
             let mut wait = Duration::ZERO;
             if !std::mem::take(&mut urgent) {
-                wait = wait_for_turn(core).await;
+                wait = wait_for_turn(core, topic).await;
                 reason = if retries.is_failing() {
                     CallReason::Retry
                 } else if wait.is_zero() {
@@ -161,7 +161,7 @@
             StoreTopic::Configuration => self.take_configuration(records),
             StoreTopic::Nodes => {
                 self.take_nodes(records, whole).await;
-                let pause = self.core.plan_reading().records_pause;
+                let pause = self.core.plan_reading(topic).records_pause;
                 let _ = self.core.timers.after(pause).recv_async().await;
             }
         }
@@ -305,11 +305,11 @@
 }
 
 /// Waits until this node is to read; tells how long the read may wait for a record.
-async fn wait_for_turn(core: &ProxyCore) -> Duration {
+async fn wait_for_turn(core: &ProxyCore, topic: StoreTopic) -> Duration {
     let spread = rand::rng().random_range(0.8..1.2);
     let since = core.timers.now();
     loop {
-        let plan = core.plan_reading();
+        let plan = core.plan_reading(topic);
         if core.timers.now().since(since) >= plan.pause.mul_f64(spread) {
             return plan.wait;
         }
--- a/src/proxy/following/starting.rs
+++ b/src/proxy/following/starting.rs
@@ -11,15 +11,15 @@
 /// Longest time that a node which is started for the first time waits for its upstream to announce itself, and for its
 /// record to be stored. Upstreams announce themselves each second or two.
 const FIRST_RECORD_PATIENCE: Duration = Duration::from_secs(3);
-/// Longest time that it waits for the configuration to be offered by a reader of its zone.
-const FIRST_TABLE_PATIENCE: Duration = Duration::from_secs(4);
+/// Longest time that it waits for another node of its zone to have the configuration.
+const FIRST_TABLE_PATIENCE: Duration = Duration::from_secs(6);
 /// Longest time that any other start waits for a neighbour's configuration, the reading of the records included. Clients
 /// may be waiting, and the store answers in some milliseconds when it is well.
 const TABLE_PATIENCE: Duration = Duration::from_millis(150);
 /// Neighbours that are asked for the configuration, one after the other.
 const NEIGHBOURS: usize = 2;
 /// How often a node looks whether what it waits for is there, at the first start of all.
-const FIRST_STEP: Duration = Duration::from_millis(100);
+const FIRST_STEP: Duration = Duration::from_millis(200);
 /// The same at any other start.
 const STEP: Duration = Duration::from_millis(10);
 /// Longest time that the stored record of this node waits for the configuration.
@@ -45,24 +45,24 @@
     let due = core.timers.after(patience);
     tokio::select! {
         _ = due.recv_async() => {}
-        () = hear_from_zone(core, patience) => {}
+        () = hear_from_zone(core) => {}
     }
 }
 
-async fn hear_from_zone(core: &Rc<ProxyCore>, patience: Duration) {
-    if core.settings.first_start {
-        let is_told = || core.routes().is_some() || core.has_records() && core.is_zone_reader();
-        wait_until(core, patience, FIRST_STEP, is_told).await;
-        return;
-    }
+async fn hear_from_zone(core: &Rc<ProxyCore>) {
     core.wait_for_records().await;
-    let zone = core.list_zone();
-    let asked: Vec<_> = zone.sample(&mut rand::rng(), NEIGHBOURS).copied().collect();
-    for to in asked {
-        if core.routes().is_some() {
-            return;
+    // At the first start nobody waits, and all but the readers of the zone can go on asking each other.
+    let mut left = NEIGHBOURS;
+    while core.routes().is_none() && left > 0 {
+        let zone = core.list_zone();
+        if let Some(to) = zone.choose(&mut rand::rng()) {
+            fetch_first_table(core, *to).await;
+        }
+        if core.settings.first_start && !core.is_zone_reader() {
+            let _ = core.timers.after(FIRST_STEP).recv_async().await;
+        } else {
+            left -= 1;
         }
-        fetch_first_table(core, to).await;
     }
 }
 
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -5,10 +5,11 @@
         own_upstream::{Announcement, AnnouncementEffect, OwnUpstream},
         placement::order_candidates,
         spreading::split_receivers,
-        store_reading::{is_reader, plan_reading},
+        store_reading::{ReadingRole, is_reader, plan_reading},
     },
     log_reading::line::LogLine,
     options::proxy_settings::LineRules,
+    protocol::store::StoreTopic,
     proxy::{
         directory::{Directory, StateSource},
         events::{LineWriter, ProxyEvent, Weight},
@@ -332,13 +333,24 @@
 
 #[test]
 fn plan_reading_by_nodes() {
-    let plan = |reader, nodes| plan_reading(reader, nodes);
-    assert_eq!(plan(true, 12).pause, Duration::ZERO);
-    assert_eq!(plan(false, 12).pause, Duration::from_secs(14));
-    assert_eq!(plan(false, 60).pause, Duration::from_secs(30));
-    assert_eq!(plan(false, 870).pause, Duration::from_mins(1));
-    assert_eq!(plan(true, 12).records_pause, Duration::from_millis(400));
-    assert_eq!(plan(true, 870).records_pause, Duration::from_secs(2));
+    let plan = |role, nodes| plan_reading(role, StoreTopic::Nodes, nodes);
+    assert_eq!(plan(ReadingRole::First, 12).pause, Duration::ZERO);
+    assert_eq!(plan(ReadingRole::Other, 12).pause, Duration::from_secs(14));
+    assert_eq!(plan(ReadingRole::Other, 60).pause, Duration::from_secs(30));
+    assert_eq!(plan(ReadingRole::Other, 870).pause, Duration::from_mins(1));
+    let pause = |nodes| plan(ReadingRole::First, nodes).records_pause;
+    assert_eq!(pause(12), Duration::from_millis(400));
+    assert_eq!(pause(870), Duration::from_secs(2));
+}
+
+/// Symptom: a change of the configuration comes into force seconds late. Sequence: the first reader of a zone is lost, the
+/// configuration changes. Cause to be ruled out: the second reader, which reads less often, isn't reading then.
+#[test]
+fn plan_reading_second_always_reads_configuration() {
+    let plan = plan_reading(ReadingRole::Second, StoreTopic::Configuration, 12);
+    assert_eq!(plan.pause, Duration::ZERO);
+    // The platform's longest read.
+    assert!(plan.wait > Duration::ZERO && plan.wait < Duration::from_secs(30));
 }
 
 #[test]
