--- a/src/coordination/store_reading.rs
+++ b/src/coordination/store_reading.rs
@@ -51,6 +51,8 @@
 /// How a node reads a topic next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ReadingPlan {
+    /// What the node reads for its zone.
+    pub role: ReadingRole,
     /// Longest time that the read waits for a record.
     pub wait: Duration,
     /// Pause before it, ended at once when the node becomes a reader.
@@ -126,6 +128,7 @@
         (ReadingRole::Other, _) => (Duration::ZERO, scale(OTHERS_PAUSE, nodes)),
     };
     ReadingPlan {
+        role,
         wait,
         pause,
         records_pause: scale(RECORDS_PAUSE, nodes),
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -10,6 +10,7 @@
     writing::write_records,
 };
 use crate::{
+    coordination::store_reading::ReadingRole,
     protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic},
     proxy::{
         announcing::{RecordOrder, describe_own, take_stored},
@@ -76,25 +77,15 @@
             StoreTopic::Configuration => learn_table(core).await,
             StoreTopic::Nodes => wait_for_own_record(core).await,
         }
-        let mut urgent = match topic {
-            StoreTopic::Configuration => core.routes().is_none(),
-            StoreTopic::Nodes => true,
-        };
-        let mut reason = CallReason::Start;
+        let is_told = topic == StoreTopic::Configuration && core.routes().is_some();
+        // Why the next read does not wait for this node's turn.
+        let mut urgent = (!is_told).then_some(CallReason::Start);
         loop {
-            let mut wait = Duration::ZERO;
-            if !std::mem::take(&mut urgent) {
-                wait = wait_for_turn(core, topic).await;
-                reason = if retries.is_failing() {
-                    CallReason::Retry
-                } else if wait.is_zero() {
-                    CallReason::MakingSure
-                } else {
-                    CallReason::Reading
-                };
-            }
-            let read = self.read(topic, next, wait, reason).await;
-            match read {
+            let (wait, reason) = match urgent.take() {
+                Some(reason) => (Duration::ZERO, reason),
+                None => wait_for_turn(core, topic, retries.is_failing()).await,
+            };
+            match self.read(topic, next, wait, reason).await {
                 Ok(records) => {
                     retries.succeed();
                     let before = next.replace(records.next);
@@ -103,12 +94,11 @@
                 Err(StoreError::Deleted) => {
                     next = None;
                     self.forget_place(topic);
-                    (urgent, reason) = (true, CallReason::Retry);
+                    urgent = Some(CallReason::Retry);
                 }
                 Err(error) => {
                     next = next.or(self.skip_known(topic));
-                    urgent = next.is_none();
-                    reason = CallReason::Retry;
+                    urgent = next.is_none().then_some(CallReason::Retry);
                     if retries.is_to_be_handed_over() && core.is_zone_reader() {
                         hand_reading_over(core);
                     }
@@ -304,14 +294,23 @@
     }
 }
 
-/// Waits until this node is to read; tells how long the read may wait for a record.
-async fn wait_for_turn(core: &ProxyCore, topic: StoreTopic) -> Duration {
+/// Waits until this node is to read; tells how long the read may wait for a record, and why it is made.
+async fn wait_for_turn(
+    core: &ProxyCore,
+    topic: StoreTopic,
+    is_failing: bool,
+) -> (Duration, CallReason) {
     let spread = rand::rng().random_range(0.8..1.2);
     let since = core.timers.now();
     loop {
         let plan = core.plan_reading(topic);
         if core.timers.now().since(since) >= plan.pause.mul_f64(spread) {
-            return plan.wait;
+            let reason = match plan.role {
+                _ if is_failing => CallReason::Retry,
+                ReadingRole::Other => CallReason::MakingSure,
+                ReadingRole::First | ReadingRole::Second => CallReason::Reading,
+            };
+            return (plan.wait, reason);
         }
         let _ = core.timers.after(ROLE_STEP).recv_async().await;
     }
