A restart reads the configuration first again; readers take over after half a second

Change: only the first start of all asks neighbours; any other start reads the configuration at once, before the records. What is read next waits for the first read of the records, and a node takes over reading once those before it are out of reach for 0.5 s.

--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -6,7 +6,9 @@
 
 use self::{
     retries::Retries,
-    starting::{learn_table, wait_for_own_record, wait_for_routes},
+    starting::{
+        wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
+    },
     writing::write_records,
 };
 use crate::{
@@ -27,7 +29,7 @@
 use flume::Sender;
 use rand::RngExt;
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeSet, HashSet},
     rc::Rc,
     time::Duration,
@@ -36,6 +38,9 @@
 
 /// How often a node that only makes sure looks whether it has become a reader.
 const ROLE_STEP: Duration = Duration::from_secs(1);
+/// Time for which the readers before this node must be out of reach until it reads in their place. After a loss of all,
+/// nodes can't reach each other for some hundred milliseconds, and all of them would read.
+const TAKE_OVER_PAUSE: Duration = Duration::from_millis(500);
 /// Rejected records that are remembered, the latest.
 const REJECTED_KEPT: usize = 1_000;
 
@@ -48,6 +53,7 @@
             core: Rc::clone(core),
             store: store.clone(),
             orders: orders.clone(),
+            reads: Cell::default(),
             rejected: RefCell::default(),
         };
         spawn_local(follower.follow(topic));
@@ -63,6 +69,8 @@
     core: Rc<ProxyCore>,
     store: S,
     orders: Sender<RecordOrder>,
+    /// Whether this node was a reader of its zone when it last looked.
+    reads: Cell<bool>,
     /// Places of records that were found to be of another writer, so that each is told of once.
     rejected: RefCell<BTreeSet<u64>>,
 }
@@ -74,8 +82,8 @@
         let mut retries = Retries::new(core, name_topic(topic));
         let mut next: Option<u64> = None;
         match topic {
-            StoreTopic::Configuration => learn_table(core).await,
-            StoreTopic::Nodes => wait_for_own_record(core).await,
+            StoreTopic::Configuration => wait_for_first_table(core).await,
+            StoreTopic::Nodes => wait_to_read_records(core).await,
         }
         let is_told = topic == StoreTopic::Configuration && core.routes().is_some();
         // Why the next read does not wait for this node's turn.
@@ -83,7 +91,7 @@
         loop {
             let (wait, reason) = match urgent.take() {
                 Some(reason) => (Duration::ZERO, reason),
-                None => wait_for_turn(core, topic, retries.is_failing()).await,
+                None => self.wait_for_turn(topic, retries.is_failing()).await,
             };
             match self.read(topic, next, wait, reason).await {
                 Ok(records) => {
@@ -108,6 +116,32 @@
         }
     }
 
+    /// Waits until this node is to read; tells how long the read may wait for a record, and why it is made.
+    async fn wait_for_turn(&self, topic: StoreTopic, is_failing: bool) -> (Duration, CallReason) {
+        let core = &self.core;
+        wait_for_first_records(core).await;
+        let spread = rand::rng().random_range(0.8..1.2);
+        let since = core.timers.now();
+        loop {
+            let plan = core.plan_reading(topic);
+            let takes_over = plan.role != ReadingRole::Other && !self.reads.get();
+            self.reads.set(plan.role != ReadingRole::Other);
+            if takes_over && !core.stands_in() {
+                let _ = core.timers.after(TAKE_OVER_PAUSE).recv_async().await;
+                continue;
+            }
+            if core.timers.now().since(since) >= plan.pause.mul_f64(spread) {
+                let reason = match plan.role {
+                    _ if is_failing => CallReason::Retry,
+                    ReadingRole::Other => CallReason::MakingSure,
+                    ReadingRole::First | ReadingRole::Second => CallReason::Reading,
+                };
+                return (plan.wait, reason);
+            }
+            let _ = core.timers.after(ROLE_STEP).recv_async().await;
+        }
+    }
+
     /// Reads what comes after `next` or after what other nodes told, whichever is later; all if neither is known.
     async fn read(
         &self,
@@ -293,25 +327,3 @@
         record: node,
     }
 }
-
-/// Waits until this node is to read; tells how long the read may wait for a record, and why it is made.
-async fn wait_for_turn(
-    core: &ProxyCore,
-    topic: StoreTopic,
-    is_failing: bool,
-) -> (Duration, CallReason) {
-    let spread = rand::rng().random_range(0.8..1.2);
-    let since = core.timers.now();
-    loop {
-        let plan = core.plan_reading(topic);
-        if core.timers.now().since(since) >= plan.pause.mul_f64(spread) {
-            let reason = match plan.role {
-                _ if is_failing => CallReason::Retry,
-                ReadingRole::Other => CallReason::MakingSure,
-                ReadingRole::First | ReadingRole::Second => CallReason::Reading,
-            };
-            return (plan.wait, reason);
-        }
-        let _ = core.timers.after(ROLE_STEP).recv_async().await;
-    }
-}
