--- a/soak/src/machine.rs
+++ b/soak/src/machine.rs
@@ -256,8 +256,9 @@
         } = &self.plan;
         let (app, store) = (self.upstream_link.address, self.store_link.address);
         let slack = self.slack.get();
+        let first_start = self.node_run.get() == 0;
         let text = format!(
-            "node_name: \"n{number}\"\nzone: \"{zone}\"\nlisten_addrs:\n  outbound: \"{ip}:{CLIENTS_PORT}\"\n  \
+            "node_name: \"n{number}\"\nbootstrap: {first_start}\nzone: \"{zone}\"\nlisten_addrs:\n  outbound: \"{ip}:{CLIENTS_PORT}\"\n  \
              inbound: \"{ip}:{PEERS_PORT}\"\n  ready: \"{ip}:{READY_PORT}\"\n  control_plane: \
              \"{ip}:{ANNOUNCEMENTS_PORT}\"\nport_range:\n  - {METRICS_PORT}\n  - {METRICS_PORT}\npolicy_params:\n  \
              retry_budget_ratio: 0.2\n  retry_slack: {slack}\n  retry_window_s: 10\n  grace_s: {GRACE_SECONDS}\n  \
