--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -25,7 +25,7 @@
     transport::callers::{CallerHandler, CallerLimits, CallerReply, CallerRequest},
 };
 use futures::future::LocalBoxFuture;
-use http::{HeaderValue, Uri, header::HOST, uri::Authority};
+use http::HeaderValue;
 use std::{rc::Rc, time::Duration};
 use uuid::Uuid;
 
@@ -160,8 +160,7 @@
     let Some(routes) = core.routes() else {
         return ClientEnd::Refused(RefusalReason::NoUpstream, NO_ROUTES_RETRY);
     };
-    let host = find_host(&req);
-    let Some(route) = routes.find(host, req.uri.path()).cloned() else {
+    let Some(route) = routes.find(req.host(), req.uri.path()).cloned() else {
         return end_without_route(core);
     };
     drop(routes);
@@ -217,12 +216,6 @@
     route.pick_service(position).cloned()
 }
 
-fn find_host(req: &CallerRequest) -> &str {
-    let header = req.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let authority = Uri::authority(&req.uri).map(Authority::as_str);
-    authority.or(header).unwrap_or_default()
-}
-
 fn read_time_left(core: &ProxyCore, req: &CallerRequest) -> Option<Duration> {
     let text = req.headers.get(&core.settings.headers.time_left)?;
     let millis: f64 = text.to_str().ok()?.trim().parse().ok()?;
--- a/src/proxy/entry/request_line.rs
+++ b/src/proxy/entry/request_line.rs
@@ -10,6 +10,7 @@
     state::{
         moment::Moment,
         names::{ClassName, ServiceName},
+        request_digest::RequestDigest,
         routing_table::Route,
     },
     transport::callers::CallerRequest,
@@ -21,6 +22,7 @@
 pub struct RequestLine {
     core: Rc<ProxyCore>,
     request: String,
+    digest: RequestDigest,
     arrived: Moment,
     version: u64,
     service: Option<ServiceName>,
@@ -35,6 +37,7 @@
     pub fn begin(core: &Rc<ProxyCore>, req: &CallerRequest) -> Self {
         Self {
             request: core.read_request_id(&req.headers),
+            digest: req.digest(),
             arrived: core.timers.now(),
             version: core.directory.borrow().version().0,
             service: None,
@@ -95,6 +98,7 @@
         }
         self.core.log(&ProxyEvent::RequestEnded {
             request: std::mem::take(&mut self.request),
+            digest: self.digest,
             service: self.service.take(),
             class: self.class.take(),
             version: self.version,
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -9,7 +9,10 @@
 use crate::{
     coordination::publishing::PublicationOutcome,
     protocol::outcome::{RefusalReason, UnknownCause},
-    state::names::{ClassName, NodeName, ServiceName},
+    state::{
+        names::{ClassName, NodeName, ServiceName},
+        request_digest::RequestDigest,
+    },
 };
 use serde::Serialize;
 use std::{net::SocketAddr, time::Duration};
@@ -59,6 +62,8 @@
     RequestEnded {
         /// Identity that the client gave it.
         request: String,
+        /// The same for every attempt at what it asks for.
+        digest: RequestDigest,
         /// Its service.
         service: Option<ServiceName>,
         /// Its class of work.
@@ -107,6 +112,8 @@
     AttemptExecuted {
         /// Identity of the request.
         request: String,
+        /// The same for every attempt at what it asks for.
+        digest: RequestDigest,
         /// The node that asked.
         from: SocketAddr,
         /// Its class of work.
--- a/src/proxy/executing/attempt_line.rs
+++ b/src/proxy/executing/attempt_line.rs
@@ -7,7 +7,7 @@
         events::{LoggedEnd, ProxyEvent, in_millis},
         executing::Executed,
     },
-    state::{moment::Moment, names::ClassName},
+    state::{moment::Moment, names::ClassName, request_digest::RequestDigest},
     transport::callers::CallerRequest,
 };
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -17,6 +17,7 @@
 pub struct AttemptLine {
     core: Rc<ProxyCore>,
     request: String,
+    digest: RequestDigest,
     from: SocketAddr,
     class: ClassName,
     arrived: Moment,
@@ -34,6 +35,7 @@
         let load = core.slots.load();
         Self {
             request: core.read_request_id(&req.headers),
+            digest: req.digest(),
             from: hop.from,
             class: hop.class.clone(),
             arrived: core.timers.now(),
@@ -85,6 +87,7 @@
         let own = self.core.own.borrow();
         self.core.log(&ProxyEvent::AttemptExecuted {
             request: std::mem::take(&mut self.request),
+            digest: self.digest,
             from: self.from,
             class: self.class.clone(),
             instance: own.current().map(|run| run.identity.instance.clone()),
--- a/src/state.rs
+++ b/src/state.rs
@@ -11,6 +11,7 @@
 pub mod placement_view;
 pub mod published;
 pub mod rate_limit;
+pub mod request_digest;
 pub mod routing_table;
 pub mod run_identity;
 pub mod service_times;
--- /dev/null
+++ b/src/state/request_digest.rs
@@ -0,0 +1,62 @@
+//! What tells whether two requests ask for the same thing, whoever sent them and whatever identity they bear.
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
+use sha2::{Digest, Sha256};
+use std::{fmt, str::FromStr};
+
+/// First 64 bits of the SHA-256 of a request's method, host, target and body. Headers are left out: they differ from
+/// attempt to attempt and from node to node.
+///
+/// A cryptographic hash, so that nobody can make up a request which counts as somebody else's.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestDigest(u64);
+
+impl RequestDigest {
+    /// The digest of a request.
+    #[must_use]
+    pub fn of(method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        for part in [method.as_bytes(), host.as_bytes(), target.as_bytes()] {
+            hasher.update(part);
+            // Stands in none of the parts, so that their bounds count.
+            hasher.update(b"\n");
+        }
+        hasher.update(body);
+        let digest = hasher.finalize();
+        let first = digest.iter().take(size_of::<u64>());
+        Self(first.fold(0, |bits, byte| (bits << u8::BITS) | u64::from(*byte)))
+    }
+
+    /// Its bits.
+    #[must_use]
+    pub const fn bits(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
+impl Serialize for RequestDigest {
+    fn serialize<S: Serializer>(&self, to: S) -> Result<S::Ok, S::Error> {
+        to.collect_str(self)
+    }
+}
+
+impl<'a> Deserialize<'a> for RequestDigest {
+    fn deserialize<D: Deserializer<'a>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        text.parse().map_err(D::Error::custom)
+    }
+}
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -8,14 +8,18 @@
 
 pub use reply::{CallerReply, reply_json};
 
-use crate::{protocol::headers::has_conflicting_lengths, timers::TimerService};
+use crate::{
+    protocol::headers::has_conflicting_lengths, state::request_digest::RequestDigest,
+    timers::TimerService,
+};
 use body::{BodyError, read_body};
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use http::{
     HeaderMap, HeaderValue, Method, Request, StatusCode, Uri,
-    header::{CONNECTION, TRANSFER_ENCODING},
+    header::{CONNECTION, HOST, TRANSFER_ENCODING},
     request::Parts,
+    uri::{Authority, PathAndQuery},
 };
 use http_body_util::Full;
 use hyper::{
@@ -45,6 +49,23 @@
     pub body: Bytes,
 }
 
+impl CallerRequest {
+    /// The host that it asks; empty if it names none.
+    #[must_use]
+    pub fn host(&self) -> &str {
+        let header = self.headers.get(HOST).and_then(|value| value.to_str().ok());
+        let authority = self.uri.authority().map(Authority::as_str);
+        authority.or(header).unwrap_or_default()
+    }
+
+    /// What it has in common with every other attempt at the same request.
+    #[must_use]
+    pub fn digest(&self) -> RequestDigest {
+        let target = self.uri.path_and_query().map_or("", PathAndQuery::as_str);
+        RequestDigest::of(self.method.as_str(), self.host(), target, &self.body)
+    }
+}
+
 /// What the node does with requests.
 pub trait CallerHandler {
     /// Answers a request. Dropping the future cancels the call.
