--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -9,15 +9,16 @@
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
-    future::pending,
+    future::{pending, poll_fn},
     io,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
+    task::{Context, Poll, Waker},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::{Notify, Semaphore},
     task::spawn_local,
     time::sleep,
@@ -97,6 +98,8 @@
     pub echoes: bool,
     /// Takes what it ran.
     pub runs: RunRecord,
+    /// Start of the paths of requests that crash it as soon as it runs one of them.
+    pub crash_prefix: Option<String>,
 }
 
 impl UpstreamSettings {
@@ -111,12 +114,15 @@
             seed: 1,
             echoes: false,
             runs: RunRecord::default(),
+            crash_prefix: None,
         }
     }
 }
 
 /// Pause after a connection that could not be taken.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
+/// Connections that wait to be taken.
+const BACKLOG: u32 = 1_024;
 /// Slots unless told otherwise.
 const SLOTS: u16 = 6;
 
@@ -145,6 +151,10 @@
 
 struct State {
     settings: UpstreamSettings,
+    /// None after a crash: connections are refused then.
+    listener: RefCell<Option<TcpListener>>,
+    /// Takes connections, and waits for a listener after a crash.
+    acceptor: RefCell<Option<Waker>>,
     random: RefCell<StdRng>,
     slots: Semaphore,
     instance: RefCell<String>,
@@ -166,6 +176,8 @@
     /// Where it listens.
     pub address: SocketAddr,
     state: Rc<State>,
+    /// Keeps the port while the upstream is crashed: some other program could get it.
+    _reserved: TcpSocket,
 }
 
 impl StandInUpstream {
@@ -181,9 +193,10 @@
     ///
     /// # Errors
     /// If no port is free.
+    #[expect(clippy::unused_async, reason = "it needs an event loop")]
     pub async fn start_with(settings: UpstreamSettings) -> io::Result<Self> {
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
+        let reserved = bind_shared(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let address = reserved.local_addr()?;
         let state = Rc::new(State {
             random: RefCell::new(StdRng::seed_from_u64(settings.seed)),
             slots: Semaphore::new(settings.slots.into()),
@@ -199,10 +212,16 @@
             running: Cell::default(),
             changed: Notify::new(),
             released: Notify::new(),
+            listener: RefCell::new(Some(listen(address)?)),
+            acceptor: RefCell::default(),
             settings,
         });
-        spawn_local(accept(listener, Rc::clone(&state)));
-        Ok(Self { address, state })
+        spawn_local(accept(Rc::clone(&state)));
+        Ok(Self {
+            address,
+            state,
+            _reserved: reserved,
+        })
     }
 
     /// Acts for the next requests, in their order; after these it answers.
@@ -241,14 +260,21 @@
         self.state.crashed.get()
     }
 
-    /// Ends all connections in the middle of whatever they carry, and takes none until [`Self::start_again`].
+    /// Ends all connections in the middle of whatever they carry, and refuses new ones until [`Self::start_again`].
     pub fn crash(&self) {
-        self.state.crashed.set(true);
-        self.state.crashes.notify_waiters();
+        self.state.crash();
     }
 
     /// Starts again after a crash, under the identity that it had.
+    ///
+    /// # Panics
+    /// If its port can't be listened on any more.
     pub fn start_again(&self) {
+        let listener = listen(self.address).expect("the port is reserved");
+        *self.state.listener.borrow_mut() = Some(listener);
+        if let Some(waker) = self.state.acceptor.take() {
+            waker.wake();
+        }
         self.state.crashed.set(false);
         self.state.leaving.set(false);
         self.be_born();
@@ -309,9 +335,43 @@
     })
 }
 
-async fn accept(listener: TcpListener, state: Rc<State>) {
+impl State {
+    fn crash(&self) {
+        self.crashed.set(true);
+        self.listener.take();
+        self.crashes.notify_waiters();
+    }
+
+    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(TcpStream, SocketAddr)>> {
+        // A listener that goes while it is waited for wakes nobody.
+        *self.acceptor.borrow_mut() = Some(cx.waker().clone());
+        match &*self.listener.borrow() {
+            Some(listener) => listener.poll_accept(cx),
+            None => Poll::Pending,
+        }
+    }
+
+    fn is_crashed_by(&self, target: &str) -> bool {
+        let prefix = self.settings.crash_prefix.as_deref();
+        prefix.is_some_and(|prefix| target.starts_with(prefix))
+    }
+}
+
+/// A socket on an address that several of this program may be bound to; of these only a listening one takes connections.
+fn bind_shared(address: SocketAddr) -> io::Result<TcpSocket> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    bind_shared(address)?.listen(BACKLOG)
+}
+
+async fn accept(state: Rc<State>) {
     loop {
-        match listener.accept().await {
+        match poll_fn(|cx| state.poll_accept(cx)).await {
             Ok((stream, _)) => drop(spawn_local(serve_until_crash(stream, Rc::clone(&state)))),
             // Files run out for a moment. A listener that ended would leave its port to some other program.
             Err(_) => sleep(ACCEPT_PAUSE).await,
@@ -393,6 +453,12 @@
     let act = state.acts.borrow_mut().pop_front();
     let act = act.unwrap_or(UpstreamAct::Answer);
     let answer = Answer::to(&state.settings, &request);
+    if state.is_crashed_by(&request.target) {
+        note_run(state, &request);
+        state.arrivals.borrow_mut().push(request);
+        state.crash();
+        return false;
+    }
     if act != UpstreamAct::Shed {
         note_run(state, &request);
     }
