A request that crashes each upstream that runs it is kept from all of them

Callers saw a service refuse work for seconds on end: one request ended up to 19 upstreams, each with everything that it ran, since clients asked for the same thing again. Cause: what a request did to an upstream was forgotten with the attempt. An attempt is known by an identity that is new each time, and comes to another node; nothing that nodes know or tell each other was about what is asked for. Each node also answered a lost upstream by an attempt at a second one. Ruled out: overload of the remaining upstreams (the first two had free slots; upstreams with one request ended too). Change: the node beside an upstream that refuses connections after it cut a request has seen a crash. It tells three nodes, picked by a digest of what is asked for, of each request that was cut. They count the runs that crashed; at the third all nodes are told, the finding goes into the record of the node in the store, and nodes refuse such a request at once, with a time to come back, for 15 minutes. Others that were cut are told apart by being answered: a run that has answered such a request names it no suspect, an answer elsewhere ends the count and a quarantine. Why it holds: the count depends on no node, store or order; a crash counts once whoever tells it; two of the three nodes may be lost. The decision stands beside the upstream, so a node that has not heard harms nobody's upstream. An upstream's new run is also no longer paused for the failed connects to the one before it.

--- a/soak/src/machine.rs
+++ b/soak/src/machine.rs
@@ -97,7 +97,7 @@
             seed: plan.number as u64,
             echoes: true,
             runs,
-            crash_prefix: None,
+            crash_prefixes: Vec::new(),
         };
         let upstream = StandInUpstream::start_with(settings).await?;
         let upstream_link = Link::open(upstream.address).await?;
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -273,7 +273,7 @@
         seed: plan.seed,
         echoes: true,
         runs,
-        crash_prefix: None,
+        crash_prefixes: Vec::new(),
     }
 }
 
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -92,6 +92,11 @@
              of repeats."
                 .to_owned(),
         ],
+        "quarantined" => vec![
+            "Upstreams that ran a request for the same thing have crashed, so it is kept from all of them for a \
+             while."
+                .to_owned(),
+        ],
         "not_sent" => {
             vec!["No connection to the nodes that were asked could be opened.".to_owned()]
         }
@@ -136,6 +141,10 @@
                 "The upstream beside {node} closed the connection without an answer{}.",
                 name_instance(line, lines)
             )),
+            LineEnd::Unknown("upstream_crashed") => causes.push(format!(
+                "The upstream beside {node} ended while it ran it{}.",
+                name_instance(line, lines)
+            )),
             LineEnd::Unknown("bad_answer") => causes.push(format!(
                 "The answer of the upstream beside {node} was malformed, cut short, unsigned or another \
                  request's{}.",
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -9,6 +9,8 @@
         configuration::ConfigurationVersion,
         names::{ClassName, ServiceName},
         placement_view::{NodeLoad, StoredRecord},
+        request_digest::RequestDigest,
+        run_identity::RunIdentity,
         table_change::TableChange,
     },
 };
@@ -203,6 +205,23 @@
     Ok(records.filter_map(Result::ok).collect())
 }
 
+/// What a node has found out about requests at crashes of upstreams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum CrashFinding {
+    /// An upstream crashed while it ran a request. The receiver counts the crashes under it.
+    Crashed {
+        /// What the request asks for.
+        digest: RequestDigest,
+        /// The run that crashed.
+        run: RunIdentity,
+    },
+    /// The request is what crashes the upstreams.
+    Quarantined(RequestDigest),
+    /// The request was at a crash, and an upstream has answered it since.
+    Answered(RequestDigest),
+}
+
 /// State that a node sends to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateMessage {
@@ -239,6 +258,9 @@
     /// Whether it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reached: Option<bool>,
+    /// What the sender has found out about a request at crashes of upstreams.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub finding: Option<Rc<CrashFinding>>,
 }
 
 #[expect(
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -28,6 +28,8 @@
     UnknownClass,
     /// It would be a repeat, and the calls that it makes again are not within what operators allow.
     RepeatsSpent,
+    /// Upstreams that ran a request for the same thing have crashed.
+    Quarantined,
 }
 
 /// Why it can't be told whether a request ran.
@@ -36,6 +38,8 @@
 pub enum UnknownCause {
     /// The connection to the upstream broke after the request was handed to it.
     UpstreamCut,
+    /// The upstream ended while it ran the request.
+    UpstreamCrashed,
     /// The deadline passed while the upstream ran it.
     DeadlinePassed,
     /// The connection to the node beside the upstream broke.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -5,6 +5,7 @@
 
 pub mod announcing;
 pub mod core;
+mod crashes;
 pub mod directory;
 mod entry;
 pub mod events;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -12,16 +12,20 @@
     },
     options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
+        crashes::take_recorded,
         directory::{Directory, StateSource},
         events::{LineWriter, ProxyEvent},
         executing::Slots,
     },
     state::{
+        answered_requests::AnsweredRequests,
         class_bytes::ClassBytes,
         class_counts::ClassCounts,
+        crash_suspects::CrashSuspects,
         moment::Moment,
         names::{ClassName, ServiceName},
         placement_view::{NodeRecord, StoredRecord},
+        quarantine::Quarantine,
         routing_table::{RouteIndex, RoutingTable},
     },
     timers::TimerService,
@@ -88,6 +92,14 @@
     pub table_taken: Notify,
     /// Until when this node reads the store in place of one that can't.
     reads_until: Cell<Moment>,
+    /// Crashes of upstreams that this node counts.
+    pub suspects: RefCell<CrashSuspects>,
+    /// Requests that are kept from upstreams.
+    pub quarantine: RefCell<Quarantine>,
+    /// What the upstream beside the node has answered.
+    pub answered: RefCell<AnsweredRequests>,
+    /// Wakes whoever keeps the record of this node in the store.
+    pub record_changed: Notify,
     /// Requests picked a service by weight so far; spreads them evenly.
     pub picks: Cell<u32>,
 }
@@ -120,6 +132,10 @@
             offer_rounds: RefCell::default(),
             table_taken: Notify::new(),
             reads_until: Cell::default(),
+            suspects: RefCell::default(),
+            quarantine: RefCell::default(),
+            answered: RefCell::default(),
+            record_changed: Notify::new(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
             timers,
@@ -186,6 +202,7 @@
             leaving: stored.record.leaving,
             revision: stored.revision,
         };
+        take_recorded(self, &stored.record);
         let news = self.directory.borrow_mut().take_record(stored, source);
         if news {
             self.log(&event);
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -18,6 +18,8 @@
     pub executed: Cell<u64>,
     /// Requests sent to a second upstream.
     pub repeats: Cell<u64>,
+    /// Requests that were at the upstream beside the node when it crashed.
+    pub crashed: Cell<u64>,
     /// Questions to the upstream beside the node for its load.
     pub probes: Cell<u64>,
     /// Bytes of messages with state that came from other nodes.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -10,6 +10,7 @@
     protocol::outcome::{RefusalReason, UnknownCause},
     proxy::{
         core::{ProxyCore, count},
+        crashes::find_quarantine,
         entry::{
             carrier::{Carrier, ClientCall},
             first_knowledge::wait_while_starting,
@@ -20,6 +21,7 @@
     state::{
         moment::Moment,
         names::{ClassName, ServiceName},
+        request_digest::RequestDigest,
         routing_table::Route,
     },
     transport::callers::{CallerHandler, CallerLimits, CallerReply, CallerRequest},
@@ -62,8 +64,9 @@
             let arrived = core.timers.now();
             let mut req = req;
             ensure_request_id(&core, &mut req);
-            let mut line = RequestLine::begin(&core, &req);
-            let end = carry_request(&core, req, &mut line).await;
+            let digest = req.digest();
+            let mut line = RequestLine::begin(&core, &req, digest);
+            let end = carry_request(&core, req, digest, &mut line).await;
             count_end(&core, &end, line.class(), core.timers.now().since(arrived));
             line.end(&end);
             build_reply(end)
@@ -150,6 +153,7 @@
 async fn carry_request(
     core: &Rc<ProxyCore>,
     req: CallerRequest,
+    digest: RequestDigest,
     line: &mut RequestLine,
 ) -> ClientEnd {
     let arrived = core.timers.now();
@@ -173,6 +177,9 @@
     if time_left.is_zero() {
         return ClientEnd::Unknown(UnknownCause::DeadlinePassed);
     }
+    if let Some(left) = find_quarantine(core, digest) {
+        return ClientEnd::Refused(RefusalReason::Quarantined, left);
+    }
     wait_while_starting(core, || core.has_records() || knows_node_of(core, &service)).await;
     let deadline = arrived + time_left;
     let left = deadline.since(core.timers.now());
@@ -181,6 +188,7 @@
     }
     let call = ClientCall {
         req,
+        digest,
         route,
         service,
         arrived,
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -13,6 +13,7 @@
     },
     proxy::{
         core::{ProxyCore, count},
+        crashes::find_quarantine,
         entry::{
             attempt::{Returned, run_attempt},
             request_attempts::RequestAttempts,
@@ -25,6 +26,7 @@
         ablation::Mechanism,
         moment::Moment,
         names::{ClassName, ServiceName},
+        request_digest::RequestDigest,
         routing_table::Route,
     },
     transport::callers::CallerRequest,
@@ -41,6 +43,8 @@
 pub struct ClientCall {
     /// The request.
     pub req: CallerRequest,
+    /// What it asks for.
+    pub digest: RequestDigest,
     /// Its route.
     pub route: Rc<Route>,
     /// The service picked for it.
@@ -175,7 +179,7 @@
 
     /// Asks the next node; false if there is none to ask.
     fn ask_next(&mut self) -> bool {
-        if !self.may_reach_another() {
+        if !self.may_reach_another() || find_quarantine(&self.core, self.call.digest).is_some() {
             return false;
         }
         let now = self.core.timers.now();
@@ -233,6 +237,9 @@
     }
 
     fn refuse(&self) -> ClientEnd {
+        if let Some(left) = find_quarantine(&self.core, self.call.digest) {
+            return ClientEnd::Refused(RefusalReason::Quarantined, left);
+        }
         let spread = rand::rng().random_range(COME_BACK_SPREAD);
         ClientEnd::Refused(self.last_refusal, self.search.find_come_back(spread))
     }
--- a/src/proxy/entry/carrier/judging.rs
+++ b/src/proxy/entry/carrier/judging.rs
@@ -7,6 +7,7 @@
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{
+        crashes::clear_suspect,
         entry::{attempt::Returned, carrier::Carrier},
         executing::Executed,
         reply::ClientEnd,
@@ -68,6 +69,10 @@
                 self.last_refusal = RefusalReason::UpstreamShed;
                 Step::Repeat
             }
+            (Verdict::Refused(RefusalReason::Quarantined), _) if self.under_way.is_empty() => {
+                let end = ClientEnd::Refused(RefusalReason::Quarantined, answer.finish);
+                Step::End(self.earlier.take().unwrap_or(end))
+            }
             (Verdict::Refused(reason), _) => {
                 self.last_refusal = reason;
                 if reason == RefusalReason::QueueFull {
@@ -95,6 +100,12 @@
 
     /// A server error of an idempotent request may be a matter of that upstream only.
     fn judge_response(&mut self, response: Response<Bytes>) -> Step {
+        if matches!(
+            self.earlier,
+            Some(ClientEnd::Unknown(UnknownCause::UpstreamCrashed))
+        ) {
+            clear_suspect(&self.core, self.call.digest);
+        }
         let failed = response.status().is_server_error();
         let end = ClientEnd::Answered(Box::new(response));
         if failed && self.call.route.idempotent {
--- a/src/proxy/entry/request_line.rs
+++ b/src/proxy/entry/request_line.rs
@@ -34,10 +34,10 @@
 }
 
 impl RequestLine {
-    pub fn begin(core: &Rc<ProxyCore>, req: &CallerRequest) -> Self {
+    pub fn begin(core: &Rc<ProxyCore>, req: &CallerRequest, digest: RequestDigest) -> Self {
         Self {
             request: core.read_request_id(&req.headers),
-            digest: req.digest(),
+            digest,
             arrived: core.timers.now(),
             version: core.directory.borrow().version().0,
             service: None,
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -170,6 +170,38 @@
         /// The run that was known.
         instance: String,
     },
+    /// The upstream beside the node ended while it ran a request.
+    UpstreamCrashed {
+        /// Its run.
+        instance: String,
+        /// Identity of the request.
+        request: String,
+        /// What it asks for.
+        digest: RequestDigest,
+        /// The same run had answered such a request before, so that this one is no suspect.
+        answered_before: bool,
+    },
+    /// A crash was told to this node, which counts those under that request.
+    CrashCounted {
+        /// What the request asks for.
+        digest: RequestDigest,
+        /// The run that crashed.
+        instance: String,
+        /// Crashed runs so far.
+        crashes: usize,
+    },
+    /// A request is kept from upstreams from now on.
+    RequestQuarantined {
+        /// What it asks for.
+        digest: RequestDigest,
+        /// Who found out.
+        source: &'static str,
+    },
+    /// A request is let to upstreams again, since one has answered it.
+    QuarantineLifted {
+        /// What it asks for.
+        digest: RequestDigest,
+    },
     /// After a restart the upstream is known from the store.
     UpstreamRecalled {
         /// Its run.
@@ -389,11 +421,15 @@
             Self::AttemptExecuted { .. } => (803, "attempt_executed"),
             Self::RepeatWithheld { .. } => (804, "repeat_withheld"),
             Self::LinesDropped { .. } => (805, "lines_dropped"),
+            Self::CrashCounted { .. } => (806, "crash_counted"),
+            Self::RequestQuarantined { .. } => (807, "request_quarantined"),
+            Self::QuarantineLifted { .. } => (808, "quarantine_lifted"),
             Self::UpstreamAnnounced { .. } => (811, "upstream_announced"),
             Self::UpstreamDeparted { .. } => (812, "upstream_departed"),
             Self::UpstreamReplaced { .. } => (813, "upstream_replaced"),
             Self::UpstreamRecalled { .. } => (814, "upstream_recalled"),
             Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
+            Self::UpstreamCrashed { .. } => (816, "upstream_crashed"),
             Self::TableInForce { .. } => (821, "table_in_force"),
             Self::StateFetched { .. } => (826, "state_fetched"),
             Self::TableOffered { .. } => (820, "table_offered"),
@@ -459,6 +495,7 @@
             Self::RequestEnded { request, .. }
             | Self::AttemptReturned { request, .. }
             | Self::AttemptExecuted { request, .. }
+            | Self::UpstreamCrashed { request, .. }
             | Self::RepeatWithheld { request, .. } => Some(request),
             _ => None,
         }
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -13,10 +13,11 @@
     },
     proxy::{
         core::{ProxyCore, count},
+        crashes::find_quarantine,
         repeats::{has_room_for_calls, take_calls},
         stop::takes_work,
     },
-    state::moment::Moment,
+    state::{moment::Moment, request_digest::RequestDigest},
     transport::callers::CallerRequest,
 };
 use attempt_line::AttemptLine;
@@ -41,8 +42,9 @@
 /// Runs a request at the upstream beside this node, or refuses it. Dropping the future takes it out
 /// of the queue, or closes its connection to the upstream.
 pub async fn execute(core: &Rc<ProxyCore>, hop: &HopRequest, req: CallerRequest) -> Executed {
-    let mut line = AttemptLine::begin(core, hop, &req);
-    let executed = execute_logged(core, hop, req, &mut line).await;
+    let digest = req.digest();
+    let mut line = AttemptLine::begin(core, hop, &req, digest);
+    let executed = execute_logged(core, hop, req, digest, &mut line).await;
     line.end(&executed);
     executed
 }
@@ -51,11 +53,12 @@
     core: &Rc<ProxyCore>,
     hop: &HopRequest,
     req: CallerRequest,
+    digest: RequestDigest,
     line: &mut AttemptLine,
 ) -> Executed {
     let arrived = core.timers.now();
-    if let Some(reason) = find_refusal(core, hop) {
-        return refuse(core, reason, Duration::ZERO);
+    if let Some((reason, finish)) = find_refusal(core, hop, digest) {
+        return refuse(core, reason, finish);
     }
     if hop.repeat && !has_room_for_calls(core, &hop.class) {
         return refuse(core, RefusalReason::RepeatsSpent, Duration::ZERO);
@@ -73,9 +76,9 @@
         }
     };
     let slot = HeldSlot::new(core, number);
-    // The upstream may have left while the request waited.
-    if let Some(reason) = find_refusal(core, hop) {
-        return refuse(core, reason, Duration::ZERO);
+    // While the request waited, the upstream may have left, or crashes of others under such a request have been told.
+    if let Some((reason, finish)) = find_refusal(core, hop, digest) {
+        return refuse(core, reason, finish);
     }
     let waited = core.timers.now().since(arrived);
     line.note_start(waited);
@@ -90,7 +93,7 @@
         .calls
         .borrow_mut()
         .note_start(&hop.class, core.timers.now());
-    let (verdict, response) = dispatch(core, hop, req, time_left).await;
+    let (verdict, response) = dispatch(core, hop, req, digest, time_left).await;
     drop(slot);
     core.calls.borrow_mut().note_end(&hop.class, &started);
     Executed {
@@ -112,7 +115,22 @@
     core.slots.queue.borrow_mut().offer(request, now)
 }
 
-fn find_refusal(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
+/// Why a request is not run, and the time after which it could be, if that is known.
+fn find_refusal(
+    core: &ProxyCore,
+    hop: &HopRequest,
+    digest: RequestDigest,
+) -> Option<(RefusalReason, Duration)> {
+    // Its clients ask again, each time under another identity and at other nodes. Without what is known of the earlier crashes
+    // each of these attempts ends one more upstream, with all that it runs.
+    if let Some(left) = find_quarantine(core, digest) {
+        return Some((RefusalReason::Quarantined, left));
+    }
+    find_closed(core, hop).map(|reason| (reason, Duration::ZERO))
+}
+
+/// Why no work of that kind is taken.
+fn find_closed(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
     if !takes_work(core, hop.time_left) {
         return Some(RefusalReason::Draining);
     }
--- a/src/proxy/executing/attempt_line.rs
+++ b/src/proxy/executing/attempt_line.rs
@@ -31,11 +31,16 @@
 }
 
 impl AttemptLine {
-    pub fn begin(core: &Rc<ProxyCore>, hop: &HopRequest, req: &CallerRequest) -> Self {
+    pub fn begin(
+        core: &Rc<ProxyCore>,
+        hop: &HopRequest,
+        req: &CallerRequest,
+        digest: RequestDigest,
+    ) -> Self {
         let load = core.slots.load();
         Self {
             request: core.read_request_id(&req.headers),
-            digest: req.digest(),
+            digest,
             from: hop.from,
             class: hop.class.clone(),
             arrived: core.timers.now(),
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -7,8 +7,13 @@
         hop::{HOP_HEADER, HopRequest, Verdict},
         outcome::{RefusalReason, UnknownCause},
     },
-    proxy::{core::ProxyCore, events::ProxyEvent, executing::pace::note_load},
-    state::ablation::Mechanism,
+    proxy::{
+        core::ProxyCore,
+        crashes::{CutRequest, find_crash, note_answered_here},
+        events::ProxyEvent,
+        executing::pace::note_load,
+    },
+    state::{ablation::Mechanism, request_digest::RequestDigest, run_identity::RunIdentity},
     transport::{
         callers::CallerRequest,
         outgoing::{SendError, SendRules},
@@ -38,19 +43,16 @@
     core: &Rc<ProxyCore>,
     hop: &HopRequest,
     req: CallerRequest,
+    digest: RequestDigest,
     time_left: Duration,
 ) -> (Verdict, Option<Response<Bytes>>) {
-    let Some(instance) = core
-        .own
-        .borrow()
-        .serving()
-        .map(|run| run.identity.instance.clone())
-    else {
+    let Some(run) = core.own.borrow().serving().map(|run| run.identity.clone()) else {
         return (Verdict::Refused(RefusalReason::Draining), None);
     };
     let names = &core.settings.headers;
     let id = req.headers.get(&names.request_id).cloned();
-    let Some(request) = build_request(names, req, hop, &instance, time_left) else {
+    let request_id = core.read_request_id(&req.headers);
+    let Some(request) = build_request(names, req, hop, &run.instance, time_left) else {
         return (Verdict::Refused(RefusalReason::NotSent), None);
     };
     let rules = SendRules {
@@ -73,7 +75,15 @@
         }
     };
     let now = core.timers.now();
-    let result = judge(core, sent, &instance);
+    let is_cut = matches!(sent, Err(SendError::Cut));
+    let result = judge(core, sent, &run.instance);
+    if is_cut && is_crash(core, request_id, digest, &run).await {
+        core.slots.observe_end(true);
+        return (Verdict::Unknown(UnknownCause::UpstreamCrashed), None);
+    }
+    if result.0 == Verdict::Answered {
+        note_answered_here(core, digest, &run);
+    }
     let status = result.1.as_ref().map(Response::status);
     core.slots
         .observe_end(status.is_none_or(|status| status.is_server_error()));
@@ -83,6 +93,30 @@
     result
 }
 
+/// Whether the upstream has crashed, after it has cut a request. It takes no work for a while then.
+async fn is_crash(
+    core: &Rc<ProxyCore>,
+    request: String,
+    digest: RequestDigest,
+    run: &RunIdentity,
+) -> bool {
+    let cut = CutRequest {
+        request,
+        digest,
+        run: run.clone(),
+    };
+    let crashed = find_crash(core, cut).await;
+    if crashed {
+        pause(core);
+    }
+    crashed
+}
+
+fn pause(core: &ProxyCore) {
+    let until = core.timers.now() + CONNECT_PAUSE;
+    core.slots.paused_until.set(until);
+}
+
 fn judge(
     core: &Rc<ProxyCore>,
     sent: Result<Response<Bytes>, SendError>,
@@ -91,8 +125,7 @@
     match sent {
         Ok(response) => judge_response(core, response, instance),
         Err(SendError::NotSent) => {
-            let now = core.timers.now();
-            core.slots.paused_until.set(now + CONNECT_PAUSE);
+            pause(core);
             (Verdict::Refused(RefusalReason::NotSent), None)
         }
         Err(SendError::Cut) => (Verdict::Unknown(UnknownCause::UpstreamCut), None),
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -52,6 +52,7 @@
 
     /// Forgets what holds for one run of the upstream only.
     pub fn restart(&self) {
+        self.paused_until.set(Moment::default());
         self.pace.restart();
     }
 
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -9,7 +9,7 @@
     starting::{
         wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
     },
-    writing::write_records,
+    writing::{keep_record_current, write_records},
 };
 use crate::{
     coordination::store_reading::ReadingRole,
@@ -60,6 +60,7 @@
     }
     spawn_local(retire_gone_nodes(Rc::clone(core), store.clone()));
     spawn_local(keep_zone_current(Rc::clone(core)));
+    spawn_local(keep_record_current(Rc::clone(core), orders.clone()));
     spawn_local(write_records(Rc::clone(core), store, written));
     orders
 }
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -157,6 +157,11 @@
             "Requests sent to a further upstream",
             counters.repeats.get(),
         ),
+        figure(
+            "crashed",
+            "Requests that were at the upstream when it crashed",
+            counters.crashed.get(),
+        ),
         figure(
             "probes",
             "Questions to the upstream for its load",
@@ -181,6 +186,8 @@
     let figure = |name, help, value| Figure { name, help, value };
     let in_progress = u64::try_from(core.in_progress.get()).unwrap_or(u64::MAX);
     let nodes = u64::try_from(directory.nodes.len()).unwrap_or(u64::MAX);
+    let quarantined = core.quarantine.borrow().len(core.timers.now());
+    let quarantined = u64::try_from(quarantined).unwrap_or(u64::MAX);
     vec![
         figure(
             "in_progress",
@@ -195,6 +202,11 @@
             "Time that work takes now, in percent of the usual",
             load.slowdown_percent.into(),
         ),
+        figure(
+            "quarantined",
+            "Requests that are kept from upstreams since these crash under them",
+            quarantined,
+        ),
         figure("nodes", "Nodes known, this one included", nodes),
         figure(
             "version",
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -5,6 +5,7 @@
     protocol::hop::StateMessage,
     proxy::{
         core::ProxyCore,
+        crashes::take_finding,
         directory::StateSource,
         events::ProxyEvent,
         retiring::is_reached,
@@ -117,6 +118,9 @@
         return;
     }
     spread(core, &pass_on, &message);
+    if let Some(finding) = &message.finding {
+        take_finding(core, finding);
+    }
     for stored in message.nodes {
         core.take_record(stored, StateSource::Peer);
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,15 +1,18 @@
 //! Pure data and its transitions. Nothing here reads a clock or a socket.
 
 pub mod ablation;
+pub mod answered_requests;
 pub mod class_bytes;
 pub mod class_counts;
 pub mod configuration;
+pub mod crash_suspects;
 pub mod failure_share;
 pub mod latency_buckets;
 pub mod moment;
 pub mod names;
 pub mod placement_view;
 pub mod published;
+pub mod quarantine;
 pub mod rate_limit;
 pub mod request_digest;
 pub mod routing_table;
--- /dev/null
+++ b/src/state/quarantine.rs
@@ -0,0 +1,109 @@
+//! Requests that are kept from all upstreams, since they crash each one that runs them.
+
+use crate::state::{moment::Moment, request_digest::RequestDigest};
+use std::{collections::BTreeMap, time::Duration};
+
+/// Time for which a request is kept from upstreams: what is wrong with the upstreams may have been mended by then. If not, some
+/// more of them crash until it is known again.
+pub const QUARANTINE: Duration = Duration::from_mins(15);
+/// Time for which a request that was let go can't be put back on another node's word. What was told before it was let go may still be
+/// under way, or stand in a record that is about to be written again.
+const LIFT_HOLDS: Duration = Duration::from_mins(1);
+/// Requests in quarantine at once, those that stay longest.
+const MAX_QUARANTINED: usize = 1_024;
+
+/// Who found out that a request crashes upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineSource {
+    /// This node, which counted the crashes. It keeps the finding in the store.
+    Counted,
+    /// Another node.
+    Told,
+}
+
+impl QuarantineSource {
+    /// The word for the log.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Counted => "counted",
+            Self::Told => "told",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Quarantined {
+    until: Moment,
+    source: QuarantineSource,
+}
+
+/// Requests in quarantine.
+#[derive(Clone, Debug, Default)]
+pub struct Quarantine {
+    requests: BTreeMap<RequestDigest, Quarantined>,
+    /// When requests were let go before their time.
+    lifted: BTreeMap<RequestDigest, Moment>,
+}
+
+impl Quarantine {
+    /// Puts a request into quarantine; true if it was not in it.
+    pub fn put(&mut self, digest: RequestDigest, source: QuarantineSource, now: Moment) -> bool {
+        self.forget_past(now);
+        let is_lifted = source == QuarantineSource::Told && self.lifted.contains_key(&digest);
+        if is_lifted || self.requests.contains_key(&digest) {
+            return false;
+        }
+        let until = now + QUARANTINE;
+        self.requests.insert(digest, Quarantined { until, source });
+        if self.requests.len() > MAX_QUARANTINED {
+            self.release_oldest();
+        }
+        true
+    }
+
+    /// Ends the quarantine of a request; true if it was in it.
+    pub fn lift(&mut self, digest: RequestDigest, now: Moment) -> bool {
+        self.forget_past(now);
+        self.lifted.insert(digest, now);
+        self.requests.remove(&digest).is_some()
+    }
+
+    /// How much longer a request is in quarantine; none if it is not.
+    #[must_use]
+    pub fn time_left(&self, digest: RequestDigest, now: Moment) -> Option<Duration> {
+        let quarantined = self.requests.get(&digest)?;
+        (now < quarantined.until).then(|| quarantined.until.since(now))
+    }
+
+    /// Requests in quarantine of which this node has found out itself.
+    #[must_use]
+    pub fn list_counted(&self, now: Moment) -> Vec<RequestDigest> {
+        let requests = self.requests.iter();
+        let counted = requests.filter(|(_, quarantined)| {
+            quarantined.source == QuarantineSource::Counted && now < quarantined.until
+        });
+        counted.map(|(digest, _)| *digest).collect()
+    }
+
+    /// Requests in quarantine.
+    #[must_use]
+    pub fn len(&self, now: Moment) -> usize {
+        let requests = self.requests.values();
+        requests
+            .filter(|quarantined| now < quarantined.until)
+            .count()
+    }
+
+    fn forget_past(&mut self, now: Moment) {
+        self.requests.retain(|_, known| now < known.until);
+        self.lifted.retain(|_, at| now.since(*at) < LIFT_HOLDS);
+    }
+
+    fn release_oldest(&mut self) {
+        let oldest = self.requests.iter().min_by_key(|(_, known)| known.until);
+        if let Some(digest) = oldest.map(|(digest, _)| *digest) {
+            self.requests.remove(&digest);
+        }
+    }
+}
--- a/src/state/run_identity.rs
+++ b/src/state/run_identity.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 /// Identity of a run. An upstream may start again under the instance that it had.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct RunIdentity {
     /// What the run calls itself.
     pub instance: String,
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -18,7 +18,10 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, pin::pin, rc::Rc,
+    time::Duration,
+};
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
@@ -150,6 +153,19 @@
         }
     }
 
+    /// Whether nothing listens at an address: whoever did has ended. One that is too busy to answer within `limit` is there.
+    pub async fn is_refused(&self, address: SocketAddr, limit: Duration) -> bool {
+        let timeout = self.timers.after(limit);
+        let connecting = pin!(TcpStream::connect(address));
+        match select(connecting, timeout.recv_async()).await {
+            Either::Left((Err(error), _)) => matches!(
+                error.kind(),
+                ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset
+            ),
+            Either::Left((Ok(_), _)) | Either::Right(_) => false,
+        }
+    }
+
     async fn exchange(
         &self,
         connection: &mut Connection,
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -98,8 +98,8 @@
     pub echoes: bool,
     /// Takes what it ran.
     pub runs: RunRecord,
-    /// Start of the paths of requests that crash it as soon as it runs one of them.
-    pub crash_prefix: Option<String>,
+    /// Starts of the paths of requests that crash it as soon as it runs one of them.
+    pub crash_prefixes: Vec<String>,
 }
 
 impl UpstreamSettings {
@@ -114,7 +114,7 @@
             seed: 1,
             echoes: false,
             runs: RunRecord::default(),
-            crash_prefix: None,
+            crash_prefixes: Vec::new(),
         }
     }
 }
@@ -195,7 +195,7 @@
     /// If no port is free.
     #[expect(clippy::unused_async, reason = "it needs an event loop")]
     pub async fn start_with(settings: UpstreamSettings) -> io::Result<Self> {
-        let reserved = bind_shared(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        let reserved = reserve_port()?;
         let address = reserved.local_addr()?;
         let state = Rc::new(State {
             random: RefCell::new(StdRng::seed_from_u64(settings.seed)),
@@ -352,21 +352,25 @@
     }
 
     fn is_crashed_by(&self, target: &str) -> bool {
-        let prefix = self.settings.crash_prefix.as_deref();
-        prefix.is_some_and(|prefix| target.starts_with(prefix))
+        let mut prefixes = self.settings.crash_prefixes.iter();
+        prefixes.any(|prefix| target.starts_with(prefix))
     }
 }
 
-/// A socket on an address that several of this program may be bound to; of these only a listening one takes connections.
-fn bind_shared(address: SocketAddr) -> io::Result<TcpSocket> {
+/// A socket on a port of its own. It takes no connections, and lets a listening one use the port as well.
+fn reserve_port() -> io::Result<TcpSocket> {
     let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+    // NB: only after it is bound. With it the system may choose a port that another upstream shares.
     socket.set_reuseport(true)?;
-    socket.bind(address)?;
     Ok(socket)
 }
 
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    bind_shared(address)?.listen(BACKLOG)
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseport(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 async fn accept(state: Rc<State>) {
--- /dev/null
+++ b/tests/integration/crash_counting.rs
@@ -0,0 +1,223 @@
+//! Which requests crash upstreams: counting, the nodes that count, and the quarantine.
+
+use bolero::check;
+use camphorturn::{
+    coordination::crash_keepers::{KEEPERS, order_keepers},
+    protocol::hop::{CrashFinding, StateMessage},
+    state::{
+        answered_requests::AnsweredRequests,
+        crash_suspects::{CRASHES_TO_QUARANTINE, CrashSuspects},
+        moment::Moment,
+        quarantine::{QUARANTINE, Quarantine, QuarantineSource},
+        request_digest::RequestDigest,
+        run_identity::RunIdentity,
+    },
+};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
+
+fn digest(number: u64) -> RequestDigest {
+    RequestDigest::of("GET", "shop.example", &format!("/look/{number}"), b"")
+}
+
+fn run(number: u8) -> RunIdentity {
+    RunIdentity {
+        instance: format!("i-{number}"),
+        born: Some(1_000 + u64::from(number)),
+    }
+}
+
+#[test]
+fn digest_tells_parts_apart() {
+    let digests = [
+        RequestDigest::of("GET", "shop.example", "/look/1", b""),
+        RequestDigest::of("HEAD", "shop.example", "/look/1", b""),
+        RequestDigest::of("GET", "shop.exampl", "e/look/1", b""),
+        RequestDigest::of("GET", "shop.example", "/look/", b"1"),
+        RequestDigest::of("GET", "other.example", "/look/1", b""),
+        RequestDigest::of("GET", "shop.example", "/look/1?a", b""),
+    ];
+    assert_eq!(BTreeSet::from(digests).len(), digests.len());
+}
+
+#[test]
+fn digest_survives_the_wire() {
+    check!()
+        .with_type::<(Vec<u8>, String)>()
+        .for_each(|(body, target)| {
+            let told = RequestDigest::of("POST", "shop.example", target, body);
+            let json = serde_json::to_string(&told).expect("a string");
+            assert_eq!(
+                serde_json::from_str::<RequestDigest>(&json).ok(),
+                Some(told)
+            );
+        });
+}
+
+/// Keepers hear of one crash from several nodes, twice, late and in any order. Were one crash counted twice, a request that was at
+/// two crashes would be refused; were one forgotten, one more upstream would be lost.
+#[test]
+fn crashes_count_once_in_any_order() {
+    check!()
+        .with_type::<Vec<(u8, bool)>>()
+        .for_each(|steps: &Vec<(u8, bool)>| {
+            let mut suspects = CrashSuspects::default();
+            let mut seen = BTreeSet::new();
+            for (number, other) in steps {
+                if *other {
+                    suspects.note_crash(digest(2), run(*number), Moment(0));
+                    continue;
+                }
+                seen.insert(*number);
+                let crashes = suspects.note_crash(digest(1), run(*number), Moment(0));
+                assert_eq!(crashes, seen.len());
+            }
+        });
+}
+
+#[test]
+fn answered_request_counts_anew() {
+    let mut suspects = CrashSuspects::default();
+    for number in 1..3 {
+        suspects.note_crash(digest(1), run(number), Moment(0));
+    }
+    suspects.note_answered(digest(1));
+    assert_eq!(suspects.note_crash(digest(1), run(3), Moment(0)), 1);
+}
+
+/// After its quarantine a request is let to upstreams again. If it still crashes them, the first one is enough.
+#[test]
+fn crashes_outlast_the_quarantine() {
+    let mut suspects = CrashSuspects::default();
+    for number in 1..=3 {
+        suspects.note_crash(digest(1), run(number), Moment(0));
+    }
+    let later = Moment(0) + QUARANTINE + Duration::from_mins(1);
+    assert!(suspects.note_crash(digest(1), run(4), later) > CRASHES_TO_QUARANTINE);
+}
+
+/// Upstreams that crash again and again, whatever they run, would fill the memory with what they ran.
+#[test]
+fn suspects_are_bounded() {
+    let mut suspects = CrashSuspects::default();
+    for number in 0..20_000 {
+        suspects.note_crash(digest(number), run(1), Moment(number));
+    }
+    // The oldest are forgotten, the newest known.
+    assert_eq!(suspects.note_crash(digest(0), run(2), Moment(20_000)), 1);
+    assert_eq!(
+        suspects.note_crash(digest(19_999), run(2), Moment(20_001)),
+        2
+    );
+}
+
+#[test]
+fn quarantine_ends_by_itself() {
+    let mut quarantine = Quarantine::default();
+    assert!(quarantine.put(digest(1), QuarantineSource::Told, Moment(0)));
+    assert!(!quarantine.put(digest(1), QuarantineSource::Told, Moment(1)));
+    let nearly = Moment(0) + QUARANTINE - Duration::from_secs(1);
+    assert_eq!(
+        quarantine.time_left(digest(1), nearly),
+        Some(Duration::from_secs(1))
+    );
+    assert_eq!(
+        quarantine.time_left(digest(1), Moment(0) + QUARANTINE),
+        None
+    );
+    assert_eq!(quarantine.time_left(digest(2), nearly), None);
+}
+
+/// A node heard that a request does no harm, and right after it the older word that it does, by another way. It refused the request
+/// for a quarter of an hour, while all others served it.
+#[test]
+fn late_word_does_not_undo_a_lift() {
+    let mut quarantine = Quarantine::default();
+    assert!(!quarantine.lift(digest(1), Moment(0)));
+    let soon = Moment(0) + Duration::from_secs(2);
+    assert!(!quarantine.put(digest(1), QuarantineSource::Told, soon));
+    assert_eq!(quarantine.time_left(digest(1), soon), None);
+    // What this node has counted itself since then is no late word.
+    assert!(quarantine.put(digest(1), QuarantineSource::Counted, soon));
+}
+
+#[test]
+fn record_tells_only_what_was_counted_here() {
+    let mut quarantine = Quarantine::default();
+    quarantine.put(digest(1), QuarantineSource::Told, Moment(0));
+    quarantine.put(digest(2), QuarantineSource::Counted, Moment(0));
+    assert_eq!(quarantine.list_counted(Moment(1)), vec![digest(2)]);
+    assert!(quarantine.list_counted(Moment(0) + QUARANTINE).is_empty());
+}
+
+#[test]
+fn answered_requests_are_those_of_one_run() {
+    let mut answered = AnsweredRequests::default();
+    answered.note(&run(1), digest(1));
+    assert!(answered.contains(&run(1), digest(1)));
+    assert!(!answered.contains(&run(2), digest(1)));
+    answered.note(&run(2), digest(2));
+    assert!(!answered.contains(&run(1), digest(1)));
+    for number in 10..2_000 {
+        answered.note(&run(2), digest(number));
+    }
+    assert!(!answered.contains(&run(2), digest(2)));
+    assert!(answered.contains(&run(2), digest(1_999)));
+}
+
+/// Two nodes that see a crash under the same request each, and know different nodes, must tell one in common: else none hears of both.
+#[test]
+fn keepers_of_different_views_overlap() {
+    check!()
+        .with_type::<(u64, u8, u8, u8)>()
+        .for_each(|(number, size, one, other)| {
+            let size = u16::from(*size % 60) + 6;
+            let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+            let without = |left_out: u8| {
+                let left_out = u16::from(left_out) % size;
+                let nodes = (0..size).filter(|port| *port != left_out).map(address);
+                order_keepers(digest(*number), nodes)
+            };
+            let (first, second) = (without(*one), without(*other));
+            let first: BTreeSet<_> = first.iter().take(KEEPERS).collect();
+            let second: BTreeSet<_> = second.iter().take(KEEPERS).collect();
+            assert!(first.intersection(&second).count() >= KEEPERS - 1);
+        });
+}
+
+#[test]
+fn keepers_are_spread_over_nodes() {
+    const NODES: u16 = 30;
+    let mut counts = vec![0; usize::from(NODES)];
+    for number in 0..3_000 {
+        let nodes = (0..NODES).map(|port| SocketAddr::from(([10, 0, 0, 1], port)));
+        for keeper in order_keepers(digest(number), nodes).iter().take(KEEPERS) {
+            counts[usize::from(keeper.port())] += 1;
+        }
+    }
+    // 300 each on average.
+    assert!(
+        counts.iter().all(|count| (200..400).contains(count)),
+        "{counts:?}"
+    );
+}
+
+#[test]
+fn findings_survive_the_wire() {
+    let findings = [
+        CrashFinding::Crashed {
+            digest: digest(1),
+            run: run(1),
+        },
+        CrashFinding::Quarantined(digest(1)),
+        CrashFinding::Answered(digest(1)),
+    ];
+    for finding in findings {
+        let message = StateMessage {
+            finding: Some(Rc::new(finding)),
+            ..StateMessage::default()
+        };
+        let json = serde_json::to_vec(&message).expect("JSON");
+        let read: StateMessage = serde_json::from_slice(&json).expect("a message");
+        assert_eq!(read, message);
+    }
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod command_line;
 mod contributing_page;
+mod crash_counting;
 mod imports;
 mod local_mesh;
 mod log_causes;
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -57,6 +57,7 @@
         slots: 6,
         leaving: false,
         operators: None,
+        quarantined: Vec::new(),
     }
 }
 
--- a/tests/integration/retiring.rs
+++ b/tests/integration/retiring.rs
@@ -41,6 +41,7 @@
         slots: 6,
         leaving: false,
         operators: None,
+        quarantined: Vec::new(),
     }
 }
 
--- a/tests/integration/retiring_model.rs
+++ b/tests/integration/retiring_model.rs
@@ -213,6 +213,7 @@
                 slots: 6,
                 leaving: false,
                 operators: None,
+                quarantined: Vec::new(),
             },
         }
     }
