What is found out of crashes has keys of its own in the store

After restarts in turn no node knew the crashing request any more. Cause: a finding stood in the record of the node that counted; a restarted node that hears from its upstream before it has read its own record writes that anew. Tried and taken back: the writing waits for the first read, which holds up what must be stored at once (five tests with a store or configuration away never ended). Now a request in quarantine is a record of its own among those of the nodes, written by each node that counted and dropped when the quarantine is over or lifted, so no node's start touches it; readers tell their zone, for whoever was cut off when it was found out.

--- a/src/local_mesh/store.rs
+++ b/src/local_mesh/store.rs
@@ -3,9 +3,12 @@
 use crate::{
     protocol::store::{
         ConditionalAppend, KeyedRecord, PublicationStore, Records, StateStore, StoreError,
-        StoreTopic,
+        StoreTopic, quarantine_key, quarantine_value,
+    },
+    state::{
+        placement_view::NodeRecord, published::PublishedRecord, request_digest::RequestDigest,
+        routing_table::RoutingTable,
     },
-    state::{placement_view::NodeRecord, published::PublishedRecord, routing_table::RoutingTable},
 };
 use bytes::Bytes;
 use std::{
@@ -168,6 +171,17 @@
         answer(condition, ())
     }
 
+    async fn append_quarantine(
+        &self,
+        digest: RequestDigest,
+        is_kept: bool,
+    ) -> Result<(), StoreError> {
+        let condition = self.check()?;
+        let value = is_kept.then_some(quarantine_value(is_kept));
+        let end = self.append_at(StoreTopic::Nodes, &quarantine_key(digest), value, None);
+        answer(condition, end).map(|_| ())
+    }
+
     fn key_of(&self, record: &NodeRecord) -> String {
         record.address.to_string()
     }
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -3,7 +3,9 @@
 //! The store is an append-only log a topic, of which the newest record of each key stays for good. It may
 //! be away, slow, or take an append and lose the answer to it.
 
-use crate::state::{placement_view::NodeRecord, routing_table::RoutingTable};
+use crate::state::{
+    placement_view::NodeRecord, request_digest::RequestDigest, routing_table::RoutingTable,
+};
 use bytes::Bytes;
 use std::{future::Future, time::Duration};
 use thiserror::Error;
@@ -13,7 +15,7 @@
 pub enum StoreTopic {
     /// The configuration: one key.
     Configuration,
-    /// The nodes: a key each.
+    /// The nodes, a key each, and requests in quarantine.
     Nodes,
 }
 
@@ -54,6 +56,29 @@
     pub next: u64,
 }
 
+/// Start of the keys among the nodes under which the store holds requests in quarantine.
+const QUARANTINE_KEY: &str = "quarantine/";
+
+/// Key among the nodes under which the store holds that a request is in quarantine.
+///
+/// It has a key of its own: a node that starts writes its own record anew, maybe before it has read the former one.
+#[must_use]
+pub fn quarantine_key(digest: RequestDigest) -> String {
+    format!("{QUARANTINE_KEY}{digest}")
+}
+
+/// Its value; none drops the key.
+#[must_use]
+pub const fn quarantine_value(is_kept: bool) -> &'static [u8] {
+    if is_kept { b"{}" } else { b"" }
+}
+
+/// The request in quarantine that a key among the nodes is about, if it is about one.
+#[must_use]
+pub fn find_quarantined(key: &str) -> Option<RequestDigest> {
+    key.strip_prefix(QUARANTINE_KEY)?.parse().ok()
+}
+
 /// A client of the store, as a node uses it.
 pub trait StateStore: Clone + 'static {
     /// The newest record of each key.
@@ -77,6 +102,13 @@
     /// The key under which a node's record is kept.
     fn key_of(&self, record: &NodeRecord) -> String;
 
+    /// Appends that a request is in quarantine, or drops that, under [`quarantine_key`].
+    fn append_quarantine(
+        &self,
+        digest: RequestDigest,
+        is_kept: bool,
+    ) -> impl Future<Output = Result<(), StoreError>>;
+
     /// Drops the record of a node, if the topic still ends at `expected_end`.
     fn drop_node(
         &self,
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -4,7 +4,6 @@
     coordination::own_upstream::{Announcement, AnnouncementEffect},
     proxy::{
         core::ProxyCore,
-        crashes::take_own_recorded,
         events::ProxyEvent,
         executing::{ask_instance, confirm_instance, limit_for, set_limit},
     },
@@ -111,7 +110,6 @@
 /// told to the earlier run that it leaves while the store was away.
 pub async fn take_stored(core: &Rc<ProxyCore>, record: NodeRecord) {
     let unknown = core.own.borrow().current().is_none();
-    take_own_recorded(core, &record);
     let unchanged = core.stored.replace(Some(record.clone())).as_ref() == Some(&record);
     if record.leaving {
         core.own.borrow_mut().depart(&record.run);
@@ -150,6 +148,5 @@
         slots: run.slots,
         leaving: run.leaving,
         operators: core.settings.operators,
-        quarantined: core.quarantine.borrow().list_counted(core.timers.now()),
     })
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -12,7 +12,6 @@
     },
     options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
-        crashes::take_recorded,
         directory::{Directory, StateSource},
         events::{LineWriter, ProxyEvent},
         executing::Slots,
@@ -26,11 +25,13 @@
         names::{ClassName, ServiceName},
         placement_view::{NodeRecord, StoredRecord},
         quarantine::Quarantine,
+        request_digest::RequestDigest,
         routing_table::{RouteIndex, RoutingTable},
     },
     timers::TimerService,
     transport::outgoing::OutgoingConnections,
 };
+use flume::{Receiver, Sender};
 use http::HeaderMap;
 use rand::RngExt;
 use std::{
@@ -98,8 +99,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// What the upstream beside the node has answered.
     pub answered: RefCell<AnsweredRequests>,
-    /// Wakes whoever keeps the record of this node in the store.
-    pub record_changed: Notify,
+    /// Requests whose quarantine is to be written to the store as it is then, and who writes it.
+    pub quarantine_orders: (Sender<RequestDigest>, Receiver<RequestDigest>),
     /// Requests picked a service by weight so far; spreads them evenly.
     pub picks: Cell<u32>,
 }
@@ -135,7 +136,7 @@
             suspects: RefCell::default(),
             quarantine: RefCell::default(),
             answered: RefCell::default(),
-            record_changed: Notify::new(),
+            quarantine_orders: flume::unbounded(),
             picks: Cell::new(rand::rng().random_range(0..1_000)),
             settings,
             timers,
@@ -202,7 +203,6 @@
             leaving: stored.record.leaving,
             revision: stored.revision,
         };
-        take_recorded(self, &stored.record);
         let news = self.directory.borrow_mut().take_record(stored, source);
         if news {
             self.log(&event);
--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -1,7 +1,7 @@
 //! Finds out which requests crash the upstreams that run them, and keeps these from all upstreams.
 //!
 //! The node beside an upstream sees it crash and tells the keepers of each request that was cut. Keepers count the crashes; the one
-//! that finds a request guilty tells all nodes and keeps that in its record in the store, for nodes that start later.
+//! that finds a request guilty tells all nodes and writes that to the store, for nodes that start later.
 
 use crate::{
     coordination::crash_keepers::{KEEPERS, order_keepers},
@@ -13,7 +13,6 @@
     },
     state::{
         crash_suspects::CRASHES_TO_QUARANTINE,
-        placement_view::NodeRecord,
         quarantine::{QUARANTINE, QuarantineSource},
         request_digest::RequestDigest,
         run_identity::RunIdentity,
@@ -118,23 +117,19 @@
     }
 }
 
-/// Takes in what the record of another node tells of requests in quarantine.
-pub fn take_recorded(core: &ProxyCore, record: &NodeRecord) {
-    for digest in &record.quarantined {
-        put_in_quarantine(core, *digest, QuarantineSource::Told);
+/// Takes in what the store holds of a request in quarantine.
+pub fn take_stored_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest, is_kept: bool) {
+    if is_kept && put_in_quarantine(core, digest, QuarantineSource::Told) {
+        // Whoever was cut off when it was found out hears of it from the readers of its zone.
+        tell(core, &core.list_zone(), CrashFinding::Quarantined(digest));
     }
 }
 
-/// The same with the record of this node, from before its start.
-pub fn take_own_recorded(core: &Rc<ProxyCore>, record: &NodeRecord) {
-    for digest in &record.quarantined {
-        if put_in_quarantine(core, *digest, QuarantineSource::Counted) {
-            release_record_later(core);
-        }
-    }
-}
-
-fn put_in_quarantine(core: &ProxyCore, digest: RequestDigest, source: QuarantineSource) -> bool {
+fn put_in_quarantine(
+    core: &Rc<ProxyCore>,
+    digest: RequestDigest,
+    source: QuarantineSource,
+) -> bool {
     let now = core.timers.now();
     let news = core.quarantine.borrow_mut().put(digest, source, now);
     if news {
@@ -142,6 +137,7 @@
             digest,
             source: source.name(),
         });
+        drop_when_over(core, digest);
     }
     news
 }
@@ -160,34 +156,49 @@
         && put_in_quarantine(core, digest, QuarantineSource::Counted)
     {
         tell_all(core, CrashFinding::Quarantined(digest));
-        core.record_changed.notify_one();
-        release_record_later(core);
+        write(core, digest);
     }
 }
 
 fn tell_all(core: &Rc<ProxyCore>, finding: CrashFinding) {
+    tell(core, &list_receivers(core), finding);
+}
+
+fn tell(core: &Rc<ProxyCore>, receivers: &[SocketAddr], finding: CrashFinding) {
     let message = StateMessage {
         finding: Some(Rc::new(finding)),
         ..StateMessage::default()
     };
-    spread(core, &list_receivers(core), &message);
+    spread(core, receivers, &message);
 }
 
-/// Has the record of this node written again once a quarantine is over. A node that starts later would begin it anew.
-fn release_record_later(core: &Rc<ProxyCore>) {
+/// Drops a quarantine from the store once it is over. A node that starts later would begin it anew.
+fn drop_when_over(core: &Rc<ProxyCore>, digest: RequestDigest) {
     let core = Rc::clone(core);
     spawn_local(async move {
         let _ = core.timers.after(QUARANTINE).recv_async().await;
-        core.record_changed.notify_one();
+        if core.is_first() {
+            write(&core, digest);
+        }
     });
 }
 
+/// Has the store hold the quarantine of a request as it is now.
+fn write(core: &ProxyCore, digest: RequestDigest) {
+    // The receiver is there as long as the sender.
+    let _ = core.quarantine_orders.0.send(digest);
+}
+
 fn take_answered(core: &ProxyCore, digest: RequestDigest) {
     core.suspects.borrow_mut().note_answered(digest);
     let now = core.timers.now();
-    if core.quarantine.borrow_mut().lift(digest, now) {
-        core.log(&ProxyEvent::QuarantineLifted { digest });
-        core.record_changed.notify_one();
+    let lifted = core.quarantine.borrow_mut().lift(digest, now);
+    let Some(source) = lifted else {
+        return;
+    };
+    core.log(&ProxyEvent::QuarantineLifted { digest });
+    if source == QuarantineSource::Counted || core.is_first() {
+        write(core, digest);
     }
 }
 
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -9,14 +9,15 @@
     starting::{
         wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
     },
-    writing::{keep_record_current, write_records},
+    writing::{write_quarantines, write_records},
 };
 use crate::{
     coordination::store_reading::ReadingRole,
-    protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic},
+    protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic, find_quarantined},
     proxy::{
         announcing::{RecordOrder, describe_own, take_stored},
         core::ProxyCore,
+        crashes::take_stored_quarantine,
         directory::StateSource,
         events::ProxyEvent,
         retiring::retire_gone_nodes,
@@ -60,7 +61,7 @@
     }
     spawn_local(retire_gone_nodes(Rc::clone(core), store.clone()));
     spawn_local(keep_zone_current(Rc::clone(core)));
-    spawn_local(keep_record_current(Rc::clone(core), orders.clone()));
+    spawn_local(write_quarantines(Rc::clone(core), store.clone()));
     spawn_local(write_records(Rc::clone(core), store, written));
     orders
 }
@@ -213,6 +214,10 @@
         let mut news = Vec::new();
         let mut own = None;
         for record in &records.records {
+            if let Some(digest) = find_quarantined(&record.key) {
+                take_stored_quarantine(core, digest, record.value.is_some());
+                continue;
+            }
             let Some(value) = &record.value else {
                 self.forget(|key| key == record.key, record.offset);
                 continue;
--- a/src/proxy/following/writing.rs
+++ b/src/proxy/following/writing.rs
@@ -4,13 +4,14 @@
 use crate::{
     protocol::store::{StateStore, StoreError},
     proxy::{
-        announcing::{RecordOrder, describe_own},
+        announcing::RecordOrder,
         core::ProxyCore,
+        crashes::find_quarantine,
         store_calls::{CallReason, StoreCall},
     },
     state::placement_view::NodeRecord,
 };
-use flume::{Receiver, Sender};
+use flume::Receiver;
 use std::rc::Rc;
 
 /// Writes this node's record whenever it changes, until dropped. Only the newest is of use.
@@ -45,20 +46,23 @@
     }
 }
 
-/// Has the record of this node written again when what it tells beside the upstream has changed, until dropped.
-pub(super) async fn keep_record_current(core: Rc<ProxyCore>, orders: Sender<RecordOrder>) {
-    loop {
-        core.record_changed.notified().await;
-        let Some(record) = describe_own(&core) else {
-            continue;
-        };
-        if core.stored.borrow().as_ref() == Some(&record) {
-            continue;
+/// Writes the quarantine of requests as it is then whenever it changes, until dropped.
+pub(super) async fn write_quarantines<S: StateStore>(core: Rc<ProxyCore>, store: S) {
+    let mut retries = Retries::new(&core, "quarantine");
+    let (_, orders) = &core.quarantine_orders;
+    while let Ok(digest) = orders.recv_async().await {
+        loop {
+            let calls = &core.counters.store_calls;
+            calls.count(StoreCall::Append, CallReason::Quarantine);
+            let is_kept = find_quarantine(&core, digest).is_some();
+            match store.append_quarantine(digest, is_kept).await {
+                Ok(()) => {
+                    retries.succeed();
+                    break;
+                }
+                Err(error) => retries.fail(&error).await,
+            }
         }
-        core.directory.borrow_mut().take_own(record.clone());
-        let (done, _) = flume::bounded(1);
-        // The receiver goes only with the node.
-        let _ = orders.send(RecordOrder { record, done });
     }
 }
 
--- a/src/proxy/store_calls.rs
+++ b/src/proxy/store_calls.rs
@@ -29,6 +29,8 @@
     Retry,
     /// The record of this node has changed.
     OwnRecord,
+    /// A request was put into quarantine or let go.
+    Quarantine,
     /// A node is gone for good.
     Retirement,
 }
@@ -56,6 +58,7 @@
             Self::MakingSure => "making_sure",
             Self::Retry => "retry",
             Self::OwnRecord => "own_record",
+            Self::Quarantine => "quarantine",
             Self::Retirement => "retirement",
         }
     }
--- a/src/state/placement_view.rs
+++ b/src/state/placement_view.rs
@@ -4,7 +4,6 @@
     ablation::Mechanism,
     moment::Moment,
     names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
-    request_digest::RequestDigest,
     run_identity::RunIdentity,
 };
 use serde::{Deserialize, Serialize};
@@ -40,9 +39,6 @@
     /// Where operators' tools reach the node, if they can.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub operators: Option<SocketAddr>,
-    /// Requests of which the node has found out that they crash upstreams.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub quarantined: Vec<RequestDigest>,
 }
 
 /// A record with its place in the order in which the store took the records.
--- a/src/state/quarantine.rs
+++ b/src/state/quarantine.rs
@@ -15,7 +15,7 @@
 /// Who found out that a request crashes upstreams.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum QuarantineSource {
-    /// This node, which counted the crashes. It keeps the finding in the store.
+    /// This node, which counted the crashes. It writes the finding to the store.
     Counted,
     /// Another node.
     Told,
@@ -62,11 +62,11 @@
         true
     }
 
-    /// Ends the quarantine of a request; true if it was in it.
-    pub fn lift(&mut self, digest: RequestDigest, now: Moment) -> bool {
+    /// Ends the quarantine of a request; returns who had found it out, if it was in it.
+    pub fn lift(&mut self, digest: RequestDigest, now: Moment) -> Option<QuarantineSource> {
         self.forget_past(now);
         self.lifted.insert(digest, now);
-        self.requests.remove(&digest).is_some()
+        self.requests.remove(&digest).map(|known| known.source)
     }
 
     /// How much longer a request is in quarantine; none if it is not.
@@ -76,16 +76,6 @@
         (now < quarantined.until).then(|| quarantined.until.since(now))
     }
 
-    /// Requests in quarantine of which this node has found out itself.
-    #[must_use]
-    pub fn list_counted(&self, now: Moment) -> Vec<RequestDigest> {
-        let requests = self.requests.iter();
-        let counted = requests.filter(|(_, quarantined)| {
-            quarantined.source == QuarantineSource::Counted && now < quarantined.until
-        });
-        counted.map(|(digest, _)| *digest).collect()
-    }
-
     /// Requests in quarantine.
     #[must_use]
     pub fn len(&self, now: Moment) -> usize {
--- a/tests/integration/crash_counting.rs
+++ b/tests/integration/crash_counting.rs
@@ -3,7 +3,10 @@
 use bolero::check;
 use camphorturn::{
     coordination::crash_keepers::{KEEPERS, order_keepers},
-    protocol::hop::{CrashFinding, StateMessage},
+    protocol::{
+        hop::{CrashFinding, StateMessage},
+        store::{find_quarantined, quarantine_key},
+    },
     state::{
         answered_requests::AnsweredRequests,
         crash_suspects::{CRASHES_TO_QUARANTINE, CrashSuspects},
@@ -132,7 +135,7 @@
 #[test]
 fn late_word_does_not_undo_a_lift() {
     let mut quarantine = Quarantine::default();
-    assert!(!quarantine.lift(digest(1), Moment(0)));
+    assert_eq!(quarantine.lift(digest(1), Moment(0)), None);
     let soon = Moment(0) + Duration::from_secs(2);
     assert!(!quarantine.put(digest(1), QuarantineSource::Told, soon));
     assert_eq!(quarantine.time_left(digest(1), soon), None);
@@ -141,12 +144,32 @@
 }
 
 #[test]
-fn record_tells_only_what_was_counted_here() {
+fn lift_tells_who_had_found_out() {
     let mut quarantine = Quarantine::default();
     quarantine.put(digest(1), QuarantineSource::Told, Moment(0));
     quarantine.put(digest(2), QuarantineSource::Counted, Moment(0));
-    assert_eq!(quarantine.list_counted(Moment(1)), vec![digest(2)]);
-    assert!(quarantine.list_counted(Moment(0) + QUARANTINE).is_empty());
+    assert_eq!(quarantine.len(Moment(1)), 2);
+    let now = Moment(2);
+    assert_eq!(
+        quarantine.lift(digest(1), now),
+        Some(QuarantineSource::Told)
+    );
+    assert_eq!(
+        quarantine.lift(digest(2), now),
+        Some(QuarantineSource::Counted)
+    );
+    assert_eq!(quarantine.lift(digest(2), now), None);
+}
+
+#[test]
+fn quarantine_keys_are_no_nodes() {
+    assert_eq!(
+        find_quarantined(&quarantine_key(digest(1))),
+        Some(digest(1))
+    );
+    for key in ["10.1.0.6", "n1", "quarantine/", "quarantine/xyz"] {
+        assert_eq!(find_quarantined(key), None, "{key}");
+    }
 }
 
 #[test]
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -57,7 +57,6 @@
         slots: 6,
         leaving: false,
         operators: None,
-        quarantined: Vec::new(),
     }
 }
 
--- a/tests/integration/retiring.rs
+++ b/tests/integration/retiring.rs
@@ -41,7 +41,6 @@
         slots: 6,
         leaving: false,
         operators: None,
-        quarantined: Vec::new(),
     }
 }
 
--- a/tests/integration/retiring_model.rs
+++ b/tests/integration/retiring_model.rs
@@ -213,7 +213,6 @@
                 slots: 6,
                 leaving: false,
                 operators: None,
-                quarantined: Vec::new(),
             },
         }
     }
