Nodes that count crashes tell all others in different orders

Three nodes tell all others of a request in quarantine; with one order a node that is lost while it passes the message on would keep it from the same part of the nodes three times.

--- a/src/local_mesh/store.rs
+++ b/src/local_mesh/store.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     protocol::store::{
-        ConditionalAppend, KeyedRecord, PublicationStore, Records, StateStore, StoreError,
-        StoreTopic, quarantine_key, quarantine_value,
+        ConditionalAppend, KeyedRecord, PublicationStore, QUARANTINE_VALUE, Records, StateStore,
+        StoreError, StoreTopic, quarantine_key,
     },
     state::{
         placement_view::NodeRecord, published::PublishedRecord, request_digest::RequestDigest,
@@ -177,7 +177,7 @@
         is_kept: bool,
     ) -> Result<(), StoreError> {
         let condition = self.check()?;
-        let value = is_kept.then_some(quarantine_value(is_kept));
+        let value = is_kept.then_some(QUARANTINE_VALUE);
         let end = self.append_at(StoreTopic::Nodes, &quarantine_key(digest), value, None);
         answer(condition, end).map(|_| ())
     }
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -67,11 +67,8 @@
     format!("{QUARANTINE_KEY}{digest}")
 }
 
-/// Its value; none drops the key.
-#[must_use]
-pub const fn quarantine_value(is_kept: bool) -> &'static [u8] {
-    if is_kept { b"{}" } else { b"" }
-}
+/// Its value. The key says it all.
+pub const QUARANTINE_VALUE: &[u8] = b"{}";
 
 /// The request in quarantine that a key among the nodes is about, if it is about one.
 #[must_use]
--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -18,7 +18,8 @@
         run_identity::RunIdentity,
     },
 };
-use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration, vec::IntoIter};
+use rand::seq::SliceRandom;
+use std::{cell::RefCell, cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration, vec::IntoIter};
 use tokio::task::spawn_local;
 
 /// Longest time for an upstream on the same VM to take a connection. One that takes longer is busy.
@@ -246,11 +247,13 @@
     nodes
 }
 
-/// All other nodes. Those that could not be reached come first, since a message is passed on from the end.
+/// All other nodes, in another order at each node that tells them: the loss of one that passes a message on is made up for by the
+/// other keepers. Those that could not be reached come first, since a message is passed on from the end.
 fn list_receivers(core: &ProxyCore) -> Vec<SocketAddr> {
     let directory = core.directory.borrow();
     let mut views: Vec<_> = directory.nodes.iter().collect();
-    views.sort_by_key(|(_, view)| std::cmp::Reverse(view.failures));
+    views.shuffle(&mut rand::rng());
+    views.sort_by_key(|(_, view)| Reverse(view.failures));
     let addresses = views.into_iter().map(|(address, _)| *address);
     addresses
         .filter(|address| *address != core.settings.peers)
