--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -145,6 +145,8 @@
     Unsigned,
     /// Run it and answer twice.
     AnswerTwice,
+    /// Crash while it runs, and be back at once as another run.
+    Restart,
     /// Run it and hold the answer until [`StandInUpstream::release`], or until the connection ends.
     Hold,
 }
@@ -245,7 +247,7 @@
     /// Another run takes the address.
     pub fn replace(&self, instance: &str) {
         instance.clone_into(&mut self.state.instance.borrow_mut());
-        self.be_born();
+        self.state.be_born();
     }
 
     /// When the present run started, in whole Unix milliseconds, as its heartbeats tell.
@@ -277,13 +279,7 @@
         }
         self.state.crashed.set(false);
         self.state.leaving.set(false);
-        self.be_born();
-    }
-
-    /// Runs under one identity are told apart by their start alone, so two of them never share a millisecond.
-    fn be_born(&self) {
-        let born = &self.state.born;
-        born.set(read_clock().max(born.get() + 1));
+        self.state.be_born();
     }
 
     /// How long work takes, in percent of the usual; told, not acted.
@@ -342,6 +338,25 @@
         self.crashes.notify_waiters();
     }
 
+    fn restart(&self, stream: &TcpStream) {
+        self.crash();
+        let instance = format!("{}+", self.instance.borrow());
+        *self.instance.borrow_mut() = instance;
+        self.be_born();
+        self.crashed.set(false);
+        let listener = stream.local_addr().and_then(listen);
+        *self.listener.borrow_mut() = Some(listener.expect("the port is reserved"));
+        if let Some(waker) = self.acceptor.take() {
+            waker.wake();
+        }
+    }
+
+    /// Runs under one identity are told apart by their start alone, so two of them never share a millisecond.
+    fn be_born(&self) {
+        let born = &self.born;
+        born.set(read_clock().max(born.get() + 1));
+    }
+
     fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(TcpStream, SocketAddr)>> {
         // A listener that goes while it is waited for wakes nobody.
         *self.acceptor.borrow_mut() = Some(cx.waker().clone());
@@ -466,6 +481,11 @@
     if act != UpstreamAct::Shed {
         note_run(state, &request);
     }
+    if act == UpstreamAct::Restart {
+        state.arrivals.borrow_mut().push(request);
+        state.restart(stream);
+        return false;
+    }
     let time = draw_time(state, &request.target);
     state.arrivals.borrow_mut().push(request);
     let run = Run::start(state);
--- a/stand-ins/src/upstream/answer.rs
+++ b/stand-ins/src/upstream/answer.rs
@@ -52,7 +52,7 @@
                 let headers = [(names.request_id, id), (names.not_executed, "1")];
                 (build_answer(503, &headers, b""), true)
             }
-            UpstreamAct::LoseAnswer => (Vec::new(), false),
+            UpstreamAct::LoseAnswer | UpstreamAct::Restart => (Vec::new(), false),
             UpstreamAct::CutBody => {
                 let mut answer = build_answer(200, &head(id), &self.body);
                 answer.truncate(answer.len() - 4);
