A crash is told by what the upstream says of itself, not by refused connections alone

Crashes went uncounted where a supervisor had the upstream back at once, or where a proxy on the VM takes connections in its place, so a crashing request stayed unknown there. Cause: only a refused connection counted as a sign of the end. Where the budget for questions is spent, or no path is known, a refused connection still counts. A crash that is no crash costs one question more.

--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -9,10 +9,12 @@
     proxy::{
         core::{ProxyCore, count},
         events::ProxyEvent,
+        executing::has_ended,
         state_messages::{send_state, spread},
     },
     state::{
         crash_suspects::CRASHES_TO_QUARANTINE,
+        names::ServiceName,
         quarantine::{QUARANTINE, QuarantineSource},
         request_digest::RequestDigest,
         run_identity::RunIdentity,
@@ -22,8 +24,6 @@
 use std::{cell::RefCell, cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration, vec::IntoIter};
 use tokio::task::spawn_local;
 
-/// Longest time for an upstream on the same VM to take a connection. One that takes longer is busy.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Nodes that are tried until enough keepers have taken a message. Records outlast their nodes by half an hour.
 const MAX_TRIED: usize = 12;
 
@@ -35,19 +35,20 @@
     pub digest: RequestDigest,
     /// The run of the upstream.
     pub run: RunIdentity,
+    /// Its service.
+    pub service: ServiceName,
 }
 
 /// Whether the upstream beside this node has crashed, after it has cut a request; if so, the request's keepers are told.
 ///
-/// Upstreams also cut requests when they are full or lose an answer. A process that has ended refuses connections.
+/// Upstreams also cut requests when they are full or lose an answer, and live on.
 pub async fn find_crash(core: &Rc<ProxyCore>, cut: CutRequest) -> bool {
     let (tx, rx) = flume::bounded(1);
     let core = Rc::clone(core);
     // Goes on when the client leaves meanwhile: its request may be what crashed the upstream.
     spawn_local(async move {
-        let upstream = core.settings.upstream;
         let crashed =
-            !leaves(&core, &cut.run) && core.outgoing.is_refused(upstream, CONNECT_TIMEOUT).await;
+            !leaves(&core, &cut.run) && has_ended(&core, &cut.service, &cut.run.instance).await;
         if crashed {
             report_crash(&core, cut);
         }
@@ -69,6 +70,7 @@
         request,
         digest,
         run,
+        ..
     } = cut;
     count(&core.counters.crashed);
     let answered_before = core.answered.borrow().contains(&run, digest);
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -25,7 +25,7 @@
 use dispatch::dispatch;
 use http::Response;
 use pace::refresh_pace;
-pub use pace::{ask_instance, confirm_instance};
+pub use pace::{ask_instance, confirm_instance, has_ended};
 use slots::{HeldSlot, wait_for_slot};
 pub use slots::{Slots, limit_for, set_limit};
 use std::{rc::Rc, time::Duration};
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -13,7 +13,7 @@
         events::ProxyEvent,
         executing::pace::note_load,
     },
-    state::{ablation::Mechanism, request_digest::RequestDigest, run_identity::RunIdentity},
+    state::{ablation::Mechanism, request_digest::RequestDigest},
     transport::{
         callers::CallerRequest,
         outgoing::{SendError, SendRules},
@@ -77,7 +77,13 @@
     let now = core.timers.now();
     let is_cut = matches!(sent, Err(SendError::Cut));
     let result = judge(core, sent, &run.instance);
-    if is_cut && is_crash(core, request_id, digest, &run).await {
+    let cut = is_cut.then(|| CutRequest {
+        request: request_id,
+        digest,
+        run: run.clone(),
+        service: hop.service.clone(),
+    });
+    if is_crash(core, cut).await {
         core.slots.observe_end(true);
         return (Verdict::Unknown(UnknownCause::UpstreamCrashed), None);
     }
@@ -93,17 +99,10 @@
     result
 }
 
-/// Whether the upstream has crashed, after it has cut a request. It takes no work for a while then.
-async fn is_crash(
-    core: &Rc<ProxyCore>,
-    request: String,
-    digest: RequestDigest,
-    run: &RunIdentity,
-) -> bool {
-    let cut = CutRequest {
-        request,
-        digest,
-        run: run.clone(),
+/// Whether the upstream has crashed, if it has cut a request. It takes no work for a while then.
+async fn is_crash(core: &Rc<ProxyCore>, cut: Option<CutRequest>) -> bool {
+    let Some(cut) = cut else {
+        return false;
     };
     let crashed = find_crash(core, cut).await;
     if crashed {
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -13,7 +13,7 @@
         ablation::Mechanism, moment::Moment, names::ServiceName, placement_view::NodeRecord,
         rate_limit::RateLimit,
     },
-    transport::outgoing::SendRules,
+    transport::outgoing::{SendError, SendRules},
 };
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, Uri, response::Parts};
@@ -158,20 +158,38 @@
     let Some(uri) = find_health_uri(core, &record.service) else {
         return false;
     };
-    let Some(answer) = send_question(core, uri).await else {
+    let Ok(answer) = send_question(core, uri, Line::Kept).await else {
         return false;
     };
-    let told = answer.headers().get(&core.settings.headers.instance);
-    let same = told.is_some_and(|told| told.as_bytes() == record.run.instance.as_bytes());
+    let same = read_instance(core, &answer).is_some_and(|told| told == record.run.instance);
     same && answer.status().is_success()
 }
 
 /// The identity that the upstream tells when it is asked; none if it does not answer.
 pub async fn ask_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
     let uri = find_health_uri(core, service)?;
-    let answer = send_question(core, uri).await?;
+    let answer = send_question(core, uri, Line::Kept).await.ok()?;
+    read_instance(core, &answer).map(str::to_owned)
+}
+
+/// Whether a run of the upstream has ended: connections are refused, or end without an answer where something else takes them,
+/// or another run answers. One that does not answer in time is there, and busy.
+pub async fn has_ended(core: &Rc<ProxyCore>, service: &ServiceName, instance: &str) -> bool {
+    let upstream = core.settings.upstream;
+    let Some(uri) = find_health_uri(core, service) else {
+        return core.outgoing.is_refused(upstream, ANSWER_TIMEOUT).await;
+    };
+    match send_question(core, uri, Line::New).await {
+        Ok(answer) => read_instance(core, &answer).is_some_and(|told| told != instance),
+        Err(QuestionError::Failed(error)) => error != SendError::BadAnswer,
+        Err(QuestionError::OutOfTime) => false,
+        Err(QuestionError::OutOfBudget) => core.outgoing.is_refused(upstream, ANSWER_TIMEOUT).await,
+    }
+}
+
+fn read_instance<'a>(core: &ProxyCore, answer: &'a Response<Bytes>) -> Option<&'a str> {
     let told = answer.headers().get(&core.settings.headers.instance)?;
-    told.to_str().ok().map(str::to_owned)
+    told.to_str().ok()
 }
 
 fn find_health_uri(core: &ProxyCore, service: &ServiceName) -> Option<Uri> {
@@ -183,23 +201,47 @@
     let Some(uri) = service.and_then(|service| find_health_uri(core, &service)) else {
         return;
     };
-    match send_question(core, uri).await {
-        Some(answer) => note_load(core, answer.headers()),
+    match send_question(core, uri, Line::Kept).await {
+        Ok(answer) => note_load(core, answer.headers()),
         // Asked again after the usual pause, not by every request that comes meanwhile.
-        None => core.slots.pace.told_at.set(Some(core.timers.now())),
+        Err(_) => core.slots.pace.told_at.set(Some(core.timers.now())),
     }
 }
 
-async fn send_question(core: &Rc<ProxyCore>, uri: Uri) -> Option<Response<Bytes>> {
+/// The connection on which a question is asked.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Line {
+    /// One that is kept, if there is one.
+    Kept,
+    /// A new one: kept ones end with the run that took them.
+    New,
+}
+
+/// Why a question has no answer.
+enum QuestionError {
+    /// It is not asked: too many were.
+    OutOfBudget,
+    /// No answer came in time.
+    OutOfTime,
+    /// It could not be asked, or the connection ended.
+    Failed(SendError),
+}
+
+async fn send_question(
+    core: &Rc<ProxyCore>,
+    uri: Uri,
+    line: Line,
+) -> Result<Response<Bytes>, QuestionError> {
     if !core.slots.pace.take_question(core.timers.now()) {
-        return None;
+        return Err(QuestionError::OutOfBudget);
     }
     count(&core.counters.probes);
     let mut request = Request::new(Full::default());
     *request.uri_mut() = uri;
     let rules = SendRules {
-        fresh: false,
-        connect_timeout: ANSWER_TIMEOUT,
+        fresh: line == Line::New,
+        // Beyond the whole time, so that a connection which was not opened was refused.
+        connect_timeout: ANSWER_TIMEOUT * 2,
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
         patience: None,
@@ -210,7 +252,9 @@
     let is_answer = |parts: &Parts| !parts.headers.contains_key(&names.request_id);
     let upstream = core.settings.upstream;
     tokio::select! {
-        sent = core.outgoing.send(upstream, request, rules, is_answer) => sent.ok(),
-        _ = timeout.recv_async() => None,
+        sent = core.outgoing.send(upstream, request, rules, is_answer) => {
+            sent.map_err(QuestionError::Failed)
+        }
+        _ = timeout.recv_async() => Err(QuestionError::OutOfTime),
     }
 }
