Soak: requests that crash each upstream that runs them

Two seeds of three have a caller ask for the same thing 8 to 24 times at one node after the other, which crashes each upstream that runs it, beside all other faults; drawn apart, so the other faults of a seed stay as they were. Checked: later than 3 s after the third crash it reaches at most three more upstreams beside nodes that nothing has hindered. The check is tested against made-up histories.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -29,7 +29,7 @@
         number += 1;
         let id = format!("{node}-{caller}-{number}");
         let drawn = world.configurations.borrow().draw_target(&mut random, &id);
-        let call = OneCall { node, drawn };
+        let call = OneCall { node, id, drawn };
         let record = call.run(&world, &client).await;
         let unreached = record.answer == Err(CallFailure::NotSent);
         if !unreached {
@@ -40,8 +40,33 @@
     }
 }
 
+/// Asks for the same thing so many times within a span, each time under another identity and at another node.
+pub async fn call_again(world: &World, target: &str, calls: usize, span: Duration) {
+    let pause = span / u32::try_from(calls.max(1)).unwrap_or(u32::MAX);
+    for number in 0..calls {
+        let node = number % world.machines.len();
+        let client = CallerClient::new(world.machines[node].clients());
+        let call = OneCall {
+            node,
+            id: format!("{}-{number}", target.trim_start_matches('/')),
+            drawn: DrawnTarget {
+                route_version: 0,
+                idempotent: true,
+                target: target.to_owned(),
+            },
+        };
+        let record = call.run(world, &client).await;
+        if record.answer != Err(CallFailure::NotSent) {
+            world.history.borrow_mut().requests.push(record);
+        }
+        sleep(pause).await;
+    }
+}
+
 struct OneCall {
     node: usize,
+    /// Identity of this attempt of a client.
+    id: String,
     drawn: DrawnTarget,
 }
 
@@ -69,7 +94,7 @@
     fn build(&self) -> CallerCall {
         let mut headers = HeaderMap::new();
         headers.insert(HOST, HeaderValue::from_static("shop.example"));
-        if let Ok(id) = HeaderValue::from_str(self.drawn.target.trim_start_matches('/')) {
+        if let Ok(id) = HeaderValue::from_str(&self.id) {
             headers.insert("camphorturn-request-id", id);
         }
         let time_left = HeaderValue::from_static(TIME_LEFT_MS);
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,6 +1,9 @@
 //! The promises, checked against what callers and upstreams saw.
 
-use crate::history::{Acknowledged, CallerRecord, Hindrance, History, Violation};
+use crate::{
+    history::{Acknowledged, CallerRecord, Hindrance, History, Violation},
+    machine::CRASHING_PREFIX,
+};
 use camphorturn::local_mesh::client::CallFailure;
 use camphorturn_stand_ins::upstream::RanRequest;
 use std::{
@@ -13,6 +16,12 @@
 /// Time after the order to stop in which clients may still bring requests.
 const STOP_TAKES: Duration = Duration::from_secs(3);
 
+/// Upstreams that one request crashes until it is known, and what more of them it may reach after that.
+const CRASHES_KNOWN_AFTER: usize = 3;
+const CRASHES_ALLOWED: usize = 3;
+/// Time without hindrance after which a node counts as in touch with the others.
+const IN_TOUCH_AFTER: Duration = Duration::from_secs(3);
+
 /// Time after an acknowledged change from which each node has it in force that nothing keeps from learning of it, and in
 /// which a node that something kept from it, or that has started, makes up for that. The platform's users count on it.
 pub const IN_FORCE_BOUND: Duration = Duration::from_millis(2_500);
@@ -35,6 +44,7 @@
     }
     found.extend(check_unasked(history, runs));
     found.extend(check_drains(history, runs));
+    found.extend(check_crashing(&by_target, history));
     found.extend(check_versions(history));
     found
 }
@@ -172,6 +182,48 @@
     found
 }
 
+/// A request that has crashed three upstreams reaches hardly any more, once all nodes have heard of it.
+fn check_crashing(
+    by_target: &HashMap<&str, Vec<&RanRequest>>,
+    history: &History,
+) -> Vec<Violation> {
+    let mut found = Vec::new();
+    for (target, ran) in by_target {
+        if !target.starts_with(CRASHING_PREFIX) {
+            continue;
+        }
+        let mut ran = ran.clone();
+        ran.sort_by_key(|run| run.at);
+        let Some(third) = ran.get(CRASHES_KNOWN_AFTER - 1) else {
+            continue;
+        };
+        let known = third.at + IN_TOUCH_AFTER;
+        let late = ran.iter().filter(|run| run.at > known);
+        let late = late.filter(|run| is_in_touch(history, run)).count();
+        if late > CRASHES_ALLOWED {
+            found.push(Violation {
+                promise: "what crashes upstreams is kept from them",
+                seen: format!("{target}: {late} late ones of {}", ran.len()),
+            });
+        }
+    }
+    found
+}
+
+/// Whether nothing has kept the node beside the upstream from hearing of the others for so long before a run.
+fn is_in_touch(history: &History, run: &RanRequest) -> bool {
+    let begin = run.at.checked_sub(IN_TOUCH_AFTER).unwrap_or(run.at);
+    let overlaps = |from: Instant, to: Instant| from <= run.at && begin <= to;
+    let is_of_node = |node: usize| run.instance.starts_with(&format!("u{node}-"));
+    let mut hindrances = history.hindrances.iter();
+    let mut disturbances = history.disturbances.iter();
+    !hindrances.any(|hindrance| {
+        hindrance.node.is_none_or(is_of_node) && overlaps(hindrance.from, hindrance.to)
+    }) && !disturbances.any(|disturbance| {
+        is_of_node(disturbance.node) && overlaps(disturbance.from, disturbance.to)
+    })
+}
+
 /// Within one run of a node's process, a route that it has served is never denied afterwards, nor one of an
 /// earlier version.
 fn check_versions(history: &History) -> Vec<Violation> {
--- a/soak/src/machine.rs
+++ b/soak/src/machine.rs
@@ -35,6 +35,8 @@
 const GRACE_SECONDS: u64 = 5;
 /// Slots of every upstream.
 const SLOTS: u16 = 6;
+/// Start of the paths of requests that crash the upstream which runs them.
+pub const CRASHING_PREFIX: &str = "/look/crash-";
 /// Delay of a slow link, each way.
 const SLOW: Duration = Duration::from_millis(60);
 
@@ -97,7 +99,7 @@
             seed: plan.number as u64,
             echoes: true,
             runs,
-            crash_prefixes: Vec::new(),
+            crash_prefixes: vec![CRASHING_PREFIX.to_owned()],
         };
         let upstream = StandInUpstream::start_with(settings).await?;
         let upstream_link = Link::open(upstream.address).await?;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -19,6 +19,9 @@
 /// Bytes a second of a thin link, each way: 4 Mbit/s. The thinnest of the platform carry 10, among more nodes.
 const THIN_LINK: u32 = 500_000;
 
+/// Times that a request which crashes upstreams is sent.
+const CRASHING_CALLS: (usize, usize) = (8, 24);
+
 const ILLS: [IllLink; 4] = {
     use IllLink::{AnswersLost, Reset, Silent, Slow};
     [Slow, Reset, AnswersLost, Silent]
@@ -95,6 +98,8 @@
     Grow(usize),
     /// The upstream of this node crashes, and starts again after a while under the identity that it had.
     Crash(usize),
+    /// A caller asks for the same thing so many times, at one node after the other, which crashes each upstream that runs it.
+    CrashingRequest(usize),
     /// Somebody writes what does not belong in a place that has to do with this node.
     Foreign(usize, ForeignPlace, Damage),
 }
@@ -146,10 +151,22 @@
         }
         at += draw_span(&mut draw.random, PAUSES_MS);
     }
+    draw.faults.extend(draw_crashing_request(seed, span));
     draw.faults.sort_by_key(|fault| fault.at);
     draw.faults
 }
 
+/// Drawn apart from the other faults, so that those of a seed stay as they were.
+fn draw_crashing_request(seed: u64, span: Duration) -> Option<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let fault = PlannedFault {
+        at: random.random_range(Duration::ZERO..span / 2),
+        lasts: span / 2,
+        fault: Fault::CrashingRequest(random.random_range(CRASHING_CALLS.0..=CRASHING_CALLS.1)),
+    };
+    (random.random_range(0..3) > 0).then_some(fault)
+}
+
 /// Bytes a second between nodes; none if nothing bounds them. Half of the seeds have thin links.
 #[must_use]
 pub fn draw_link_rate(seed: u64) -> Option<u32> {
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -1,11 +1,11 @@
 //! Plays the faults of a seed, and checks.
 
 use crate::{
-    callers::{CALLERS, call_node},
+    callers::{CALLERS, call_again, call_node},
     checks::find_violations,
     history::{Disturbance, Violation},
     link::Link,
-    machine::Machine,
+    machine::{CRASHING_PREFIX, Machine},
     plan::{Fault, IllLink, PlannedFault, draw_faults},
     report::PlayReport,
     world::World,
@@ -30,6 +30,8 @@
 const STOP_PATIENCE: Duration = Duration::from_secs(15);
 /// How long after a kill its callers may still notice.
 const KILL_ECHO: Duration = Duration::from_secs(3);
+/// How long an upstream is away that a request has crashed, at the least.
+const CRASHED_LASTS: Duration = Duration::from_millis(300);
 /// How long a leaving upstream stays.
 const LEAVE_LASTS: Duration = Duration::from_millis(2_600);
 
@@ -161,12 +163,41 @@
             sleep(lasts).await;
             machine(node).restart_upstream();
         }
+        Fault::CrashingRequest(calls) => {
+            let target = format!("{CRASHING_PREFIX}{}", planned.at.as_millis());
+            let restarts = spawn_local(restart_crashed(Rc::clone(&world)));
+            call_again(&world, &target, calls, lasts).await;
+            sleep(CRASHED_LASTS).await;
+            restarts.abort();
+            world.machines.iter().for_each(restart_if_crashed);
+        }
         Fault::Configure => publish(&world, 1),
         Fault::Grow(routes) => publish(&world, routes),
         Fault::Foreign(node, place, damage) => world.put_foreign(node, place, damage).await,
     }
 }
 
+/// Starts upstreams again some time after they have crashed, until dropped.
+async fn restart_crashed(world: Rc<World>) {
+    loop {
+        let crashed = world
+            .machines
+            .iter()
+            .filter(|machine| machine.upstream.is_crashed());
+        let crashed: Vec<usize> = crashed.map(|machine| machine.plan.number).collect();
+        sleep(CRASHED_LASTS).await;
+        for number in crashed {
+            restart_if_crashed(&world.machines[number]);
+        }
+    }
+}
+
+fn restart_if_crashed(machine: &Machine) {
+    if machine.upstream.is_crashed() {
+        machine.restart_upstream();
+    }
+}
+
 /// Operators' writes fail while the store is ill.
 fn publish(world: &World, routes: usize) {
     if world.store.condition() == StoreCondition::Well {
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -219,3 +219,45 @@
         assert_eq!(check_denied(4 * IN_FORCE_BOUND, &hindered), broken);
     }
 }
+
+/// The promise, when a request crashes one upstream every half second, `hinders` keeps the node from hearing of it, and it runs
+/// `runs` times.
+fn check_crashing(runs: u32, hinders: Option<Hindrance>) -> Vec<&'static str> {
+    let began = Instant::now();
+    let target = "/look/crash-1";
+    let at = |number: u32| began + Duration::from_millis(500) * number;
+    let history = History {
+        requests: vec![request(target, Ok((502, String::new())), began)],
+        hindrances: hinders.into_iter().collect(),
+        ..History::default()
+    };
+    let runs: Vec<RanRequest> = (0..runs).map(|number| ran(target, at(number))).collect();
+    check(&history, &runs)
+}
+
+#[test]
+fn check_crashing_request_allowed() {
+    // The third runs at 1 s, those until 4 s are before every node has heard of it, and three more are allowed.
+    assert!(check_crashing(12, None).is_empty());
+}
+
+#[test]
+fn check_crashing_request_found() {
+    assert_eq!(
+        check_crashing(13, None),
+        ["what crashes upstreams is kept from them"]
+    );
+}
+
+#[test]
+fn check_crashing_request_out_of_touch() {
+    let now = Instant::now();
+    let hindrance = |node| Hindrance {
+        node,
+        from: now,
+        to: now + Duration::from_secs(20),
+    };
+    assert!(check_crashing(30, Some(hindrance(None))).is_empty());
+    assert!(check_crashing(30, Some(hindrance(Some(1)))).is_empty());
+    assert_eq!(check_crashing(30, Some(hindrance(Some(2)))).len(), 1);
+}
