--- /dev/null
+++ b/src/proxy/events/catalogue.rs
@@ -0,0 +1,121 @@
+//! Number, name and weight of each event.
+
+use crate::{
+    protocol::outcome::RefusalReason,
+    proxy::events::{LoggedEnd, ProxyEvent, Weight},
+};
+
+impl ProxyEvent {
+    /// Number and name.
+    #[must_use]
+    pub const fn describe(&self) -> (u16, &'static str) {
+        match self {
+            Self::RequestEnded { .. } => (801, "request_ended"),
+            Self::AttemptReturned { .. } => (802, "attempt_returned"),
+            Self::AttemptExecuted { .. } => (803, "attempt_executed"),
+            Self::RepeatWithheld { .. } => (804, "repeat_withheld"),
+            Self::LinesDropped { .. } => (805, "lines_dropped"),
+            Self::CrashCounted { .. } => (806, "crash_counted"),
+            Self::RequestQuarantined { .. } => (807, "request_quarantined"),
+            Self::QuarantineLifted { .. } => (808, "quarantine_lifted"),
+            Self::UpstreamAnnounced { .. } => (811, "upstream_announced"),
+            Self::UpstreamDeparted { .. } => (812, "upstream_departed"),
+            Self::UpstreamReplaced { .. } => (813, "upstream_replaced"),
+            Self::UpstreamRecalled { .. } => (814, "upstream_recalled"),
+            Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
+            Self::UpstreamCrashed { .. } => (816, "upstream_crashed"),
+            Self::TableInForce { .. } => (821, "table_in_force"),
+            Self::StateFetched { .. } => (826, "state_fetched"),
+            Self::TableOffered { .. } => (820, "table_offered"),
+            Self::TableTold { .. } => (827, "table_told"),
+            Self::TableReceived { .. } => (828, "table_received"),
+            Self::FetchFailed { .. } => (829, "fetch_failed"),
+            Self::ChangeRejected { .. } => (830, "change_rejected"),
+            Self::ZoneTold { .. } => (823, "zone_told"),
+            Self::StateRejected { .. } => (824, "state_rejected"),
+            Self::ReadingHandedOver { .. } => (825, "reading_handed_over"),
+            Self::NodeUnreachable { .. } => (831, "node_unreachable"),
+            Self::NodeKnown { .. } => (832, "node_known"),
+            Self::NodeRetired { .. } => (833, "node_retired"),
+            Self::NodeForgotten { .. } => (834, "node_forgotten"),
+            Self::OwnRecordDropped {} => (835, "own_record_dropped"),
+            Self::ConfigurationRejected { .. } => (841, "configuration_rejected"),
+            Self::RecordRejected { .. } => (842, "record_rejected"),
+            Self::PublicationEnded { .. } => (845, "publication_ended"),
+            Self::OperatorRejected {} => (846, "operator_rejected"),
+            Self::StoreLost { .. } => (843, "store_lost"),
+            Self::StoreRegained { .. } => (844, "store_regained"),
+            Self::NodeStarted { .. } => (851, "node_started"),
+            Self::StopRequested { .. } => (852, "stop_requested"),
+            Self::NodeStopped { .. } => (853, "node_stopped"),
+            Self::SettingsRead { .. } => (854, "settings_read"),
+            Self::SettingsRejected { .. } => (855, "settings_rejected"),
+        }
+    }
+
+    /// How much it matters.
+    #[must_use]
+    pub const fn weight(&self) -> Weight {
+        match self {
+            Self::RequestEnded {
+                end,
+                took_ms,
+                target_ms,
+                ..
+            } => end.weight_of_request(*took_ms > *target_ms),
+            Self::AttemptReturned { end, .. } | Self::AttemptExecuted { end, .. } => end.weight(),
+            Self::RepeatWithheld { .. } => Weight::Ordinary,
+            _ => Weight::Telling,
+        }
+    }
+
+    /// After a question for a slot that was refused for lack of one, the end told instead.
+    #[must_use]
+    pub const fn refused_finish(&self) -> Option<u64> {
+        match self {
+            Self::AttemptReturned {
+                end: LoggedEnd::Refused(RefusalReason::QueueFull),
+                finish_ms,
+                ..
+            } => Some(*finish_ms),
+            _ => None,
+        }
+    }
+
+    /// The request that it is about.
+    #[must_use]
+    pub fn request(&self) -> Option<&str> {
+        match self {
+            Self::RequestEnded { request, .. }
+            | Self::AttemptReturned { request, .. }
+            | Self::AttemptExecuted { request, .. }
+            | Self::UpstreamCrashed { request, .. }
+            | Self::RepeatWithheld { request, .. } => Some(request),
+            _ => None,
+        }
+    }
+}
+
+impl LoggedEnd {
+    /// How much the end tells. A refusal for lack of slots is how nodes look for a free one: nothing
+    /// failed yet.
+    #[must_use]
+    pub const fn weight(&self) -> Weight {
+        match self {
+            Self::Answered(status) if *status < 500 => Weight::Ordinary,
+            Self::Refused(RefusalReason::QueueFull) | Self::Abandoned => Weight::Ordinary,
+            _ => Weight::Telling,
+        }
+    }
+
+    /// The same for the end of a whole request: a refusal ends it unserved, whatever the reason.
+    #[must_use]
+    pub const fn weight_of_request(&self, late: bool) -> Weight {
+        match self {
+            Self::Answered(status) if *status < 500 && late => Weight::Late,
+            Self::Answered(status) if *status < 500 => Weight::Ordinary,
+            Self::ClientLeft | Self::NoRoute => Weight::Ordinary,
+            _ => Weight::Telling,
+        }
+    }
+}
--- a/tests/integration/proxy_events.rs
+++ b/tests/integration/proxy_events.rs
@@ -1,7 +1,7 @@
 //! The catalogue of a node's numbered lines is held to the code.
 
 const PAGE: &str = include_str!("../../docs/EVENTS.md");
-const SOURCE: &str = include_str!("../../src/proxy/events.rs");
+const SOURCE: &str = include_str!("../../src/proxy/events/catalogue.rs");
 
 /// Numbers and names as the source has them: `(801, "request_ended")`.
 fn read_source() -> Vec<(u16, String)> {
