--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -3,6 +3,7 @@
 mod attempt_line;
 mod dispatch;
 mod pace;
+mod questions;
 mod slots;
 
 use crate::{
@@ -25,7 +26,7 @@
 use dispatch::dispatch;
 use http::Response;
 use pace::refresh_pace;
-pub use pace::{ask_instance, confirm_instance, has_ended};
+pub use questions::{ask_instance, confirm_instance, has_ended};
 use slots::{HeldSlot, wait_for_slot};
 pub use slots::{Slots, limit_for, set_limit};
 use std::{rc::Rc, time::Duration};
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -6,18 +6,15 @@
 use crate::{
     coordination::vm_pace::PaceHistory,
     proxy::{
-        core::{ProxyCore, count},
-        executing::slots::apply,
+        core::ProxyCore,
+        executing::{
+            questions::{Line, find_health_uri, send_question},
+            slots::apply,
+        },
     },
-    state::{
-        ablation::Mechanism, moment::Moment, names::ServiceName, placement_view::NodeRecord,
-        rate_limit::RateLimit,
-    },
-    transport::outgoing::{SendError, SendRules},
+    state::{ablation::Mechanism, moment::Moment, rate_limit::RateLimit},
 };
-use bytes::Bytes;
-use http::{HeaderMap, Request, Response, Uri, response::Parts};
-use http_body_util::Full;
+use http::HeaderMap;
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -30,12 +27,6 @@
 const FRESH: Duration = Duration::from_millis(25);
 /// Pause between questions while requests wait for the VM to recover.
 const WATCH_PAUSE: Duration = Duration::from_millis(40);
-/// Longest time for an answer. An upstream that takes longer is taken to work at its last pace.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
-/// Longest time that a connection for questions may have been idle.
-const IDLE_LIMIT: Duration = Duration::from_secs(2);
-/// Largest answer, in bytes.
-const BODY_LIMIT: usize = 64 * 1024;
 /// Seconds of the allowed rate that may be asked at once.
 const BURST: f64 = 1.0;
 
@@ -76,7 +67,8 @@
         self.budget.set(limit);
     }
 
-    fn take_question(&self, now: Moment) -> bool {
+    /// Takes one question out of what operators let measuring cost; false if it is spent.
+    pub fn take_question(&self, now: Moment) -> bool {
         let mut budget = self.budget.get();
         let granted = budget.take(now);
         self.budget.set(budget);
@@ -153,49 +145,6 @@
     let _ = done.recv_async().await;
 }
 
-/// Whether the upstream says that it is the run of that record, and takes work.
-pub async fn confirm_instance(core: &Rc<ProxyCore>, record: &NodeRecord) -> bool {
-    let Some(uri) = find_health_uri(core, &record.service) else {
-        return false;
-    };
-    let Ok(answer) = send_question(core, uri, Line::Kept).await else {
-        return false;
-    };
-    let same = read_instance(core, &answer).is_some_and(|told| told == record.run.instance);
-    same && answer.status().is_success()
-}
-
-/// The identity that the upstream tells when it is asked; none if it does not answer.
-pub async fn ask_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
-    let uri = find_health_uri(core, service)?;
-    let answer = send_question(core, uri, Line::Kept).await.ok()?;
-    read_instance(core, &answer).map(str::to_owned)
-}
-
-/// Whether a run of the upstream has ended: connections are refused, or end without an answer where something else takes them,
-/// or another run answers. One that does not answer in time is there, and busy.
-pub async fn has_ended(core: &Rc<ProxyCore>, service: &ServiceName, instance: &str) -> bool {
-    let upstream = core.settings.upstream;
-    let Some(uri) = find_health_uri(core, service) else {
-        return core.outgoing.is_refused(upstream, ANSWER_TIMEOUT).await;
-    };
-    match send_question(core, uri, Line::New).await {
-        Ok(answer) => read_instance(core, &answer).is_some_and(|told| told != instance),
-        Err(QuestionError::Failed(error)) => error != SendError::BadAnswer,
-        Err(QuestionError::OutOfTime) => false,
-        Err(QuestionError::OutOfBudget) => core.outgoing.is_refused(upstream, ANSWER_TIMEOUT).await,
-    }
-}
-
-fn read_instance<'a>(core: &ProxyCore, answer: &'a Response<Bytes>) -> Option<&'a str> {
-    let told = answer.headers().get(&core.settings.headers.instance)?;
-    told.to_str().ok()
-}
-
-fn find_health_uri(core: &ProxyCore, service: &ServiceName) -> Option<Uri> {
-    core.routes()?.health_path(service)?.parse().ok()
-}
-
 async fn ask(core: &Rc<ProxyCore>) {
     let service = core.own.borrow().serving().map(|run| run.service.clone());
     let Some(uri) = service.and_then(|service| find_health_uri(core, &service)) else {
@@ -207,54 +156,3 @@
         Err(_) => core.slots.pace.told_at.set(Some(core.timers.now())),
     }
 }
-
-/// The connection on which a question is asked.
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum Line {
-    /// One that is kept, if there is one.
-    Kept,
-    /// A new one: kept ones end with the run that took them.
-    New,
-}
-
-/// Why a question has no answer.
-enum QuestionError {
-    /// It is not asked: too many were.
-    OutOfBudget,
-    /// No answer came in time.
-    OutOfTime,
-    /// It could not be asked, or the connection ended.
-    Failed(SendError),
-}
-
-async fn send_question(
-    core: &Rc<ProxyCore>,
-    uri: Uri,
-    line: Line,
-) -> Result<Response<Bytes>, QuestionError> {
-    if !core.slots.pace.take_question(core.timers.now()) {
-        return Err(QuestionError::OutOfBudget);
-    }
-    count(&core.counters.probes);
-    let mut request = Request::new(Full::default());
-    *request.uri_mut() = uri;
-    let rules = SendRules {
-        fresh: line == Line::New,
-        // Beyond the whole time, so that a connection which was not opened was refused.
-        connect_timeout: ANSWER_TIMEOUT * 2,
-        idle_limit: IDLE_LIMIT,
-        body_limit: BODY_LIMIT,
-        patience: None,
-    };
-    let timeout = core.timers.after(ANSWER_TIMEOUT);
-    let names = &core.settings.headers;
-    // A late answer to a request would bear its id.
-    let is_answer = |parts: &Parts| !parts.headers.contains_key(&names.request_id);
-    let upstream = core.settings.upstream;
-    tokio::select! {
-        sent = core.outgoing.send(upstream, request, rules, is_answer) => {
-            sent.map_err(QuestionError::Failed)
-        }
-        _ = timeout.recv_async() => Err(QuestionError::OutOfTime),
-    }
-}
