--- a/src/commands/explain.rs
+++ b/src/commands/explain.rs
@@ -1,10 +1,7 @@
 //! `camphorturn explain`: what became of one request and why, from the lines of all nodes.
 
 use crate::{
-    commands::{
-        log_source::SourceArguments,
-        timeline::{page::write_page, write_missing},
-    },
+    commands::{log_source::SourceArguments, timeline::page::write_page},
     log_reading::{
         order::{TimedLine, order_lines},
         request_story::{RequestStory, StoryStep, tell_request},
@@ -51,14 +48,9 @@
         access: arguments.access.clone(),
         files: arguments.files.clone(),
     };
-    let collected = match source.collect() {
-        Ok(collected) => collected,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::BadInput);
-        }
+    let Some(collected) = source.collect_or_tell()? else {
+        return Ok(ExitCode::BadInput);
     };
-    write_missing(&collected)?;
     let story = tell_request(&collected.read.runs, &arguments.request);
     if let Some(path) = &arguments.html {
         write_story_page(path, &collected.read.runs, &arguments.request)?;
--- a/src/commands/log_source.rs
+++ b/src/commands/log_source.rs
@@ -11,8 +11,8 @@
 use serde::Serialize;
 use std::{
     collections::HashMap,
-    fs, io,
-    io::Read,
+    fs,
+    io::{self, Read, Write},
     net::SocketAddr,
     path::{Path, PathBuf},
 };
@@ -85,6 +85,23 @@
         !self.access.nodes.is_empty()
     }
 
+    /// Reads all lines there are, and tells the user what could not be read; none if nothing could.
+    ///
+    /// # Errors
+    /// If that can't be written.
+    pub fn collect_or_tell(&self) -> io::Result<Option<CollectedLines>> {
+        match self.collect() {
+            Ok(collected) => {
+                collected.tell_missing()?;
+                Ok(Some(collected))
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                Ok(None)
+            }
+        }
+    }
+
     /// Reads all lines there are.
     ///
     /// # Errors
@@ -113,6 +130,26 @@
 }
 
 impl CollectedLines {
+    /// Says what is missing, apart from the lines, so that programs can read these.
+    ///
+    /// # Errors
+    /// If standard error can't be written to.
+    pub fn tell_missing(&self) -> io::Result<()> {
+        let mut err = io::stderr().lock();
+        for node in &self.unreached {
+            writeln!(err, "not reached: {node}")?;
+        }
+        if self.dropped > 0 {
+            let dropped = self.dropped;
+            writeln!(err, "nodes no longer hold {dropped} older lines")?;
+        }
+        if self.read.other_lines > 0 {
+            let other = self.read.other_lines;
+            writeln!(err, "passed over {other} lines that no node numbered")?;
+        }
+        Ok(())
+    }
+
     fn read_all(&mut self, sources: &[SourceLines<'_>]) {
         let lines = sources.iter().flat_map(|source| &source.lines);
         self.read = split_runs(lines.copied());
--- a/src/commands/logs.rs
+++ b/src/commands/logs.rs
@@ -1,10 +1,7 @@
 //! `camphorturn logs`: what the lines of a whole run say.
 
 use crate::{
-    commands::{
-        log_source::{SourceArguments, source_arguments},
-        timeline::write_missing,
-    },
+    commands::log_source::{SourceArguments, source_arguments},
     log_reading::{order::order_lines, summary::summarize_lines},
     options::exit_code::ExitCode,
 };
@@ -26,14 +23,9 @@
 /// # Errors
 /// If `out` can't be written to.
 pub fn run_logs(arguments: &LogsArguments, out: &mut dyn Write) -> io::Result<ExitCode> {
-    let collected = match arguments.source.collect() {
-        Ok(collected) => collected,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::BadInput);
-        }
+    let Some(collected) = arguments.source.collect_or_tell()? else {
+        return Ok(ExitCode::BadInput);
     };
-    write_missing(&collected)?;
     let runs = &collected.read.runs;
     let summary = summarize_lines(runs, &order_lines(runs));
     if arguments.json {
--- a/src/commands/misses.rs
+++ b/src/commands/misses.rs
@@ -6,7 +6,6 @@
     commands::{
         log_source::{CollectedLines, PassedLine, SourceArguments, source_arguments},
         misses::text::write_report,
-        timeline::write_missing,
     },
     log_reading::misses::{MissReport, breakdown::Sampling, report_misses},
     options::{exit_code::ExitCode, proxy_settings::LineRules},
@@ -72,14 +71,9 @@
 /// # Errors
 /// If `out` can't be written to.
 pub fn run_misses(arguments: &MissesArguments, out: &mut dyn Write) -> io::Result<ExitCode> {
-    let collected = match arguments.source.collect() {
-        Ok(collected) => collected,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::BadInput);
-        }
+    let Some(collected) = arguments.source.collect_or_tell()? else {
+        return Ok(ExitCode::BadInput);
     };
-    write_missing(&collected)?;
     write_passed(&collected.passed_over)?;
     let sampling = read_sampling(arguments.one_in);
     let report = report_misses(&collected.read.runs, arguments.window, sampling);
--- a/src/commands/timeline.rs
+++ b/src/commands/timeline.rs
@@ -61,14 +61,9 @@
     if arguments.follow {
         return follow(arguments, timers, out);
     }
-    let collected = match arguments.source.collect() {
-        Ok(collected) => collected,
-        Err(error) => {
-            eprintln!("{error}");
-            return Ok(ExitCode::BadInput);
-        }
+    let Some(collected) = arguments.source.collect_or_tell()? else {
+        return Ok(ExitCode::BadInput);
     };
-    write_missing(&collected)?;
     show(arguments, &collected, out)?;
     Ok(judge(&collected))
 }
@@ -88,7 +83,7 @@
     };
     for _ in timers.every(FOLLOW_PERIOD) {
         let collected = nodes.collect();
-        write_missing(&collected)?;
+        collected.tell_missing()?;
         show(arguments, &collected, out)?;
     }
     Ok(ExitCode::Success)
@@ -135,26 +130,6 @@
     out.flush()
 }
 
-/// Says what is missing, apart from the lines, so that programs can read these.
-///
-/// # Errors
-/// If standard error can't be written to.
-pub fn write_missing(collected: &CollectedLines) -> io::Result<()> {
-    let mut err = io::stderr().lock();
-    for node in &collected.unreached {
-        writeln!(err, "not reached: {node}")?;
-    }
-    if collected.dropped > 0 {
-        let dropped = collected.dropped;
-        writeln!(err, "nodes no longer hold {dropped} older lines")?;
-    }
-    if collected.read.other_lines > 0 {
-        let other = collected.read.other_lines;
-        writeln!(err, "passed over {other} lines that no node numbered")?;
-    }
-    Ok(())
-}
-
 fn write_page_file(
     path: &Path,
     lines: &[TimedLine],
