--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -2,19 +2,21 @@
 //! answers that are late, doubled, cut or lost.
 
 mod answer;
+mod listening;
 
 use crate::http::{PlainRequest, build_answer, read_request, write_all};
 use answer::Answer;
+use listening::{accept, listen, reserve_port};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
-    future::{pending, poll_fn},
+    future::pending,
     io,
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     rc::Rc,
     sync::{Arc, Mutex, PoisonError},
-    task::{Context, Poll, Waker},
+    task::Waker,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
@@ -119,10 +121,6 @@
     }
 }
 
-/// Pause after a connection that could not be taken.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
-/// Connections that wait to be taken.
-const BACKLOG: u32 = 1_024;
 /// Slots unless told otherwise.
 const SLOTS: u16 = 6;
 
@@ -331,73 +329,6 @@
     })
 }
 
-impl State {
-    fn crash(&self) {
-        self.crashed.set(true);
-        self.listener.take();
-        self.crashes.notify_waiters();
-    }
-
-    fn restart(&self, stream: &TcpStream) {
-        self.crash();
-        let instance = format!("{}+", self.instance.borrow());
-        *self.instance.borrow_mut() = instance;
-        self.be_born();
-        self.crashed.set(false);
-        let listener = stream.local_addr().and_then(listen);
-        *self.listener.borrow_mut() = Some(listener.expect("the port is reserved"));
-        if let Some(waker) = self.acceptor.take() {
-            waker.wake();
-        }
-    }
-
-    /// Runs under one identity are told apart by their start alone, so two of them never share a millisecond.
-    fn be_born(&self) {
-        let born = &self.born;
-        born.set(read_clock().max(born.get() + 1));
-    }
-
-    fn poll_accept(&self, cx: &mut Context<'_>) -> Poll<io::Result<(TcpStream, SocketAddr)>> {
-        // A listener that goes while it is waited for wakes nobody.
-        *self.acceptor.borrow_mut() = Some(cx.waker().clone());
-        match &*self.listener.borrow() {
-            Some(listener) => listener.poll_accept(cx),
-            None => Poll::Pending,
-        }
-    }
-
-    fn is_crashed_by(&self, target: &str) -> bool {
-        let mut prefixes = self.settings.crash_prefixes.iter();
-        prefixes.any(|prefix| target.starts_with(prefix))
-    }
-}
-
-/// A socket on a port of its own. It takes no connections, and lets a listening one use the port as well.
-fn reserve_port() -> io::Result<TcpSocket> {
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
-    // NB: only after it is bound. With it the system may choose a port that another upstream shares.
-    socket.set_reuseport(true)?;
-    Ok(socket)
-}
-
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseport(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
-async fn accept(state: Rc<State>) {
-    loop {
-        match poll_fn(|cx| state.poll_accept(cx)).await {
-            Ok((stream, _)) => drop(spawn_local(serve_until_crash(stream, Rc::clone(&state)))),
-            // Files run out for a moment. A listener that ended would leave its port to some other program.
-            Err(_) => sleep(ACCEPT_PAUSE).await,
-        }
-    }
-}
-
 async fn serve_until_crash(stream: TcpStream, state: Rc<State>) {
     // A connection that was taken just before a crash hears nothing of it.
     if state.crashed.get() {
