--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -13,6 +13,7 @@
         state_messages::{send_state, spread},
     },
     state::{
+        ablation::Mechanism,
         crash_suspects::CRASHES_TO_QUARANTINE,
         names::ServiceName,
         quarantine::{QUARANTINE, QuarantineSource},
@@ -80,7 +81,7 @@
         digest,
         answered_before,
     });
-    if answered_before {
+    if answered_before || Mechanism::Quarantine.is_off() {
         return;
     }
     tell_keepers(core, digest, CrashFinding::Crashed { digest, run });
--- a/src/state/ablation.rs
+++ b/src/state/ablation.rs
@@ -35,6 +35,8 @@
     SlotLimit,
     /// Two nodes of a zone read the store for the others.
     Readers,
+    /// A request that crashes upstreams is kept from all of them.
+    Quarantine,
 }
 
 impl Mechanism {
@@ -56,6 +58,7 @@
             Self::ToldRefusals => "told_refusals",
             Self::SlotLimit => "slot_limit",
             Self::Readers => "readers",
+            Self::Quarantine => "quarantine",
         }
     }
 
