A node that starts tells nobody of quarantines that it reads

A start of all would have had each node tell its zone what all of it reads. Cause: what a reader of the store tells its zone, for whoever was cut off, was told by each node at its first read as well. Now only what comes after the first read is told. Ruled out by the order of the test: what a node that runs already tells. Besides, the way a question is asked is named after its connection. Before: one message to each node of the zone from each node that starts; after: none.

--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -1,7 +1,7 @@
 //! Finds out which requests crash the upstreams that run them, and keeps these from all upstreams.
 //!
-//! The node beside an upstream sees it crash and tells the keepers of each request that was cut. Keepers count the crashes; the one
-//! that finds a request guilty tells all nodes and writes that to the store, for nodes that start later.
+//! The node beside an upstream sees it crash and tells the keepers of each request that was cut. Keepers count the crashes; one
+//! that has counted enough tells all nodes and writes that to the store, for nodes that start later.
 
 use crate::{
     coordination::crash_keepers::{KEEPERS, order_keepers},
@@ -121,12 +121,14 @@
     }
 }
 
-/// Takes in what the store holds of a request in quarantine.
-pub fn take_stored_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest, is_kept: bool) {
-    if is_kept && put_in_quarantine(core, digest, QuarantineSource::Told) {
-        // Whoever was cut off when it was found out hears of it from the readers of its zone.
-        tell(core, &core.list_zone(), CrashFinding::Quarantined(digest));
-    }
+/// Takes in that the store holds a request in quarantine; true if that is news.
+pub fn take_stored_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest) -> bool {
+    put_in_quarantine(core, digest, QuarantineSource::Told)
+}
+
+/// Tells the zone of a request in quarantine, for whoever was cut off when it was found out.
+pub fn tell_zone_of_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest) {
+    tell(core, &core.list_zone(), CrashFinding::Quarantined(digest));
 }
 
 fn put_in_quarantine(
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -8,7 +8,7 @@
     proxy::{
         core::ProxyCore,
         executing::{
-            questions::{Line, find_health_uri, send_question},
+            questions::{AskedOn, find_health_uri, send_question},
             slots::apply,
         },
     },
@@ -150,7 +150,7 @@
     let Some(uri) = service.and_then(|service| find_health_uri(core, &service)) else {
         return;
     };
-    match send_question(core, uri, Line::Kept).await {
+    match send_question(core, uri, AskedOn::KeptConnection).await {
         Ok(answer) => note_load(core, answer.headers()),
         // Asked again after the usual pause, not by every request that comes meanwhile.
         Err(_) => core.slots.pace.told_at.set(Some(core.timers.now())),
--- a/src/proxy/executing/questions.rs
+++ b/src/proxy/executing/questions.rs
@@ -22,7 +22,7 @@
     let Some(uri) = find_health_uri(core, &record.service) else {
         return false;
     };
-    let Ok(answer) = send_question(core, uri, Line::Kept).await else {
+    let Ok(answer) = send_question(core, uri, AskedOn::KeptConnection).await else {
         return false;
     };
     let same = read_instance(core, &answer).is_some_and(|told| told == record.run.instance);
@@ -32,7 +32,9 @@
 /// The identity that the upstream tells when it is asked; none if it does not answer.
 pub async fn ask_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
     let uri = find_health_uri(core, service)?;
-    let answer = send_question(core, uri, Line::Kept).await.ok()?;
+    let answer = send_question(core, uri, AskedOn::KeptConnection)
+        .await
+        .ok()?;
     read_instance(core, &answer).map(str::to_owned)
 }
 
@@ -43,7 +45,7 @@
     let Some(uri) = find_health_uri(core, service) else {
         return core.outgoing.is_refused(upstream, ANSWER_TIMEOUT).await;
     };
-    match send_question(core, uri, Line::New).await {
+    match send_question(core, uri, AskedOn::NewConnection).await {
         Ok(answer) => read_instance(core, &answer).is_some_and(|told| told != instance),
         Err(QuestionError::Failed(error)) => error != SendError::BadAnswer,
         Err(QuestionError::OutOfTime) => false,
@@ -63,11 +65,11 @@
 
 /// The connection on which a question is asked.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub enum Line {
+pub enum AskedOn {
     /// One that is kept, if there is one.
-    Kept,
+    KeptConnection,
     /// A new one: kept ones end with the run that took them.
-    New,
+    NewConnection,
 }
 
 /// Why a question has no answer.
@@ -84,7 +86,7 @@
 pub async fn send_question(
     core: &Rc<ProxyCore>,
     uri: Uri,
-    line: Line,
+    on: AskedOn,
 ) -> Result<Response<Bytes>, QuestionError> {
     if !core.slots.pace.take_question(core.timers.now()) {
         return Err(QuestionError::OutOfBudget);
@@ -93,7 +95,7 @@
     let mut request = Request::new(Full::default());
     *request.uri_mut() = uri;
     let rules = SendRules {
-        fresh: line == Line::New,
+        fresh: on == AskedOn::NewConnection,
         // Beyond the whole time, so that a connection which was not opened was refused.
         connect_timeout: ANSWER_TIMEOUT * 2,
         idle_limit: IDLE_LIMIT,
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -17,7 +17,7 @@
     proxy::{
         announcing::{RecordOrder, describe_own, take_stored},
         core::ProxyCore,
-        crashes::take_stored_quarantine,
+        crashes::{take_stored_quarantine, tell_zone_of_quarantine},
         directory::StateSource,
         events::ProxyEvent,
         retiring::retire_gone_nodes,
@@ -25,7 +25,10 @@
         store_calls::{CallReason, StoreCall},
         table_offering::keep_zone_current,
     },
-    state::placement_view::{NodeRecord, StoredRecord},
+    state::{
+        placement_view::{NodeRecord, StoredRecord},
+        request_digest::RequestDigest,
+    },
 };
 use flume::Sender;
 use rand::RngExt;
@@ -215,7 +218,7 @@
         let mut own = None;
         for record in &records.records {
             if let Some(digest) = find_quarantined(&record.key) {
-                take_stored_quarantine(core, digest, record.value.is_some());
+                self.take_quarantine(digest, record, whole);
                 continue;
             }
             let Some(value) = &record.value else {
@@ -256,6 +259,14 @@
         }
     }
 
+    /// At a start all nodes read the same, so only what comes later is told to the zone.
+    fn take_quarantine(&self, digest: RequestDigest, record: &KeyedRecord, whole: bool) {
+        let news = record.value.is_some() && take_stored_quarantine(&self.core, digest);
+        if news && !whole {
+            tell_zone_of_quarantine(&self.core, digest);
+        }
+    }
+
     /// Tells of a record of another writer.
     fn tell_rejected(&self, record: &KeyedRecord, error: &serde_json::Error) {
         let mut rejected = self.rejected.borrow_mut();
