--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -212,3 +212,26 @@
     assert_eq!(story.end, "refused: repeats spent");
     assert_cause(&story, "budget of repeats");
 }
+
+#[test]
+fn explain_quarantined_request() {
+    let refused = "{\"refused\":\"quarantined\"}";
+    let end = ended(refused, 0, ",\"asked\":0");
+    let story = tell(&[line("n1", (2_010, 1_010), 3, 801, &end)]);
+    assert_eq!(story.end, "refused: quarantined");
+    assert_cause(&story, "have crashed, so it is kept from all of them");
+}
+
+#[test]
+fn explain_upstream_that_crashed() {
+    let crashed = "{\"unknown\":\"upstream_crashed\"}";
+    let attempt = returned(crashed, 90, "");
+    let end = ended(crashed, 95, ",\"asked\":1");
+    let [attempt, end] = entry_lines(2_100, &attempt, &end);
+    let at_n2 = executing_line(2_099, &executed(crashed, 89, ""));
+    let story = tell(&[attempt, end, at_n2]);
+    assert_cause(
+        &story,
+        "The upstream beside n2 ended while it ran it (run i7)",
+    );
+}
