--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -10,6 +10,7 @@
 pub mod retiring;
 pub mod slot_queue;
 pub mod slot_search;
+pub mod slow_start;
 pub mod spreading;
 pub mod store_reading;
 pub mod table_sources;
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -1,7 +1,9 @@
 //! One node with its upstream, on a thread of its own.
 
 use crate::{
-    coordination::{own_upstream::Announcement, repeat_budget::RepeatRules},
+    coordination::{
+        own_upstream::Announcement, repeat_budget::RepeatRules, slow_start::SlowStartRules,
+    },
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
     options::proxy_settings::{HeaderNames, LineRules, NodeBounds, ProxySettings},
     proxy::{
@@ -51,6 +53,7 @@
     load: "x-load",
     signature: "x-upstream-signature",
     not_executed: "x-not-executed",
+    warmup_left: "x-warmup-ms",
 };
 
 /// A running node with its upstream. Dropping it ends both at once.
@@ -294,6 +297,7 @@
             repeats: REPEATS,
             probes_per_second: PROBES_PER_SECOND,
             grace: GRACE,
+            slow_start: SlowStartRules::default(),
         },
         lines: LineRules {
             one_in: 1,
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -1,7 +1,7 @@
 //! What a node is told at its start.
 
 use crate::{
-    coordination::repeat_budget::RepeatRules,
+    coordination::{repeat_budget::RepeatRules, slow_start::SlowStartRules},
     state::names::{AvailabilityZoneName, NodeName, ServiceName},
 };
 use http::HeaderName;
@@ -31,6 +31,8 @@
     pub not_executed: HeaderName,
     /// Load of an upstream: running, waiting, slots, slowdown in percent.
     pub load: HeaderName,
+    /// On answers to health questions: how much longer the upstream is cold, in milliseconds.
+    pub warmup_left: HeaderName,
 }
 
 impl HeaderNames {
@@ -46,6 +48,7 @@
             caller_service: HeaderName::from_static("x-caller-service"),
             not_executed: HeaderName::from_static("x-not-executed"),
             load: HeaderName::from_static("x-load"),
+            warmup_left: HeaderName::from_static("x-warmup-ms"),
         }
     }
 }
@@ -78,6 +81,8 @@
     pub probes_per_second: f64,
     /// Time from the order to stop until the process is killed.
     pub grace: Duration,
+    /// Bounds on what a cold upstream gets.
+    pub slow_start: SlowStartRules,
 }
 
 /// Settings of one node.
--- a/src/proxy/executing/questions.rs
+++ b/src/proxy/executing/questions.rs
@@ -60,7 +60,8 @@
 
 /// Where to ask an upstream of a service; none if no configuration tells.
 pub fn find_health_uri(core: &ProxyCore, service: &ServiceName) -> Option<Uri> {
-    core.routes()?.health_path(service)?.parse().ok()
+    let routes = core.routes()?;
+    routes.find_service(service)?.health_path.parse().ok()
 }
 
 /// The connection on which a question is asked.
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -71,6 +71,9 @@
     pub name: ServiceName,
     /// Path on which its upstreams answer whether they are well, and with what load.
     pub health_path: ArcStr,
+    /// Requests a minute that a cold upstream tolerates; none if it takes as many as a warm one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_per_minute: Option<u32>,
 }
 
 /// Bounds on what clients send and how long they take.
@@ -128,12 +131,11 @@
         &self.table
     }
 
-    /// Path on which the upstreams of a service answer with their load.
+    /// What operators tell of a service.
     #[must_use]
-    pub fn health_path(&self, service: &ServiceName) -> Option<&ArcStr> {
-        let services = self.table.services.iter();
-        let mut found = services.filter(|facts| facts.name == *service);
-        found.next().map(|facts| &facts.health_path)
+    pub fn find_service(&self, service: &ServiceName) -> Option<&ServiceFacts> {
+        let mut services = self.table.services.iter();
+        services.find(|facts| facts.name == *service)
     }
 
     /// The route with the longest prefix of `path` among those of `host`. A port is ignored.
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -111,6 +111,11 @@
         append(&self.state, topic, key, Bytes::copy_from_slice(value));
     }
 
+    /// Drops a key, as the operator does.
+    pub fn drop_key(&self, topic: &str, key: &str) {
+        self.put_bytes(topic, key, &[]);
+    }
+
     /// Deletes the records that were appended so far; the newest of each key stays.
     pub fn forget_history(&self) {
         let topics = self.state.topics.borrow();
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -41,6 +41,8 @@
     pub signature: &'static str,
     /// Stands on an answer to a request that was not run.
     pub not_executed: &'static str,
+    /// How much longer the upstream is cold, in milliseconds.
+    pub warmup_left: &'static str,
 }
 
 impl UpstreamNames {
@@ -52,6 +54,7 @@
         load: "camphorturn-server-load",
         signature: "camphorturn-server-signature",
         not_executed: "camphorturn-not-executed",
+        warmup_left: "camphorturn-warmup-ms",
     };
 }
 
@@ -162,6 +165,7 @@
     crashed: Cell<bool>,
     crashes: Notify,
     slowdown: Cell<u16>,
+    warmup_left: Cell<Duration>,
     acts: RefCell<VecDeque<UpstreamAct>>,
     arrivals: RefCell<Vec<PlainRequest>>,
     health_questions: Cell<u32>,
@@ -205,6 +209,7 @@
             crashed: Cell::default(),
             crashes: Notify::new(),
             slowdown: Cell::new(100),
+            warmup_left: Cell::default(),
             acts: RefCell::default(),
             arrivals: RefCell::default(),
             health_questions: Cell::default(),
@@ -285,6 +290,11 @@
         self.state.slowdown.set(percent);
     }
 
+    /// How much longer it is cold; told until told otherwise, not acted.
+    pub fn set_warmup_left(&self, left: Duration) {
+        self.state.warmup_left.set(left);
+    }
+
     /// Whether health questions are answered with 503 from now on.
     pub fn set_leaving(&self, leaving: bool) {
         self.state.leaving.set(leaving);
@@ -359,9 +369,11 @@
     let load = load(state);
     let instance = state.instance.borrow().clone();
     let names = state.settings.names;
+    let warmup_left = state.warmup_left.get().as_millis().to_string();
     let headers = [
         (names.instance, instance.as_str()),
         (names.load, load.as_str()),
+        (names.warmup_left, warmup_left.as_str()),
     ];
     let answer = build_answer(status, &headers, b"");
     write_all(stream, &answer).await.is_ok()
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -1,7 +1,7 @@
 //! The operators' page of metrics has one row for every metric that a node serves.
 
 use camphorturn::{
-    coordination::repeat_budget::RepeatRules,
+    coordination::{repeat_budget::RepeatRules, slow_start::SlowStartRules},
     options::proxy_settings::{HeaderNames, LineRules, NodeBounds, ProxySettings},
     proxy::{core::ProxyCore, metrics::render_metrics},
     state::class_counts::ClassCounts,
@@ -31,6 +31,7 @@
             },
             probes_per_second: 60.0,
             grace: Duration::from_secs(6),
+            slow_start: SlowStartRules::default(),
         },
         lines: LineRules { one_in: 1, kept: 0 },
         operators: None,
