--- a/tests/integration/options.rs
+++ b/tests/integration/options.rs
@@ -149,7 +149,9 @@
     );
     let service = "frontdesk-canary".into();
     assert_eq!(
-        index.health_path(&service).map(ArcStr::as_str),
+        index
+            .find_service(&service)
+            .map(|facts| facts.health_path.as_str()),
         Some("/health")
     );
 }
