An evacuated zone gets no requests

Cause: of the operator's topic only the configuration's key was read.

Change: a typed fact with its position in the topic (state/evacuations.rs), of which the later one holds as a whole, so that neither an old record nor a node that was away brings one back. It comes by the store's long reads, goes on along the tree of the zone and round its ring, and with each fetched table; a read skips what others told only if the evacuations before it are known too. The node beside the upstream refuses (the only way to it), what waits there is refused at once and runs elsewhere, and entry nodes leave the zone out.

All zones evacuated: none is served.

--- a/src/coordination/offer_rounds.rs
+++ b/src/coordination/offer_rounds.rs
@@ -1,4 +1,5 @@
-//! To which nodes of its zone a node offers the version in force beside what passes along the tree.
+//! To which nodes of its zone a node offers the version in force beside what passes along the tree. A version is that of the
+//! routing table, or the position of the last change of an evacuation.
 //!
 //! A reader offers a new version along a tree, whatever way it came. Such an offer may not arrive: the head of a part is lost after
 //! it took the offer, a node can't be reached for a moment or is not known yet. Such a node would answer by the older
@@ -37,17 +38,17 @@
 
 /// The nodes that were offered the version in force.
 #[derive(Debug, Default)]
-pub struct OfferRounds {
-    version: ConfigurationVersion,
+pub struct OfferRounds<V = ConfigurationVersion> {
+    version: V,
     told: BTreeSet<SocketAddr>,
     tried: BTreeMap<SocketAddr, Tried>,
 }
 
-impl OfferRounds {
+impl<V: Copy + Default + PartialEq> OfferRounds<V> {
     /// The nodes that a reader offers `version` along the tree: of those that lack it as far as is known, each once.
     pub fn plan_tree(
         &mut self,
-        version: ConfigurationVersion,
+        version: V,
         lacking: impl Iterator<Item = SocketAddr>,
     ) -> Vec<SocketAddr> {
         self.begin(version);
@@ -57,12 +58,7 @@
     }
 
     /// The nodes that are asked directly now, given the others of the zone from the one after this on.
-    pub fn plan_checks(
-        &mut self,
-        version: ConfigurationVersion,
-        ring: &[RingNode],
-        now: Moment,
-    ) -> Vec<SocketAddr> {
+    pub fn plan_checks(&mut self, version: V, ring: &[RingNode], now: Moment) -> Vec<SocketAddr> {
         self.begin(version);
         let mut due = Vec::new();
         for node in ring.iter().take(REACH) {
@@ -82,7 +78,7 @@
         due
     }
 
-    fn begin(&mut self, version: ConfigurationVersion) {
+    fn begin(&mut self, version: V) {
         if self.version != version {
             *self = Self {
                 version,
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -61,7 +61,7 @@
 pub enum SlotAction {
     /// It runs now.
     Start(SlotNumber),
-    /// It can't end before its deadline any more.
+    /// It waits no longer: it can't end before its deadline, or nothing runs here.
     Expire(SlotNumber),
 }
 
@@ -218,6 +218,14 @@
         self.waiting.len() < before
     }
 
+    /// Takes out all requests that wait.
+    pub fn withdraw_all(&mut self) -> Vec<SlotAction> {
+        let waiting = self.waiting.drain(..);
+        waiting
+            .map(|waiting| SlotAction::Expire(waiting.number))
+            .collect()
+    }
+
     /// Looks at the waiting requests again.
     pub fn expire(&mut self, now: Moment) -> Vec<SlotAction> {
         self.fill(now)
--- a/src/local_mesh/store.rs
+++ b/src/local_mesh/store.rs
@@ -6,8 +6,8 @@
         StoreError, StoreTopic, quarantine_key,
     },
     state::{
-        placement_view::NodeRecord, published::PublishedRecord, request_digest::RequestDigest,
-        routing_table::RoutingTable,
+        names::AvailabilityZoneName, placement_view::NodeRecord, published::PublishedRecord,
+        request_digest::RequestDigest, routing_table::RoutingTable,
     },
 };
 use bytes::Bytes;
@@ -20,6 +20,8 @@
 
 /// Key of the configuration's record.
 const CONFIGURATION_KEY: &str = "configuration";
+/// Start of the keys of evacuated zones.
+const EVACUATION_KEY: &str = "evacuation/";
 
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -197,7 +199,15 @@
         answer(condition, end)
     }
 
+    fn find_evacuated(&self, record: &KeyedRecord) -> Option<Result<AvailabilityZoneName, String>> {
+        let zone = record.key.strip_prefix(EVACUATION_KEY)?;
+        Some(Ok(zone.into()))
+    }
+
     fn decode_table(&self, record: &KeyedRecord) -> Option<Result<RoutingTable, String>> {
+        if record.key != CONFIGURATION_KEY {
+            return None;
+        }
         let value = record.value.as_ref()?;
         let published = serde_json::from_slice::<PublishedRecord>(value);
         Some(
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -66,6 +66,10 @@
             end.node
         )],
         "draining" => vec!["The upstreams that were asked were leaving.".to_owned()],
+        "evacuated" => vec![
+            "All upstreams of the service that the node knew were in evacuated availability zones."
+                .to_owned(),
+        ],
         "no_upstream" if end.number("version") == 0 => {
             vec![format!("{} knew no configuration yet.", end.node)]
         }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -7,6 +7,7 @@
     protocol::outcome::{RefusalReason, UnknownCause},
     state::{
         configuration::ConfigurationVersion,
+        evacuations::Evacuations,
         names::{ClassName, ServiceName},
         placement_view::{NodeLoad, StoredRecord},
         request_digest::RequestDigest,
@@ -258,6 +259,12 @@
     /// Whether it does.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub reached: Option<bool>,
+    /// Evacuated availability zones, as the sender knows them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations: Option<Rc<Evacuations>>,
+    /// Position up to which the sender knows of evacuations.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub evacuations_position: Option<u64>,
     /// What the sender has found out about a request at crashes of upstreams.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finding: Option<Rc<CrashFinding>>,
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -16,6 +16,8 @@
     DeadlineTooShort,
     /// The deadline passed while it waited for a slot.
     DeadlinePassed,
+    /// Operators have evacuated the upstream's availability zone, or all zones of the service.
+    Evacuated,
     /// The upstream is leaving, or the node is stopping.
     Draining,
     /// The upstream has not announced itself, or can't be reached.
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -4,7 +4,8 @@
 //! be away, slow, or take an append and lose the answer to it.
 
 use crate::state::{
-    placement_view::NodeRecord, request_digest::RequestDigest, routing_table::RoutingTable,
+    names::AvailabilityZoneName, placement_view::NodeRecord, request_digest::RequestDigest,
+    routing_table::RoutingTable,
 };
 use bytes::Bytes;
 use std::{future::Future, time::Duration};
@@ -118,6 +119,13 @@
     /// # Errors
     /// What is wrong with the record, for the log.
     fn decode_table(&self, record: &KeyedRecord) -> Option<Result<RoutingTable, String>>;
+
+    /// The availability zone whose evacuation a record of the configuration is about: evacuated with a value, taken back without
+    /// one. None if the record is about something else.
+    ///
+    /// # Errors
+    /// What is wrong with the record, for the log.
+    fn find_evacuated(&self, record: &KeyedRecord) -> Option<Result<AvailabilityZoneName, String>>;
 }
 
 /// How a conditional append ended.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -8,6 +8,7 @@
 mod crashes;
 pub mod directory;
 mod entry;
+pub mod evacuating;
 pub mod events;
 mod executing;
 mod following;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -13,6 +13,7 @@
     options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
         directory::{Directory, StateSource},
+        evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
         executing::Slots,
     },
@@ -89,6 +90,8 @@
     pub offer_came: Notify,
     /// Whom of its zone this node has offered the routing table in force.
     pub offer_rounds: RefCell<OfferRounds>,
+    /// Availability zones that get no requests.
+    pub evacuations: EvacuationsInForce,
     /// Wakes whoever waits for a newer routing table.
     pub table_taken: Notify,
     /// Until when this node reads the store in place of one that can't.
@@ -131,6 +134,7 @@
             table_sources: RefCell::default(),
             offer_came: Notify::new(),
             offer_rounds: RefCell::default(),
+            evacuations: EvacuationsInForce::default(),
             table_taken: Notify::new(),
             reads_until: Cell::default(),
             suspects: RefCell::default(),
--- a/src/proxy/core/duties.rs
+++ b/src/proxy/core/duties.rs
@@ -85,9 +85,10 @@
         zone
     }
 
-    /// The other nodes of the zone in the order of a ring, from the one after this on.
+    /// The other nodes of the zone in the order of a ring, from the one after this on; `has_version` tells whether one is known to
+    /// have what is in force here.
     #[must_use]
-    pub fn list_ring(&self) -> Vec<RingNode> {
+    pub fn list_ring(&self, has_version: impl Fn(SocketAddr) -> bool) -> Vec<RingNode> {
         let directory = self.directory.borrow();
         if directory.routes().is_none() {
             return Vec::new();
@@ -98,7 +99,7 @@
         let ring = order_ring(self.settings.peers, zone.map(|view| view.record.address));
         let nodes = ring.into_iter().map(|address| RingNode {
             address,
-            has_version: directory.has_version(address),
+            has_version: has_version(address),
         });
         nodes.collect()
     }
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -213,6 +213,7 @@
         && matches!(
             reason,
             RefusalReason::Draining
+                | RefusalReason::Evacuated
                 | RefusalReason::UpstreamDown
                 | RefusalReason::UnknownClass
                 | RefusalReason::NotSent
--- a/src/proxy/entry/carrier.rs
+++ b/src/proxy/entry/carrier.rs
@@ -198,10 +198,16 @@
         true
     }
 
-    /// Where nobody was asked since all had told of full queues a moment ago, that is why the request is refused.
+    /// Where nobody was asked since all had told of full queues a moment ago, or all are in evacuated zones, that is why the
+    /// request is refused.
     fn note_told_refusal(&mut self) {
-        if self.last_refusal == RefusalReason::NoUpstream && self.search.has_offers() {
+        if self.last_refusal != RefusalReason::NoUpstream {
+            return;
+        }
+        if self.search.has_offers() {
             self.last_refusal = RefusalReason::QueueFull;
+        } else if has_evacuated(&self.core, &self.call.service) {
+            self.last_refusal = RefusalReason::Evacuated;
         }
     }
 
@@ -255,6 +261,15 @@
     }
 }
 
+/// Whether upstreams of a service are in evacuated zones.
+fn has_evacuated(core: &ProxyCore, service: &ServiceName) -> bool {
+    let directory = core.directory.borrow();
+    let mut views = directory.nodes.values();
+    views.any(|view| {
+        view.record.service == *service && core.evacuations.contains(&view.record.availability_zone)
+    })
+}
+
 fn find_candidates(
     core: &ProxyCore,
     service: &ServiceName,
@@ -262,8 +277,9 @@
 ) -> Vec<PlacementCandidate> {
     let directory = core.directory.borrow();
     let chance = || rand::rng().random_range(0.0..1.0);
+    let views = directory.nodes.values();
     order_candidates(
-        directory.nodes.values(),
+        views.filter(|view| !core.evacuations.contains(&view.record.availability_zone)),
         (service, class),
         &core.settings.availability_zone,
         chance,
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -11,7 +11,7 @@
     coordination::publishing::PublicationOutcome,
     protocol::outcome::{RefusalReason, UnknownCause},
     state::{
-        names::{ClassName, NodeName, ServiceName},
+        names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
         request_digest::RequestDigest,
     },
 };
@@ -215,6 +215,24 @@
         /// Target of the call.
         target: String,
     },
+    /// Nothing is sent to the upstreams of an availability zone from now on.
+    ZoneEvacuated {
+        /// The zone.
+        zone: AvailabilityZoneName,
+        /// Position in the store's topic as of which this holds.
+        position: u64,
+        /// Where it came from.
+        source: &'static str,
+    },
+    /// Requests are sent to the upstreams of an evacuated availability zone again.
+    ZoneTakenBack {
+        /// The zone.
+        zone: AvailabilityZoneName,
+        /// Position in the store's topic as of which this holds.
+        position: u64,
+        /// Where it came from.
+        source: &'static str,
+    },
     /// A newer routing table is in force.
     TableInForce {
         /// Its version.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -39,6 +39,8 @@
             Self::NodeRetired { .. } => (833, "node_retired"),
             Self::NodeForgotten { .. } => (834, "node_forgotten"),
             Self::OwnRecordDropped {} => (835, "own_record_dropped"),
+            Self::ZoneEvacuated { .. } => (836, "zone_evacuated"),
+            Self::ZoneTakenBack { .. } => (837, "zone_taken_back"),
             Self::ConfigurationRejected { .. } => (841, "configuration_rejected"),
             Self::RecordRejected { .. } => (842, "record_rejected"),
             Self::PublicationEnded { .. } => (845, "publication_ended"),
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -28,7 +28,7 @@
 use pace::refresh_pace;
 pub use questions::{ask_instance, confirm_instance, has_ended};
 use slots::{HeldSlot, wait_for_slot};
-pub use slots::{Slots, limit_for, set_limit};
+pub use slots::{Slots, limit_for, refuse_waiting, set_limit};
 use std::{rc::Rc, time::Duration};
 
 /// How an attempt at this node's upstream ended.
@@ -71,7 +71,9 @@
         SlotDecision::Refuse { finish } => return refuse(core, RefusalReason::QueueFull, finish),
         SlotDecision::Wait(number) => {
             if !wait_for_slot(core, number).await {
-                return refuse(core, RefusalReason::DeadlineTooShort, hop.time_left);
+                let (reason, finish) = find_refusal(core, hop, digest)
+                    .unwrap_or((RefusalReason::DeadlineTooShort, hop.time_left));
+                return refuse(core, reason, finish);
             }
             number
         }
@@ -135,6 +137,9 @@
     if !takes_work(core, hop.time_left) {
         return Some(RefusalReason::Draining);
     }
+    if core.evacuations.contains(&core.settings.availability_zone) {
+        return Some(RefusalReason::Evacuated);
+    }
     let own = core.own.borrow();
     match own.current() {
         None => Some(RefusalReason::UpstreamDown),
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -125,6 +125,12 @@
     apply(core, actions);
 }
 
+/// Takes all requests that wait out of the queue and refuses them, so that other nodes run them.
+pub fn refuse_waiting(core: &Rc<ProxyCore>) {
+    let actions = core.slots.queue.borrow_mut().withdraw_all();
+    apply(core, actions);
+}
+
 /// A slot, given back when dropped: the future of a request is dropped wherever it stands when its
 /// client goes away.
 pub struct HeldSlot {
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -19,6 +19,7 @@
         core::ProxyCore,
         crashes::{take_stored_quarantine, tell_zone_of_quarantine},
         directory::StateSource,
+        evacuating::take_read_evacuations,
         events::ProxyEvent,
         retiring::retire_gone_nodes,
         state_sharing::{hand_reading_over, share_with_zone},
@@ -26,6 +27,7 @@
         table_offering::keep_zone_current,
     },
     state::{
+        evacuations::EvacuationChange,
         placement_view::{NodeRecord, StoredRecord},
         request_digest::RequestDigest,
     },
@@ -169,10 +171,13 @@
     }
 
     /// Where the store goes on after what other nodes told. A configuration is not read again: it may be a megabyte, which
-    /// takes a link of 10 Mbit/s a second.
+    /// takes a link of 10 Mbit/s a second. Evacuations stand in the same topic: without them nothing is skipped.
     fn skip_known(&self, topic: StoreTopic) -> Option<u64> {
         match topic {
-            StoreTopic::Configuration => self.core.directory.borrow().stored_table_next(),
+            StoreTopic::Configuration => {
+                let next = self.core.directory.borrow().stored_table_next();
+                next.filter(|next| *next <= self.core.evacuations.position())
+            }
             StoreTopic::Nodes => None,
         }
     }
@@ -187,7 +192,7 @@
     /// Takes in records; `whole` if they are all that the topic holds.
     async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
         match topic {
-            StoreTopic::Configuration => self.take_configuration(records),
+            StoreTopic::Configuration => self.take_configuration(records, whole),
             StoreTopic::Nodes => {
                 self.take_nodes(records, whole).await;
                 let pause = self.core.plan_reading(topic).records_pause;
@@ -196,8 +201,11 @@
         }
     }
 
-    fn take_configuration(&self, records: &Records) {
+    fn take_configuration(&self, records: &Records, whole: bool) {
         let core = &self.core;
+        // First, so that no request goes by the new routes to a zone that was evacuated before them.
+        let changes = self.find_evacuations(records);
+        take_read_evacuations(core, &changes, records.next, whole);
         for record in &records.records {
             match self.store.decode_table(record) {
                 Some(Ok(table)) => {
@@ -212,6 +220,22 @@
         }
     }
 
+    fn find_evacuations(&self, records: &Records) -> Vec<EvacuationChange> {
+        let mut changes = Vec::new();
+        for record in &records.records {
+            match self.store.find_evacuated(record) {
+                Some(Ok(zone)) => changes.push(EvacuationChange {
+                    zone,
+                    evacuated: record.value.is_some(),
+                    offset: record.offset,
+                }),
+                Some(Err(error)) => self.tell_rejected(record, error),
+                None => {}
+            }
+        }
+        changes
+    }
+
     async fn take_nodes(&self, records: &Records, whole: bool) {
         let core = &self.core;
         let mut news = Vec::new();
@@ -228,7 +252,7 @@
             let stored = match serde_json::from_slice(value) {
                 Ok(node) => describe_stored(record, node),
                 Err(error) => {
-                    self.tell_rejected(record, &error);
+                    self.tell_rejected(record, error.to_string());
                     continue;
                 }
             };
@@ -268,7 +292,7 @@
     }
 
     /// Tells of a record of another writer.
-    fn tell_rejected(&self, record: &KeyedRecord, error: &serde_json::Error) {
+    fn tell_rejected(&self, record: &KeyedRecord, error: String) {
         let mut rejected = self.rejected.borrow_mut();
         if !rejected.insert(record.offset) {
             return;
@@ -279,7 +303,7 @@
         drop(rejected);
         self.core.log(&ProxyEvent::RecordRejected {
             key: record.key.clone(),
-            error: error.to_string(),
+            error,
         });
     }
 
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -207,6 +207,11 @@
             "Requests that are kept from upstreams since these crash under them",
             quarantined,
         ),
+        figure(
+            "evacuated_zones",
+            "Availability zones whose upstreams get no requests",
+            u64::try_from(core.evacuations.count()).unwrap_or(u64::MAX),
+        ),
         figure("nodes", "Nodes known, this one included", nodes),
         figure(
             "version",
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -7,6 +7,7 @@
         core::ProxyCore,
         crashes::take_finding,
         directory::StateSource,
+        evacuating::take_told_evacuations,
         events::ProxyEvent,
         retiring::is_reached,
         state_messages::{count_bytes, log_malformed, send_state, spread},
@@ -74,14 +75,21 @@
     let (wanted, reaches, from) = (message.wanted, message.reaches, message.from);
     let has_records = message.has_records;
     let is_offer = message.offered.is_some();
+    let tells_evacuations = message.evacuations.is_some();
     take_message(core, message);
     let mut answer = match wanted {
-        Some(version) => core
-            .directory
-            .borrow_mut()
-            .list_newer_than(version, has_records),
+        Some(version) => StateMessage {
+            evacuations: core.evacuations.describe(),
+            ..core
+                .directory
+                .borrow_mut()
+                .list_newer_than(version, has_records)
+        },
         None => StateMessage::default(),
     };
+    if tells_evacuations {
+        answer.evacuations_position = Some(core.evacuations.position());
+    }
     if is_offer {
         answer.offered = Some(core.directory.borrow().version());
     }
@@ -118,6 +126,12 @@
         return;
     }
     spread(core, &pass_on, &message);
+    if let Some(evacuations) = &message.evacuations {
+        if let Some(from) = message.from {
+            core.evacuations.note_position(from, evacuations.position());
+        }
+        take_told_evacuations(core, evacuations);
+    }
     if let Some(finding) = &message.finding {
         take_finding(core, finding);
     }
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -10,6 +10,7 @@
     proxy::{
         core::{ProxyCore, count},
         directory::StateSource,
+        evacuating::take_told_evacuations,
         events::{ProxyEvent, in_millis},
         state_messages::ask_state,
         table_offering::{offer_table, pass_on},
@@ -145,6 +146,9 @@
         return Ok(());
     };
     note_received(core, from, &answer, bytes, took_ms);
+    if let Some(evacuations) = &answer.evacuations {
+        take_told_evacuations(core, evacuations);
+    }
     take_fetched(core, answer)
 }
 
--- a/src/proxy/table_offering.rs
+++ b/src/proxy/table_offering.rs
@@ -5,6 +5,7 @@
     protocol::hop::StateMessage,
     proxy::{
         core::ProxyCore,
+        evacuating,
         events::ProxyEvent,
         state_messages::{ask_state, spread},
     },
@@ -25,7 +26,10 @@
         }
         let due = core.timers.after(LOOK_PAUSE);
         tokio::select! {
-            _ = due.recv_async() => check_neighbours(&core),
+            _ = due.recv_async() => {
+                check_neighbours(&core);
+                evacuating::check_neighbours(&core);
+            }
             () = core.table_taken.notified() => {}
         }
     }
@@ -53,7 +57,7 @@
 
 fn check_neighbours(core: &Rc<ProxyCore>) {
     let version = core.directory.borrow().version();
-    let ring = core.list_ring();
+    let ring = core.list_ring(|address| core.directory.borrow().has_version(address));
     let now = core.timers.now();
     let due = core
         .offer_rounds
--- a/src/state.rs
+++ b/src/state.rs
@@ -6,6 +6,7 @@
 pub mod class_counts;
 pub mod configuration;
 pub mod crash_suspects;
+pub mod evacuations;
 pub mod failure_share;
 pub mod latency_buckets;
 pub mod moment;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod command_line;
 mod contributing_page;
 mod crash_counting;
+mod evacuations;
 mod imports;
 mod local_mesh;
 mod log_causes;
--- a/tests/integration/options.rs
+++ b/tests/integration/options.rs
@@ -1,6 +1,5 @@
 //! The checks of configurations.
 
-use arcstr::ArcStr;
 use bolero::check;
 use camphorturn::{
     options::{
--- a/tests/integration/table_spreading/calls.rs
+++ b/tests/integration/table_spreading/calls.rs
@@ -209,7 +209,7 @@
         let (from, to, purpose) = (call.from, call.to, call.purpose.clone());
         self.network.abandon(number, [from, to]);
         match purpose {
-            Purpose::Offer(message, rest) => self.send_to_first(from, message, rest),
+            Purpose::Offer(message, rest) => self.send_to_first(from, *message, rest),
             Purpose::DirectOffer(_) => {}
             Purpose::Fetch(_) => {
                 self.nodes[from].asks_heard = None;
@@ -222,7 +222,7 @@
 
 fn question_bytes(call: &Call) -> usize {
     let message = match &call.purpose {
-        Purpose::Offer(message, _) => message.clone(),
+        Purpose::Offer(message, _) => (**message).clone(),
         Purpose::DirectOffer(version) => StateMessage {
             offered: Some(*version),
             from: Some(address(call.from)),
--- a/tests/integration/table_spreading/glue.rs
+++ b/tests/integration/table_spreading/glue.rs
@@ -44,7 +44,7 @@
             return;
         };
         message.pass_on.clone_from(&rest);
-        self.call(node, node_at(to), Purpose::Offer(message, rest));
+        self.call(node, node_at(to), Purpose::Offer(Box::new(message), rest));
     }
 
     pub fn start_fetching(&mut self, node: usize) {
--- a/tests/integration/table_spreading/mesh.rs
+++ b/tests/integration/table_spreading/mesh.rs
@@ -86,7 +86,7 @@
 #[derive(Clone, Debug)]
 pub enum Purpose {
     /// An offer, and who is told in place of the receiver if that fails.
-    Offer(StateMessage, Vec<SocketAddr>),
+    Offer(Box<StateMessage>, Vec<SocketAddr>),
     /// An offer of this version that is not passed on.
     DirectOffer(ConfigurationVersion),
     /// A question for what is newer than this version.
