A cold upstream gets no more than it tolerates

Cause: what an upstream tells of its cold time was used by nothing, and what had waited for its slots was started in one go, with short calls as fast as they ended.

Change: the node beside the upstream, the only way to it, counts the starts of the last 1.02 s (coordination/slow_start.rs); while the upstream is cold no more start than the bound. The queue reckons with it, so that a request which can't be on time there is told so and goes elsewhere. The cold time is taken from announcements and from answers to health questions, and never shortened by a late word; a service with a bound is asked at least every 250 ms. A node that was started after its upstream became cold takes the second before for full.

A property test over drawn arrivals, restarts and cold times holds the bound.

--- a/src/coordination/own_upstream.rs
+++ b/src/coordination/own_upstream.rs
@@ -3,7 +3,7 @@
 //! The node is the only way to its upstream, so what is decided here binds: once a leaving is taken
 //! in, no request reaches that run of the upstream any more, whatever other nodes believe.
 
-use crate::state::{moment::Moment, names::ServiceName, run_identity::RunIdentity};
+use crate::state::{names::ServiceName, run_identity::RunIdentity};
 use std::{collections::VecDeque, time::Duration};
 
 /// Runs that are remembered after they have ended. A late announcement of one of them must not bring
@@ -21,7 +21,7 @@
     pub slots: u16,
     /// It takes no new work.
     pub leaving: bool,
-    /// How much longer it is slow after its start.
+    /// How much longer it is cold.
     pub warmup_left: Duration,
     /// Rises with every announcement of one run.
     pub sequence: u64,
@@ -38,8 +38,6 @@
     pub slots: u16,
     /// It takes no new work.
     pub leaving: bool,
-    /// When it is no longer slow after its start.
-    pub warm_at: Moment,
     sequence: u64,
 }
 
@@ -75,12 +73,11 @@
     }
 
     /// Takes in an announcement.
-    pub fn announce(&mut self, announcement: Announcement, now: Moment) -> AnnouncementEffect {
+    pub fn announce(&mut self, announcement: Announcement) -> AnnouncementEffect {
         if self.has_ended(&announcement.run) {
             return AnnouncementEffect::Stale;
         }
         let run = UpstreamRun {
-            warm_at: now + announcement.warmup_left,
             identity: announcement.run,
             service: announcement.service,
             slots: announcement.slots,
@@ -158,10 +155,8 @@
     }
     let leaving = known.leaving || run.leaving;
     let changed = leaving != known.leaving || run.slots != known.slots;
-    let warm_at = known.warm_at.min(run.warm_at);
     *known = UpstreamRun {
         leaving,
-        warm_at,
         identity: RunIdentity {
             born: run.identity.born.or(known.identity.born),
             instance: run.identity.instance,
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -16,7 +16,10 @@
 mod late_share;
 
 use crate::{
-    coordination::vm_pace::Pace,
+    coordination::{
+        slow_start::{SlowStart, ToldColdTime},
+        vm_pace::Pace,
+    },
     state::{ablation::Mechanism, moment::Moment},
 };
 use forecast::forecast_start;
@@ -109,12 +112,13 @@
     next_number: u64,
     pace: Pace,
     late_share: LateShare,
+    slow_start: SlowStart,
 }
 
 impl SlotQueue {
     /// An idle upstream that runs `limit` requests at once.
     #[must_use]
-    pub fn new(limit: usize) -> Self {
+    pub fn new(limit: usize, now: Moment) -> Self {
         Self {
             limit: limit.max(1),
             running: Vec::new(),
@@ -122,6 +126,7 @@
             next_number: 0,
             pace: Pace::BEST,
             late_share: LateShare::default(),
+            slow_start: SlowStart::new(now),
         }
     }
 
@@ -155,6 +160,22 @@
         self.fill(now)
     }
 
+    /// Another run of the upstream has come.
+    pub fn begin_run(&mut self) {
+        self.slow_start.begin_run();
+    }
+
+    /// Takes in what the upstream told of its cold time.
+    pub fn note_cold_time(&mut self, told: ToldColdTime, now: Moment) {
+        self.slow_start.note_told(told, now);
+    }
+
+    /// Whether the upstream is cold as far as is known.
+    #[must_use]
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.slow_start.is_cold(now)
+    }
+
     /// Takes in how fast the VM works now.
     pub fn set_pace(&mut self, pace: Pace, now: Moment) -> Vec<SlotAction> {
         self.pace = pace;
@@ -166,7 +187,7 @@
         let on_time = self.forecast(&request, now);
         let fits = on_time <= request.target_left;
         let waiting = self.describe(&request, fits, now);
-        if self.may_start(&request) {
+        if self.may_start(&request, now) {
             self.next_number += 1;
             self.late_share.note_idle();
             self.start(&waiting, now);
@@ -199,12 +220,17 @@
     }
 
     /// Whether a new request runs at once. At a slow moment one that wants a slot at once goes to another node.
-    fn may_start(&self, request: &SlotRequest) -> bool {
-        let has_room = self.running.len() < self.limit && self.waiting.is_empty();
+    fn may_start(&self, request: &SlotRequest, now: Moment) -> bool {
+        let has_room = self.has_room(now) && self.waiting.is_empty();
         let goes_elsewhere = self.pace.is_slow() && request.within.is_zero();
         has_room && self.pace.pays_to_start(request.expected) && !goes_elsewhere
     }
 
+    /// Whether one more request may run now.
+    fn has_room(&self, now: Moment) -> bool {
+        self.running.len() < self.limit && self.slow_start.wait(0, now).is_zero()
+    }
+
     /// Takes in that a request at the upstream ended.
     pub fn finish(&mut self, number: SlotNumber, now: Moment) -> Vec<SlotAction> {
         self.running.retain(|running| running.number != number);
@@ -233,18 +259,26 @@
 
     /// When [`Self::expire`] has something to do.
     #[must_use]
-    pub fn next_expiry(&self) -> Option<Moment> {
-        self.waiting.iter().map(|waiting| waiting.until).min()
+    pub fn next_expiry(&self, now: Moment) -> Option<Moment> {
+        let expiry = self.waiting.iter().map(|waiting| waiting.until).min()?;
+        let wait = self.slow_start.wait(0, now);
+        let is_held_back = self.running.len() < self.limit && !wait.is_zero();
+        Some(if is_held_back {
+            expiry.min(now + wait)
+        } else {
+            expiry
+        })
     }
 
     /// Time in which a request would have ended that is offered now and goes before those that are late.
     fn forecast(&self, request: &SlotRequest, now: Moment) -> Duration {
         let rank = (request.priority, false);
-        let ahead = self
+        let before = self
             .waiting
             .iter()
-            .filter(|waiting| waiting.rank(now) <= rank)
-            .map(|waiting| self.pace.stretch_usual(waiting.expected));
+            .filter(|waiting| waiting.rank(now) <= rank);
+        let held_back = self.slow_start.wait(before.clone().count(), now);
+        let ahead = before.map(|waiting| self.pace.stretch_usual(waiting.expected));
         let ends = self.running.iter().map(|running| running.ends.since(now));
         let starts_slow = self.pace.pays_to_start(request.expected);
         let (pause, takes) = if starts_slow {
@@ -252,7 +286,7 @@
         } else {
             (self.pace.lasts, self.pace.stretch_usual(request.expected))
         };
-        forecast_start(self.limit, ends, ahead, pause) + takes
+        forecast_start(self.limit, ends, ahead, pause).max(held_back) + takes
     }
 
     /// The same for one that goes after those that can be on time, also those that are still to come.
@@ -268,6 +302,7 @@
     }
 
     fn start(&mut self, waiting: &Waiting, now: Moment) {
+        self.slow_start.note_start(now);
         self.running.push(Running {
             number: waiting.number,
             ends: now + self.pace.stretch(waiting.expected),
@@ -283,7 +318,7 @@
             }
             kept
         });
-        while self.running.len() < self.limit {
+        while self.has_room(now) {
             let Some(index) = self.find_next(now) else {
                 break;
             };
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -5,7 +5,7 @@
     proxy::{
         core::ProxyCore,
         events::ProxyEvent,
-        executing::{ask_instance, confirm_instance, limit_for, set_limit},
+        executing::{ask_instance, confirm_instance, limit_for, note_cold_time, set_limit},
     },
     state::{placement_view::NodeRecord, run_identity::RunIdentity},
 };
@@ -31,7 +31,6 @@
     announcement: Announcement,
     store: &Sender<RecordOrder>,
 ) {
-    let now = core.timers.now();
     let instance = announcement.run.instance.clone();
     let leaving = announcement.leaving;
     let sequence = announcement.sequence;
@@ -39,10 +38,14 @@
         return;
     }
     let before = identify_own(core);
-    let effect = core.own.borrow_mut().announce(announcement, now);
-    if effect == AnnouncementEffect::Changed && before != identify_own(core) {
+    let (service, warmup_left) = (announcement.service.clone(), announcement.warmup_left);
+    let effect = core.own.borrow_mut().announce(announcement);
+    if effect == AnnouncementEffect::Changed && before.is_some() && before != identify_own(core) {
         core.slots.restart();
     }
+    if effect != AnnouncementEffect::Stale {
+        note_cold_time(core, &service, warmup_left);
+    }
     if effect == AnnouncementEffect::Changed {
         core.log(&ProxyEvent::UpstreamAnnounced {
             instance,
@@ -122,9 +125,8 @@
             warmup_left: Duration::ZERO,
             sequence: 0,
         };
-        let now = core.timers.now();
         if core.own.borrow().current().is_none() {
-            core.own.borrow_mut().announce(announcement, now);
+            core.own.borrow_mut().announce(announcement);
             set_limit(core, limit_for(record.slots));
             core.directory.borrow_mut().take_own(record.clone());
             core.log(&ProxyEvent::UpstreamRecalled {
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -118,7 +118,7 @@
             records_came: Notify::new(),
             stored: RefCell::default(),
             own: RefCell::default(),
-            slots: Slots::new(settings.bounds.probes_per_second),
+            slots: Slots::new(settings.bounds.probes_per_second, timers.now()),
             repeats: RefCell::default(),
             calls: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -161,6 +161,13 @@
         /// It takes no new work.
         leaving: bool,
     },
+    /// The upstream beside the node is cold.
+    UpstreamCold {
+        /// How much longer.
+        left_ms: u64,
+        /// Most requests that it is given within a second meanwhile.
+        limit: usize,
+    },
     /// The upstream beside the node leaves for good.
     UpstreamDeparted {
         /// Its run.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -24,6 +24,7 @@
             Self::UpstreamRecalled { .. } => (814, "upstream_recalled"),
             Self::AnnouncementRejected { .. } => (815, "announcement_rejected"),
             Self::UpstreamCrashed { .. } => (816, "upstream_crashed"),
+            Self::UpstreamCold { .. } => (817, "upstream_cold"),
             Self::TableInForce { .. } => (821, "table_in_force"),
             Self::StateFetched { .. } => (826, "state_fetched"),
             Self::TableOffered { .. } => (820, "table_offered"),
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -5,6 +5,7 @@
 mod pace;
 mod questions;
 mod slots;
+mod warmth;
 
 use crate::{
     coordination::slot_queue::{SlotDecision, SlotRequest},
@@ -30,6 +31,8 @@
 use slots::{HeldSlot, wait_for_slot};
 pub use slots::{Slots, limit_for, refuse_waiting, set_limit};
 use std::{rc::Rc, time::Duration};
+pub use warmth::note_cold_time;
+use warmth::refresh_warmth;
 
 /// How an attempt at this node's upstream ended.
 #[derive(Debug)]
@@ -65,6 +68,7 @@
         return refuse(core, RefusalReason::RepeatsSpent, Duration::ZERO);
     }
     refresh_pace(core).await;
+    refresh_warmth(core).await;
     line.note_decision();
     let number = match offer(core, hop, arrived) {
         SlotDecision::Run(number) => number,
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -75,6 +75,13 @@
         granted
     }
 
+    /// Notes that a question found no answer. A pace that was never told is not asked for.
+    pub fn note_unanswered(&self, now: Moment) {
+        if self.told_at.get().is_some() {
+            self.told_at.set(Some(now));
+        }
+    }
+
     /// Time since it was told.
     #[must_use]
     pub fn age(&self, now: Moment) -> Option<Duration> {
@@ -122,11 +129,16 @@
     }
 }
 
-/// Asks for the pace unless it is known well enough. Several requests share one question.
+/// Asks for the pace unless it is known well enough.
 pub async fn refresh_pace(core: &Rc<ProxyCore>) {
     if Mechanism::PaceQuestions.is_off() || !core.slots.pace.is_stale(core.timers.now()) {
         return;
     }
+    ask_for_pace(core).await;
+}
+
+/// Asks for the pace. Several requests share one question.
+pub async fn ask_for_pace(core: &Rc<ProxyCore>) {
     let under_way = core.slots.pace.asking.borrow().clone();
     if let Some(done) = under_way {
         // The sender goes once the answer is there.
@@ -153,6 +165,6 @@
     match send_question(core, uri, AskedOn::KeptConnection).await {
         Ok(answer) => note_load(core, answer.headers()),
         // Asked again after the usual pause, not by every request that comes meanwhile.
-        Err(_) => core.slots.pace.told_at.set(Some(core.timers.now())),
+        Err(_) => core.slots.note_unanswered(core.timers.now()),
     }
 }
--- a/src/proxy/executing/questions.rs
+++ b/src/proxy/executing/questions.rs
@@ -1,7 +1,10 @@
 //! Questions to the upstream beside the node, by the path that the configuration gives for its health.
 
 use crate::{
-    proxy::core::{ProxyCore, count},
+    proxy::{
+        core::{ProxyCore, count},
+        executing::warmth::note_warmth,
+    },
     state::{names::ServiceName, placement_view::NodeRecord},
     transport::outgoing::{SendError, SendRules},
 };
@@ -110,7 +113,9 @@
     let upstream = core.settings.upstream;
     tokio::select! {
         sent = core.outgoing.send(upstream, request, rules, is_answer) => {
-            sent.map_err(QuestionError::Failed)
+            let answer = sent.map_err(QuestionError::Failed)?;
+            note_warmth(core, answer.headers());
+            Ok(answer)
         }
         _ = timeout.recv_async() => Err(QuestionError::OutOfTime),
     }
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -27,6 +27,8 @@
 pub struct Slots {
     pub(super) queue: RefCell<SlotQueue>,
     pub(super) pace: PaceKnowledge,
+    /// When the upstream was last asked, and so told how long it stays cold.
+    pub(super) warmth_told_at: Cell<Option<Moment>>,
     /// Not tried before: connects to the upstream failed.
     pub(super) paused_until: Cell<Moment>,
     times: RefCell<ServiceTimes>,
@@ -38,10 +40,11 @@
 impl Slots {
     /// No slot in use; at most that many questions a second for the upstream's load.
     #[must_use]
-    pub fn new(probes_per_second: f64) -> Self {
+    pub fn new(probes_per_second: f64, now: Moment) -> Self {
         Self {
-            queue: RefCell::new(SlotQueue::new(FIRST_LIMIT)),
+            queue: RefCell::new(SlotQueue::new(FIRST_LIMIT, now)),
             pace: PaceKnowledge::new(probes_per_second),
+            warmth_told_at: Cell::default(),
             paused_until: Cell::default(),
             times: RefCell::default(),
             failures: Cell::default(),
@@ -54,6 +57,14 @@
     pub fn restart(&self) {
         self.paused_until.set(Moment::default());
         self.pace.restart();
+        self.warmth_told_at.set(None);
+        self.queue.borrow_mut().begin_run();
+    }
+
+    /// Notes that the upstream did not answer a question: it is asked again after the usual pause.
+    pub(super) fn note_unanswered(&self, now: Moment) {
+        self.pace.note_unanswered(now);
+        self.warmth_told_at.set(Some(now));
     }
 
     /// Lets that many questions a second be asked from now on.
@@ -207,10 +218,12 @@
             let _ = tx.send(starts);
         }
     }
+    arm_expiry(core);
 }
 
 fn arm_expiry(core: &Rc<ProxyCore>) {
-    let Some(due) = core.slots.queue.borrow().next_expiry() else {
+    let now = core.timers.now();
+    let Some(due) = core.slots.queue.borrow().next_expiry(now) else {
         return;
     };
     let armed = core.slots.expiry_armed.get();
@@ -218,13 +231,12 @@
         return;
     }
     core.slots.expiry_armed.set(Some(due));
-    let wait = core.timers.after(due.since(core.timers.now()));
+    let wait = core.timers.after(due.since(now));
     let core = Rc::clone(core);
     spawn_local(async move {
         let _ = wait.recv_async().await;
         core.slots.expiry_armed.set(None);
         let actions = core.slots.queue.borrow_mut().expire(core.timers.now());
         apply(&core, actions);
-        arm_expiry(&core);
     });
 }
--- /dev/null
+++ b/src/proxy/executing/warmth.rs
@@ -0,0 +1,69 @@
+//! How long the upstream stays cold, by its announcements and by its answers to questions.
+
+use crate::{
+    coordination::slow_start::ToldColdTime,
+    proxy::{
+        core::ProxyCore,
+        events::{ProxyEvent, in_millis},
+        executing::pace::ask_for_pace,
+    },
+    state::{names::ServiceName, routing_table::ColdService},
+};
+use http::HeaderMap;
+use std::{rc::Rc, time::Duration};
+
+/// Age up to which it counts as known that the upstream is warm. It may become cold at any moment, and gets as much as a warm one until
+/// it is asked again.
+const FRESH: Duration = Duration::from_millis(250);
+
+/// Takes in how much longer the upstream says that it is cold.
+pub fn note_cold_time(core: &ProxyCore, service: &ServiceName, left: Duration) {
+    let Some(cold) = find_cold_service(core, service).filter(|_| !left.is_zero()) else {
+        return;
+    };
+    let limit = core.bounds().slow_start.limit(cold.requests_per_minute);
+    let told = ToldColdTime {
+        left,
+        lasts: cold.lasts,
+        limit,
+    };
+    let now = core.timers.now();
+    let mut queue = core.slots.queue.borrow_mut();
+    let was_cold = queue.is_cold(now);
+    queue.note_cold_time(told, now);
+    drop(queue);
+    if !was_cold {
+        core.log(&ProxyEvent::UpstreamCold {
+            left_ms: in_millis(left),
+            limit,
+        });
+    }
+}
+
+/// Takes in what an answer to a question tells of the cold time.
+pub fn note_warmth(core: &ProxyCore, headers: &HeaderMap) {
+    core.slots.warmth_told_at.set(Some(core.timers.now()));
+    let header = headers.get(&core.settings.headers.warmup_left);
+    let millis = header.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    let service = core.own.borrow().current().map(|run| run.service.clone());
+    if let (Some(millis), Some(service)) = (millis, service) {
+        note_cold_time(core, &service, Duration::from_millis(millis));
+    }
+}
+
+/// Asks whether the upstream is cold, unless that is known well enough or makes no difference.
+pub async fn refresh_warmth(core: &Rc<ProxyCore>) {
+    let service = core.own.borrow().current().map(|run| run.service.clone());
+    let differs = service.is_some_and(|service| find_cold_service(core, &service).is_some());
+    let now = core.timers.now();
+    let told_at = core.slots.warmth_told_at.get();
+    let is_fresh = told_at.is_some_and(|at| now.since(at) <= FRESH);
+    if !differs || is_fresh || core.slots.queue.borrow().is_cold(now) {
+        return;
+    }
+    ask_for_pace(core).await;
+}
+
+fn find_cold_service(core: &ProxyCore, service: &ServiceName) -> Option<ColdService> {
+    core.routes()?.find_service(service)?.when_cold
+}
--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -99,7 +99,7 @@
         let facts = |service: &ServiceEntry| ServiceFacts {
             name: service.name.clone(),
             health_path: service.health_path.clone(),
-            cold_per_minute: None,
+            when_cold: None,
         };
         RoutingTable {
             version,
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -71,9 +71,18 @@
     pub name: ServiceName,
     /// Path on which its upstreams answer whether they are well, and with what load.
     pub health_path: ArcStr,
-    /// Requests a minute that a cold upstream tolerates; none if it takes as many as a warm one.
+    /// What its upstreams tolerate when they are cold; none if that is as much as when they are warm.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cold_per_minute: Option<u32>,
+    pub when_cold: Option<ColdService>,
+}
+
+/// What operators tell of the upstreams of a service that are cold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ColdService {
+    /// Requests a minute that one of them tolerates.
+    pub requests_per_minute: u32,
+    /// How long it is cold.
+    pub lasts: Duration,
 }
 
 /// Bounds on what clients send and how long they take.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -27,6 +27,7 @@
 mod settings_page;
 mod slot_queue;
 mod slot_search;
+mod slow_start;
 mod stored_records;
 mod table_change;
 mod table_sources;
--- a/tests/integration/mesh_model.rs
+++ b/tests/integration/mesh_model.rs
@@ -10,7 +10,6 @@
     proxy::directory::Directory,
     state::{
         configuration::ConfigurationVersion,
-        moment::Moment,
         routing_table::{ClientLimits, RoutingTable},
         run_identity::RunIdentity,
     },
@@ -101,17 +100,14 @@
     fn serving(&self, without: Without) -> Option<u8> {
         let mut own = OwnUpstream::default();
         if let Some(run) = self.recalled {
-            own.announce(self.announcement(run, 0, false, without), Moment(0));
+            own.announce(self.announcement(run, 0, false, without));
         }
         for beat in &self.taken {
             let forgets = without == Without::LeavingStays && !beat.leaving;
             if forgets {
                 own = OwnUpstream::default();
             }
-            own.announce(
-                self.announcement(beat.run, beat.sequence, beat.leaving, without),
-                Moment(0),
-            );
+            own.announce(self.announcement(beat.run, beat.sequence, beat.leaving, without));
         }
         let serving = own.serving()?;
         let first = match self.naming {
--- a/tests/integration/overload.rs
+++ b/tests/integration/overload.rs
@@ -48,7 +48,7 @@
 impl Replay {
     fn new(seed: u64) -> Self {
         Self {
-            queue: SlotQueue::new(LIMIT),
+            queue: SlotQueue::new(LIMIT, Moment(0)),
             random: StdRng::seed_from_u64(seed),
             ends: BinaryHeap::new(),
             arrived: HashMap::new(),
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -173,10 +173,7 @@
             let mut left = Vec::new();
             for (run, sequence, leaving) in announcements {
                 let instance = format!("i-{}", run % 4);
-                own.announce(
-                    announcement(&instance, u64::from(*sequence), *leaving),
-                    Moment(0),
-                );
+                own.announce(announcement(&instance, u64::from(*sequence), *leaving));
                 if own.current().is_some_and(|run| run.leaving) {
                     left.extend(own.current().map(|run| run.identity.instance.clone()));
                 }
@@ -189,8 +186,8 @@
 #[test]
 fn announce_stale_sequence() {
     let mut own = OwnUpstream::default();
-    own.announce(announcement("i-1", 5, false), Moment(0));
-    let effect = own.announce(announcement("i-1", 4, true), Moment(0));
+    own.announce(announcement("i-1", 5, false));
+    let effect = own.announce(announcement("i-1", 4, true));
     assert_eq!(effect, AnnouncementEffect::Stale);
     assert!(own.serving().is_some());
 }
@@ -200,9 +197,9 @@
 #[test]
 fn announce_of_ended_run() {
     let mut own = OwnUpstream::default();
-    own.announce(announcement("i-1", 5, false), Moment(0));
-    own.announce(announcement("i-2", 1, false), Moment(0));
-    let effect = own.announce(announcement("i-1", 6, false), Moment(0));
+    own.announce(announcement("i-1", 5, false));
+    own.announce(announcement("i-2", 1, false));
+    let effect = own.announce(announcement("i-1", 6, false));
     assert_eq!(effect, AnnouncementEffect::Stale);
     assert_eq!(
         own.current().map(|run| run.identity.instance.as_str()),
@@ -222,9 +219,9 @@
 #[test]
 fn announce_again_under_the_same_identity() {
     let mut own = OwnUpstream::default();
-    own.announce(announcement_of(1_000, 7, true), Moment(0));
+    own.announce(announcement_of(1_000, 7, true));
     assert!(own.serving().is_none());
-    let again = own.announce(announcement_of(2_000, 1, false), Moment(0));
+    let again = own.announce(announcement_of(2_000, 1, false));
     assert_eq!(again, AnnouncementEffect::Changed);
     assert_eq!(own.serving().and_then(|run| run.identity.born), Some(2_000));
 }
@@ -234,9 +231,9 @@
 #[test]
 fn announce_late_word_of_a_former_run() {
     let mut own = OwnUpstream::default();
-    own.announce(announcement_of(1_000, 7, false), Moment(0));
-    own.announce(announcement_of(2_000, 1, false), Moment(0));
-    let late = own.announce(announcement_of(1_000, 8, true), Moment(0));
+    own.announce(announcement_of(1_000, 7, false));
+    own.announce(announcement_of(2_000, 1, false));
+    let late = own.announce(announcement_of(1_000, 8, true));
     assert_eq!(late, AnnouncementEffect::Stale);
     assert!(!own.depart(&run("i-1", Some(1_000))));
     assert_eq!(own.serving().and_then(|run| run.identity.born), Some(2_000));
@@ -249,7 +246,7 @@
     let mut own = OwnUpstream::default();
     assert!(own.depart(&run("i-1", None)));
     assert!(!own.depart(&run("i-1", None)));
-    own.announce(announcement("i-1", 9, false), Moment(0));
+    own.announce(announcement("i-1", 9, false));
     assert!(own.current().is_none());
 }
 
--- a/tests/integration/slot_queue.rs
+++ b/tests/integration/slot_queue.rs
@@ -46,7 +46,7 @@
 
 #[test]
 fn offer_at_once_or_none() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     assert!(matches!(
         queue.offer(request(1, 0), START),
         SlotDecision::Run(_)
@@ -60,7 +60,7 @@
 
 #[test]
 fn offer_waits_if_it_ends_in_time() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     let first = number_of(queue.offer(request(1, 500), START));
     let second = queue.offer(request(1, 500), START);
     assert!(matches!(second, SlotDecision::Wait(_)));
@@ -70,7 +70,7 @@
 
 #[test]
 fn finish_starts_higher_rank_first() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     let first = number_of(queue.offer(request(2, 900), START));
     let low = number_of(queue.offer(request(2, 900), START));
     let high = number_of(queue.offer(request(0, 900), START));
@@ -83,7 +83,7 @@
 /// comes before work that could be on time.
 #[test]
 fn finish_starts_those_on_time_first() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     let first = number_of(queue.offer(request(1, 900), START));
     let late = number_of(queue.offer(request(1, 300), START));
     let on_time = number_of(queue.offer(request(1, 900), at(10)));
@@ -95,7 +95,7 @@
 /// while work takes four times as long. Cause: a free slot counts as a reason to start.
 #[test]
 fn slow_moment_starts_nothing_that_gains_by_waiting() {
-    let mut queue = SlotQueue::new(2);
+    let mut queue = SlotQueue::new(2, START);
     queue.set_pace(slow(), START);
     let finish = ms(300);
     assert_eq!(
@@ -110,7 +110,7 @@
 
 #[test]
 fn slow_moment_starts_short_work() {
-    let mut queue = SlotQueue::new(2);
+    let mut queue = SlotQueue::new(2, START);
     queue.set_pace(slow(), START);
     let short = SlotRequest {
         expected: ms(15),
@@ -124,7 +124,7 @@
 /// to wait for the VM to recover, like long work.
 #[test]
 fn slow_moment_forecast_of_short_work() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     number_of(queue.offer(request(1, 500), START));
     queue.set_pace(slow(), at(50));
     let short = SlotRequest {
@@ -137,17 +137,17 @@
 
 #[test]
 fn expire_refuses_what_misses_its_deadline() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     number_of(queue.offer(request(1, 900), START));
     let waiting = number_of(queue.offer(request(1, 900), START));
-    assert_eq!(queue.next_expiry(), Some(at(900)));
+    assert_eq!(queue.next_expiry(START), Some(at(900)));
     assert_eq!(queue.expire(at(899)), []);
     assert_eq!(queue.expire(at(900)), [SlotAction::Expire(waiting)]);
 }
 
 #[test]
 fn withdraw_frees_the_place() {
-    let mut queue = SlotQueue::new(1);
+    let mut queue = SlotQueue::new(1, START);
     let first = number_of(queue.offer(request(1, 900), START));
     let waiting = number_of(queue.offer(request(1, 900), START));
     assert!(queue.withdraw(waiting));
@@ -189,7 +189,7 @@
     bolero::check!()
         .with_type::<Vec<(u8, u8, u16)>>()
         .for_each(|steps| {
-            let mut queue = SlotQueue::new(3);
+            let mut queue = SlotQueue::new(3, START);
             let mut checker = Checker::default();
             let mut now = START;
             for (step, choice, span) in steps {
--- a/tests/integration/table_change.rs
+++ b/tests/integration/table_change.rs
@@ -72,7 +72,7 @@
     ServiceFacts {
         name: service_name(number),
         health_path: ArcStr::from("/health"),
-        cold_per_minute: None,
+        when_cold: None,
     }
 }
 
--- a/tests/integration/table_spreading/tables.rs
+++ b/tests/integration/table_spreading/tables.rs
@@ -27,7 +27,7 @@
     ServiceFacts {
         name: service_name(number),
         health_path: ArcStr::from("/health"),
-        cold_per_minute: None,
+        when_cold: None,
     }
 }
 
