Operators evacuate a zone of their own store: camphorturn evacuate, status, metric, page

The platform's operator writes its record itself; on the product's own store nobody could. /evacuation takes POST and DELETE, a zone of which no node is known is refused, an answer that the store lost is made up for by the same record once more. status shows the zones and how many nodes know of them. A publication no longer takes the newest record for the configuration when it is one of an evacuation (found by the test, which reads the history).

Run: tests of the command line and of the operators' server.

--- a/src/bin/camphorturn.rs
+++ b/src/bin/camphorturn.rs
@@ -2,9 +2,9 @@
 
 use camphorturn::{
     commands::{
-        check::run_check, dev::run_dev, drain::run_drain, explain::run_explain,
-        history::run_history, logs::run_logs, misses::run_misses, publish::run_publish,
-        status::run_status, timeline::run_timeline,
+        check::run_check, dev::run_dev, drain::run_drain, evacuate::run_evacuate,
+        explain::run_explain, history::run_history, logs::run_logs, misses::run_misses,
+        publish::run_publish, status::run_status, timeline::run_timeline,
     },
     options::{
         access::{AccessArguments, OperatorAccess},
@@ -42,6 +42,9 @@
         Command::Drain(arguments) => with_access(&arguments.access, |access| {
             run_drain(arguments, access, out)
         }),
+        Command::Evacuate(arguments) => with_access(&arguments.access, |access| {
+            run_evacuate(arguments, access, out)
+        }),
     };
     done.unwrap_or_else(|error| {
         eprintln!("can't write the result: {error}");
--- a/src/commands.rs
+++ b/src/commands.rs
@@ -3,6 +3,7 @@
 pub mod check;
 pub mod dev;
 pub mod drain;
+pub mod evacuate;
 pub mod explain;
 pub mod history;
 pub mod log_source;
--- /dev/null
+++ b/src/commands/evacuate.rs
@@ -0,0 +1,78 @@
+//! `camphorturn evacuate`: an availability zone gets no requests until it is taken back.
+
+use crate::{
+    options::{
+        access::{AccessArguments, OperatorAccess, access_arguments},
+        exit_code::ExitCode,
+    },
+    protocol::operator_views::EvacuationView,
+    transport::operators::client::{AskError, OperatorClient},
+};
+use bpaf::Bpaf;
+use std::io::{self, Write};
+
+/// Arguments of `evacuate`.
+#[derive(Clone, Debug, Bpaf)]
+pub struct EvacuateArguments {
+    /// How to reach the nodes.
+    #[bpaf(external(access_arguments))]
+    pub access: AccessArguments,
+    /// Print one JSON object in place of lines
+    pub json: bool,
+    /// Send requests to the zone again
+    pub take_back: bool,
+    /// Name of the availability zone
+    #[bpaf(positional("ZONE"))]
+    pub zone: String,
+}
+
+/// Has the first node that answers store the operator's word; the store brings it to all nodes.
+///
+/// # Errors
+/// Only if `out` can't be written to.
+pub fn run_evacuate(
+    arguments: &EvacuateArguments,
+    access: &OperatorAccess,
+    out: &mut dyn Write,
+) -> io::Result<ExitCode> {
+    let client = OperatorClient::new(access);
+    let mut problems = Vec::new();
+    for node in &access.nodes {
+        match client.evacuate(*node, &arguments.zone, !arguments.take_back) {
+            Ok(view) => {
+                write_view(arguments, &view, out)?;
+                return Ok(ExitCode::Success);
+            }
+            Err(problem @ AskError::Refused { status: 400, .. }) => {
+                writeln!(out, "{node}: {problem}")?;
+                return Ok(ExitCode::BadInput);
+            }
+            Err(problem) => problems.push(format!("{node}: {problem}")),
+        }
+    }
+    for problem in problems {
+        writeln!(out, "{problem}")?;
+    }
+    Ok(ExitCode::Unreachable)
+}
+
+fn write_view(
+    arguments: &EvacuateArguments,
+    view: &EvacuationView,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    if arguments.json {
+        serde_json::to_writer_pretty(&mut *out, view)?;
+        return writeln!(out);
+    }
+    let zone = &arguments.zone;
+    if arguments.take_back {
+        writeln!(out, "{zone} gets requests again")?;
+    } else {
+        writeln!(out, "{zone} gets no requests until it is taken back")?;
+    }
+    for zone in view.zones.iter().filter(|other| other.as_str() != zone) {
+        writeln!(out, "also evacuated: {zone}")?;
+    }
+    Ok(())
+}
--- a/src/commands/status/report.rs
+++ b/src/commands/status/report.rs
@@ -5,7 +5,7 @@
     protocol::operator_views::{ClassStatus, WANTED_SHARE, share},
     state::{
         configuration::ConfigurationVersion,
-        names::{ClassName, NodeName},
+        names::{AvailabilityZoneName, ClassName, NodeName},
     },
 };
 use serde::Serialize;
@@ -66,6 +66,8 @@
     pub problems: Vec<Problem>,
     /// Versions in force, the highest first.
     pub versions: Vec<VersionCount>,
+    /// Evacuated availability zones, each with the number of nodes that know of it.
+    pub evacuated: BTreeMap<AvailabilityZoneName, usize>,
     /// All classes, by name.
     pub classes: Vec<ClassSummary>,
 }
@@ -91,6 +93,7 @@
     StatusReport {
         problems,
         versions,
+        evacuated: count_evacuated(&survey.reached),
         classes,
     }
 }
@@ -138,6 +141,14 @@
         .collect()
 }
 
+fn count_evacuated(nodes: &[ReachedNode]) -> BTreeMap<AvailabilityZoneName, usize> {
+    let mut counts = BTreeMap::new();
+    for zone in nodes.iter().flat_map(|node| &node.status.evacuated_zones) {
+        *counts.entry(zone.clone()).or_default() += 1;
+    }
+    counts
+}
+
 fn find_class_problems(classes: &[ClassSummary]) -> Vec<Problem> {
     let missed = classes.iter().filter(|class| !class.status.meets_target());
     missed
--- a/src/commands/status/text.rs
+++ b/src/commands/status/text.rs
@@ -25,6 +25,7 @@
     out: &mut dyn Write,
 ) -> io::Result<()> {
     write_problems(report, out)?;
+    write_evacuated(report, survey, out)?;
     write_classes(report, out)?;
     write_nodes(survey, out)?;
     write_versions(report, out)
@@ -56,6 +57,19 @@
     Ok(())
 }
 
+fn write_evacuated(
+    report: &StatusReport,
+    survey: &MeshSurvey,
+    out: &mut dyn Write,
+) -> io::Result<()> {
+    let all = survey.reached.len();
+    for (zone, nodes) in &report.evacuated {
+        let line = format!("evacuated: {zone}, known to {nodes} of {all} nodes");
+        write_line(out, &line)?;
+    }
+    Ok(())
+}
+
 fn write_classes(report: &StatusReport, out: &mut dyn Write) -> io::Result<()> {
     writeln!(
         out,
--- a/src/local_mesh/store.rs
+++ b/src/local_mesh/store.rs
@@ -22,6 +22,8 @@
 const CONFIGURATION_KEY: &str = "configuration";
 /// Start of the keys of evacuated zones.
 const EVACUATION_KEY: &str = "evacuation/";
+/// Their value. The key says it all.
+const EVACUATION_VALUE: &[u8] = b"{}";
 
 /// How the store treats calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -229,4 +231,16 @@
         let end = self.append_at(topic, CONFIGURATION_KEY, Some(value), Some(expected_end));
         answer(condition, end)
     }
+
+    async fn append_evacuation(
+        &self,
+        zone: &AvailabilityZoneName,
+        evacuated: bool,
+    ) -> Result<(), StoreError> {
+        let condition = self.check()?;
+        let key = format!("{EVACUATION_KEY}{zone}");
+        let value = evacuated.then_some(EVACUATION_VALUE);
+        let end = self.append_at(StoreTopic::Configuration, &key, value, None);
+        answer(condition, end).map(|_| ())
+    }
 }
--- a/src/options/arguments.rs
+++ b/src/options/arguments.rs
@@ -5,6 +5,7 @@
         check::{CheckArguments, check_arguments},
         dev::{DevArguments, dev_arguments},
         drain::{DrainArguments, drain_arguments},
+        evacuate::{EvacuateArguments, evacuate_arguments},
         explain::{ExplainArguments, explain_arguments},
         history::{HistoryArguments, history_arguments},
         logs::{LogsArguments, logs_arguments},
@@ -48,6 +49,9 @@
     /// Let an upstream take no new work and finish what it has
     #[bpaf(command)]
     Drain(#[bpaf(external(drain_arguments))] DrainArguments),
+    /// Send nothing to the upstreams of an availability zone until it is taken back
+    #[bpaf(command)]
+    Evacuate(#[bpaf(external(evacuate_arguments))] EvacuateArguments),
     /// Run a whole mesh in this process, with stand-ins for upstreams and the store
     #[bpaf(command)]
     Dev(#[bpaf(external(dev_arguments))] DevArguments),
--- a/src/protocol/operator_views.rs
+++ b/src/protocol/operator_views.rs
@@ -8,7 +8,7 @@
     published::PublicationEntry,
 };
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::{collections::BTreeSet, net::SocketAddr};
 
 /// Share of a class's requests that are to be answered within its target.
 pub const WANTED_SHARE: f64 = 0.99;
@@ -37,6 +37,8 @@
     pub upstream: Option<UpstreamStatus>,
     /// Classes of work that clients brought here.
     pub classes: Vec<ClassStatus>,
+    /// Availability zones that get no requests, as far as it knows.
+    pub evacuated_zones: BTreeSet<AvailabilityZoneName>,
     /// The other nodes it knows.
     pub peers: Vec<PeerStatus>,
 }
@@ -142,6 +144,14 @@
     pub queued: u16,
 }
 
+/// Answer to an evacuation, or to the end of one.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct EvacuationView {
+    /// Zones that are evacuated now.
+    pub zones: BTreeSet<AvailabilityZoneName>,
+}
+
 /// Lines of a node's log, oldest first.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
--- a/src/protocol/store.rs
+++ b/src/protocol/store.rs
@@ -145,4 +145,11 @@
         value: &[u8],
         expected_end: u64,
     ) -> impl Future<Output = Result<ConditionalAppend, StoreError>>;
+
+    /// Appends that an availability zone is evacuated, or drops that.
+    fn append_evacuation(
+        &self,
+        zone: &AvailabilityZoneName,
+        evacuated: bool,
+    ) -> impl Future<Output = Result<(), StoreError>>;
 }
--- a/src/proxy/evacuating.rs
+++ b/src/proxy/evacuating.rs
@@ -5,7 +5,7 @@
 
 use crate::{
     coordination::offer_rounds::{OfferRounds, RingNode},
-    protocol::hop::StateMessage,
+    protocol::{hop::StateMessage, operator_views::EvacuationView, store::PublicationStore},
     proxy::{
         core::ProxyCore,
         directory::StateSource,
@@ -17,11 +17,22 @@
         evacuations::{EvacuationChange, Evacuations},
         names::AvailabilityZoneName,
     },
+    transport::operators::request::EvacuationProblem,
 };
 use rand::seq::SliceRandom;
-use std::{cell::RefCell, collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::task::spawn_local;
 
+/// Times that an operator's word is offered to the store, and the pause between two.
+const STORE_TRIES: u32 = 5;
+const STORE_PAUSE: Duration = Duration::from_millis(200);
+
 /// The evacuations in force, and which nodes of the zone are known to have them.
 #[derive(Default)]
 pub struct EvacuationsInForce {
@@ -40,8 +51,8 @@
 
     /// Zones that are evacuated.
     #[must_use]
-    pub fn count(&self) -> usize {
-        self.evacuations.borrow().zones().len()
+    pub fn zones(&self) -> BTreeSet<AvailabilityZoneName> {
+        self.evacuations.borrow().zones().clone()
     }
 
     /// Offset up to which the store's topic is taken into account.
@@ -127,6 +138,52 @@
     }
 }
 
+/// Stores an operator's word on an availability zone. The store brings it to all nodes, this one included.
+///
+/// # Errors
+/// If no node of a zone to be evacuated is known, or the store does not confirm it.
+pub async fn order_evacuation<S: PublicationStore>(
+    core: &ProxyCore,
+    store: &S,
+    zone: &AvailabilityZoneName,
+    evacuated: bool,
+) -> Result<EvacuationView, EvacuationProblem> {
+    if evacuated && !knows_zone(core, zone) {
+        return Err(EvacuationProblem::UnknownZone);
+    }
+    let mut reason = String::new();
+    for _ in 0..STORE_TRIES {
+        // Without an answer it may be stored; to store the same once more changes nothing.
+        match store.append_evacuation(zone, evacuated).await {
+            Ok(()) => return Ok(describe_order(core, zone, evacuated)),
+            Err(error) => reason = error.to_string(),
+        }
+        let _ = core.timers.after(STORE_PAUSE).recv_async().await;
+    }
+    Err(EvacuationProblem::Store(reason))
+}
+
+fn knows_zone(core: &ProxyCore, zone: &AvailabilityZoneName) -> bool {
+    let directory = core.directory.borrow();
+    let mut views = directory.nodes.values();
+    *zone == core.settings.availability_zone
+        || views.any(|view| view.record.availability_zone == *zone)
+}
+
+fn describe_order(
+    core: &ProxyCore,
+    zone: &AvailabilityZoneName,
+    evacuated: bool,
+) -> EvacuationView {
+    let mut zones = core.evacuations.zones();
+    if evacuated {
+        zones.insert(zone.clone());
+    } else {
+        zones.remove(zone);
+    }
+    EvacuationView { zones }
+}
+
 fn tell_along_tree(core: &Rc<ProxyCore>) {
     let mut receivers = core.list_zone();
     // The other reader of the zone tells it too; with another order the loss of a node that passes on is made up for.
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -210,7 +210,7 @@
         figure(
             "evacuated_zones",
             "Availability zones whose upstreams get no requests",
-            u64::try_from(core.evacuations.count()).unwrap_or(u64::MAX),
+            u64::try_from(core.evacuations.zones().len()).unwrap_or(u64::MAX),
         ),
         figure("nodes", "Nodes known, this one included", nodes),
         figure(
--- a/src/proxy/operating.rs
+++ b/src/proxy/operating.rs
@@ -11,6 +11,7 @@
         announcing::{RecordOrder, identify_own, take_departure},
         core::ProxyCore,
         directory::Directory,
+        evacuating::order_evacuation,
         events::{ProxyEvent, in_millis},
         publishing::{publish, read_history},
     },
@@ -68,6 +69,13 @@
             });
             let _ = reply.send(outcome);
         }
+        OperatorRequest::Evacuate {
+            zone,
+            evacuated,
+            reply,
+        } => {
+            let _ = reply.send(order_evacuation(&core, &store, &zone, evacuated).await);
+        }
         OperatorRequest::History { reply } => {
             let history = read_history(&store).await;
             let _ = reply.send(history.map_err(|error| error.to_string()));
@@ -125,6 +133,7 @@
         classes: classes
             .map(|(class, counts)| describe_class(&directory, class, counts))
             .collect(),
+        evacuated_zones: core.evacuations.zones(),
         peers: list_peers(core, &directory),
     }
 }
--- a/src/proxy/publishing.rs
+++ b/src/proxy/publishing.rs
@@ -25,7 +25,9 @@
 
 async fn read_newest<S: StateStore>(store: &S) -> Result<Newest, StoreError> {
     let records = store.read_newest(StoreTopic::Configuration).await?;
-    let newest = records.records.last().and_then(|last| last.value.as_ref());
+    let mut newest_first = records.records.iter().rev();
+    let newest = newest_first.find(|record| store.find_evacuated(record).is_none());
+    let newest = newest.and_then(|newest| newest.value.as_ref());
     let record = newest
         .map(|value| serde_json::from_slice(value))
         .transpose()
--- a/src/transport/operators/answer.rs
+++ b/src/transport/operators/answer.rs
@@ -12,7 +12,9 @@
     #[error("the Authorization header needs the operators' token: `Bearer TOKEN`")]
     Unauthorized,
     /// No such path.
-    #[error("no such path; there are /status, /log, /health, /drain, /configuration and /history")]
+    #[error(
+        "no such path; there are /status, /log, /health, /drain, /evacuation, /configuration and /history"
+    )]
     NotFound,
     /// A known path with another method.
     #[error("this path takes {0} only")]
@@ -37,6 +39,9 @@
     /// The store can't be read.
     #[error("the store can't be read: {0}")]
     StoreAway(String),
+    /// The store did not say that it has taken a record.
+    #[error("the store has not confirmed it, ask again: {0}")]
+    NotStored(String),
     /// The event loop is gone.
     #[error("the node is stopping")]
     Stopping,
@@ -51,7 +56,7 @@
             Self::BadParameter { .. } | Self::BadBody(_) => 400,
             Self::BodyTooLarge(_) => 413,
             Self::Busy => 504,
-            Self::Stopping | Self::StoreAway(_) => 503,
+            Self::Stopping | Self::StoreAway(_) | Self::NotStored(_) => 503,
         }
     }
 }
--- a/src/transport/operators/client.rs
+++ b/src/transport/operators/client.rs
@@ -3,7 +3,9 @@
 use crate::{
     coordination::publishing::{PublicationOutcome, PublicationRequest},
     options::{access::OperatorAccess, secret::Secret},
-    protocol::operator_views::{HistoryView, LinePage, NodeCondition, NodeStatus, OperatorProblem},
+    protocol::operator_views::{
+        EvacuationView, HistoryView, LinePage, NodeCondition, NodeStatus, OperatorProblem,
+    },
 };
 use attohttpc::{ErrorKind, RequestBuilder, Response, body::Body};
 use serde::de::DeserializeOwned;
@@ -100,6 +102,25 @@
         self.send(attohttpc::post(format!("http://{node}/drain")))
     }
 
+    /// Has a node evacuate an availability zone, or take it back.
+    ///
+    /// # Errors
+    /// If the node is not reached, refuses or answers something else; the store may have the operator's word all the same.
+    pub fn evacuate(
+        &self,
+        node: SocketAddr,
+        zone: &str,
+        evacuated: bool,
+    ) -> Result<EvacuationView, AskError> {
+        let url = format!("http://{node}/evacuation");
+        let request = if evacuated {
+            attohttpc::post(url)
+        } else {
+            attohttpc::delete(url)
+        };
+        self.send(request.param("zone", zone))
+    }
+
     fn send<T: DeserializeOwned, B: Body>(&self, req: RequestBuilder<B>) -> Result<T, AskError> {
         let res = req
             .bearer_auth(self.token.expose())
--- a/src/transport/operators/request.rs
+++ b/src/transport/operators/request.rs
@@ -2,10 +2,20 @@
 
 use crate::{
     coordination::publishing::{PublicationOutcome, PublicationRequest},
-    protocol::operator_views::{HistoryView, LinePage, NodeCondition, NodeStatus},
+    protocol::operator_views::{EvacuationView, HistoryView, LinePage, NodeCondition, NodeStatus},
+    state::names::AvailabilityZoneName,
 };
 use flume::Sender;
 
+/// Why an availability zone is not evacuated.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EvacuationProblem {
+    /// No node of the zone is known.
+    UnknownZone,
+    /// The store did not take the operator's word, or did not say so.
+    Store(String),
+}
+
 /// One question, with the channel for its answer.
 ///
 /// The asker may have given up meanwhile: a failing `send` on the reply channel is no error.
@@ -40,6 +50,15 @@
         /// Takes the answer.
         reply: Sender<PublicationOutcome>,
     },
+    /// Evacuate an availability zone, or take it back.
+    Evacuate {
+        /// The zone.
+        zone: AvailabilityZoneName,
+        /// Whether it is to get no requests.
+        evacuated: bool,
+        /// Takes the answer.
+        reply: Sender<Result<EvacuationView, EvacuationProblem>>,
+    },
     /// The publications that are remembered.
     History {
         /// Takes the answer, or why the store can't be read.
--- a/src/transport/operators/server.rs
+++ b/src/transport/operators/server.rs
@@ -3,10 +3,10 @@
 use crate::{
     coordination::publishing::{PublicationOutcome, PublicationRequest},
     options::checked_file::validate_configuration,
-    protocol::operator_views::{HistoryView, LinePage, NodeCondition},
+    protocol::operator_views::{EvacuationView, HistoryView, LinePage, NodeCondition},
     transport::operators::{
         answer::{OperatorError, build_response},
-        request::OperatorRequest,
+        request::{EvacuationProblem, OperatorRequest},
         token::OperatorToken,
     },
 };
@@ -118,6 +118,7 @@
                 let ask = |reply| OperatorRequest::Drain { reply };
                 build_response(&check_method(req, "POST").and_then(|()| self.ask(ask)))
             }
+            "/evacuation" => build_response(&self.evacuate(req)),
             _ => build_response::<NodeCondition>(&Err(OperatorError::NotFound)),
         }
     }
@@ -148,6 +149,31 @@
         self.ask_within(PUBLICATION_TIMEOUT, build)
     }
 
+    /// `POST` evacuates the zone that the query names, `DELETE` takes it back.
+    fn evacuate(&self, req: &Request) -> Result<EvacuationView, OperatorError> {
+        let evacuated = match req.method() {
+            "POST" => true,
+            "DELETE" => false,
+            _ => return Err(OperatorError::MethodNotAllowed("POST, DELETE")),
+        };
+        let bad_zone = OperatorError::BadParameter {
+            name: "zone",
+            expected: "an availability zone of the mesh",
+        };
+        let zone = req.get_param("zone").filter(|zone| !zone.is_empty());
+        let zone = zone.ok_or_else(|| bad_zone.clone())?;
+        let build = |reply| OperatorRequest::Evacuate {
+            zone: zone.as_str().into(),
+            evacuated,
+            reply,
+        };
+        let answer = self.ask_within(PUBLICATION_TIMEOUT, build)?;
+        answer.map_err(|problem| match problem {
+            EvacuationProblem::UnknownZone => bad_zone,
+            EvacuationProblem::Store(cause) => OperatorError::NotStored(cause),
+        })
+    }
+
     fn find_history(&self, req: &Request) -> Result<HistoryView, OperatorError> {
         check_method(req, "GET")?;
         let build = |reply| OperatorRequest::History { reply };
--- a/tests/integration/command_line.rs
+++ b/tests/integration/command_line.rs
@@ -222,6 +222,37 @@
     assert_eq!(parse(&drained)["draining"]["condition"]["leaving"], true);
 }
 
+#[test]
+fn evacuate_and_take_back() {
+    let mesh = start_mesh();
+    let unknown = run_at(&mesh, &["evacuate", "no-such-zone"]);
+    assert_eq!(unknown.status.code(), Some(2), "{unknown:?}");
+    let zone = mesh.nodes[0].plan.availability_zone.to_string();
+    let evacuated = run_at(&mesh, &["evacuate", "--json", &zone]);
+    assert_eq!(evacuated.status.code(), Some(0), "{evacuated:?}");
+    assert_eq!(parse(&evacuated)["zones"][0], zone.as_str());
+    // Versions of the configuration are counted apart from evacuations.
+    assert_eq!(run_at(&mesh, &["history"]).status.code(), Some(0));
+    wait_for_status(&mesh, &format!("evacuated: {zone}"));
+    let taken_back = run_at(&mesh, &["evacuate", "--take-back", "--json", &zone]);
+    assert_eq!(taken_back.status.code(), Some(0), "{taken_back:?}");
+    assert_eq!(
+        parse(&taken_back)["zones"].as_array().map(Vec::len),
+        Some(0)
+    );
+}
+
+/// Asks until the status has a line that begins so.
+fn wait_for_status(mesh: &LocalMesh, start: &str) {
+    for _ in 0..200 {
+        let status = text_of(&run_at(mesh, &["status"]).stdout);
+        if status.lines().any(|line| line.trim().starts_with(start)) {
+            return;
+        }
+    }
+    panic!("no line {start}");
+}
+
 /// Sends one request with that identity to the second node.
 /// One that is not idempotent: a second attempt, which a busy machine would bring about, is never made.
 fn send_request(mesh: &LocalMesh, id: &'static str) {
@@ -375,7 +406,7 @@
     let secret = "a-secret-of-operators";
     let node = closed_address();
     for command in [
-        "status", "timeline", "explain", "misses", "drain", "publish",
+        "status", "timeline", "explain", "misses", "drain", "evacuate", "publish",
     ] {
         let output = run_with_token(secret, &[command, "--help"]);
         assert_eq!(output.status.code(), Some(0));
--- a/tests/integration/operators.rs
+++ b/tests/integration/operators.rs
@@ -3,15 +3,17 @@
 use camphorturn::{
     coordination::publishing::{PublicationOutcome, PublicationRequest},
     options::checked_file::check_configuration,
-    protocol::operator_views::{HistoryView, LinePage, NodeCondition, NodeStatus, OperatorProblem},
+    protocol::operator_views::{
+        EvacuationView, HistoryView, LinePage, NodeCondition, NodeStatus, OperatorProblem,
+    },
     state::configuration::ConfigurationVersion,
     transport::operators::{
-        request::OperatorRequest,
+        request::{EvacuationProblem, OperatorRequest},
         server::{OperatorServer, serve_operators},
     },
 };
 use flume::Receiver;
-use std::thread;
+use std::{collections::BTreeSet, thread};
 use uuid::Uuid;
 
 const TOKEN: &str = "secret";
@@ -51,6 +53,16 @@
             let history: Result<HistoryView, String> = Err("away".to_owned());
             reply.send(history).expect("asker waits");
         }
+        OperatorRequest::Evacuate { zone, reply, .. } => {
+            let answer = match zone.as_str() {
+                "a" => Ok(EvacuationView {
+                    zones: BTreeSet::from([zone]),
+                }),
+                "away" => Err(EvacuationProblem::Store("away".to_owned())),
+                _ => Err(EvacuationProblem::UnknownZone),
+            };
+            reply.send(answer).expect("asker waits");
+        }
         OperatorRequest::Rejected => {}
     }
 }
@@ -163,6 +175,20 @@
     event_loop.join().expect("one request");
 }
 
+#[test]
+fn serve_operators_evacuates() {
+    let (server, rx) = start();
+    let event_loop = thread::spawn(move || rx.iter().take(3).for_each(answer));
+    let ask = |zone| post(&server, &format!("/evacuation?zone={zone}")).bearer_auth(TOKEN);
+    let view: EvacuationView = ask("a").send().expect("sent").json().expect("a view");
+    assert_eq!(view.zones.len(), 1);
+    assert_eq!(send_problem(ask("away")).0, 503);
+    let (status, error) = send_problem(ask("elsewhere"));
+    assert!(status == 400 && error.contains("zone"), "{error}");
+    assert_eq!(send_problem(ask("")).0, 400);
+    event_loop.join().expect("three requests");
+}
+
 #[test]
 fn serve_operators_names_what_is_wrong() {
     let (server, _rx) = start();
