What waited at a node that takes no work any more goes to other zones

Callers saw: requests that waited for a slot in a zone at the moment of its evacuation were refused as evacuated, though an upstream of another zone was idle.

Cause: the own zone had promised an end soon enough, so the search went on to its last phase, to wait, without asking other zones; after the refusal there no offer was left and it gave up. The same at an upstream that leaves while requests wait at it.

Change: a refusal by which a node takes no work at all reopens the search for other zones (slot_search.rs). Which refusals those are stands once, in protocol/outcome.rs.

Ruled out: letting what waits run in the zone (measured beside it, see docs/design/shifted-work.md).

--- a/src/coordination/slot_search.rs
+++ b/src/coordination/slot_search.rs
@@ -121,6 +121,14 @@
         self.offers.push(offer);
     }
 
+    /// Notes that a node takes no work at all. If the request waited there, the nodes of other zones that were not asked, since the
+    /// wait seemed short enough, are asked next.
+    pub fn reopen(&mut self) {
+        if self.phase == Phase::Wait {
+            self.phase = Phase::Far;
+        }
+    }
+
     /// Whether a node is known that has no slot in time.
     #[must_use]
     pub fn has_offers(&self) -> bool {
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -34,6 +34,21 @@
     Quarantined,
 }
 
+impl RefusalReason {
+    /// Whether the node that refused so takes no work at all for a while.
+    #[must_use]
+    pub const fn is_of_node(self) -> bool {
+        matches!(
+            self,
+            Self::Draining
+                | Self::Evacuated
+                | Self::UpstreamDown
+                | Self::UnknownClass
+                | Self::NotSent
+        )
+    }
+}
+
 /// Why it can't be told whether a request ran.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -209,16 +209,7 @@
 
 /// A node whose upstream takes no work at all is left out for a while.
 fn pause_after_refusal(view: &mut NodeView, reason: RefusalReason, now: Moment) {
-    let takes_none = !Mechanism::LeavingOut.is_off()
-        && matches!(
-            reason,
-            RefusalReason::Draining
-                | RefusalReason::Evacuated
-                | RefusalReason::UpstreamDown
-                | RefusalReason::UnknownClass
-                | RefusalReason::NotSent
-        );
-    if takes_none {
+    if !Mechanism::LeavingOut.is_off() && reason.is_of_node() {
         view.paused_until = now + REFUSAL_PAUSE;
     }
 }
--- a/src/proxy/entry/carrier/judging.rs
+++ b/src/proxy/entry/carrier/judging.rs
@@ -78,6 +78,9 @@
                 if reason == RefusalReason::QueueFull {
                     self.note_offer(to, answer.finish);
                 }
+                if reason.is_of_node() {
+                    self.search.reopen();
+                }
                 Step::Elsewhere
             }
         }
