Prose of crashes, slow start, evacuations and the parts beside them in the usual terms

Comments only. Done: proxy/crashes.rs, proxy/evacuating.rs, proxy/executing/warmth.rs, coordination/slow_start.rs, state/evacuations.rs, and the lines of slot_queue.rs, pace.rs and own_upstream.rs that said 'takes in'.

--- a/src/coordination/own_upstream.rs
+++ b/src/coordination/own_upstream.rs
@@ -72,7 +72,7 @@
         self.current.as_ref().filter(|run| !run.leaving)
     }
 
-    /// Takes in an announcement.
+    /// Applies an announcement.
     pub fn announce(&mut self, announcement: Announcement) -> AnnouncementEffect {
         if self.has_ended(&announcement.run) {
             return AnnouncementEffect::Stale;
@@ -94,7 +94,7 @@
         }
     }
 
-    /// Takes in that a run leaves for good. True if that is news.
+    /// Records that a run leaves for good. True if it was not known.
     pub fn depart(&mut self, told: &RunIdentity) -> bool {
         match &mut self.current {
             Some(known) if known.identity == *told || is_untold(&known.identity, told) => {
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -160,12 +160,12 @@
         self.fill(now)
     }
 
-    /// Another run of the upstream has come.
+    /// Resets the warmup for a new run of the upstream.
     pub fn begin_run(&mut self) {
         self.slow_start.begin_run();
     }
 
-    /// Takes in what the upstream told of its cold time.
+    /// Records the warmup state that the upstream reports.
     pub fn note_cold_time(&mut self, told: ToldColdTime, now: Moment) {
         self.slow_start.note_told(told, now);
     }
@@ -176,7 +176,7 @@
         self.slow_start.is_cold(now)
     }
 
-    /// Takes in how fast the VM works now.
+    /// Records the current pace of the VM.
     pub fn set_pace(&mut self, pace: Pace, now: Moment) -> Vec<SlotAction> {
         self.pace = pace;
         self.fill(now)
@@ -231,7 +231,7 @@
         self.running.len() < self.limit && self.slow_start.wait(0, now).is_zero()
     }
 
-    /// Takes in that a request at the upstream ended.
+    /// Records the end of a request at the upstream.
     pub fn finish(&mut self, number: SlotNumber, now: Moment) -> Vec<SlotAction> {
         self.running.retain(|running| running.number != number);
         self.fill(now)
--- a/src/coordination/slow_start.rs
+++ b/src/coordination/slow_start.rs
@@ -1,19 +1,19 @@
 //! How many requests a cold upstream is given.
 //!
-//! A cold upstream tolerates a rate and crashes at much more. The node beside it is the only way to it, so the starts of any second are
-//! counted here, also while it is warm: it may become cold at any moment, and the starts of the second before still count.
+//! A cold upstream tolerates a limited request rate and crashes well above it. All requests reach it through the local node, so this
+//! node counts the starts of the last second, also while the upstream is warm: it may become cold at any moment, and earlier
+//! starts within the same second count.
 //!
-//! Load pattern answered: all upstreams come back cold at once, and what has waited meanwhile is started in one go.
+//! Load pattern: all upstreams restart cold at once, and the requests queued meanwhile would start in one burst.
 
 use crate::state::moment::Moment;
 use std::{collections::VecDeque, time::Duration};
 
-/// Span within which starts are counted: the second of the operators' bound, and the time that the clocks of node and upstream
-/// may run apart in it.
+/// Sliding window of the limit: one second plus a margin for timer granularity.
 const WINDOW: Duration = Duration::from_millis(1_020);
-/// Starts that are remembered at most. No service tolerates as many within the window when cold.
+/// Maximum number of remembered starts, and upper bound of any limit.
 const REMEMBERED: usize = 4_096;
-/// A process that ended is started again later than that.
+/// Minimum time between the end of a node process and the start of the next one on the same VM.
 const RESTART_PAUSE: Duration = Duration::from_millis(100);
 
 /// Bounds on the requests that a cold upstream gets within any second, beside the rate that its service tolerates.
@@ -50,30 +50,30 @@
     }
 }
 
-/// What an upstream told of its cold time.
+/// Warmup state as reported by an upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ToldColdTime {
-    /// How much longer it is cold.
+    /// Remaining warmup time.
     pub left: Duration,
-    /// How long it is cold altogether.
+    /// Total warmup time; zero if unknown.
     pub lasts: Duration,
-    /// Most requests within a second meanwhile.
+    /// Maximum number of requests within any second of the warmup.
     pub limit: usize,
 }
 
-/// Counts the starts at one upstream, and bounds them while it is cold.
+/// Counts requests started at one upstream and limits them while it is cold.
 #[derive(Clone, Debug)]
 pub struct SlowStart {
     limit: usize,
     cold_until: Moment,
     /// The last starts, oldest first.
     starts: VecDeque<Moment>,
-    /// Since when starts at the present run are counted, if an earlier process of the node may have started some before.
+    /// Start of the counting, while an earlier process of this node may have sent requests to the current run of the upstream.
     counted_since: Option<Moment>,
 }
 
 impl SlowStart {
-    /// Of a node that has started now, and does not know what an earlier process of it has started.
+    /// State of a node process that starts now. Requests sent by an earlier process are unknown.
     #[must_use]
     pub fn new(now: Moment) -> Self {
         Self {
@@ -84,14 +84,14 @@
         }
     }
 
-    /// Another run of the upstream has come: this process has seen all its starts. Those of the run before still count, since it may be
-    /// the same upstream under the identity that it had.
+    /// Resets the warmup for a new run of the upstream, whose requests all went through this process. Starts of the previous run still
+    /// count: an upstream may restart under the same identity within the window.
     pub fn begin_run(&mut self) {
         self.cold_until = Moment::default();
         self.counted_since = None;
     }
 
-    /// Takes in what the upstream told. It never shortens the cold time: the word may have been under way for seconds.
+    /// Records a report of the upstream. A report may have been delayed for seconds, so it never shortens the known warmup.
     pub fn note_told(&mut self, told: ToldColdTime, now: Moment) {
         if told.left.is_zero() {
             return;
@@ -104,13 +104,13 @@
         self.counted_since = self.counted_since.filter(|counted| !began_here(*counted));
     }
 
-    /// Whether the upstream is cold as far as is known.
+    /// Whether the upstream is known to be cold.
     #[must_use]
     pub fn is_cold(&self, now: Moment) -> bool {
         now < self.cold_until
     }
 
-    /// Notes a start.
+    /// Records the start of a request.
     pub fn note_start(&mut self, now: Moment) {
         while self
             .starts
@@ -123,7 +123,7 @@
         self.starts.push_back(now);
     }
 
-    /// Time until a request may start with `ahead` others before it.
+    /// Time until a request may start if `ahead` other requests start before it.
     #[must_use]
     pub fn wait(&self, ahead: usize, now: Moment) -> Duration {
         if !self.is_cold(now) {
--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -1,7 +1,7 @@
-//! Finds out which requests crash the upstreams that run them, and keeps these from all upstreams.
+//! Detects requests that crash the upstreams which run them, and quarantines these requests.
 //!
-//! The node beside an upstream sees it crash and tells the keepers of each request that was cut. Keepers count the crashes; one
-//! that has counted enough tells all nodes and writes that to the store, for nodes that start later.
+//! The node beside an upstream detects its crash and reports it to the keepers of each request that was aborted. Keepers count the
+//! crashes; one that reaches the threshold propagates the quarantine to all nodes and writes it to the store for nodes that start later.
 
 use crate::{
     coordination::crash_keepers::{KEEPERS, order_keepers},
@@ -28,7 +28,7 @@
 /// Nodes that are tried until enough keepers have taken a message. Records outlast their nodes by half an hour.
 const MAX_TRIED: usize = 12;
 
-/// A request that was cut at an upstream.
+/// A request that was aborted at an upstream.
 pub struct CutRequest {
     /// Its identity, for the log.
     pub request: String,
@@ -40,26 +40,26 @@
     pub service: ServiceName,
 }
 
-/// Whether the upstream beside this node has crashed, after it has cut a request; if so, the request's keepers are told.
+/// Probes the local upstream after a connection closed without a response, and reports a crash to the request's keepers.
 ///
-/// Upstreams also cut requests when they are full or lose an answer, and live on.
+/// Upstreams also close connections when they are full or lose a response, and keep running.
 pub async fn find_crash(core: &Rc<ProxyCore>, cut: CutRequest) -> bool {
     let (tx, rx) = flume::bounded(1);
     let core = Rc::clone(core);
-    // Goes on when the client leaves meanwhile: its request may be what crashed the upstream.
+    // Continues after a client disconnect: the request of that client may have caused the crash.
     spawn_local(async move {
         let crashed =
             !leaves(&core, &cut.run) && has_ended(&core, &cut.service, &cut.run.instance).await;
         if crashed {
             report_crash(&core, cut);
         }
-        // Nobody waits for it once the client has left.
+        // The receiver is gone after a client disconnect.
         let _ = tx.send(crashed);
     });
     rx.recv_async().await.unwrap_or(false)
 }
 
-/// An upstream that leaves ends as it has said.
+/// A draining upstream ends as planned, which is no crash.
 fn leaves(core: &ProxyCore, run: &RunIdentity) -> bool {
     let own = core.own.borrow();
     let current = own.current();
@@ -87,7 +87,7 @@
     tell_keepers(core, digest, CrashFinding::Crashed { digest, run });
 }
 
-/// Takes in that the present run of the upstream beside this node has answered a request.
+/// Records a response from the local upstream.
 pub fn note_answered_here(core: &Rc<ProxyCore>, digest: RequestDigest, run: &RunIdentity) {
     core.answered.borrow_mut().note(run, digest);
     if find_quarantine(core, digest).is_some() {
@@ -97,12 +97,12 @@
     }
 }
 
-/// Takes in that a request was answered after another upstream had crashed under it: it was only there.
+/// Clears the suspicion against a request that was answered after another upstream had crashed while running it.
 pub fn clear_suspect(core: &Rc<ProxyCore>, digest: RequestDigest) {
     tell_keepers(core, digest, CrashFinding::Answered(digest));
 }
 
-/// How much longer a request is kept from upstreams; none if it is not.
+/// The remaining quarantine time of a request; none if it is not in quarantine.
 #[must_use]
 pub fn find_quarantine(core: &ProxyCore, digest: RequestDigest) -> Option<Duration> {
     core.quarantine
@@ -110,7 +110,7 @@
         .time_left(digest, core.timers.now())
 }
 
-/// Takes in what a node has found out.
+/// Applies a finding that another node reports.
 pub fn take_finding(core: &Rc<ProxyCore>, finding: &CrashFinding) {
     match finding {
         CrashFinding::Crashed { digest, run } => count_crash(core, *digest, run),
@@ -121,12 +121,12 @@
     }
 }
 
-/// Takes in that the store holds a request in quarantine; true if that is news.
+/// Applies a quarantine read from the store; true if it was not known.
 pub fn take_stored_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest) -> bool {
     put_in_quarantine(core, digest, QuarantineSource::Told)
 }
 
-/// Tells the zone of a request in quarantine, for whoever was cut off when it was found out.
+/// Propagates a quarantine to the zone, for nodes that were partitioned when it began.
 pub fn tell_zone_of_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest) {
     tell(core, &core.list_zone(), CrashFinding::Quarantined(digest));
 }
@@ -178,7 +178,7 @@
     spread(core, receivers, &message);
 }
 
-/// Drops a quarantine from the store once it is over. A node that starts later would begin it anew.
+/// Drops an expired quarantine from the store. Otherwise a node that starts later would begin it anew.
 fn drop_when_over(core: &Rc<ProxyCore>, digest: RequestDigest) {
     let core = Rc::clone(core);
     spawn_local(async move {
@@ -189,9 +189,9 @@
     });
 }
 
-/// Has the store hold the quarantine of a request as it is now.
+/// Schedules a write of the present quarantine state of a request to the store.
 fn write(core: &ProxyCore, digest: RequestDigest) {
-    // The receiver is there as long as the sender.
+    // The receiver lives as long as the sender.
     let _ = core.quarantine_orders.0.send(digest);
 }
 
@@ -219,7 +219,7 @@
     }
 }
 
-/// Tells the next of the nodes that takes the message.
+/// Sends a message to the first of the nodes that accepts it.
 async fn tell_next(
     core: &Rc<ProxyCore>,
     rest: &RefCell<IntoIter<SocketAddr>>,
@@ -242,7 +242,7 @@
     }
 }
 
-/// All nodes that are known, this one included.
+/// All known nodes, including this one.
 fn list_nodes(core: &ProxyCore) -> Vec<SocketAddr> {
     let directory = core.directory.borrow();
     let mut nodes: Vec<SocketAddr> = directory.nodes.keys().copied().collect();
@@ -252,8 +252,8 @@
     nodes
 }
 
-/// All other nodes, in another order at each node that tells them: the loss of one that passes a message on is made up for by the
-/// other keepers. Those that could not be reached come first, since a message is passed on from the end.
+/// All other nodes in random order, so that each keeper propagates along another tree and the loss of a forwarding node is compensated.
+/// Unreachable nodes come first, since messages are forwarded from the end.
 fn list_receivers(core: &ProxyCore) -> Vec<SocketAddr> {
     let directory = core.directory.borrow();
     let mut views: Vec<_> = directory.nodes.iter().collect();
--- a/src/proxy/evacuating.rs
+++ b/src/proxy/evacuating.rs
@@ -1,7 +1,7 @@
-//! Puts evacuations of availability zones in force and spreads them over the zone of this node.
+//! Applies evacuations of availability zones and propagates them to the nodes of this node's zone.
 //!
-//! They come from the store, by the nodes that read it for their zone, and go on along a tree as records of nodes do. A node that
-//! the tree misses hears of them from the one before it in the ring of the zone.
+//! The readers of a zone receive them from the store and forward them along a tree, as they do with node records. A node that the tree
+//! misses receives them from its predecessor in the ring of the zone.
 
 use crate::{
     coordination::offer_rounds::{OfferRounds, RingNode},
@@ -29,51 +29,51 @@
 };
 use tokio::task::spawn_local;
 
-/// Times that an operator's word is offered to the store, and the pause between two.
+/// Attempts to append an operator's order to the store, and the pause between two attempts.
 const STORE_TRIES: u32 = 5;
 const STORE_PAUSE: Duration = Duration::from_millis(200);
 
-/// The evacuations in force, and which nodes of the zone are known to have them.
+/// The evacuations in force, and the positions known by other nodes.
 #[derive(Default)]
 pub struct EvacuationsInForce {
     evacuations: RefCell<Evacuations>,
-    /// Positions that other nodes have told.
+    /// Last position reported by each node.
     positions: RefCell<BTreeMap<SocketAddr, u64>>,
     rounds: RefCell<OfferRounds<u64>>,
 }
 
 impl EvacuationsInForce {
-    /// Whether nothing may be sent to the upstreams of a zone.
+    /// Whether a zone is evacuated, so that its upstreams get no requests.
     #[must_use]
     pub fn contains(&self, zone: &AvailabilityZoneName) -> bool {
         self.evacuations.borrow().contains(zone)
     }
 
-    /// Zones that are evacuated.
+    /// The evacuated zones.
     #[must_use]
     pub fn zones(&self) -> BTreeSet<AvailabilityZoneName> {
         self.evacuations.borrow().zones().clone()
     }
 
-    /// Offset up to which the store's topic is taken into account.
+    /// Offset up to which records of the store's topic are applied.
     #[must_use]
     pub fn position(&self) -> u64 {
         self.evacuations.borrow().position()
     }
 
-    /// What is in force, for another node; none if nothing is known.
+    /// The state to send to another node; none before anything is known.
     #[must_use]
     pub fn describe(&self) -> Option<Rc<Evacuations>> {
         let known = self.evacuations.borrow();
         (known.position() > 0).then(|| Rc::new(known.clone()))
     }
 
-    /// Notes the position that another node has told.
+    /// Records the position reported by another node.
     pub fn note_position(&self, address: SocketAddr, position: u64) {
         self.positions.borrow_mut().insert(address, position);
     }
 
-    /// Whether a node is known to have all that is known here.
+    /// Whether a node is known to have applied the last change.
     fn is_known_at(&self, address: SocketAddr) -> bool {
         let changed_at = self.evacuations.borrow().changed_at();
         let known = self.positions.borrow().get(&address).copied();
@@ -81,7 +81,7 @@
     }
 }
 
-/// Puts what was read from the store in force.
+/// Applies changes read from the store.
 pub fn take_read_evacuations(
     core: &Rc<ProxyCore>,
     changes: &[EvacuationChange],
@@ -93,7 +93,7 @@
     put_in_force(core, &before, after, StateSource::Store);
 }
 
-/// Puts what another node tells in force, if it is newer.
+/// Applies the state of another node if it is newer.
 pub fn take_told_evacuations(core: &Rc<ProxyCore>, told: &Evacuations) {
     let before = core.evacuations.evacuations.borrow().clone();
     let mut after = before.clone();
@@ -138,10 +138,10 @@
     }
 }
 
-/// Stores an operator's word on an availability zone. The store brings it to all nodes, this one included.
+/// Appends an operator's order to the store, from which all nodes, including this one, receive it.
 ///
 /// # Errors
-/// If no node of a zone to be evacuated is known, or the store does not confirm it.
+/// If the zone to be evacuated has no known node, or the store does not confirm the record.
 pub async fn order_evacuation<S: PublicationStore>(
     core: &ProxyCore,
     store: &S,
@@ -153,7 +153,7 @@
     }
     let mut reason = String::new();
     for _ in 0..STORE_TRIES {
-        // Without an answer it may be stored; to store the same once more changes nothing.
+        // Idempotent: an unanswered append may have been stored.
         match store.append_evacuation(zone, evacuated).await {
             Ok(()) => return Ok(describe_order(core, zone, evacuated)),
             Err(error) => reason = error.to_string(),
@@ -186,12 +186,12 @@
 
 fn tell_along_tree(core: &Rc<ProxyCore>) {
     let mut receivers = core.list_zone();
-    // The other reader of the zone tells it too; with another order the loss of a node that passes on is made up for.
+    // Both readers of the zone send it; different trees compensate for the loss of a forwarding node.
     receivers.shuffle(&mut rand::rng());
     spread(core, &receivers, &build_message(core));
 }
 
-/// Tells the node after this one in the ring of the zone, until it is known to have what is in force.
+/// Sends the state to the successor in the ring of the zone until it confirms the last change.
 pub fn check_neighbours(core: &Rc<ProxyCore>) {
     let in_force = &core.evacuations;
     let changed_at = in_force.evacuations.borrow().changed_at();
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -108,7 +108,7 @@
     }
 }
 
-/// Takes in the load that an upstream told beside an answer.
+/// Records the load reported in a response of the upstream.
 pub fn note_load(core: &Rc<ProxyCore>, headers: &HeaderMap) {
     let text = headers
         .get(&core.settings.headers.load)
--- a/src/proxy/executing/warmth.rs
+++ b/src/proxy/executing/warmth.rs
@@ -1,4 +1,4 @@
-//! How long the upstream stays cold, by its announcements and by its answers to questions.
+//! Tracks how long the upstream stays cold, from its announcements and its health responses.
 
 use crate::{
     coordination::slow_start::ToldColdTime,
@@ -12,11 +12,10 @@
 use http::HeaderMap;
 use std::{rc::Rc, time::Duration};
 
-/// Age up to which it counts as known that the upstream is warm. It may become cold at any moment, and gets as much as a warm one until
-/// it is asked again.
+/// Maximum age of the last health response while the upstream counts as warm. It may become cold at any moment.
 const FRESH: Duration = Duration::from_millis(250);
 
-/// Takes in how much longer the upstream says that it is cold.
+/// Records the remaining warmup time that the upstream reports.
 pub fn note_cold_time(core: &ProxyCore, service: &ServiceName, left: Duration) {
     let Some(cold) = find_cold_service(core, service).filter(|_| !left.is_zero()) else {
         return;
@@ -40,7 +39,7 @@
     }
 }
 
-/// Takes in what an answer to a question tells of the cold time.
+/// Records the warmup time from a health response.
 pub fn note_warmth(core: &ProxyCore, headers: &HeaderMap) {
     core.slots.warmth_told_at.set(Some(core.timers.now()));
     let header = headers.get(&core.settings.headers.warmup_left);
@@ -51,7 +50,7 @@
     }
 }
 
-/// Asks whether the upstream is cold, unless that is known well enough or makes no difference.
+/// Probes whether the upstream is cold, unless this is known recently enough or its service has no limit.
 pub async fn refresh_warmth(core: &Rc<ProxyCore>) {
     let service = core.own.borrow().current().map(|run| run.service.clone());
     let differs = service.is_some_and(|service| find_cold_service(core, &service).is_some());
--- a/src/state/evacuations.rs
+++ b/src/state/evacuations.rs
@@ -17,11 +17,11 @@
 
 /// The evacuated zones as of one position in the topic of the configuration.
 ///
-/// Of two states the one with the later position holds as a whole. So neither an old record that comes after a new one nor a node
-/// that was away brings back an evacuation that is over.
+/// Of two states, the one with the later position replaces the other as a whole. Neither a delayed record nor a node that was
+/// partitioned can revive an evacuation that has ended.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
-    /// Offset of the first record that is not taken into account; 0 if none is known.
+    /// Offset of the first record that is not applied yet; 0 if nothing is known.
     position: u64,
     /// Position after the last record that changed a zone.
     changed_at: u64,
@@ -29,7 +29,7 @@
 }
 
 impl Evacuations {
-    /// Whether operators let nothing be sent to the upstreams of a zone.
+    /// Whether a zone is evacuated.
     #[must_use]
     pub fn contains(&self, zone: &AvailabilityZoneName) -> bool {
         self.zones.contains(zone)
@@ -41,21 +41,21 @@
         &self.zones
     }
 
-    /// Offset of the first record that is not taken into account; 0 if none is known.
+    /// Offset of the first record that is not applied yet; 0 if nothing is known.
     #[must_use]
     pub const fn position(&self) -> u64 {
         self.position
     }
 
-    /// Position after the last record that changed a zone; 0 if there was none. A node with this position or a later one knows of
-    /// all that is known here.
+    /// Position after the last record that changed a zone; 0 if there was none. A node at this position or a later one has applied every
+    /// change known here.
     #[must_use]
     pub const fn changed_at(&self) -> u64 {
         self.changed_at
     }
 
-    /// What is known after the records up to `next` have been read; `whole` if they are the newest of all keys, in which case zones
-    /// without a record have been taken back.
+    /// The state after applying the records up to `next`. With `whole` they are the newest records of all keys, and a zone without a
+    /// record is not evacuated.
     #[must_use]
     pub fn after(&self, changes: &[EvacuationChange], next: u64, whole: bool) -> Self {
         if next <= self.position {
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Replaces what is known by what another node tells, if that is as of a later position. True if it was.
+    /// Replaces this state by that of another node if its position is later. True if it was.
     pub fn replace_by(&mut self, told: &Self) -> bool {
         let is_later = told.position > self.position;
         if is_later {
