What must run once goes out on a connection used a moment ago, where there is one

Cause: a kept connection may have been dropped by the other side without notice, and what is sent on it ends as unknown. That takes idleness; upstreams that forget idle connections do so after 300 ms or more.

Change: SendRules say which kept connections a request may use (Reuse): any, one idle for less than 150 ms, none. The last-used connection is taken first; one that is too old for a request stays for those that may use it.

Run: send_reuses_what_was_used_a_moment_ago, and all tests.

--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -16,7 +16,7 @@
     state::{ablation::Mechanism, request_digest::RequestDigest},
     transport::{
         callers::CallerRequest,
-        outgoing::{SendError, SendRules},
+        outgoing::{Reuse, SendError, SendRules},
     },
 };
 use bytes::Bytes;
@@ -56,7 +56,7 @@
         return (Verdict::Refused(RefusalReason::NotSent), None);
     };
     let rules = SendRules {
-        fresh: !hop.idempotent && !Mechanism::FreshConnections.is_off(),
+        reuse: Reuse::for_request(hop.idempotent || Mechanism::FreshConnections.is_off()),
         connect_timeout: CONNECT_TIMEOUT.min(time_left),
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
--- a/src/proxy/executing/pace.rs
+++ b/src/proxy/executing/pace.rs
@@ -8,11 +8,12 @@
     proxy::{
         core::ProxyCore,
         executing::{
-            questions::{AskedOn, find_health_uri, send_question},
+            questions::{find_health_uri, send_question},
             slots::apply,
         },
     },
     state::{ablation::Mechanism, moment::Moment, rate_limit::RateLimit},
+    transport::outgoing::Reuse,
 };
 use http::HeaderMap;
 use std::{
@@ -162,7 +163,7 @@
     let Some(uri) = service.and_then(|service| find_health_uri(core, &service)) else {
         return;
     };
-    match send_question(core, uri, AskedOn::KeptConnection).await {
+    match send_question(core, uri, Reuse::Any).await {
         Ok(answer) => note_load(core, answer.headers()),
         // Asked again after the usual pause, not by every request that comes meanwhile.
         Err(_) => core.slots.note_unanswered(core.timers.now()),
--- a/src/proxy/executing/questions.rs
+++ b/src/proxy/executing/questions.rs
@@ -6,7 +6,7 @@
         executing::warmth::note_warmth,
     },
     state::{names::ServiceName, placement_view::NodeRecord},
-    transport::outgoing::{SendError, SendRules},
+    transport::outgoing::{Reuse, SendError, SendRules},
 };
 use bytes::Bytes;
 use http::{Request, Response, Uri, response::Parts};
@@ -25,7 +25,7 @@
     let Some(uri) = find_health_uri(core, &record.service) else {
         return false;
     };
-    let Ok(answer) = send_question(core, uri, AskedOn::KeptConnection).await else {
+    let Ok(answer) = send_question(core, uri, Reuse::Any).await else {
         return false;
     };
     let same = read_instance(core, &answer).is_some_and(|told| told == record.run.instance);
@@ -35,9 +35,7 @@
 /// The identity that the upstream tells when it is asked; none if it does not answer.
 pub async fn ask_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
     let uri = find_health_uri(core, service)?;
-    let answer = send_question(core, uri, AskedOn::KeptConnection)
-        .await
-        .ok()?;
+    let answer = send_question(core, uri, Reuse::Any).await.ok()?;
     read_instance(core, &answer).map(str::to_owned)
 }
 
@@ -48,7 +46,7 @@
     let Some(uri) = find_health_uri(core, service) else {
         return core.outgoing.is_refused(upstream, ANSWER_TIMEOUT).await;
     };
-    match send_question(core, uri, AskedOn::NewConnection).await {
+    match send_question(core, uri, Reuse::Never).await {
         Ok(answer) => read_instance(core, &answer).is_some_and(|told| told != instance),
         Err(QuestionError::Failed(error)) => error != SendError::BadAnswer,
         Err(QuestionError::OutOfTime) => false,
@@ -67,15 +65,6 @@
     routes.find_service(service)?.health_path.parse().ok()
 }
 
-/// The connection on which a question is asked.
-#[derive(Clone, Copy, PartialEq, Eq)]
-pub enum AskedOn {
-    /// One that is kept, if there is one.
-    KeptConnection,
-    /// A new one: kept ones end with the run that took them.
-    NewConnection,
-}
-
 /// Why a question has no answer.
 pub enum QuestionError {
     /// It is not asked: too many were.
@@ -90,7 +79,7 @@
 pub async fn send_question(
     core: &Rc<ProxyCore>,
     uri: Uri,
-    on: AskedOn,
+    on: Reuse,
 ) -> Result<Response<Bytes>, QuestionError> {
     if !core.slots.pace.take_question(core.timers.now()) {
         return Err(QuestionError::OutOfBudget);
@@ -99,7 +88,7 @@
     let mut request = Request::new(Full::default());
     *request.uri_mut() = uri;
     let rules = SendRules {
-        fresh: on == AskedOn::NewConnection,
+        reuse: on,
         // Beyond the whole time, so that a connection which was not opened was refused.
         connect_timeout: ANSWER_TIMEOUT * 2,
         idle_limit: IDLE_LIMIT,
--- a/src/proxy/peers.rs
+++ b/src/proxy/peers.rs
@@ -17,7 +17,7 @@
     state::ablation::Mechanism,
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
-        outgoing::{SendError, SendRules},
+        outgoing::{Reuse, SendError, SendRules},
     },
 };
 use bytes::Bytes;
@@ -52,7 +52,7 @@
 ) -> Result<Executed, SendError> {
     let request = build_hop(hop, req).ok_or(SendError::NotSent)?;
     let rules = SendRules {
-        fresh: !hop.idempotent && !Mechanism::FreshConnections.is_off(),
+        reuse: Reuse::for_request(hop.idempotent || Mechanism::FreshConnections.is_off()),
         connect_timeout: CONNECT_TIMEOUT,
         idle_limit: IDLE_LIMIT,
         body_limit: BODY_LIMIT,
--- a/src/proxy/state_messages.rs
+++ b/src/proxy/state_messages.rs
@@ -4,7 +4,7 @@
     coordination::spreading::split_receivers,
     protocol::hop::{STATE_HEADER, StateMessage},
     proxy::{core::ProxyCore, events::ProxyEvent},
-    transport::outgoing::{Patience, SendRules},
+    transport::outgoing::{Patience, Reuse, SendRules},
 };
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Method, Request, Response, Uri};
@@ -15,7 +15,7 @@
 /// How a message with state is sent. A node that can't be reached in time is passed over; it learns the
 /// version from the next request.
 const RULES: SendRules = SendRules {
-    fresh: false,
+    reuse: Reuse::Any,
     connect_timeout: Duration::from_millis(250),
     idle_limit: IDLE_LIMIT,
     body_limit: BODY_LIMIT,
--- a/src/state/ablation.rs
+++ b/src/state/ablation.rs
@@ -17,7 +17,7 @@
     LeavingOut,
     /// A refused client is told to come back once the queue is over, instead of after the least time.
     ComeBackTimes,
-    /// What must run once goes out on a connection of its own.
+    /// What must run once goes out on a connection that was used a moment ago, or on a new one.
     FreshConnections,
     /// A request is sent to a second upstream after the first failed.
     Retries,
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -52,12 +52,46 @@
     BadAnswer,
 }
 
+/// Which kept connections a request may be sent on. The other side may have closed an idle one without notice; what is sent on it
+/// then ends as unknown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reuse {
+    /// Any that is kept.
+    Any,
+    /// Only one that was idle for less than that.
+    IdleFor(Duration),
+    /// None: a connection is opened.
+    Never,
+}
+
+impl Reuse {
+    /// Bound for requests that must run once. Servers and networks drop idle connections after longer than that.
+    pub const FOR_ONCE: Self = Self::IdleFor(Duration::from_millis(150));
+
+    /// The bound for a request, by whether it may run twice.
+    #[must_use]
+    pub const fn for_request(idempotent: bool) -> Self {
+        if idempotent {
+            Self::Any
+        } else {
+            Self::FOR_ONCE
+        }
+    }
+
+    fn allows(self, idle: Duration) -> bool {
+        match self {
+            Self::Any => true,
+            Self::IdleFor(limit) => idle < limit,
+            Self::Never => false,
+        }
+    }
+}
+
 /// How one request is to be sent.
 #[derive(Clone, Copy, Debug)]
 pub struct SendRules {
-    /// Open a connection for it, whatever is idle. The other side may have given up an idle one
-    /// without notice; what is sent on it then ends as unknown.
-    pub fresh: bool,
+    /// Which kept connections it may be sent on.
+    pub reuse: Reuse,
     /// Longest time to open a connection.
     pub connect_timeout: Duration,
     /// Longest time that a connection may have been idle.
@@ -130,16 +164,14 @@
         is_answer: impl Fn(&Parts) -> bool,
     ) -> Result<Response<Bytes>, SendError> {
         let mut req = req;
-        if !rules.fresh {
-            while let Some(mut connection) = self.take_idle(address, rules.idle_limit) {
-                match self.exchange(&mut connection, req, rules, &is_answer).await {
-                    Ok(answer) => {
-                        self.give_back(address, connection, answer.headers());
-                        return Ok(answer);
-                    }
-                    Err(Failure::Returned(unsent)) => req = *unsent,
-                    Err(Failure::Ended(error)) => return Err(error),
+        while let Some(mut connection) = self.take_idle(address, rules) {
+            match self.exchange(&mut connection, req, rules, &is_answer).await {
+                Ok(answer) => {
+                    self.give_back(address, connection, answer.headers());
+                    return Ok(answer);
                 }
+                Err(Failure::Returned(unsent)) => req = *unsent,
+                Err(Failure::Ended(error)) => return Err(error),
             }
         }
         let mut connection = self.open(address, rules.connect_timeout).await?;
@@ -231,15 +263,17 @@
         }
     }
 
-    fn take_idle(&self, address: SocketAddr, limit: Duration) -> Option<Connection> {
+    /// Takes the connection that was used last, if the rules allow it.
+    fn take_idle(&self, address: SocketAddr, rules: SendRules) -> Option<Connection> {
         let now = self.timers.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
         kept.retain(|idle| {
-            let limit = idle.allowed.map_or(limit, |allowed| allowed.min(limit));
-            now.since(idle.since) < limit && !idle.connection.tx.is_closed()
+            let limit = idle.allowed.unwrap_or(rules.idle_limit);
+            now.since(idle.since) < limit.min(rules.idle_limit) && !idle.connection.tx.is_closed()
         });
-        kept.pop().map(|idle| idle.connection)
+        let newest = kept.pop_if(|idle| rules.reuse.allows(now.since(idle.since)));
+        newest.map(|idle| idle.connection)
     }
 
     /// Keeps a connection once it can take the next request. One with an unfinished body or with
--- a/tests/integration/outgoing.rs
+++ b/tests/integration/outgoing.rs
@@ -4,16 +4,16 @@
 use bytes::Bytes;
 use camphorturn::{
     timers::TimerService,
-    transport::outgoing::{OutgoingConnections, SendRules},
+    transport::outgoing::{OutgoingConnections, Reuse, SendRules},
 };
 use http::Request;
 use http_body_util::Full;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpListener,
     runtime::Builder,
-    task::{LocalSet, spawn_local},
+    task::{LocalSet, spawn_local, yield_now},
 };
 
 /// Reads whatever comes first, sends these bytes and closes.
@@ -44,7 +44,7 @@
         let outgoing: Rc<OutgoingConnections> = OutgoingConnections::new(timers.clone());
         let address = serve_once(bytes).await;
         let rules = SendRules {
-            fresh: true,
+            reuse: Reuse::Never,
             connect_timeout: Duration::from_secs(20),
             idle_limit: Duration::from_secs(1),
             body_limit: 64 * 1024,
@@ -75,3 +75,65 @@
         assert_eq!(send_and_read(whole[..end].to_vec()), None, "cut at {end}");
     }
 }
+
+/// Answers every request, and counts the connections.
+async fn serve_and_count(connections: Rc<Cell<usize>>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound listener");
+    spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            connections.set(connections.get() + 1);
+            spawn_local(async move {
+                let mut question = [0; 1_024];
+                while stream.read(&mut question).await.is_ok_and(|read| read > 0) {
+                    let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+                    if stream.write_all(answer).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+/// Failure: what must run once is sent on a connection that the other side may have dropped meanwhile, or opens a connection although
+/// one was used a moment ago.
+#[test]
+fn send_reuses_what_was_used_a_moment_ago() {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("an event loop");
+    LocalSet::new().block_on(&runtime, async {
+        let timers = TimerService::fake();
+        let outgoing = OutgoingConnections::new(timers.clone());
+        let connections = Rc::new(Cell::new(0));
+        let address = serve_and_count(Rc::clone(&connections)).await;
+        let once = Reuse::for_request(false);
+        for (pause, reuse, opened) in [
+            (0, once, 1),
+            (100, once, 1),
+            (200, once, 2),
+            (900, Reuse::Any, 2),
+            (0, Reuse::Never, 3),
+        ] {
+            timers.advance(Duration::from_millis(pause));
+            let rules = SendRules {
+                reuse,
+                connect_timeout: Duration::from_secs(20),
+                idle_limit: Duration::from_secs(1),
+                body_limit: 64 * 1024,
+                patience: None,
+            };
+            let request = Request::new(Full::new(Bytes::new()));
+            let sent = outgoing.send(address, request, rules, |_| true).await;
+            assert!(sent.is_ok(), "after {pause} ms");
+            // The connection is kept once the other tasks have had their turns.
+            for _ in 0..20 {
+                yield_now().await;
+            }
+            assert_eq!(connections.get(), opened, "after {pause} ms");
+        }
+    });
+}
