Without a node in its own zone a request asks four nodes of other zones

Load: a zone is evacuated and its clients' requests go to the others, which have taken the load at once. Two questions for a slot found full nodes more often than four would, and what then waits is late.

--- a/src/coordination/slot_search.rs
+++ b/src/coordination/slot_search.rs
@@ -13,6 +13,8 @@
 pub const NEAR_ASKED: usize = 4;
 /// Nodes of other zones asked for a slot at once; each question is paid for by its bytes.
 pub const FAR_ASKED: usize = 2;
+/// The same where the own zone has no node to ask: it is evacuated, or the service has none there.
+pub const FAR_ASKED_ALONE: usize = 4;
 /// Times a request may be sent to wait for a slot.
 pub const MAX_WAITS: u32 = 2;
 /// Share of the target after which an idempotent request is sent to a second node. 0.45 and 0.8 serve no
@@ -94,10 +96,10 @@
         let (near, far): (Vec<_>, Vec<_>) =
             candidates.into_iter().partition(|candidate| candidate.near);
         let near: Vec<_> = near.into_iter().take(NEAR_ASKED).collect();
-        let far_asked = if Mechanism::FarQuestions.is_off() {
-            0
-        } else {
-            FAR_ASKED
+        let far_asked = match near.is_empty() {
+            _ if Mechanism::FarQuestions.is_off() => 0,
+            true => FAR_ASKED_ALONE,
+            false => FAR_ASKED,
         };
         let far: Vec<_> = far.into_iter().take(far_asked).collect();
         let (share, each_kb) = if Mechanism::OwnZoneFirst.is_off() {
