A read behind what others told is not taken for the newest of all keys

Cause: the first read of a node counted as that of all keys, also where it went on behind the configuration that others had told. Zones without a record in it counted as taken back.

Change: only a read of the newest of all keys does. Ruled out: the position alone (what is read behind it is later by right).

Run: evacuated_zone_node_reads_on, which failed; the tests of evacuations, outages, offers and calls.

--- a/src/coordination/slow_start.rs
+++ b/src/coordination/slow_start.rs
@@ -39,14 +39,13 @@
     #[must_use]
     pub fn limit(&self, requests_per_minute: u32) -> usize {
         let per_second = f64::from(requests_per_minute) / 60.0;
-        let limit = (per_second * self.overage + self.slack).clamp(1.0, 4_096.0);
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
-            reason = "clamped"
+            reason = "the cast saturates"
         )]
-        let limit = limit.floor() as usize;
-        limit
+        let limit = (per_second * self.overage + self.slack).floor() as usize;
+        limit.clamp(1, REMEMBERED)
     }
 }
 
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -100,11 +100,12 @@
                 Some(reason) => (Duration::ZERO, reason),
                 None => self.wait_for_turn(topic, retries.is_failing()).await,
             };
-            match self.read(topic, next, wait, reason).await {
+            let from = next.max(self.skip_known(topic));
+            match self.read(topic, from, wait, reason).await {
                 Ok(records) => {
                     retries.succeed();
-                    let before = next.replace(records.next);
-                    self.take_records(topic, &records, before.is_none()).await;
+                    next = Some(records.next);
+                    self.take_records(topic, &records, from.is_none()).await;
                 }
                 Err(StoreError::Deleted) => {
                     next = None;
@@ -149,16 +150,16 @@
         }
     }
 
-    /// Reads what comes after `next` or after what other nodes told, whichever is later; all if neither is known.
+    /// Reads the records from an offset on; without one, the newest record of each key.
     async fn read(
         &self,
         topic: StoreTopic,
-        next: Option<u64>,
+        from: Option<u64>,
         wait: Duration,
         reason: CallReason,
     ) -> Result<Records, StoreError> {
         let calls = &self.core.counters.store_calls;
-        match next.max(self.skip_known(topic)) {
+        match from {
             None => {
                 calls.count(StoreCall::ReadNewest, reason);
                 self.store.read_newest(topic).await
@@ -189,7 +190,7 @@
         }
     }
 
-    /// Takes in records; `whole` if they are all that the topic holds.
+    /// Applies records; `whole` if they are the newest of all keys.
     async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
         match topic {
             StoreTopic::Configuration => self.take_configuration(records, whole),
