--- a/tests/integration/outgoing.rs
+++ b/tests/integration/outgoing.rs
@@ -16,6 +16,16 @@
     task::{LocalSet, spawn_local, yield_now},
 };
 
+fn rules(reuse: Reuse) -> SendRules {
+    SendRules {
+        reuse,
+        connect_timeout: Duration::from_secs(20),
+        idle_limit: Duration::from_secs(1),
+        body_limit: 64 * 1024,
+        patience: None,
+    }
+}
+
 /// Reads whatever comes first, sends these bytes and closes.
 async fn serve_once(bytes: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
@@ -43,13 +53,7 @@
         let timers = TimerService::system();
         let outgoing: Rc<OutgoingConnections> = OutgoingConnections::new(timers.clone());
         let address = serve_once(bytes).await;
-        let rules = SendRules {
-            reuse: Reuse::Never,
-            connect_timeout: Duration::from_secs(20),
-            idle_limit: Duration::from_secs(1),
-            body_limit: 64 * 1024,
-            patience: None,
-        };
+        let rules = rules(Reuse::Never);
         let request = Request::new(Full::new(Bytes::new()));
         let sent = outgoing.send(address, request, rules, |_| true).await;
         timers.stop();
@@ -119,13 +123,7 @@
             (0, Reuse::Never, 3),
         ] {
             timers.advance(Duration::from_millis(pause));
-            let rules = SendRules {
-                reuse,
-                connect_timeout: Duration::from_secs(20),
-                idle_limit: Duration::from_secs(1),
-                body_limit: 64 * 1024,
-                patience: None,
-            };
+            let rules = rules(reuse);
             let request = Request::new(Full::new(Bytes::new()));
             let sent = outgoing.send(address, request, rules, |_| true).await;
             assert!(sent.is_ok(), "after {pause} ms");
