--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -108,6 +108,7 @@
     };
     causes.extend(list_unreachable(lines, names));
     causes.extend(list_beliefs(lines));
+    causes.extend(list_places(lines));
     causes
 }
 
@@ -216,6 +217,7 @@
         causes.push(format!("{} upstreams were tried.", end.number("arrivals")));
     }
     causes.extend(list_unreachable(lines, names));
+    causes.extend(list_places(lines));
     causes
 }
 
@@ -318,6 +320,33 @@
     )]
 }
 
+/// Cold upstreams and evacuated zones, which leave less room for requests.
+fn list_places(lines: &RequestLines<'_>) -> Vec<String> {
+    let told = lines.beliefs.iter().filter_map(|belief| {
+        let line = &belief.line;
+        match line.number {
+            numbers::UPSTREAM_COLD => Some(format!(
+                "The upstream beside {} was cold and was given at most {} requests a second.",
+                line.node,
+                line.number("limit")
+            )),
+            numbers::ZONE_EVACUATED => Some(format!(
+                "The availability zone {} was evacuated at that time.",
+                line.text("zone")
+            )),
+            numbers::ZONE_TAKEN_BACK => Some(format!(
+                "The availability zone {} was taken back at that time.",
+                line.text("zone")
+            )),
+            _ => None,
+        }
+    });
+    let mut told: Vec<String> = told.collect();
+    told.sort();
+    told.dedup();
+    told
+}
+
 /// Changes at the upstreams and the store that a refusal may come from.
 fn list_beliefs(lines: &RequestLines<'_>) -> Vec<String> {
     let told = lines.beliefs.iter().filter_map(|belief| {
--- a/src/log_reading/line.rs
+++ b/src/log_reading/line.rs
@@ -27,6 +27,12 @@
     pub const NODE_UNREACHABLE: u16 = 831;
     /// A record of a node was news.
     pub const NODE_KNOWN: u16 = 832;
+    /// The upstream beside a node is cold.
+    pub const UPSTREAM_COLD: u16 = 817;
+    /// An availability zone was evacuated.
+    pub const ZONE_EVACUATED: u16 = 836;
+    /// An evacuated availability zone was taken back.
+    pub const ZONE_TAKEN_BACK: u16 = 837;
     /// The process began to serve.
     pub const NODE_STARTED: u16 = 851;
     /// The process was told to stop.
--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -222,6 +222,34 @@
     assert_cause(&story, "have crashed, so it is kept from all of them");
 }
 
+#[test]
+fn explain_evacuated_zone() {
+    let refused = "{\"refused\":\"evacuated\"}";
+    let end = ended(refused, 0, ",\"asked\":0");
+    let zone = "\"zone\":\"a\",\"position\":4,\"source\":\"store\"";
+    let story = tell(&[
+        line("n1", (2_000, 1_000), 2, 836, zone),
+        line("n1", (2_010, 1_010), 3, 801, &end),
+    ]);
+    assert_eq!(story.end, "refused: evacuated");
+    assert_cause(&story, "were in evacuated availability zones");
+    assert_cause(&story, "zone a was evacuated at that time");
+}
+
+#[test]
+fn explain_cold_upstream() {
+    let answered = "{\"answered\":200}";
+    let attempt = returned(answered, 600, ",\"waited_ms\":500");
+    let end = ended(answered, 605, ",\"asked\":1,\"arrivals\":1");
+    let [attempt, end] = entry_lines(2_700, &attempt, &end);
+    let cold = "\"left_ms\":2900,\"limit\":23";
+    let story = tell(&[line("n2", (2_050, 1_050), 1, 817, cold), attempt, end]);
+    assert_cause(
+        &story,
+        "beside n2 was cold and was given at most 23 requests",
+    );
+}
+
 #[test]
 fn explain_upstream_that_crashed() {
     let crashed = "{\"unknown\":\"upstream_crashed\"}";
