The probe that confirms a stored record tells that the upstream is cold

Cause: the health answer that confirms the stored record came before any run was known here; its cold time was dropped for want of a service, and the answer counted as fresh for 250 ms.

Change: without a run the service is that of the settings. Ruled out: the window that counts as full after a start (it does, once the upstream is known to be cold).

--- a/src/proxy/executing/warmth.rs
+++ b/src/proxy/executing/warmth.rs
@@ -44,16 +44,22 @@
     core.slots.warmth_told_at.set(Some(core.timers.now()));
     let header = headers.get(&core.settings.headers.warmup_left);
     let millis = header.and_then(|value| value.to_str().ok()?.trim().parse().ok());
-    let service = core.own.borrow().current().map(|run| run.service.clone());
-    if let (Some(millis), Some(service)) = (millis, service) {
-        note_cold_time(core, &service, Duration::from_millis(millis));
+    if let Some(millis) = millis {
+        note_cold_time(core, &find_own_service(core), Duration::from_millis(millis));
     }
 }
 
+/// The service of the local upstream. Before its first announcement, when it is probed to confirm the stored record, the one of the
+/// settings.
+fn find_own_service(core: &ProxyCore) -> ServiceName {
+    let own = core.own.borrow();
+    let run = own.current();
+    run.map_or_else(|| core.settings.service.clone(), |run| run.service.clone())
+}
+
 /// Probes whether the upstream is cold, unless this is known recently enough or its service has no limit.
 pub async fn refresh_warmth(core: &Rc<ProxyCore>) {
-    let service = core.own.borrow().current().map(|run| run.service.clone());
-    let differs = service.is_some_and(|service| find_cold_service(core, &service).is_some());
+    let differs = find_cold_service(core, &find_own_service(core)).is_some();
     let now = core.timers.now();
     let told_at = core.slots.warmth_told_at.get();
     let is_fresh = told_at.is_some_and(|at| now.since(at) <= FRESH);
