A node that was told of a newer configuration and can't fetch it stops handling requests by the older one

What callers saw: requests run by an older configuration three seconds after a newer one was acknowledged. Cause: requests between nodes carry the version in force, so a node knows that it is behind; nothing bounded how long it went on by its own table. Why it holds: the refusal is decided by the node's own reports and clock, before a request is handed to anybody, and expires with the reports.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -14,4 +14,5 @@
 pub mod spreading;
 pub mod store_reading;
 pub mod table_sources;
+pub mod version_lag;
 pub mod vm_pace;
--- /dev/null
+++ b/src/coordination/version_lag.rs
@@ -0,0 +1,56 @@
+//! How long a node has been behind the newest configuration that other nodes report.
+//!
+//! Requests between nodes carry the version in force at the sender. A node that can't fetch a reported version, because the
+//! nodes that have it or the links to them fail, must not handle requests by the older one without end.
+
+use crate::state::{configuration::ConfigurationVersion, moment::Moment};
+use std::{collections::VecDeque, time::Duration};
+
+/// Versions whose first report is remembered. Only the oldest of those not in force decides.
+const VERSIONS_KEPT: usize = 16;
+/// Time after the last report at which a version counts as in force nowhere.
+const REPORT_VALIDITY: Duration = Duration::from_secs(10);
+
+/// Reports of versions that are not in force here.
+#[derive(Debug, Default)]
+pub struct VersionLag {
+    /// In ascending order, each with the time of the first report of it or of a newer one.
+    first_reports: VecDeque<(ConfigurationVersion, Moment)>,
+    last_report: Moment,
+}
+
+impl VersionLag {
+    /// Records that another node reported `version` while `own` was in force here.
+    pub fn note_report(
+        &mut self,
+        version: ConfigurationVersion,
+        own: ConfigurationVersion,
+        now: Moment,
+    ) {
+        if version <= own {
+            return;
+        }
+        if !self.is_reported(now) {
+            self.first_reports.clear();
+        }
+        self.last_report = now;
+        self.first_reports.retain(|(known, _)| *known > own);
+        let newest = self.first_reports.back();
+        let is_newer = newest.is_none_or(|(known, _)| *known < version);
+        if is_newer && self.first_reports.len() < VERSIONS_KEPT {
+            self.first_reports.push_back((version, now));
+        }
+    }
+
+    /// Whether a version newer than `own` was first reported more than `limit` ago and is still reported.
+    #[must_use]
+    pub fn is_overdue(&self, own: ConfigurationVersion, now: Moment, limit: Duration) -> bool {
+        let mut newer = self.first_reports.iter();
+        let oldest = newer.find(|(version, _)| *version > own);
+        self.is_reported(now) && oldest.is_some_and(|(_, since)| now.since(*since) > limit)
+    }
+
+    fn is_reported(&self, now: Moment) -> bool {
+        now.since(self.last_report) < REPORT_VALIDITY
+    }
+}
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -34,6 +34,8 @@
 const ANY_PORT: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 /// Time for a planned stop. Clients of a local mesh end their requests within it.
 const GRACE: Duration = Duration::from_secs(6);
+/// Longest time until a publication is in force at all nodes.
+const CONFIGURATION_APPLY: Duration = Duration::from_secs(2);
 /// Lines that a node keeps for operators' tools.
 const KEPT_LINES: usize = 5_000;
 /// Bounds on repeats as the users have them: a fifth of the requests, and 64 for all nodes together.
@@ -297,6 +299,7 @@
             repeats: REPEATS,
             probes_per_second: PROBES_PER_SECOND,
             grace: GRACE,
+            configuration_apply: CONFIGURATION_APPLY,
             slow_start: SlowStartRules::default(),
         },
         lines: LineRules {
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -77,6 +77,10 @@
             "{} had no route for it and had heard of a newer configuration, which it did not have yet.",
             end.node
         )],
+        "configuration_overdue" => vec![format!(
+            "{} had been told of a newer configuration long before and could not fetch it.",
+            end.node
+        )],
         "no_upstream" => vec![format!(
             "{} knew no node of the service that it could ask.",
             end.node
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -81,6 +81,8 @@
     pub probes_per_second: f64,
     /// Time from the order to stop until the process is killed.
     pub grace: Duration,
+    /// Longest time from the acknowledgement of a configuration until it is in force at all nodes.
+    pub configuration_apply: Duration,
     /// Bounds on what a cold upstream gets.
     pub slow_start: SlowStartRules,
 }
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -10,6 +10,8 @@
     NoUpstream,
     /// No route leads anywhere by the configuration in force, and the node has heard of a newer one.
     ConfigurationBehind,
+    /// Other nodes have long had a newer configuration than the one in force here.
+    ConfigurationOverdue,
     /// No slot is free in time.
     QueueFull,
     /// It can't end in time any more.
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -8,7 +8,7 @@
 use crate::{
     coordination::{
         calls_per_run::CallsPerRun, offer_rounds::OfferRounds, own_upstream::OwnUpstream,
-        repeat_budget::RepeatBudget, table_sources::TableSources,
+        repeat_budget::RepeatBudget, table_sources::TableSources, version_lag::VersionLag,
     },
     options::proxy_settings::{NodeBounds, ProxySettings},
     proxy::{
@@ -86,6 +86,8 @@
     pub fetching: Cell<bool>,
     /// Who has told of newer routing tables.
     pub table_sources: RefCell<TableSources>,
+    /// How long newer versions have been reported.
+    pub version_lag: RefCell<VersionLag>,
     /// Wakes whoever waits for an offer of a newer routing table.
     pub offer_came: Notify,
     /// Whom of its zone this node has offered the routing table in force.
@@ -132,6 +134,7 @@
             bounds: Cell::new(settings.bounds),
             fetching: Cell::new(false),
             table_sources: RefCell::default(),
+            version_lag: RefCell::default(),
             offer_came: Notify::new(),
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -33,6 +33,9 @@
 
 /// When to come back to a node that knows no routes yet, or not the newest.
 const NO_ROUTES_RETRY: Duration = Duration::from_millis(200);
+/// Part of the time in which a configuration has to be in force everywhere, after which a node that was told of it must have it
+/// to handle requests. The rest is for a report that comes late.
+const REPORTED_SHARE: f64 = 0.5;
 /// Part of the time before the node is killed in which it takes requests. Clients send on while too
 /// few other nodes are ready; a request that is still under way at the end would be cut off.
 const ACCEPTED_SHARE: f64 = 0.45;
@@ -168,6 +171,9 @@
         return end_without_route(core);
     };
     drop(routes);
+    if is_configuration_overdue(core) {
+        return ClientEnd::Refused(RefusalReason::ConfigurationOverdue, NO_ROUTES_RETRY);
+    }
     let asked = read_time_left(core, &req);
     let time_left = asked.map_or(route.timeout, |asked| asked.min(route.timeout));
     let Some(service) = pick_service(core, &route) else {
@@ -211,6 +217,15 @@
     ClientEnd::NoRoute
 }
 
+/// Whether the configuration in force may no longer decide: other nodes have reported a newer one for long, and its
+/// acknowledgement may be older than the report.
+fn is_configuration_overdue(core: &ProxyCore) -> bool {
+    let limit = core.bounds().configuration_apply.mul_f64(REPORTED_SHARE);
+    let own = core.directory.borrow().version();
+    let lag = core.version_lag.borrow();
+    lag.is_overdue(own, core.timers.now(), limit)
+}
+
 fn knows_node_of(core: &ProxyCore, service: &ServiceName) -> bool {
     let directory = core.directory.borrow();
     let mut nodes = directory.nodes.values();
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -24,6 +24,7 @@
 pub fn note_version_of(core: &Rc<ProxyCore>, from: SocketAddr, version: ConfigurationVersion) {
     core.directory.borrow_mut().note_version(from, version);
     let (own, now) = (core.directory.borrow().version(), core.timers.now());
+    core.version_lag.borrow_mut().note_report(version, own, now);
     let is_news = core
         .table_sources
         .borrow_mut()
@@ -37,6 +38,8 @@
 pub fn take_offer(core: &Rc<ProxyCore>, offer: TableOffer) {
     let node = (offer.from, offer.version);
     core.directory.borrow_mut().note_version(node.0, node.1);
+    let (own, now) = (core.directory.borrow().version(), core.timers.now());
+    core.version_lag.borrow_mut().note_report(node.1, own, now);
     core.table_sources.borrow_mut().note_offer(offer);
     // Wakes only who waits now: an offer that is asked about already must not end a question that comes later.
     core.offer_came.notify_waiters();
--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -144,6 +144,13 @@
     assert_cause(&story, "n1 had no route for it and had heard of a newer");
 }
 
+#[test]
+fn explain_refused_by_node_long_behind() {
+    let overdue = "{\"refused\":\"configuration_overdue\"}";
+    let story = tell(&[line("n1", (1_010, 10), 2, 801, &ended(overdue, 0, ""))]);
+    assert_cause(&story, "could not fetch it");
+}
+
 #[test]
 fn explain_client_left() {
     let left = "\"client_left\"";
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -32,4 +32,5 @@
 mod table_change;
 mod table_sources;
 mod table_spreading;
+mod version_lag;
 mod vm_pace;
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -31,6 +31,7 @@
             },
             probes_per_second: 60.0,
             grace: Duration::from_secs(6),
+            configuration_apply: Duration::from_secs(2),
             slow_start: SlowStartRules::default(),
         },
         lines: LineRules { one_in: 1, kept: 0 },
--- /dev/null
+++ b/tests/integration/version_lag.rs
@@ -0,0 +1,89 @@
+//! How long a node has been behind the newest configuration that other nodes report.
+
+use bolero::check;
+use camphorturn::{
+    coordination::version_lag::VersionLag,
+    state::{configuration::ConfigurationVersion, moment::Moment},
+};
+use std::time::Duration;
+
+const OWN: ConfigurationVersion = ConfigurationVersion(5);
+const START: Moment = Moment(1_000_000_000);
+const LIMIT: Duration = Duration::from_secs(1);
+
+fn after(millis: u64) -> Moment {
+    START + Duration::from_millis(millis)
+}
+
+#[test]
+fn is_overdue_reported_for_longer_than_limit() {
+    let mut lag = VersionLag::default();
+    lag.note_report(ConfigurationVersion(6), OWN, START);
+    assert!(!lag.is_overdue(OWN, after(1_000), LIMIT));
+    assert!(lag.is_overdue(OWN, after(1_001), LIMIT));
+}
+
+#[test]
+fn is_overdue_version_in_force() {
+    let mut lag = VersionLag::default();
+    lag.note_report(ConfigurationVersion(6), OWN, START);
+    assert!(!lag.is_overdue(ConfigurationVersion(6), after(5_000), LIMIT));
+}
+
+/// Guards against versions in quick succession that each put off the refusal.
+#[test]
+fn is_overdue_newer_versions_keep_coming() {
+    let mut lag = VersionLag::default();
+    for number in 0..40 {
+        lag.note_report(ConfigurationVersion(6 + number), OWN, after(number * 100));
+    }
+    assert!(lag.is_overdue(OWN, after(4_000), LIMIT));
+}
+
+#[test]
+fn is_overdue_counts_from_oldest_version_not_in_force() {
+    let mut lag = VersionLag::default();
+    lag.note_report(ConfigurationVersion(6), OWN, START);
+    lag.note_report(ConfigurationVersion(7), OWN, after(900));
+    let own = ConfigurationVersion(6);
+    assert!(!lag.is_overdue(own, after(1_500), LIMIT));
+    assert!(lag.is_overdue(own, after(2_000), LIMIT));
+}
+
+#[test]
+fn is_overdue_no_longer_reported() {
+    let mut lag = VersionLag::default();
+    lag.note_report(ConfigurationVersion(6), OWN, START);
+    assert!(!lag.is_overdue(OWN, after(10_000), LIMIT));
+    lag.note_report(ConfigurationVersion(6), OWN, after(20_000));
+    assert!(!lag.is_overdue(OWN, after(20_500), LIMIT));
+}
+
+/// A node with the newest reported version in force is never overdue, and one that is overdue was told of a newer version more
+/// than the limit ago.
+#[test]
+fn is_overdue_drawn_reports() {
+    check!()
+        .with_type::<Vec<(u8, u8, u16)>>()
+        .for_each(|reports| {
+            let mut lag = VersionLag::default();
+            let (mut own, mut now) = (OWN, START);
+            let mut newest = OWN;
+            let mut told: Vec<(ConfigurationVersion, Moment)> = Vec::new();
+            for (version, step, pause) in reports {
+                now = now + Duration::from_millis(u64::from(*pause));
+                let version = ConfigurationVersion(u64::from(*version));
+                lag.note_report(version, own, now);
+                newest = newest.max(version);
+                told.push((version, now));
+                assert!(!lag.is_overdue(newest, now, Duration::ZERO));
+                if lag.is_overdue(own, now, LIMIT) {
+                    let known = told
+                        .iter()
+                        .any(|(version, since)| *version > own && now.since(*since) > LIMIT);
+                    assert!(known, "{own:?} at {now:?}: {told:?}");
+                }
+                own = own.max(ConfigurationVersion(u64::from(*step)));
+            }
+        });
+}
