Failing tests: a store that comes back from a copy; the stand-in knows eras

What callers would see: a reader that was at offset 4 when the store lost records goes on at 4 when the store has grown to there again, and never reads what stands below: the test waits in vain for version 4.

--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -51,6 +51,9 @@
     value: Bytes,
 }
 
+/// The records of a store at one moment.
+pub struct StoreCopy(HashMap<String, Vec<Record>>);
+
 #[derive(Default)]
 struct State {
     condition: Cell<StoreCondition>,
@@ -63,6 +66,10 @@
     /// By path and topic.
     calls_by_kind: RefCell<HashMap<(String, String), u32>>,
     appended: Notify,
+    /// How often it has come back from a copy, counted from 1.
+    era: Cell<u64>,
+    /// Wakes the reads that were under way when it came back.
+    returned: Notify,
 }
 
 /// A store on a free port of the loopback address, run by tasks of the present event loop.
@@ -80,7 +87,10 @@
     pub async fn start() -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
-        let state = Rc::new(State::default());
+        let state = Rc::new(State {
+            era: Cell::new(1),
+            ..State::default()
+        });
         spawn_local(accept(listener, Rc::clone(&state)));
         Ok(Self { address, state })
     }
@@ -123,6 +133,20 @@
         self.state.first.set(longest);
     }
 
+    /// Copies all records.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.state.topics.borrow().clone())
+    }
+
+    /// Comes back from a copy: what was appended since is lost, its offsets are given out again, and calls under way end without an
+    /// answer.
+    pub fn return_from(&self, copy: StoreCopy) {
+        *self.state.topics.borrow_mut() = copy.0;
+        self.state.era.update(|era| era + 1);
+        self.state.returned.notify_waiters();
+    }
+
     /// The newest value of a key; empty if the key was dropped.
     #[must_use]
     pub fn newest(&self, topic: &str, key: &str) -> Option<String> {
@@ -175,10 +199,17 @@
 async fn serve(mut stream: TcpStream, client: IpAddr, state: Rc<State>) {
     while let Ok(Some(request)) = read_request(&mut stream).await {
         count_call(&state, &request);
+        let era = state.era.get();
         let is_refused = state.refused.borrow().contains(&client);
         let answer = match state.condition.get() {
             _ if is_refused => build_answer(503, &[], b"refused"),
-            StoreCondition::Well => answer(&request, &state).await,
+            StoreCondition::Well => {
+                let returned = state.returned.notified();
+                tokio::select! {
+                    answer = answer(&request, &state) => answer,
+                    () = returned => return,
+                }
+            }
             StoreCondition::Busy => build_answer(503, &[], b"busy"),
             StoreCondition::Reset => return,
             StoreCondition::Silent => pending().await,
@@ -198,12 +229,21 @@
                 return;
             }
         };
-        if write_all(&mut stream, &answer).await.is_err() {
+        if write_all(&mut stream, &add_era(answer, era)).await.is_err() {
             return;
         }
     }
 }
 
+/// Adds the era of the store to an answer.
+fn add_era(mut answer: Vec<u8>, era: u64) -> Vec<u8> {
+    let header = format!("store-era: {era}\r\n");
+    let start = answer.iter().position(|byte| *byte == b'\n');
+    let start = start.map_or(0, |end| end + 1);
+    answer.splice(start..start, header.into_bytes());
+    answer
+}
+
 fn count_call(state: &State, request: &PlainRequest) {
     state.calls.set(state.calls.get() + 1);
     let topic = request.parameter("topic").unwrap_or_default();
@@ -272,6 +312,10 @@
         let text = json!({ "first": state.first.get() }).to_string();
         return build_answer(410, &[], text.as_bytes());
     }
+    if from > state.topics.borrow().get(topic).map_or(0, Vec::len) {
+        let text = json!({ "first": state.first.get() }).to_string();
+        return build_answer(410, &[], text.as_bytes());
+    }
     let wait = Duration::from_millis(u64::try_from(number("wait_ms").unwrap_or(0)).unwrap_or(0));
     let has_news = || state.topics.borrow().get(topic).map_or(0, Vec::len) > from;
     let news = async {
