Records that the store lost when it came back from a copy are written again at once

What callers would see: nodes that joined shortly before the return get no requests from others for seconds up to a minute: the readers take their records for dropped and forget them. A node restarted then would not know that it has acknowledged its upstream's leaving. Cause: a read of all records was taken for the truth, also where it is older than what is known; and a node learns of its lost record only by its own slow read. The first read after a return leaves what is known as it is. The readers of a zone ask its nodes whose records are missing or differ to write them again, each once an era and spread over half a second; the first node of the mesh does so for quarantines, and drops ones that were lifted. Ten seconds later all is read once more; what is missing then is gone.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -265,6 +265,9 @@
     /// Position up to which the sender knows of evacuations.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub evacuations_position: Option<u64>,
+    /// The store lost the receiver's record when it came back from a copy in this era. The receiver is to write it again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lost_in_era: Option<u64>,
     /// What the sender has found out about a request at crashes of upstreams.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finding: Option<Rc<CrashFinding>>,
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -58,6 +58,10 @@
     records_came: Notify,
     /// What the store holds of this node, as far as is known.
     pub stored: RefCell<Option<NodeRecord>>,
+    /// The era of the store in which the record of this node was last found to be lost.
+    pub lost_in_era: Cell<u64>,
+    /// Wakes whoever writes it again.
+    pub own_record_lost: Notify,
     /// The upstream beside the node, by its announcements.
     pub own: RefCell<OwnUpstream>,
     /// Its slots.
@@ -119,6 +123,8 @@
             records_read: Cell::new(false),
             records_came: Notify::new(),
             stored: RefCell::default(),
+            lost_in_era: Cell::default(),
+            own_record_lost: Notify::new(),
             own: RefCell::default(),
             slots: Slots::new(settings.bounds.probes_per_second, timers.now()),
             repeats: RefCell::default(),
--- a/src/proxy/crashes.rs
+++ b/src/proxy/crashes.rs
@@ -22,7 +22,10 @@
     },
 };
 use rand::seq::SliceRandom;
-use std::{cell::RefCell, cmp::Reverse, net::SocketAddr, rc::Rc, time::Duration, vec::IntoIter};
+use std::{
+    cell::RefCell, cmp::Reverse, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration,
+    vec::IntoIter,
+};
 use tokio::task::spawn_local;
 
 /// Nodes that are tried until enough keepers have taken a message. Records outlast their nodes by half an hour.
@@ -126,6 +129,18 @@
     put_in_quarantine(core, digest, QuarantineSource::Told)
 }
 
+/// Writes again the quarantines that the store lost when it came back from a copy, and drops those that it has again though they were
+/// lifted. One node of the mesh does.
+pub fn write_lost_quarantines(core: &ProxyCore, stored: &BTreeSet<RequestDigest>) {
+    if !core.is_first() {
+        return;
+    }
+    let now = core.timers.now();
+    for digest in core.quarantine.borrow().list_unlike(stored, now) {
+        write(core, digest);
+    }
+}
+
 /// Propagates a quarantine to the zone, for nodes that were partitioned when it began.
 pub fn tell_zone_of_quarantine(core: &Rc<ProxyCore>, digest: RequestDigest) {
     tell(core, &core.list_zone(), CrashFinding::Quarantined(digest));
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -10,7 +10,11 @@
         table_history::TableHistory,
     },
 };
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+};
 
 /// Where a piece of state came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -123,6 +127,23 @@
         }
     }
 
+    /// Compares what is known with the first read of all records after the store came back from a copy. Known records stay, since the
+    /// copy is older. Returns the nodes whose record the store has lost or holds in another state.
+    pub fn compare_with_copy(&mut self, copy: &[StoredRecord]) -> Vec<NodeRecord> {
+        let by_address: HashMap<SocketAddr, &StoredRecord> = copy
+            .iter()
+            .map(|stored| (stored.record.address, stored))
+            .collect();
+        let mut lost = Vec::new();
+        for (address, view) in &mut self.nodes {
+            match by_address.get(address) {
+                Some(stored) if stored.record == view.record => view.revision = stored.revision,
+                _ => lost.push(view.record.clone()),
+            }
+        }
+        lost
+    }
+
     /// Takes in what this node itself has to tell; the store gives it a revision later.
     pub fn take_own(&mut self, record: NodeRecord) {
         if let Some(view) = self.nodes.get_mut(&record.address) {
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -5,9 +5,11 @@
 mod starting;
 mod writing;
 
+pub use returning::note_own_record_lost;
+
 use self::{
     retries::Retries,
-    returning::CopyReads,
+    returning::{CopyReads, list_quarantined, take_copy, write_own_when_lost},
     starting::{
         wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
     },
@@ -68,6 +70,7 @@
         };
         spawn_local(follower.follow(topic));
     }
+    spawn_local(write_own_when_lost(Rc::clone(core), orders.clone()));
     spawn_local(retire_gone_nodes(Rc::clone(core), store.clone()));
     spawn_local(keep_zone_current(Rc::clone(core)));
     spawn_local(write_quarantines(Rc::clone(core), store.clone()));
@@ -269,6 +272,17 @@
 
     async fn take_nodes(&self, records: &Records, whole: bool) {
         let core = &self.core;
+        let before = core.directory.borrow().read_up_to();
+        if whole && self.note_whole(StoreTopic::Nodes, before, records) {
+            let copy = records.records.iter();
+            let copy: Vec<StoredRecord> = copy
+                .filter(|record| find_quarantined(&record.key).is_none())
+                .filter_map(|record| self.decode_node(record, record.value.as_ref()?))
+                .collect();
+            let quarantined = list_quarantined(&records.records);
+            take_copy(core, copy, &quarantined, records.next).await;
+            return;
+        }
         let mut news = Vec::new();
         let mut own = None;
         for record in &records.records {
@@ -280,12 +294,8 @@
                 self.forget(|key| key == record.key, record.position);
                 continue;
             };
-            let stored = match serde_json::from_slice(value) {
-                Ok(node) => describe_stored(record, node),
-                Err(error) => {
-                    self.tell_rejected(record, error.to_string());
-                    continue;
-                }
+            let Some(stored) = self.decode_node(record, value) else {
+                continue;
             };
             if stored.record.address == core.settings.peers {
                 own = Some(stored);
@@ -314,6 +324,16 @@
         }
     }
 
+    fn decode_node(&self, record: &KeyedRecord, value: &[u8]) -> Option<StoredRecord> {
+        match serde_json::from_slice(value) {
+            Ok(node) => Some(describe_stored(record, node)),
+            Err(error) => {
+                self.tell_rejected(record, error.to_string());
+                None
+            }
+        }
+    }
+
     /// At a start all nodes read the same, so only what comes later is told to the zone.
     fn take_quarantine(&self, digest: RequestDigest, record: &KeyedRecord, whole: bool) {
         let news = record.value.is_some() && take_stored_quarantine(&self.core, digest);
@@ -351,23 +371,22 @@
         }
         let own_is_dropped = core.stored.borrow().as_ref().is_some_and(by_key);
         if own_is_dropped {
-            self.write_own_again();
+            // Nobody has reached this node for long, but it lives: it was cut off, and gets no work from others without a record.
+            write_own_again(core, &self.orders);
         }
     }
+}
 
-    /// A record is dropped once nobody has reached its node for long. This one lives: it was cut off, and gets no
-    /// work from others without a record.
-    fn write_own_again(&self) {
-        let core = &self.core;
-        core.stored.replace(None);
-        core.log(&ProxyEvent::OwnRecordDropped {});
-        let Some(record) = describe_own(core) else {
-            return;
-        };
-        let (done, _) = flume::bounded(1);
-        // The receiver goes only with the node.
-        let _ = self.orders.send(RecordOrder { record, done });
-    }
+/// Writes the record of this node, which the store has dropped or lost.
+fn write_own_again(core: &ProxyCore, orders: &Sender<RecordOrder>) {
+    core.stored.replace(None);
+    core.log(&ProxyEvent::OwnRecordDropped {});
+    let Some(record) = describe_own(core) else {
+        return;
+    };
+    let (done, _) = flume::bounded(1);
+    // The receiver goes only with the node.
+    let _ = orders.send(RecordOrder { record, done });
 }
 
 const fn name_topic(topic: StoreTopic) -> &'static str {
--- a/src/proxy/following/returning.rs
+++ b/src/proxy/following/returning.rs
@@ -1,11 +1,35 @@
 //! What following a topic does once the store has come back from a copy.
 
-use crate::state::{moment::Moment, store_position::StorePosition};
-use std::{cell::Cell, time::Duration};
+use super::{starting::wait_for_routes, write_own_again};
+use crate::{
+    protocol::{
+        hop::StateMessage,
+        store::{KeyedRecord, find_quarantined},
+    },
+    proxy::{
+        announcing::{RecordOrder, describe_own, take_stored},
+        core::ProxyCore,
+        crashes::write_lost_quarantines,
+        directory::StateSource,
+        state_messages::spread,
+    },
+    state::{
+        moment::Moment,
+        placement_view::{NodeRecord, StoredRecord},
+        request_digest::RequestDigest,
+        store_position::StorePosition,
+    },
+};
+use flume::Sender;
+use rand::RngExt;
+use std::{cell::Cell, collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Time after the first read of the copy in which its clients write again what it has lost. What is missing after that is gone.
 const REWRITE_TIME: Duration = Duration::from_secs(10);
 
+/// Longest pause before a node writes its record again. All nodes may have lost theirs in the same moment.
+const WRITE_SPREAD: Duration = Duration::from_millis(500);
+
 /// Plans the second read of all records after the store came back.
 #[derive(Default)]
 pub(super) struct CopyReads {
@@ -30,3 +54,81 @@
         is_first
     }
 }
+
+/// Requests that records of nodes hold in quarantine.
+pub(super) fn list_quarantined(records: &[KeyedRecord]) -> BTreeSet<RequestDigest> {
+    let kept = records.iter().filter(|record| record.value.is_some());
+    kept.filter_map(|record| find_quarantined(&record.key))
+        .collect()
+}
+
+/// Applies the first read of the records of nodes after the store came back. Known records stay; their nodes are asked to write again
+/// what the store has lost.
+pub(super) async fn take_copy(
+    core: &Rc<ProxyCore>,
+    copy: Vec<StoredRecord>,
+    quarantined: &BTreeSet<RequestDigest>,
+    next: u64,
+) {
+    let era = StorePosition::unpack(next).era;
+    let lost = core.directory.borrow_mut().compare_with_copy(&copy);
+    let own = core.settings.peers;
+    let own_stored = copy.iter().find(|stored| stored.record.address == own);
+    let own_stored = own_stored.map(|stored| stored.record.clone());
+    for stored in copy {
+        let address = stored.record.address;
+        let is_known = core.directory.borrow().nodes.contains_key(&address);
+        if !is_known {
+            core.take_record(stored, StateSource::Store);
+        }
+    }
+    core.directory.borrow_mut().note_read(next);
+    core.note_records();
+    write_lost_quarantines(core, quarantined);
+    ask_to_write_again(core, &lost, era);
+    match (describe_own(core), own_stored) {
+        (Some(known), stored) if stored.as_ref() != Some(&known) => {
+            note_own_record_lost(core, era);
+        }
+        (None, Some(stored)) => {
+            wait_for_routes(core).await;
+            take_stored(core, stored).await;
+        }
+        _ => {}
+    }
+}
+
+/// The readers of a zone ask its nodes; the others of the zone need not read the store for it.
+fn ask_to_write_again(core: &Rc<ProxyCore>, lost: &[NodeRecord], era: u64) {
+    if !core.is_zone_reader() {
+        return;
+    }
+    let own_zone = &core.settings.availability_zone;
+    let asked = lost.iter().filter(|record| {
+        record.availability_zone == *own_zone && record.address != core.settings.peers
+    });
+    let asked: Vec<SocketAddr> = asked.map(|record| record.address).collect();
+    let message = StateMessage {
+        lost_in_era: Some(era),
+        ..StateMessage::default()
+    };
+    spread(core, &asked, &message);
+}
+
+/// Has the record of this node written again, once for each era in which the store has lost it.
+pub fn note_own_record_lost(core: &ProxyCore, era: u64) {
+    if era > core.lost_in_era.get() {
+        core.lost_in_era.set(era);
+        core.own_record_lost.notify_one();
+    }
+}
+
+/// Writes the record of this node again whenever the store has lost it, until dropped.
+pub(super) async fn write_own_when_lost(core: Rc<ProxyCore>, orders: Sender<RecordOrder>) {
+    loop {
+        core.own_record_lost.notified().await;
+        let pause = WRITE_SPREAD.mul_f64(rand::rng().random_range(0.0..1.0));
+        let _ = core.timers.after(pause).recv_async().await;
+        write_own_again(&core, &orders);
+    }
+}
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -9,6 +9,7 @@
         directory::StateSource,
         evacuating::take_told_evacuations,
         events::ProxyEvent,
+        following::note_own_record_lost,
         retiring::is_reached,
         state_messages::{count_bytes, log_malformed, send_state, spread},
         table_fetching::take_offer,
@@ -112,6 +113,9 @@
 }
 
 fn take_message(core: &Rc<ProxyCore>, mut message: StateMessage) {
+    if let Some(era) = message.lost_in_era {
+        note_own_record_lost(core, era);
+    }
     if message.read_store {
         core.read_for_zone();
     }
--- a/src/state/quarantine.rs
+++ b/src/state/quarantine.rs
@@ -1,7 +1,10 @@
 //! Requests that are kept from all upstreams, since they crash each one that runs them.
 
 use crate::state::{moment::Moment, request_digest::RequestDigest};
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 /// Time for which a request is kept from upstreams: what is wrong with the upstreams may have been mended by then. If not, some
 /// more of them crash until it is known again.
@@ -85,6 +88,17 @@
             .count()
     }
 
+    /// Requests of which the store holds something else than what is known here; it holds `stored` in quarantine.
+    #[must_use]
+    pub fn list_unlike(&self, stored: &BTreeSet<RequestDigest>, now: Moment) -> Vec<RequestDigest> {
+        let kept = self.requests.iter();
+        let kept = kept.filter(|(digest, known)| now < known.until && !stored.contains(*digest));
+        let lifted = self.lifted.keys().filter(|digest| stored.contains(*digest));
+        kept.map(|(digest, _)| *digest)
+            .chain(lifted.copied())
+            .collect()
+    }
+
     fn forget_past(&mut self, now: Moment) {
         self.requests.retain(|_, known| now < known.until);
         self.lifted.retain(|_, at| now.since(*at) < LIFT_HOLDS);
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -28,6 +28,7 @@
 mod slot_queue;
 mod slot_search;
 mod slow_start;
+mod store_copy;
 mod store_position;
 mod stored_records;
 mod table_change;
