--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -22,6 +22,9 @@
 /// Bytes a second of a thin link, each way: 4 Mbit/s. The thinnest of the platform carry 10, among more nodes.
 const THIN_LINK: u32 = 500_000;
 
+/// Returns of the store from a copy of a seed.
+const STORE_RETURNS: (usize, usize) = (0, 2);
+
 /// Evacuations of a seed, and how long one lasts; longer than the bound in which it is in force.
 const EVACUATIONS: (usize, usize) = (0, 3);
 const EVACUATED_MS: (u64, u64) = (300, 9_000);
@@ -74,6 +77,8 @@
     Store(StoreCondition),
     /// The store forgets the records before the newest ones.
     StoreForgets,
+    /// The store is away for a moment, and comes back from a copy of the time when this fault began.
+    StoreReturns(StoreCondition),
     /// A node's link to the store is ill for a while.
     StoreLink {
         /// The node.
@@ -167,6 +172,7 @@
     draw.faults.extend(draw_crashing_request(seed, span));
     draw.faults.extend(draw_evacuations(seed, span));
     draw.faults.extend(draw_cold_upstreams(seed, span, nodes));
+    draw.faults.extend(draw_store_returns(seed, span));
     draw.faults.sort_by_key(|fault| fault.at);
     draw.faults
 }
@@ -206,6 +212,21 @@
     (0..count).map(draw).collect()
 }
 
+/// Drawn apart as well.
+fn draw_store_returns(seed: u64, span: Duration) -> Vec<PlannedFault> {
+    let mut random = StdRng::seed_from_u64(seed.rotate_left(48));
+    let count = random.random_range(STORE_RETURNS.0..=STORE_RETURNS.1);
+    let draw = |_| PlannedFault {
+        at: random.random_range(Duration::ZERO..span),
+        lasts: draw_span(&mut random, LASTS_MS),
+        fault: Fault::StoreReturns(pick(
+            &mut random,
+            &[StoreCondition::Reset, StoreCondition::Silent],
+        )),
+    };
+    (0..count).map(draw).collect()
+}
+
 /// Bytes a second between nodes; none if nothing bounds them. Half of the seeds have thin links.
 #[must_use]
 pub fn draw_link_rate(seed: u64) -> Option<u32> {
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -32,6 +32,8 @@
 const KILL_ECHO: Duration = Duration::from_secs(3);
 /// How long an upstream is away that a request has crashed, at the least.
 const CRASHED_LASTS: Duration = Duration::from_millis(300);
+/// How long a store is away that comes back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(400);
 /// How often the store is looked at by an operator whose word it can't take.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 /// How long a leaving upstream stays.
@@ -144,6 +146,7 @@
             world.store.set_condition(StoreCondition::Well);
             world.note_hindrance(None, from);
         }
+        Fault::StoreReturns(away) => return_store(&world, away, lasts).await,
         Fault::StoreForgets => world.store.forget_history(),
         Fault::StoreLink { node, ill } => {
             harm(&machine(node).store_link, ill, lasts).await;
@@ -219,6 +222,22 @@
     }
 }
 
+/// Has the store come back from a copy that is as old as `age`, unless another fault of the store is under way.
+async fn return_store(world: &World, away: StoreCondition, age: Duration) {
+    let copy = world.store.copy();
+    sleep(age).await;
+    if world.store.condition() != StoreCondition::Well {
+        return;
+    }
+    let from = Instant::now();
+    world.store.set_condition(away);
+    sleep(STORE_AWAY).await;
+    let lost = world.store.return_from(copy);
+    world.write_again(&lost);
+    world.store.set_condition(StoreCondition::Well);
+    world.note_hindrance(None, from);
+}
+
 /// Operators' writes fail while the store is ill.
 fn publish(world: &World, routes: usize) {
     if world.store.condition() == StoreCondition::Well {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use camphorturn::local_mesh::client::{CallerCall, CallerClient};
 use camphorturn_stand_ins::{
-    store::StandInStore,
+    store::{LostRecord, StandInStore},
     upstream::{RanRequest, RunRecord},
 };
 use http::{HeaderMap, Method};
@@ -123,6 +123,17 @@
             .put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, &document);
     }
 
+    /// Writes again what the operator wrote and the store has lost.
+    pub fn write_again(&self, lost: &[LostRecord]) {
+        let by_operator = lost
+            .iter()
+            .filter(|record| record.topic == CONFIGURATION_TOPIC);
+        for record in by_operator {
+            self.store
+                .put_bytes(&record.topic, &record.key, &record.value);
+        }
+    }
+
     /// Evacuates the zone of that number.
     pub fn evacuate(&self, zone: usize) {
         let key = format!("{EVACUATION_KEY}{}", ZONES[zone]);
--- a/soak/tests/plan.rs
+++ b/soak/tests/plan.rs
@@ -17,7 +17,7 @@
 
 #[test]
 fn draw_faults_every_kind_in_order() {
-    let (mut foreign, mut crashes) = (0, 0);
+    let (mut foreign, mut crashes, mut returns) = (0, 0, 0);
     for seed in 0..20 {
         let faults = draw_faults(seed, SPAN, 6);
         assert!(faults.is_sorted_by_key(|fault| fault.at));
@@ -30,9 +30,13 @@
         for planned in faults {
             foreign += usize::from(matches!(planned.fault, Fault::Foreign(..)));
             crashes += usize::from(matches!(planned.fault, Fault::Crash(_)));
+            returns += usize::from(matches!(planned.fault, Fault::StoreReturns(_)));
         }
     }
-    assert!(foreign > 0 && crashes > 0, "{foreign}, {crashes}");
+    assert!(
+        foreign > 0 && crashes > 0 && returns > 0,
+        "{foreign}, {crashes}, {returns}"
+    );
 }
 
 #[test]
--- a/stand-ins/src/store.rs
+++ b/stand-ins/src/store.rs
@@ -54,6 +54,17 @@
 /// The records of a store at one moment.
 pub struct StoreCopy(HashMap<String, Vec<Record>>);
 
+/// A record that a store lost when it came back from a copy.
+#[derive(Clone, Debug)]
+pub struct LostRecord {
+    /// Its topic.
+    pub topic: String,
+    /// Its key.
+    pub key: String,
+    /// Its value; empty if it dropped the key.
+    pub value: Bytes,
+}
+
 #[derive(Default)]
 struct State {
     condition: Cell<StoreCondition>,
@@ -140,11 +151,22 @@
     }
 
     /// Comes back from a copy: what was appended since is lost, its offsets are given out again, and calls under way end without an
-    /// answer.
-    pub fn return_from(&self, copy: StoreCopy) {
-        *self.state.topics.borrow_mut() = copy.0;
+    /// answer. Returns what was lost, by topic in the order of the log.
+    pub fn return_from(&self, copy: StoreCopy) -> Vec<LostRecord> {
+        let before = self.state.topics.replace(copy.0);
         self.state.era.update(|era| era + 1);
         self.state.returned.notify_waiters();
+        let kept = self.state.topics.borrow();
+        let mut lost = Vec::new();
+        for (topic, records) in before {
+            let kept = kept.get(&topic).map_or(0, Vec::len);
+            lost.extend(records.into_iter().skip(kept).map(|record| LostRecord {
+                topic: topic.clone(),
+                key: record.key,
+                value: record.value,
+            }));
+        }
+        lost
     }
 
     /// The newest value of a key; empty if the key was dropped.
