After a return of the store only the readers of a zone read the whole configuration

What operators would see: each node of the mesh reads the whole configuration once, a megabyte over a link of 10 Mbit/s where it is large. Cause: a node that is no reader noticed the new era at its slow read and knew no place in it to go on from. Evidence: store_returns::copy_read_by_readers_of_zone_only failed before ('6 by 2 readers', twice) and passes now. The readers tell their zone the place behind the table that the store holds, with the position of evacuations.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -223,6 +223,15 @@
     Answered(RequestDigest),
 }
 
+/// A table that the store holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredTable {
+    /// Its version.
+    pub version: ConfigurationVersion,
+    /// Where the store's topic of the configuration goes on after its record.
+    pub next: u64,
+}
+
 /// State that a node sends to others.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StateMessage {
@@ -232,6 +241,9 @@
     /// Where the store's topic of the configuration goes on after the record of that version.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub store_next: Option<u64>,
+    /// The table that the store holds since it came back from a copy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub stored_table: Option<StoredTable>,
     /// The sender has this version in force and can be asked for it.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub offered: Option<ConfigurationVersion>,
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -1,7 +1,7 @@
 //! The routing table in force and the nodes that are known.
 
 use crate::{
-    protocol::hop::StateMessage,
+    protocol::hop::{StateMessage, StoredTable},
     state::{
         configuration::ConfigurationVersion,
         placement_view::{NodeRecord, NodeView, StoredRecord},
@@ -43,8 +43,7 @@
 #[derive(Default)]
 pub struct Directory {
     tables: TableHistory,
-    /// Version of a table that the store holds, and where its topic goes on after that record.
-    stored_table: Option<(ConfigurationVersion, u64)>,
+    stored_table: Option<StoredTable>,
     /// By the address where they take requests from nodes.
     pub nodes: BTreeMap<SocketAddr, NodeView>,
     shared: BTreeMap<SocketAddr, ConfigurationVersion>,
@@ -78,14 +77,22 @@
         change.apply(self.tables.current().map(|current| current.table()))
     }
 
-    /// Notes where the store's topic of the configuration goes on after the record of a version.
-    pub fn note_stored_table(&mut self, version: ConfigurationVersion, next: u64) {
-        let known = self.stored_table.map_or(0, |(_, next)| next);
-        if next > known {
-            self.stored_table = Some((version, next));
+    /// Notes a table that the store holds.
+    pub fn note_stored_table(&mut self, table: StoredTable) {
+        if self
+            .stored_table
+            .is_none_or(|known| table.next > known.next)
+        {
+            self.stored_table = Some(table);
         }
     }
 
+    /// The last table that the store is known to hold.
+    #[must_use]
+    pub const fn stored_table(&self) -> Option<StoredTable> {
+        self.stored_table
+    }
+
     /// Forgets where the store's topic of the configuration goes on.
     pub fn forget_stored_table(&mut self) {
         self.stored_table = None;
@@ -96,8 +103,8 @@
     pub fn stored_table_next(&self) -> Option<u64> {
         let known = self.stored_table;
         known
-            .filter(|(version, _)| *version <= self.version())
-            .map(|(_, next)| next)
+            .filter(|table| table.version <= self.version())
+            .map(|table| table.next)
     }
 
     /// Takes in what is told of a node, unless what is known comes from a later record. True if it was
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -9,7 +9,7 @@
 
 use self::{
     retries::Retries,
-    returning::{CopyReads, list_quarantined, take_copy, write_own_when_lost},
+    returning::{CopyReads, list_quarantined, take_copy, tell_zone_of_copy, write_own_when_lost},
     starting::{
         wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
     },
@@ -17,7 +17,10 @@
 };
 use crate::{
     coordination::store_reading::ReadingRole,
-    protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic, find_quarantined},
+    protocol::{
+        hop::StoredTable,
+        store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic, find_quarantined},
+    },
     proxy::{
         announcing::{RecordOrder, describe_own, take_stored},
         core::ProxyCore,
@@ -214,13 +217,8 @@
 
     fn take_configuration(&self, records: &Records, whole: bool) {
         let core = &self.core;
-        if whole {
-            self.note_whole(
-                StoreTopic::Configuration,
-                core.evacuations.position(),
-                records,
-            );
-        }
+        let before = core.evacuations.position();
+        let has_returned = whole && self.note_whole(StoreTopic::Configuration, before, records);
         // First, so that no request goes by the new routes to a zone that was evacuated before them.
         let changes = self.find_evacuations(records);
         take_read_evacuations(core, &changes, records.next, whole);
@@ -230,12 +228,16 @@
                     let version = table.version;
                     core.take_table(table, StateSource::Store);
                     let next = record.position.saturating_add(1);
-                    core.directory.borrow_mut().note_stored_table(version, next);
+                    let mut directory = core.directory.borrow_mut();
+                    directory.note_stored_table(StoredTable { version, next });
                 }
                 Some(Err(error)) => core.log(&ProxyEvent::ConfigurationRejected { error }),
                 None => {}
             }
         }
+        if has_returned {
+            tell_zone_of_copy(core);
+        }
     }
 
     /// Notes a read of all records of a topic; `before` is the place up to which they were known. True if the store has come back from
--- a/src/proxy/following/returning.rs
+++ b/src/proxy/following/returning.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// Tells the nodes of the zone where the topic of the configuration goes on, if this node reads for it. They would read the whole
+/// configuration otherwise.
+pub(super) fn tell_zone_of_copy(core: &Rc<ProxyCore>) {
+    if !core.is_zone_reader() && !core.stands_in() {
+        return;
+    }
+    let message = StateMessage {
+        evacuations: core.evacuations.describe(),
+        stored_table: core.directory.borrow().stored_table(),
+        from: Some(core.settings.peers),
+        ..StateMessage::default()
+    };
+    spread(core, &core.list_zone(), &message);
+}
+
 /// Requests that records of nodes hold in quarantine.
 pub(super) fn list_quarantined(records: &[KeyedRecord]) -> BTreeSet<RequestDigest> {
     let kept = records.iter().filter(|record| record.value.is_some());
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -130,6 +130,9 @@
         return;
     }
     spread(core, &pass_on, &message);
+    if let Some(table) = message.stored_table {
+        core.directory.borrow_mut().note_stored_table(table);
+    }
     if let Some(evacuations) = &message.evacuations {
         if let Some(from) = message.from {
             core.evacuations.note_position(from, evacuations.position());
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     coordination::table_sources::{FetchStep, TableOffer},
-    protocol::hop::StateMessage,
+    protocol::hop::{StateMessage, StoredTable},
     proxy::{
         core::{ProxyCore, count},
         directory::StateSource,
@@ -192,8 +192,9 @@
         core.take_table(table, StateSource::Peer);
     }
     if let Some(next) = answer.store_next {
+        let version = change.version;
         let mut directory = core.directory.borrow_mut();
-        directory.note_stored_table(change.version, next);
+        directory.note_stored_table(StoredTable { version, next });
     }
     Ok(())
 }
