--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -17,6 +17,7 @@
 use http::{HeaderMap, Method};
 use std::{
     cell::{Cell, RefCell},
+    collections::{BTreeMap, BTreeSet},
     env, fs, io,
     net::Ipv4Addr,
     path::PathBuf,
@@ -123,12 +124,16 @@
             .put(CONFIGURATION_TOPIC, CONFIGURATION_KEY, &document);
     }
 
-    /// Writes again what the operator wrote and the store has lost.
+    /// Writes again what the operator wrote and the store has lost: the newest record of each key, so that offsets differ from those
+    /// before.
     pub fn write_again(&self, lost: &[LostRecord]) {
-        let by_operator = lost
-            .iter()
-            .filter(|record| record.topic == CONFIGURATION_TOPIC);
-        for record in by_operator {
+        let mut newest = BTreeMap::new();
+        let by_operator = lost.iter().enumerate();
+        for (place, record) in by_operator.filter(|(_, lost)| lost.topic == CONFIGURATION_TOPIC) {
+            newest.insert(record.key.as_str(), place);
+        }
+        let places: BTreeSet<usize> = newest.into_values().collect();
+        for record in places.into_iter().map(|place| &lost[place]) {
             self.store
                 .put_bytes(&record.topic, &record.key, &record.value);
         }
