A node started anew beside a run that it recalls counts the last second against a cold upstream

What users would see: a cold upstream crashes, since it got more within a second than its service tolerates: what the node's earlier process had sent and what the new one sent at once. Cause: a warmup that began after the earlier process ended was taken as proof that nothing of that process counts. The upstream had been cold before, and became cold again 88 ms before the node started. Ruled out: arrivals that bunch (the starts of both processes add up to more than the limit). Now a run that the node recalls from the store got requests of an earlier process, whenever its warmup began. A run that announces itself anew is served at once, as before.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -165,6 +165,11 @@
         self.slow_start.begin_run();
     }
 
+    /// Records that the current run of the upstream got requests of an earlier process of this node.
+    pub fn recall_run(&mut self) {
+        self.slow_start.recall_run();
+    }
+
     /// Records the warmup state that the upstream reports.
     pub fn note_cold_time(&mut self, told: ToldColdTime, now: Moment) {
         self.slow_start.note_told(told, now);
--- a/src/coordination/slow_start.rs
+++ b/src/coordination/slow_start.rs
@@ -69,6 +69,10 @@
     starts: VecDeque<Moment>,
     /// Start of the counting, while an earlier process of this node may have sent requests to the current run of the upstream.
     counted_since: Option<Moment>,
+    /// When this process started.
+    started: Moment,
+    /// An earlier process of this node has sent requests to the current run of the upstream.
+    is_recalled: bool,
 }
 
 impl SlowStart {
@@ -80,6 +84,8 @@
             cold_until: Moment::default(),
             starts: VecDeque::new(),
             counted_since: Some(now),
+            started: now,
+            is_recalled: false,
         }
     }
 
@@ -88,6 +94,14 @@
     pub fn begin_run(&mut self) {
         self.cold_until = Moment::default();
         self.counted_since = None;
+        self.is_recalled = false;
+    }
+
+    /// Records that the current run of the upstream got requests of an earlier process of this node. That the present warmup began
+    /// after that process ended proves nothing: the upstream may have been cold before as well.
+    pub fn recall_run(&mut self) {
+        self.counted_since = Some(self.started);
+        self.is_recalled = true;
     }
 
     /// Records a report of the upstream. A report may have been delayed for seconds, so it never shortens the known warmup.
@@ -98,8 +112,8 @@
         self.limit = told.limit.clamp(1, REMEMBERED);
         self.cold_until = self.cold_until.max(now + told.left);
         let cold_for = told.lasts.saturating_sub(told.left);
-        let began_here =
-            |counted| !told.lasts.is_zero() && cold_for <= now.since(counted) + RESTART_PAUSE;
+        let is_known = !self.is_recalled && !told.lasts.is_zero();
+        let began_here = |counted| is_known && cold_for <= now.since(counted) + RESTART_PAUSE;
         self.counted_since = self.counted_since.filter(|counted| !began_here(*counted));
     }
 
--- a/src/proxy/announcing.rs
+++ b/src/proxy/announcing.rs
@@ -127,6 +127,7 @@
         };
         if core.own.borrow().current().is_none() {
             core.own.borrow_mut().announce(announcement);
+            core.slots.recall_run();
             set_limit(core, limit_for(record.slots));
             core.directory.borrow_mut().take_own(record.clone());
             core.log(&ProxyEvent::UpstreamRecalled {
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -61,6 +61,11 @@
         self.queue.borrow_mut().begin_run();
     }
 
+    /// Records that the current run of the upstream got requests of an earlier process of this node.
+    pub fn recall_run(&self) {
+        self.queue.borrow_mut().recall_run();
+    }
+
     /// Notes that the upstream did not answer a question: it is asked again after the usual pause.
     pub(super) fn note_unanswered(&self, now: Moment) {
         self.pace.note_unanswered(now);
--- a/tests/integration/slow_start.rs
+++ b/tests/integration/slow_start.rs
@@ -50,6 +50,23 @@
     assert!(slow_start.wait(0, at(10)).is_zero());
 }
 
+/// Guards against requests of an earlier process that don't count: its upstream was cold already, and became cold again just as
+/// the node was started anew.
+#[test]
+fn wait_run_of_earlier_process_cold_again() {
+    let mut slow_start = SlowStart::new(at(10_000));
+    let cold_again = told(LASTS - Duration::from_millis(98));
+    slow_start.note_told(cold_again, at(10_010));
+    slow_start.recall_run();
+    slow_start.note_told(cold_again, at(10_010));
+    let wait = slow_start.wait(0, at(10_010));
+    assert!(wait >= Duration::from_millis(990), "{wait:?}");
+    assert!(start_all(&mut slow_start, at(10_010) + wait) > 0);
+    slow_start.begin_run();
+    slow_start.note_told(cold_again, at(12_000));
+    assert!(slow_start.wait(0, at(13_100)).is_zero());
+}
+
 /// Failure: a node that was started anew gives a cold upstream what its earlier process has given it within the same second.
 #[test]
 fn wait_upstream_older_than_node() {
