--- a/tests/integration/slow_start.rs
+++ b/tests/integration/slow_start.rs
@@ -55,7 +55,7 @@
 #[test]
 fn wait_run_of_earlier_process_cold_again() {
     let mut slow_start = SlowStart::new(at(10_000));
-    let cold_again = told(LASTS - Duration::from_millis(98));
+    let cold_again = told(Duration::from_millis(2_902));
     slow_start.note_told(cold_again, at(10_010));
     slow_start.recall_run();
     slow_start.note_told(cold_again, at(10_010));
