A reader that was told of the store's return doesn't take the copy for the truth

What users would see: requests to an evacuated zone, after the store lost the evacuation, until the operator has written it again. Cause: whether a read of all keys is the first since the return was told from the position of what is known. Of the two readers of a zone one tells the other, whose position is then of the new era before its own first read, and that read ended the evacuation. Evidence: found by reading the code; evacuations::after_copy_told_before_read fails without the condition ([] in place of ["a"]). A node now goes by its own reads, and the state that nodes tell says that it may be ahead of the copy, until the second read.

--- a/src/proxy/evacuating.rs
+++ b/src/proxy/evacuating.rs
@@ -14,7 +14,7 @@
         state_messages::{ask_state, spread},
     },
     state::{
-        evacuations::{EvacuationChange, Evacuations},
+        evacuations::{EvacuationChange, EvacuationRead, Evacuations},
         names::AvailabilityZoneName,
     },
     transport::operators::request::EvacuationProblem,
@@ -86,10 +86,10 @@
     core: &Rc<ProxyCore>,
     changes: &[EvacuationChange],
     next: u64,
-    whole: bool,
+    read: EvacuationRead,
 ) {
     let before = core.evacuations.evacuations.borrow().clone();
-    let after = before.after(changes, next, whole);
+    let after = before.after(changes, next, read);
     put_in_force(core, &before, after, StateSource::Store);
 }
 
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -9,7 +9,9 @@
 
 use self::{
     retries::Retries,
-    returning::{CopyReads, list_quarantined, take_copy, tell_zone_of_copy, write_own_when_lost},
+    returning::{
+        CopyReads, TopicRead, list_quarantined, take_copy, tell_zone_of_copy, write_own_when_lost,
+    },
     starting::{
         wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
     },
@@ -34,7 +36,7 @@
         table_offering::keep_zone_current,
     },
     state::{
-        evacuations::EvacuationChange,
+        evacuations::{EvacuationChange, EvacuationRead},
         placement_view::{NodeRecord, StoredRecord},
         request_digest::RequestDigest,
         store_position::StorePosition,
@@ -118,7 +120,8 @@
                 Ok(records) => {
                     retries.succeed();
                     next = Some(records.next);
-                    self.take_records(topic, &records, from.is_none()).await;
+                    let read = self.note_read(topic, &records, from.is_none());
+                    self.take_records(topic, &records, read).await;
                 }
                 Err(StoreError::Deleted | StoreError::OtherEra) => {
                     next = None;
@@ -203,25 +206,31 @@
         }
     }
 
-    /// Applies records; `whole` if they are the newest of all keys.
-    async fn take_records(&self, topic: StoreTopic, records: &Records, whole: bool) {
+    async fn take_records(&self, topic: StoreTopic, records: &Records, read: TopicRead) {
         match topic {
-            StoreTopic::Configuration => self.take_configuration(records, whole),
+            StoreTopic::Configuration => self.take_configuration(records, read),
             StoreTopic::Nodes => {
-                self.take_nodes(records, whole).await;
+                if read == TopicRead::Copy {
+                    self.take_copy_of_nodes(records).await;
+                } else {
+                    self.take_nodes(records, read != TopicRead::Continued).await;
+                }
                 let pause = self.core.plan_reading(topic).records_pause;
                 let _ = self.core.timers.after(pause).recv_async().await;
             }
         }
     }
 
-    fn take_configuration(&self, records: &Records, whole: bool) {
+    fn take_configuration(&self, records: &Records, read: TopicRead) {
         let core = &self.core;
-        let before = core.evacuations.position();
-        let has_returned = whole && self.note_whole(StoreTopic::Configuration, before, records);
         // First, so that no request goes by the new routes to a zone that was evacuated before them.
         let changes = self.find_evacuations(records);
-        take_read_evacuations(core, &changes, records.next, whole);
+        let evacuation_read = match read {
+            TopicRead::Continued => EvacuationRead::Continued,
+            TopicRead::All | TopicRead::Copy => EvacuationRead::All,
+            TopicRead::AllWrittenAgain => EvacuationRead::AllWrittenAgain,
+        };
+        take_read_evacuations(core, &changes, records.next, evacuation_read);
         for record in &records.records {
             match self.store.decode_table(record) {
                 Some(Ok(table)) => {
@@ -235,25 +244,25 @@
                 None => {}
             }
         }
-        if has_returned {
+        if read == TopicRead::Copy {
             tell_zone_of_copy(core);
         }
     }
 
-    /// Notes a read of all records of a topic; `before` is the place up to which they were known. True if the store has come back from
-    /// a copy since.
-    fn note_whole(&self, topic: StoreTopic, before: u64, records: &Records) -> bool {
+    /// Records a read of the topic up to a place, and logs a return of the store.
+    fn note_read(&self, topic: StoreTopic, records: &Records, whole: bool) -> TopicRead {
         let core = &self.core;
+        let before = self.copy_reads.read_up_to();
         let now = core.timers.now();
-        let has_returned = self.copy_reads.note_whole(before, records.next, now);
-        if has_returned {
+        let read = self.copy_reads.note_read(records.next, whole, now);
+        if read == TopicRead::Copy {
             core.log(&ProxyEvent::StoreReturned {
                 what: name_topic(topic),
                 era: StorePosition::unpack(records.next).era,
                 before: StorePosition::unpack(before).era,
             });
         }
-        has_returned
+        read
     }
 
     fn find_evacuations(&self, records: &Records) -> Vec<EvacuationChange> {
@@ -272,19 +281,19 @@
         changes
     }
 
+    async fn take_copy_of_nodes(&self, records: &Records) {
+        let copy = records.records.iter();
+        let copy: Vec<StoredRecord> = copy
+            .filter(|record| find_quarantined(&record.key).is_none())
+            .filter_map(|record| self.decode_node(record, record.value.as_ref()?))
+            .collect();
+        let quarantined = list_quarantined(&records.records);
+        take_copy(&self.core, copy, &quarantined, records.next).await;
+    }
+
+    /// Applies records of nodes; `whole` if they are the newest of all keys.
     async fn take_nodes(&self, records: &Records, whole: bool) {
         let core = &self.core;
-        let before = core.directory.borrow().read_up_to();
-        if whole && self.note_whole(StoreTopic::Nodes, before, records) {
-            let copy = records.records.iter();
-            let copy: Vec<StoredRecord> = copy
-                .filter(|record| find_quarantined(&record.key).is_none())
-                .filter_map(|record| self.decode_node(record, record.value.as_ref()?))
-                .collect();
-            let quarantined = list_quarantined(&records.records);
-            take_copy(core, copy, &quarantined, records.next).await;
-            return;
-        }
         let mut news = Vec::new();
         let mut own = None;
         for record in &records.records {
--- a/src/proxy/following/returning.rs
+++ b/src/proxy/following/returning.rs
@@ -30,28 +30,53 @@
 /// Longest pause before a node writes its record again. All nodes may have lost theirs in the same moment.
 const WRITE_SPREAD: Duration = Duration::from_millis(500);
 
-/// Plans the second read of all records after the store came back.
+/// What a read of a topic gave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum TopicRead {
+    /// The records after those read before.
+    Continued,
+    /// The newest of all keys.
+    All,
+    /// The same for the first time since the store came back from a copy.
+    Copy,
+    /// The same once its clients have written again what it had lost.
+    AllWrittenAgain,
+}
+
+/// The reads of a topic over returns of the store.
 #[derive(Default)]
 pub(super) struct CopyReads {
+    /// Place up to which this node has read the topic.
+    read_up_to: Cell<u64>,
     second_due: Cell<Option<Moment>>,
 }
 
 impl CopyReads {
+    /// Place up to which this node has read the topic; 0 if it has not.
+    pub(super) fn read_up_to(&self) -> u64 {
+        self.read_up_to.get()
+    }
+
     /// Whether all records are to be read again now.
     pub(super) fn is_second_due(&self, now: Moment) -> bool {
         self.second_due.get().is_some_and(|due| due <= now)
     }
 
-    /// Records a read of all records up to the place `next`, with those up to `before` known. True if it is the first one since the
-    /// store came back.
-    pub(super) fn note_whole(&self, before: u64, next: u64, now: Moment) -> bool {
-        let is_first = StorePosition::is_of_earlier_era(before, next);
-        if is_first {
+    /// Records a read up to the place `next`; `whole` if it was of the newest records of all keys.
+    pub(super) fn note_read(&self, next: u64, whole: bool, now: Moment) -> TopicRead {
+        let before = self.read_up_to.replace(next);
+        if !whole {
+            return TopicRead::Continued;
+        }
+        if StorePosition::is_of_earlier_era(before, next) {
             self.second_due.set(Some(now + REWRITE_TIME));
-        } else if self.is_second_due(now) {
+            return TopicRead::Copy;
+        }
+        if self.is_second_due(now) {
             self.second_due.set(None);
+            return TopicRead::AllWrittenAgain;
         }
-        is_first
+        TopicRead::All
     }
 }
 
--- a/src/state/evacuations.rs
+++ b/src/state/evacuations.rs
@@ -15,6 +15,17 @@
     pub position: u64,
 }
 
+/// Which records of the topic were read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EvacuationRead {
+    /// Those from the known position on.
+    Continued,
+    /// The newest of all keys.
+    All,
+    /// The newest of all keys, once the operator has written again what the store lost when it came back from a copy.
+    AllWrittenAgain,
+}
+
 /// The evacuated zones as of one position in the topic of the configuration.
 ///
 /// Of two states, the one with the later position replaces the other as a whole. Neither a delayed record nor a node that was
@@ -32,6 +43,17 @@
     /// Places of the records by which zones were taken back.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     taken_back: BTreeMap<AvailabilityZoneName, u64>,
+    /// Whether the store came back from a copy, and may lack what is known here.
+    #[serde(default, skip_serializing_if = "is_false")]
+    is_ahead_of_copy: bool,
+}
+
+#[expect(
+    clippy::trivially_copy_pass_by_ref,
+    reason = "serde asks for a reference"
+)]
+const fn is_false(flag: &bool) -> bool {
+    !*flag
 }
 
 impl Evacuations {
@@ -60,19 +82,21 @@
         self.changed_at
     }
 
-    /// The state after applying the records up to `next`. With `whole` they are the newest records of all keys, and a zone without a
-    /// record is not evacuated, unless the store has come back from a copy since the last records were applied.
+    /// The state after applying the records up to `next`. Where all keys were read, a zone without a record is not evacuated, unless
+    /// the store may lack what is known here.
     #[must_use]
-    pub fn after(&self, changes: &[EvacuationChange], next: u64, whole: bool) -> Self {
-        if next < self.position || (next == self.position && !whole) {
+    pub fn after(&self, changes: &[EvacuationChange], next: u64, read: EvacuationRead) -> Self {
+        let is_over = read == EvacuationRead::Continued && next == self.position;
+        if next < self.position || is_over {
             return self.clone();
         }
-        let mut after = if whole && StorePosition::is_of_earlier_era(self.position, next) {
-            self.join_copy(changes)
-        } else if whole {
-            self.replace_zones(changes, next)
-        } else {
-            self.apply_changes(changes)
+        let has_returned = StorePosition::is_of_earlier_era(self.position, next);
+        let mut after = match read {
+            EvacuationRead::Continued => self.apply_changes(changes),
+            EvacuationRead::All if has_returned || self.is_ahead_of_copy => self.join_copy(changes),
+            EvacuationRead::All | EvacuationRead::AllWrittenAgain => {
+                self.replace_zones(changes, next)
+            }
         };
         if after.zones != self.zones {
             after.changed_at = next;
@@ -94,6 +118,7 @@
     fn join_copy(&self, changes: &[EvacuationChange]) -> Self {
         let offset_of = |position| StorePosition::unpack(position).offset;
         let mut after = self.clone();
+        after.is_ahead_of_copy = true;
         for change in changes.iter().filter(|change| change.evacuated) {
             let taken_back = self.taken_back.get(&change.zone);
             if taken_back.is_none_or(|end| offset_of(*end) < offset_of(change.position)) {
@@ -107,6 +132,7 @@
         let evacuated = changes.iter().filter(|change| change.evacuated);
         let mut after = Self {
             zones: evacuated.map(|change| change.zone.clone()).collect(),
+            is_ahead_of_copy: false,
             ..self.clone()
         };
         for zone in self.zones.difference(&after.zones) {
--- a/tests/integration/evacuations.rs
+++ b/tests/integration/evacuations.rs
@@ -2,7 +2,7 @@
 
 use bolero::check;
 use camphorturn::state::{
-    evacuations::{EvacuationChange, Evacuations},
+    evacuations::{EvacuationChange, EvacuationRead, Evacuations},
     names::AvailabilityZoneName,
     store_position::StorePosition,
 };
@@ -23,10 +23,10 @@
 #[test]
 fn after_two_zones_at_once() {
     let both = [change("a", true, 3), change("b", true, 4)];
-    let known = Evacuations::default().after(&both, 5, false);
+    let known = Evacuations::default().after(&both, 5, EvacuationRead::Continued);
     assert_eq!(list(&known), ["a", "b"]);
     assert_eq!((known.position(), known.changed_at()), (5, 5));
-    let known = known.after(&[change("a", false, 6)], 7, false);
+    let known = known.after(&[change("a", false, 6)], 7, EvacuationRead::Continued);
     assert_eq!(list(&known), ["b"]);
 }
 
@@ -34,29 +34,31 @@
 #[test]
 fn after_records_read_again() {
     let begun = [change("a", true, 3)];
-    let over =
-        Evacuations::default()
-            .after(&begun, 4, false)
-            .after(&[change("a", false, 5)], 6, false);
+    let over = Evacuations::default()
+        .after(&begun, 4, EvacuationRead::Continued)
+        .after(&[change("a", false, 5)], 6, EvacuationRead::Continued);
     assert!(list(&over).is_empty());
-    assert_eq!(over.after(&begun, 4, false), over);
+    assert_eq!(over.after(&begun, 4, EvacuationRead::Continued), over);
     let read_on = [change("a", true, 3), change("b", true, 6)];
-    assert_eq!(list(&over.after(&read_on, 7, false)), ["b"]);
+    assert_eq!(
+        list(&over.after(&read_on, 7, EvacuationRead::Continued)),
+        ["b"]
+    );
 }
 
 /// Failure: an evacuation lives on at a node that was away when its record was deleted.
 #[test]
 fn after_all_records_were_read() {
-    let known = Evacuations::default().after(&[change("a", true, 3)], 4, false);
-    let known = known.after(&[change("b", true, 8)], 12, true);
+    let known = Evacuations::default().after(&[change("a", true, 3)], 4, EvacuationRead::Continued);
+    let known = known.after(&[change("b", true, 8)], 12, EvacuationRead::All);
     assert_eq!(list(&known), ["b"]);
 }
 
 /// Failure: a node that was away brings an evacuation back to others.
 #[test]
 fn replace_by_older() {
-    let away = Evacuations::default().after(&[change("a", true, 3)], 4, false);
-    let mut known = away.after(&[change("a", false, 5)], 6, false);
+    let away = Evacuations::default().after(&[change("a", true, 3)], 4, EvacuationRead::Continued);
+    let mut known = away.after(&[change("a", false, 5)], 6, EvacuationRead::Continued);
     assert!(!known.replace_by(&away));
     assert!(list(&known).is_empty());
     let mut away = away;
@@ -66,8 +68,8 @@
 
 #[test]
 fn changed_at_stays_while_no_zone_changes() {
-    let known = Evacuations::default().after(&[change("a", true, 3)], 4, false);
-    let known = known.after(&[], 9, false);
+    let known = Evacuations::default().after(&[change("a", true, 3)], 4, EvacuationRead::Continued);
+    let known = known.after(&[], 9, EvacuationRead::Continued);
     assert_eq!((known.position(), known.changed_at()), (9, 4));
 }
 
@@ -84,34 +86,59 @@
         change("b", true, 4),
         change("b", false, 6),
     ];
-    let known = Evacuations::default().after(&changes, 7, false);
+    let known = Evacuations::default().after(&changes, 7, EvacuationRead::Continued);
     // The copy lacks the first evacuation and the end of the second.
-    let returned = known.after(&[change("b", true, later(4))], later(5), true);
+    let returned = known.after(
+        &[change("b", true, later(4))],
+        later(5),
+        EvacuationRead::All,
+    );
     assert_eq!(list(&returned), ["a"]);
     assert_eq!(returned.position(), later(5));
     let written = [change("a", true, later(5)), change("b", false, later(6))];
-    let written = returned.after(&written, later(7), false);
+    let written = returned.after(&written, later(7), EvacuationRead::Continued);
     assert_eq!(list(&written), ["a"]);
-    let over = written.after(&[change("a", false, later(7))], later(8), false);
+    let over = written.after(
+        &[change("a", false, later(7))],
+        later(8),
+        EvacuationRead::Continued,
+    );
     assert!(list(&over).is_empty());
 }
 
 /// Guards against an evacuation after the return that waits for the second read.
 #[test]
 fn after_copy_new_evacuation() {
-    let known = Evacuations::default().after(&[change("b", true, 3)], 4, false);
-    let known = known.after(&[change("b", false, 4)], 5, false);
-    let returned = known.after(&[change("b", true, later(6))], later(7), true);
+    let known = Evacuations::default().after(&[change("b", true, 3)], 4, EvacuationRead::Continued);
+    let known = known.after(&[change("b", false, 4)], 5, EvacuationRead::Continued);
+    let returned = known.after(
+        &[change("b", true, later(6))],
+        later(7),
+        EvacuationRead::All,
+    );
     assert_eq!(list(&returned), ["b"]);
 }
 
+/// Guards against a reader that was told of the return by another node, and then takes the copy for the truth.
+#[test]
+fn after_copy_told_before_read() {
+    let known = Evacuations::default().after(&[change("a", true, 3)], 4, EvacuationRead::Continued);
+    let returned = known.after(&[], later(3), EvacuationRead::All);
+    let mut other = known;
+    assert!(other.replace_by(&returned));
+    for next in [later(3), later(4)] {
+        let read = other.after(&[], next, EvacuationRead::All);
+        assert_eq!(list(&read), ["a"]);
+    }
+}
+
 /// Guards against an evacuation that is in force for good, since its end was lost and nobody wrote it again.
 #[test]
 fn after_copy_second_read() {
-    let known = Evacuations::default().after(&[change("a", true, 3)], 4, false);
-    let returned = known.after(&[], later(3), true);
+    let known = Evacuations::default().after(&[change("a", true, 3)], 4, EvacuationRead::Continued);
+    let returned = known.after(&[], later(3), EvacuationRead::All);
     assert_eq!(list(&returned), ["a"]);
-    let settled = returned.after(&[], later(3), true);
+    let settled = returned.after(&[], later(3), EvacuationRead::AllWrittenAgain);
     assert!(list(&settled).is_empty());
     let mut other = returned;
     assert!(other.replace_by(&settled));
@@ -156,9 +183,13 @@
                     .cloned()
                     .collect()
             };
-            let known = Evacuations::default().after(&read(&log, 0, 1), end(1, log.len()), false);
+            let known = Evacuations::default().after(
+                &read(&log, 0, 1),
+                end(1, log.len()),
+                EvacuationRead::Continued,
+            );
             let before = list(&known).join(",");
-            let returned = known.after(&newest(&log[..kept], 2), end(2, kept), true);
+            let returned = known.after(&newest(&log[..kept], 2), end(2, kept), EvacuationRead::All);
             let lost = log[kept..].iter().filter(|(_, evacuated)| !evacuated);
             if lost.count() == 0 || kept == log.len() {
                 assert_eq!(list(&returned).join(","), before);
@@ -168,8 +199,12 @@
             }
             // All that was lost is written again, in the same order.
             let lost = read(&log[kept..], kept as u64, 2);
-            let written = returned.after(&lost, end(2, log.len()), false);
-            let settled = written.after(&newest(&log, 2), end(2, log.len()), true);
+            let written = returned.after(&lost, end(2, log.len()), EvacuationRead::Continued);
+            let settled = written.after(
+                &newest(&log, 2),
+                end(2, log.len()),
+                EvacuationRead::AllWrittenAgain,
+            );
             assert_eq!(list(&settled).join(","), before);
         });
 }
