--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -260,10 +260,10 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub wanted: Option<ConfigurationVersion>,
     /// The sender has read the records of nodes; they need not be told with the answer.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub has_records: bool,
     /// The receiver is to read the store for its zone: the sender can't.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub read_store: bool,
     /// The receiver is to find out whether it reaches that node.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -284,11 +284,3 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finding: Option<Rc<CrashFinding>>,
 }
-
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde asks for a reference"
-)]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
--- a/src/proxy/following.rs
+++ b/src/proxy/following.rs
@@ -1,5 +1,7 @@
 //! Keeps a node up to date with the store, and the store with the node.
 
+mod configuration;
+mod nodes;
 mod retries;
 mod returning;
 mod starting;
@@ -9,44 +11,29 @@
 
 use self::{
     retries::Retries,
-    returning::{
-        CopyReads, TopicRead, list_quarantined, take_copy, tell_zone_of_copy, write_own_when_lost,
-    },
-    starting::{
-        wait_for_first_records, wait_for_first_table, wait_for_routes, wait_to_read_records,
-    },
+    returning::{CopyReads, TopicRead, write_own_when_lost},
+    starting::{wait_for_first_records, wait_for_first_table, wait_to_read_records},
     writing::{write_quarantines, write_records},
 };
 use crate::{
     coordination::store_reading::ReadingRole,
-    protocol::{
-        hop::StoredTable,
-        store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic, find_quarantined},
-    },
+    protocol::store::{KeyedRecord, Records, StateStore, StoreError, StoreTopic},
     proxy::{
-        announcing::{RecordOrder, describe_own, take_stored},
+        announcing::{RecordOrder, describe_own},
         core::ProxyCore,
-        crashes::{take_stored_quarantine, tell_zone_of_quarantine},
-        directory::StateSource,
-        evacuating::take_read_evacuations,
         events::ProxyEvent,
         retiring::retire_gone_nodes,
-        state_sharing::{hand_reading_over, share_with_zone},
+        state_sharing::hand_reading_over,
         store_calls::{CallReason, StoreCall},
         table_offering::keep_zone_current,
     },
-    state::{
-        evacuations::{EvacuationChange, EvacuationRead},
-        placement_view::{NodeRecord, StoredRecord},
-        request_digest::RequestDigest,
-        store_position::StorePosition,
-    },
+    state::store_position::StorePosition,
 };
 use flume::Sender;
 use rand::RngExt;
 use std::{
     cell::{Cell, RefCell},
-    collections::{BTreeSet, HashSet},
+    collections::BTreeSet,
     rc::Rc,
     time::Duration,
 };
@@ -187,25 +174,6 @@
         }
     }
 
-    /// Where the store goes on after what other nodes told. A configuration is not read again: it may be a megabyte, which
-    /// takes a link of 10 Mbit/s a second. Evacuations stand in the same topic: without them nothing is skipped.
-    fn skip_known(&self, topic: StoreTopic) -> Option<u64> {
-        match topic {
-            StoreTopic::Configuration => {
-                let next = self.core.directory.borrow().stored_table_next();
-                next.filter(|next| *next <= self.core.evacuations.position())
-            }
-            StoreTopic::Nodes => None,
-        }
-    }
-
-    /// Forgets where the store goes on after what other nodes told: it has deleted the records from there on.
-    fn forget_place(&self, topic: StoreTopic) {
-        if topic == StoreTopic::Configuration {
-            self.core.directory.borrow_mut().forget_stored_table();
-        }
-    }
-
     async fn take_records(&self, topic: StoreTopic, records: &Records, read: TopicRead) {
         match topic {
             StoreTopic::Configuration => self.take_configuration(records, read),
@@ -221,34 +189,6 @@
         }
     }
 
-    fn take_configuration(&self, records: &Records, read: TopicRead) {
-        let core = &self.core;
-        // First, so that no request goes by the new routes to a zone that was evacuated before them.
-        let changes = self.find_evacuations(records);
-        let evacuation_read = match read {
-            TopicRead::Continued => EvacuationRead::Continued,
-            TopicRead::All | TopicRead::Copy => EvacuationRead::All,
-            TopicRead::AllWrittenAgain => EvacuationRead::AllWrittenAgain,
-        };
-        take_read_evacuations(core, &changes, records.next, evacuation_read);
-        for record in &records.records {
-            match self.store.decode_table(record) {
-                Some(Ok(table)) => {
-                    let version = table.version;
-                    core.take_table(table, StateSource::Store);
-                    let next = record.position.saturating_add(1);
-                    let mut directory = core.directory.borrow_mut();
-                    directory.note_stored_table(StoredTable { version, next });
-                }
-                Some(Err(error)) => core.log(&ProxyEvent::ConfigurationRejected { error }),
-                None => {}
-            }
-        }
-        if read == TopicRead::Copy {
-            tell_zone_of_copy(core);
-        }
-    }
-
     /// Records a read of the topic up to a place, and logs a return of the store.
     fn note_read(&self, topic: StoreTopic, records: &Records, whole: bool) -> TopicRead {
         let core = &self.core;
@@ -265,94 +205,6 @@
         read
     }
 
-    fn find_evacuations(&self, records: &Records) -> Vec<EvacuationChange> {
-        let mut changes = Vec::new();
-        for record in &records.records {
-            match self.store.find_evacuated(record) {
-                Some(Ok(zone)) => changes.push(EvacuationChange {
-                    zone,
-                    evacuated: record.value.is_some(),
-                    position: record.position,
-                }),
-                Some(Err(error)) => self.tell_rejected(record, error),
-                None => {}
-            }
-        }
-        changes
-    }
-
-    async fn take_copy_of_nodes(&self, records: &Records) {
-        let copy = records.records.iter();
-        let copy: Vec<StoredRecord> = copy
-            .filter(|record| find_quarantined(&record.key).is_none())
-            .filter_map(|record| self.decode_node(record, record.value.as_ref()?))
-            .collect();
-        let quarantined = list_quarantined(&records.records);
-        take_copy(&self.core, copy, &quarantined, records.next).await;
-    }
-
-    /// Applies records of nodes; `whole` if they are the newest of all keys.
-    async fn take_nodes(&self, records: &Records, whole: bool) {
-        let core = &self.core;
-        let mut news = Vec::new();
-        let mut own = None;
-        for record in &records.records {
-            if let Some(digest) = find_quarantined(&record.key) {
-                self.take_quarantine(digest, record, whole);
-                continue;
-            }
-            let Some(value) = &record.value else {
-                self.forget(|key| key == record.key, record.position);
-                continue;
-            };
-            let Some(stored) = self.decode_node(record, value) else {
-                continue;
-            };
-            if stored.record.address == core.settings.peers {
-                own = Some(stored);
-            } else if core.take_record(stored.clone(), StateSource::Store) {
-                news.push(stored);
-            }
-        }
-        if whole {
-            // Drops from before may be among what the store has deleted.
-            let kept: HashSet<&str> = records
-                .records
-                .iter()
-                .map(|kept| kept.key.as_str())
-                .collect();
-            self.forget(|key| !kept.contains(key), records.next);
-        }
-        core.directory.borrow_mut().note_read(records.next);
-        core.note_records();
-        if whole {
-            news = list_unshared(core, news, own.as_ref());
-        }
-        share_with_zone(core, news);
-        if let Some(own) = own {
-            wait_for_routes(core).await;
-            take_stored(core, own.record).await;
-        }
-    }
-
-    fn decode_node(&self, record: &KeyedRecord, value: &[u8]) -> Option<StoredRecord> {
-        match serde_json::from_slice(value) {
-            Ok(node) => Some(describe_stored(record, node)),
-            Err(error) => {
-                self.tell_rejected(record, error.to_string());
-                None
-            }
-        }
-    }
-
-    /// At a start all nodes read the same, so only what comes later is told to the zone.
-    fn take_quarantine(&self, digest: RequestDigest, record: &KeyedRecord, whole: bool) {
-        let news = record.value.is_some() && take_stored_quarantine(&self.core, digest);
-        if news && !whole {
-            tell_zone_of_quarantine(&self.core, digest);
-        }
-    }
-
     /// Tells of a record of another writer.
     fn tell_rejected(&self, record: &KeyedRecord, error: String) {
         let mut rejected = self.rejected.borrow_mut();
@@ -368,24 +220,6 @@
             error,
         });
     }
-
-    /// Forgets the nodes whose keys the store held up to a revision and does no longer.
-    fn forget(&self, is_dropped: impl Fn(&str) -> bool, up_to: u64) {
-        let core = &self.core;
-        let by_key = |record: &NodeRecord| is_dropped(&self.store.key_of(record));
-        let forgotten = core.directory.borrow_mut().forget_dropped(up_to, by_key);
-        for record in forgotten {
-            core.log(&ProxyEvent::NodeForgotten {
-                known: record.name,
-                address: record.address,
-            });
-        }
-        let own_is_dropped = core.stored.borrow().as_ref().is_some_and(by_key);
-        if own_is_dropped {
-            // Nobody has reached this node for long, but it lives: it was cut off, and gets no work from others without a record.
-            write_own_again(core, &self.orders);
-        }
-    }
 }
 
 /// Writes the record of this node, which the store has dropped or lost.
@@ -406,26 +240,3 @@
         StoreTopic::Nodes => "nodes",
     }
 }
-
-/// Of what a node has read as a whole, what others may not have heard of. Those that read before stop as soon as the record
-/// of a node that comes before them is there, and what followed it may have come after their last read.
-fn list_unshared(
-    core: &ProxyCore,
-    read: Vec<StoredRecord>,
-    own: Option<&StoredRecord>,
-) -> Vec<StoredRecord> {
-    match own {
-        Some(own) if core.is_zone_reader() => {
-            let later = |stored: &StoredRecord| stored.revision > own.revision;
-            read.into_iter().filter(later).collect()
-        }
-        _ => Vec::new(),
-    }
-}
-
-const fn describe_stored(record: &KeyedRecord, node: NodeRecord) -> StoredRecord {
-    StoredRecord {
-        revision: record.position.saturating_add(1),
-        record: node,
-    }
-}
--- a/src/state/evacuations.rs
+++ b/src/state/evacuations.rs
@@ -44,18 +44,10 @@
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     taken_back: BTreeMap<AvailabilityZoneName, u64>,
     /// Whether the store came back from a copy, and may lack what is known here.
-    #[serde(default, skip_serializing_if = "is_false")]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     is_ahead_of_copy: bool,
 }
 
-#[expect(
-    clippy::trivially_copy_pass_by_ref,
-    reason = "serde asks for a reference"
-)]
-const fn is_false(flag: &bool) -> bool {
-    !*flag
-}
-
 impl Evacuations {
     /// Whether a zone is evacuated.
     #[must_use]
