A store's era may be as large as a time in seconds

What users would see: a node that reads all records over and over and never goes on, beside a store whose eras don't begin near one. Cause: a packed place had 24 bits for the era; a larger one was cut off, and each answer then seemed to be of another era. Found by reading the change as a newcomer.

--- a/src/state/store_position.rs
+++ b/src/state/store_position.rs
@@ -1,7 +1,7 @@
 //! Places in a topic of the store.
 
-/// Bits of a packed place that hold the offset.
-const OFFSET_BITS: u32 = 40;
+/// Bits of a packed place that hold the offset; as many hold the era.
+const OFFSET_BITS: u32 = 32;
 
 /// A place in a topic of the store.
 ///
@@ -11,9 +11,9 @@
 /// Places are passed on packed into one number, which keeps that order.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct StorePosition {
-    /// How often the store has come back from a copy, as the store counts it; 0 if it doesn't tell.
+    /// Rises each time the store comes back from a copy; 0 if the store doesn't tell. Below 2^32.
     pub era: u64,
-    /// Number of the record in its topic.
+    /// Number of the record in its topic. Below 2^32.
     pub offset: u64,
 }
 
--- a/tests/integration/store_position.rs
+++ b/tests/integration/store_position.rs
@@ -20,6 +20,15 @@
     );
 }
 
+/// Guards against an era that doesn't begin at one, such as a time in seconds, and doesn't fit: each read would count as answered in
+/// another era.
+#[test]
+fn pack_era_of_time() {
+    let first = place(1_800_000_000, 7);
+    assert_eq!(StorePosition::unpack(first.pack()), first);
+    assert!(first.pack() < place(1_800_000_001, 0).pack());
+}
+
 #[test]
 fn pack_without_era() {
     assert_eq!(place(0, 7).pack(), 7);
