One way to tell a stored table between nodes, one default, one record of a reported version

The change before had added a second message field for what store_next told already, a default that stood twice, and two notes of each report.

--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -5,7 +5,9 @@
         own_upstream::Announcement, repeat_budget::RepeatRules, slow_start::SlowStartRules,
     },
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
-    options::proxy_settings::{HeaderNames, LineRules, NodeBounds, ProxySettings},
+    options::proxy_settings::{
+        CONFIGURATION_APPLY, HeaderNames, LineRules, NodeBounds, ProxySettings,
+    },
     proxy::{
         ProxyListeners, announcing::take_announcement, core::ProxyCore, follow_store,
         operating::answer_operators, run_proxy,
@@ -34,8 +36,6 @@
 const ANY_PORT: (Ipv4Addr, u16) = (Ipv4Addr::LOCALHOST, 0);
 /// Time for a planned stop. Clients of a local mesh end their requests within it.
 const GRACE: Duration = Duration::from_secs(6);
-/// Longest time until a publication is in force at all nodes.
-const CONFIGURATION_APPLY: Duration = Duration::from_secs(2);
 /// Lines that a node keeps for operators' tools.
 const KEPT_LINES: usize = 5_000;
 /// Bounds on repeats as the users have them: a fifth of the requests, and 64 for all nodes together.
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -72,6 +72,9 @@
     }
 }
 
+/// Time until an accepted configuration is in force at all nodes, where nothing else is told.
+pub const CONFIGURATION_APPLY: Duration = Duration::from_secs(2);
+
 /// Bounds on what a node does. They may change while it runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NodeBounds {
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -238,10 +238,7 @@
     /// What turns the routing table of the version asked about into the one in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub change: Option<Rc<TableChange>>,
-    /// Where the store's topic of the configuration goes on after the record of that version.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub store_next: Option<u64>,
-    /// The table that the store holds since it came back from a copy.
+    /// The last table that the sender knows the store to hold.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stored_table: Option<StoredTable>,
     /// The sender has this version in force and can be asked for it.
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -236,7 +236,7 @@
         let knows_nothing = version == ConfigurationVersion::default() && !has_records;
         let change = self.tables.change_since(version);
         StateMessage {
-            store_next: change.as_ref().and_then(|_| self.stored_table_next()),
+            stored_table: change.as_ref().and(self.stored_table),
             change,
             nodes: if knows_nothing {
                 self.list_records()
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     coordination::table_sources::{FetchStep, TableOffer},
-    protocol::hop::{StateMessage, StoredTable},
+    protocol::hop::StateMessage,
     proxy::{
         core::{ProxyCore, count},
         directory::StateSource,
@@ -15,16 +15,14 @@
         state_messages::ask_state,
         table_offering::{offer_table, pass_on},
     },
-    state::{configuration::ConfigurationVersion, table_change::ChangeError},
+    state::{configuration::ConfigurationVersion, moment::Moment, table_change::ChangeError},
 };
 use std::{net::SocketAddr, rc::Rc};
 use tokio::task::spawn_local;
 
 /// Takes in the version that stood on a request or an answer of another node.
 pub fn note_version_of(core: &Rc<ProxyCore>, from: SocketAddr, version: ConfigurationVersion) {
-    core.directory.borrow_mut().note_version(from, version);
-    let (own, now) = (core.directory.borrow().version(), core.timers.now());
-    core.version_lag.borrow_mut().note_report(version, own, now);
+    let (own, now) = note_report(core, from, version);
     let is_news = core
         .table_sources
         .borrow_mut()
@@ -36,16 +34,26 @@
 
 /// Takes in a version that another node offers.
 pub fn take_offer(core: &Rc<ProxyCore>, offer: TableOffer) {
-    let node = (offer.from, offer.version);
-    core.directory.borrow_mut().note_version(node.0, node.1);
-    let (own, now) = (core.directory.borrow().version(), core.timers.now());
-    core.version_lag.borrow_mut().note_report(node.1, own, now);
+    note_report(core, offer.from, offer.version);
     core.table_sources.borrow_mut().note_offer(offer);
     // Wakes only who waits now: an offer that is asked about already must not end a question that comes later.
     core.offer_came.notify_waiters();
     start_fetching(core);
 }
 
+/// Records the version that another node has in force; returns the version in force here, and the time.
+fn note_report(
+    core: &ProxyCore,
+    from: SocketAddr,
+    version: ConfigurationVersion,
+) -> (ConfigurationVersion, Moment) {
+    let mut directory = core.directory.borrow_mut();
+    directory.note_version(from, version);
+    let (own, now) = (directory.version(), core.timers.now());
+    core.version_lag.borrow_mut().note_report(version, own, now);
+    (own, now)
+}
+
 fn start_fetching(core: &Rc<ProxyCore>) {
     if core.fetching.replace(true) {
         return;
@@ -191,10 +199,8 @@
         let table = core.directory.borrow().apply_change(&change)?;
         core.take_table(table, StateSource::Peer);
     }
-    if let Some(next) = answer.store_next {
-        let version = change.version;
-        let mut directory = core.directory.borrow_mut();
-        directory.note_stored_table(StoredTable { version, next });
+    if let Some(stored) = answer.stored_table {
+        core.directory.borrow_mut().note_stored_table(stored);
     }
     Ok(())
 }
--- a/tests/integration/table_spreading/tables.rs
+++ b/tests/integration/table_spreading/tables.rs
@@ -2,7 +2,7 @@
 
 use arcstr::ArcStr;
 use camphorturn::{
-    protocol::hop::StateMessage,
+    protocol::hop::{StateMessage, StoredTable},
     state::{
         configuration::ConfigurationVersion,
         names::{ClassName, ServiceName},
@@ -56,7 +56,10 @@
 fn encode_change(history: &mut TableHistory, since: ConfigurationVersion) -> Option<usize> {
     let answer = StateMessage {
         change: Some(history.change_since(since)?),
-        store_next: Some(123_456),
+        stored_table: Some(StoredTable {
+            version: ConfigurationVersion(1),
+            next: 123_456,
+        }),
         ..StateMessage::default()
     };
     let body = serde_json::to_vec(&answer).expect("a message can be written");
