dev prints its commands with the path by which it was started

What a newcomer sees: 'camphorturn status ...' of the README's first command ends with 'command not found' after cargo run, since nothing is installed.

--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -21,6 +21,7 @@
     iterator::Signals,
 };
 use std::{
+    env,
     io::{self, Write},
     time::{Duration, Instant},
 };
@@ -170,17 +171,16 @@
         out,
         "  curl -i -H 'Host: frontdesk.example' -d '{{\"slot\":7}}' http://{callers}/bookings/"
     )?;
+    let program = find_program();
+    let access = format!("--node {operators} --token {LOCAL_TOKEN}");
     writeln!(out, "What the nodes say:")?;
-    writeln!(
-        out,
-        "  camphorturn status --node {operators} --token {LOCAL_TOKEN}"
-    )?;
-    writeln!(
-        out,
-        "  camphorturn timeline --node {operators} --token {LOCAL_TOKEN}"
-    )?;
-    writeln!(
-        out,
-        "  camphorturn explain --node {operators} --token {LOCAL_TOKEN} REQUEST\n"
-    )
+    writeln!(out, "  {program} status {access}")?;
+    writeln!(out, "  {program} timeline {access}")?;
+    writeln!(out, "  {program} explain {access} REQUEST\n")
+}
+
+/// The path by which this program was started: it need not be on the search path.
+fn find_program() -> String {
+    let path = env::args().next();
+    path.unwrap_or_else(|| "camphorturn".to_owned())
 }
