--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -3,130 +3,30 @@
 
 mod answer;
 mod listening;
+mod serving;
+mod settings;
 
-use crate::http::{PlainRequest, build_answer, read_request, write_all};
-use answer::Answer;
+pub use settings::{RanRequest, RunRecord, ServiceTime, UpstreamNames, UpstreamSettings};
+
+use crate::http::PlainRequest;
 use listening::{accept, listen, reserve_port};
-use rand::{RngExt, SeedableRng, rngs::StdRng};
+use rand::{SeedableRng, rngs::StdRng};
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
-    future::pending,
     io,
     net::SocketAddr,
     rc::Rc,
-    sync::{Arc, Mutex, PoisonError},
+    sync::PoisonError,
     task::Waker,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    net::{TcpListener, TcpSocket, TcpStream},
+    net::{TcpListener, TcpSocket},
     sync::{Notify, Semaphore},
     task::spawn_local,
-    time::sleep,
 };
 
-/// Names of the headers that an upstream reads and sends, in lower case.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UpstreamNames {
-    /// Identity of a request; repeated in the answer.
-    pub request_id: &'static str,
-    /// The run that is to run a request.
-    pub target_instance: &'static str,
-    /// The run that answers.
-    pub instance: &'static str,
-    /// Running, waiting, slots, slowdown in percent.
-    pub load: &'static str,
-    /// Proof that an answer is an upstream's.
-    pub signature: &'static str,
-    /// Stands on an answer to a request that was not run.
-    pub not_executed: &'static str,
-    /// How much longer the upstream is cold, in milliseconds.
-    pub warmup_left: &'static str,
-}
-
-impl UpstreamNames {
-    /// The names of the users' platform.
-    pub const PLATFORM: Self = Self {
-        request_id: "camphorturn-request-id",
-        target_instance: "camphorturn-target-instance",
-        instance: "camphorturn-instance-id",
-        load: "camphorturn-server-load",
-        signature: "camphorturn-server-signature",
-        not_executed: "camphorturn-not-executed",
-        warmup_left: "camphorturn-warmup-ms",
-    };
-}
-
-/// Time of the requests below a path.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ServiceTime {
-    /// Start of the paths it holds for.
-    pub path_prefix: String,
-    /// Median.
-    pub median: Duration,
-    /// Spread of the logarithm: 0 is constant, 0.5 has a long tail.
-    pub spread: f64,
-}
-
-/// A request that an upstream began to run.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RanRequest {
-    /// Its target.
-    pub target: String,
-    /// Identity of the upstream's run.
-    pub instance: String,
-    /// When that run started, in Unix milliseconds.
-    pub born: u64,
-    /// When it began.
-    pub at: Instant,
-}
-
-/// Requests that an upstream ran, in the order of their beginnings. Shared with whoever audits it, also
-/// after the upstream has gone.
-pub type RunRecord = Arc<Mutex<Vec<RanRequest>>>;
-
-/// How an upstream is.
-#[derive(Clone, Debug)]
-pub struct UpstreamSettings {
-    /// Identity of its first run.
-    pub instance: String,
-    /// Header names.
-    pub names: UpstreamNames,
-    /// Requests it runs at once; further ones wait.
-    pub slots: u16,
-    /// How long work takes; the first prefix that fits decides, and without one it takes no time.
-    pub times: Vec<ServiceTime>,
-    /// Seed of the times.
-    pub seed: u64,
-    /// Answers with target and body of the request in place of a fixed body.
-    pub echoes: bool,
-    /// Takes what it ran.
-    pub runs: RunRecord,
-    /// Starts of the paths of requests that crash it as soon as it runs one of them.
-    pub crash_prefixes: Vec<String>,
-}
-
-impl UpstreamSettings {
-    /// An upstream with the platform's names that answers at once.
-    #[must_use]
-    pub fn new(instance: &str) -> Self {
-        Self {
-            instance: instance.to_owned(),
-            names: UpstreamNames::PLATFORM,
-            slots: SLOTS,
-            times: Vec::new(),
-            seed: 1,
-            echoes: false,
-            runs: RunRecord::default(),
-            crash_prefixes: Vec::new(),
-        }
-    }
-}
-
-/// Slots unless told otherwise.
-const SLOTS: u16 = 6;
-
 /// What becomes of one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpstreamAct {
@@ -353,162 +253,3 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     })
 }
-
-async fn serve_until_crash(stream: TcpStream, state: Rc<State>) {
-    // A connection that was taken just before a crash hears nothing of it.
-    if state.crashed.get() {
-        return;
-    }
-    tokio::select! {
-        () = state.crashes.notified() => {}
-        () = serve(stream, Rc::clone(&state)) => {}
-    }
-}
-
-async fn serve(mut stream: TcpStream, state: Rc<State>) {
-    while let Ok(Some(request)) = read_request(&mut stream).await {
-        let kept = if request.path() == "/health" {
-            answer_health(&mut stream, &state).await
-        } else {
-            answer_request(&mut stream, &state, request).await
-        };
-        if !kept {
-            return;
-        }
-    }
-}
-
-async fn answer_health(stream: &mut TcpStream, state: &State) -> bool {
-    state.health_questions.set(state.health_questions.get() + 1);
-    let status = if state.leaving.get() { 503 } else { 200 };
-    let load = load(state);
-    let instance = state.instance.borrow().clone();
-    let names = state.settings.names;
-    let warmup_left = state.warmup_left().as_millis().to_string();
-    let headers = [
-        (names.instance, instance.as_str()),
-        (names.load, load.as_str()),
-        (names.warmup_left, warmup_left.as_str()),
-    ];
-    let answer = build_answer(status, &headers, b"");
-    write_all(stream, &answer).await.is_ok()
-}
-
-fn load(state: &State) -> String {
-    let slots = state.settings.slots;
-    format!("{},0,{slots},{}", state.running.get(), state.slowdown.get())
-}
-
-/// Counts a request as running for as long as it lives.
-struct Run(Rc<State>);
-
-impl Run {
-    fn start(state: &Rc<State>) -> Self {
-        state.running.set(state.running.get() + 1);
-        state.changed.notify_waiters();
-        Self(Rc::clone(state))
-    }
-}
-
-impl Drop for Run {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-        self.0.changed.notify_waiters();
-    }
-}
-
-async fn answer_request(stream: &mut TcpStream, state: &Rc<State>, request: PlainRequest) -> bool {
-    let names = state.settings.names;
-    let expected = request.header(names.target_instance);
-    let instance = state.instance.borrow().clone();
-    if expected.is_some_and(|expected| expected != instance) {
-        let headers = [(names.instance, instance.as_str())];
-        return write_all(stream, &build_answer(421, &headers, b""))
-            .await
-            .is_ok();
-    }
-    let act = state.acts.borrow_mut().pop_front();
-    let act = act.unwrap_or(UpstreamAct::Answer);
-    let answer = Answer::to(&state.settings, &request);
-    if state.is_crashed_by(&request.target) {
-        note_run(state, &request);
-        state.arrivals.borrow_mut().push(request);
-        state.crash();
-        return false;
-    }
-    if act != UpstreamAct::Shed {
-        note_run(state, &request);
-    }
-    if act == UpstreamAct::Restart {
-        state.arrivals.borrow_mut().push(request);
-        state.restart(stream);
-        return false;
-    }
-    let time = draw_time(state, &request.target);
-    state.arrivals.borrow_mut().push(request);
-    let run = Run::start(state);
-    if act == UpstreamAct::Hold && !hold(stream, state).await {
-        return false;
-    }
-    if !work(stream, state, time).await {
-        return false;
-    }
-    drop(run);
-    let (bytes, kept) = answer.build(act, &load(state));
-    write_all(stream, &bytes).await.is_ok() && kept
-}
-
-fn note_run(state: &State, request: &PlainRequest) {
-    let runs = state.settings.runs.lock();
-    let mut runs = runs.unwrap_or_else(PoisonError::into_inner);
-    runs.push(RanRequest {
-        target: request.target.clone(),
-        instance: state.instance.borrow().clone(),
-        born: state.born.get(),
-        at: Instant::now(),
-    });
-}
-
-/// Draws how long a request takes, from a log-normal distribution.
-fn draw_time(state: &State, target: &str) -> Duration {
-    let mut times = state.settings.times.iter();
-    let Some(time) = times.find(|time| target.starts_with(&time.path_prefix)) else {
-        return Duration::ZERO;
-    };
-    let mut random = state.random.borrow_mut();
-    // Twelve even numbers add up to nearly a normal one, with variance 1.
-    let normal: f64 = (0..12).map(|_| random.random_range(0.0..1.0)).sum::<f64>() - 6.0;
-    time.median.mul_f64((normal * time.spread).exp())
-}
-
-/// Waits for a slot and works; false if the other side closed the connection meanwhile.
-async fn work(stream: &TcpStream, state: &State, time: Duration) -> bool {
-    if time.is_zero() {
-        return true;
-    }
-    let worked = async {
-        // The semaphore is never closed.
-        let _slot = state.slots.acquire().await;
-        sleep(time).await;
-    };
-    tokio::select! {
-        () = worked => true,
-        () = wait_closed(stream) => false,
-    }
-}
-
-async fn wait_closed(stream: &TcpStream) {
-    let mut byte = [0];
-    match stream.peek(&mut byte).await {
-        Ok(0) | Err(_) => {}
-        Ok(_) => pending().await,
-    }
-}
-
-/// True once released, false if the other side closed the connection.
-async fn hold(stream: &TcpStream, state: &State) -> bool {
-    tokio::select! {
-        () = state.released.notified() => true,
-        () = wait_closed(stream) => false,
-    }
-}
--- a/stand-ins/src/upstream/listening.rs
+++ b/stand-ins/src/upstream/listening.rs
@@ -1,6 +1,6 @@
 //! How an upstream takes connections, and how it stops to when it crashes.
 
-use crate::upstream::{State, read_clock, serve_until_crash};
+use crate::upstream::{State, read_clock, serving::serve_until_crash};
 use std::{
     future::poll_fn,
     io,
