--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -33,7 +33,7 @@
         );
     }
     println!(
-        "What became of it:\n  camphorturn explain r1 {}/*.log",
+        "What became of it:\n  cargo run --release -- explain r1 {}/*.log",
         world.folder.display()
     );
     ctrl_c().await?;
