--- a/tests/integration/slow_start.rs
+++ b/tests/integration/slow_start.rs
@@ -112,6 +112,19 @@
     assert_eq!(start_all(&mut slow_start, at(6_025)), LIMIT);
 }
 
+/// Failure: a restarted node doesn't count what the earlier process sent during the warm-up. The upstream has crashed and restarted
+/// under the same identity before that process ended, so the first announcement names another incarnation than the stored record.
+#[test]
+fn wait_new_incarnation_announced_to_restarted_node() {
+    let mut slow_start = SlowStart::new(at(10_000));
+    slow_start.mark_incarnation_inherited();
+    slow_start.begin_incarnation();
+    slow_start.record_report(report(Duration::from_secs(2)), at(10_020));
+    let wait = slow_start.wait(0, at(10_020));
+    assert!(wait >= Duration::from_millis(980), "{wait:?}");
+    assert!(start_all(&mut slow_start, at(10_020) + wait) > 0);
+}
+
 #[test]
 fn wait_ends_after_warmup() {
     let mut slow_start = SlowStart::new(at(0));
@@ -139,7 +152,7 @@
     for (event, pause) in events {
         now = now + Duration::from_millis(1 + u64::from(*pause % 700));
         let remaining = WARMUP.saturating_sub(now.since(warmup_start));
-        match event % 8 {
+        match event % 9 {
             // The node process has ended, and a new one starts after a pause.
             0 => {
                 now = now + Duration::from_millis(150);
@@ -157,6 +170,11 @@
                 slow_start.record_report(report(WARMUP), now);
             }
             3 => slow_start.record_report(report(remaining), now),
+            // The upstream has restarted under the same identity, and its host still slows it down.
+            4 => {
+                slow_start.begin_incarnation();
+                slow_start.record_report(report(remaining), now);
+            }
             _ => {
                 for _ in 0..start_all(&mut slow_start, now) {
                     starts.push(now);
