Slow start counts what an earlier process sent to a previous incarnation

Cause: begin_incarnation() dropped the start of the counting. After a restart of the node the first announcement names an incarnation that the stored record doesn't have (the upstream crashed and restarted under its identity before the node ended), so the requests of the earlier process within the last second weren't counted.

--- a/src/coordination/slow_start.rs
+++ b/src/coordination/slow_start.rs
@@ -92,11 +92,12 @@
         }
     }
 
-    /// Resets the warm-up for a new incarnation of the upstream, which gets all its requests through this process. Starts at the
-    /// previous incarnation still count: an upstream may restart under the same identity within the window.
+    /// Resets the warm-up for a new incarnation of the upstream. Starts at the previous incarnation still count, including those of
+    /// an earlier process of this node: an upstream may restart under the same identity within the window, and its warm-up may
+    /// have begun before.
     pub fn begin_incarnation(&mut self) {
         self.warmup_until = Timestamp::default();
-        self.counted_since = None;
+        self.counted_since = Some(self.started);
         self.is_inherited = false;
     }
 
