--- a/examples/added_time.rs
+++ b/examples/added_time.rs
@@ -122,7 +122,9 @@
                 timeout_ms: 2_000,
                 priority: 0,
                 max_attempts: 2,
+                public: false,
             }],
+            organisations: None,
         },
         nodes,
     }
--- a/examples/route_lookup.rs
+++ b/examples/route_lookup.rs
@@ -84,11 +84,13 @@
             service: "desk".into(),
             weight: 1,
         }],
+        is_public: false,
     };
     RoutingTable {
         version: ConfigurationVersion(1),
         routes: (0..route_count).map(build_route).map(Rc::new).collect(),
         services: Vec::new(),
         limits: ClientLimits::default(),
+        organisations: None,
     }
 }
--- a/src/commands/dev/deployments.rs
+++ b/src/commands/dev/deployments.rs
@@ -78,6 +78,7 @@
             build_class("tide", "dock", "/tides/", 25, 1, true),
             build_class("availability", "dock", "/berths/", 50, 2, true),
         ],
+        organisations: None,
     }
 }
 
@@ -102,6 +103,7 @@
         timeout_ms: 2_000,
         priority,
         max_attempts: 2,
+        public: false,
     }
 }
 
--- a/src/coordination/crash_counters.rs
+++ b/src/coordination/crash_counters.rs
@@ -5,29 +5,20 @@
 //! a few nodes, selected by the request fingerprint (rendezvous hashing), receive all crash reports for the request and propagate
 //! only their conclusions to all nodes.
 
-use crate::state::request_fingerprint::RequestFingerprint;
-use std::{
-    hash::{Hash, Hasher},
-    net::SocketAddr,
+use crate::{
+    coordination::rendezvous::order_nodes, state::request_fingerprint::RequestFingerprint,
 };
-use xxhash_rust::xxh64::Xxh64;
+use std::net::SocketAddr;
 
 /// Number of nodes that count the crashes of one request. Two of them may be lost, or not know of each other, without a crash going
 /// uncounted.
 pub const CRASH_COUNTERS: usize = 3;
 
-/// Sorts the nodes by their rank as crash counters of a request; the first [`CRASH_COUNTERS`] reachable ones count. Nodes that
-/// know the same other nodes compute the same order, and a node more or less doesn't change the order of the others.
+/// Sorts the nodes by their rank as crash counters of a request; the first [`CRASH_COUNTERS`] reachable ones count.
 #[must_use]
 pub fn order_crash_counters(
     fingerprint: RequestFingerprint,
     nodes: impl Iterator<Item = SocketAddr>,
 ) -> Vec<SocketAddr> {
-    let mut nodes: Vec<SocketAddr> = nodes.collect();
-    nodes.sort_by_cached_key(|node| {
-        let mut hasher = Xxh64::new(fingerprint.bits());
-        node.hash(&mut hasher);
-        (hasher.finish(), *node)
-    });
-    nodes
+    order_nodes(fingerprint.bits(), nodes)
 }
--- /dev/null
+++ b/src/coordination/quota_keeper.rs
@@ -0,0 +1,265 @@
+//! Keepers of the quotas of organisations.
+//!
+//! Each organisation has a keeper, the first reachable node by rendezvous hashing. It counts the requests of all nodes in a token
+//! bucket: an entry node asks it for credit before it sends a request to an upstream, and refuses the request without credit.
+//! Equal shares for all nodes would not work, since an organisation sends a few requests a second through hundreds of nodes.
+//!
+//! If a keeper is lost, the next node by rank grants credit. It doesn't know what was spent, and for a moment the former keeper may
+//! still grant credit as well. So a bucket that another node may have kept before begins with few tokens and is refilled slowly
+//! at first. What both grant then stays within the excess over the quota that operators tolerate.
+
+use crate::{
+    coordination::rendezvous::find_first_nodes,
+    state::{names::OrganisationName, organisations::Quota, timestamp::Timestamp},
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
+use xxhash_rust::xxh64::xxh64;
+
+/// Number of nodes that may keep the quota of an organisation. If none of them can be reached, the node is cut off from the mesh
+/// rather than the others are lost.
+pub const KEEPER_CANDIDATES: usize = 4;
+/// Seed of the hash that ranks the keepers. Any value works, as long as all nodes use the same.
+const RANK_SEED: u64 = 1;
+/// How long a former keeper may still grant credit: the longest backoff after which nodes try it again, and a margin.
+const HANDOVER_TIME: Duration = Duration::from_millis(1_200);
+/// A bucket that no node has asked for this time may have been kept by another node meanwhile.
+const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Share of the tolerated excess that a keeper grants at once while another node may grant credit as well.
+const HANDOVER_BURST_SHARE: f64 = 0.15;
+/// Share of the tolerated excess by which such a keeper's bucket is refilled within a window.
+const HANDOVER_RATE_SHARE: f64 = 0.05;
+/// Share of the bucket that is reserved for requests that can be answered in time.
+const RESERVED_SHARE: f64 = 0.25;
+/// Longest time after which a refused client is told to return.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// How far the quotas may be exceeded, set by the operators.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaSettings {
+    /// Length of the period in which requests are counted.
+    pub window: Duration,
+    /// Share of the permitted requests in a window by which they may be exceeded.
+    pub overage: f64,
+    /// Number of requests in a window by which the quota may be exceeded besides.
+    pub slack: f64,
+}
+
+impl Default for QuotaSettings {
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(5),
+            overage: 0.1,
+            slack: 20.0,
+        }
+    }
+}
+
+impl QuotaSettings {
+    /// Number of requests in a window by which an organisation may exceed its quota.
+    #[must_use]
+    pub fn tolerated_excess(&self, quota: &Quota) -> f64 {
+        self.overage * quota.permitted_within(self.window) + self.slack
+    }
+}
+
+/// Whether another node may have granted credit of an organisation within the last window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeeperTenure {
+    /// No other node has: this one has ranked first for the whole window, or the mesh has just started for the first time.
+    Established,
+    /// Another node may have, and may still grant credit.
+    Recent,
+}
+
+/// What an entry node asks a keeper for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CreditDemand {
+    /// Number of credits that can be used soon; at least 1.
+    pub wanted: u32,
+    /// Whether the request can hardly be answered within its latency target.
+    pub is_late: bool,
+}
+
+/// Answer of a keeper.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CreditGrant {
+    /// Number of requests that may be sent.
+    pub credits: u32,
+    /// Without credits, the time after which the organisation has credit again, in milliseconds.
+    pub retry_after_ms: u64,
+}
+
+/// The nodes that may keep the quota of an organisation, by rank.
+#[must_use]
+pub fn find_keepers(
+    organisation: &OrganisationName,
+    nodes: impl Iterator<Item = SocketAddr>,
+) -> Vec<SocketAddr> {
+    let subject = xxh64(organisation.as_str().as_bytes(), RANK_SEED);
+    find_first_nodes(subject, nodes, KEEPER_CANDIDATES)
+}
+
+/// Token buckets of the organisations whose quota this node keeps.
+#[derive(Clone, Debug, Default)]
+pub struct QuotaKeeper {
+    buckets: HashMap<OrganisationName, TokenBucket>,
+}
+
+impl QuotaKeeper {
+    /// Grants credits of an organisation that has this quota.
+    pub fn grant(
+        &mut self,
+        organisation: &OrganisationName,
+        quota: Quota,
+        demand: CreditDemand,
+        tenure: KeeperTenure,
+        settings: &QuotaSettings,
+        now: Timestamp,
+    ) -> CreditGrant {
+        let bucket = self
+            .buckets
+            .entry(organisation.clone())
+            .or_insert_with(|| TokenBucket::open(quota, tenure, settings, now));
+        let is_idle = now.since(bucket.refilled) > MAX_IDLE_TIME;
+        if is_idle && tenure == KeeperTenure::Recent {
+            bucket.begin_handover(now);
+        }
+        bucket.set_quota(quota);
+        bucket.refill(tenure, settings, now);
+        bucket.take(demand, now)
+    }
+
+    /// Records that another node, which precedes this one as keeper of an organisation's quota, grants credit.
+    pub fn record_other_keeper(&mut self, organisation: &OrganisationName, now: Timestamp) {
+        if let Some(bucket) = self.buckets.get_mut(organisation) {
+            bucket.begin_handover(now);
+        }
+    }
+
+    /// Number of organisations whose quota this node keeps or has kept.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether this node has kept no quota.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+}
+
+/// Credit of one organisation.
+#[derive(Clone, Debug)]
+struct TokenBucket {
+    quota: Quota,
+    tokens: f64,
+    refilled: Timestamp,
+    /// Until when another keeper may grant credit as well.
+    handover_until: Timestamp,
+    /// Time for which the refused client that returns last was told to return.
+    last_return: Timestamp,
+}
+
+impl TokenBucket {
+    fn open(quota: Quota, tenure: KeeperTenure, settings: &QuotaSettings, now: Timestamp) -> Self {
+        let mut bucket = Self {
+            quota,
+            tokens: 0.0,
+            refilled: now,
+            handover_until: now,
+            last_return: now,
+        };
+        bucket.tokens = match tenure {
+            KeeperTenure::Established => bucket.capacity(),
+            KeeperTenure::Recent => {
+                bucket.begin_handover(now);
+                bucket.handover_capacity(settings)
+            }
+        };
+        bucket
+    }
+
+    /// From now on, another keeper may grant credit as well.
+    fn begin_handover(&mut self, now: Timestamp) {
+        self.handover_until = now + HANDOVER_TIME;
+    }
+
+    /// Replaces the quota. Tokens above a lowered burst are lost.
+    fn set_quota(&mut self, quota: Quota) {
+        self.quota = quota;
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    /// Most tokens that the bucket holds. A quota without a burst still permits one request at a time.
+    fn capacity(&self) -> f64 {
+        f64::from(self.quota.burst.max(1))
+    }
+
+    /// Most tokens that the bucket holds if another node may have kept the quota before.
+    fn handover_capacity(&self, settings: &QuotaSettings) -> f64 {
+        let excess = settings.tolerated_excess(&self.quota);
+        self.capacity()
+            .min((excess * HANDOVER_BURST_SHARE).max(1.0))
+    }
+
+    fn refill(&mut self, tenure: KeeperTenure, settings: &QuotaSettings, now: Timestamp) {
+        let rate = self.quota.requests_per_second();
+        let excess = settings.tolerated_excess(&self.quota) * HANDOVER_RATE_SHARE;
+        let handover_rate = rate.min(excess / settings.window.as_secs_f64());
+        let handover_end = self.handover_until.min(now);
+        let handover_time = handover_end.since(self.refilled);
+        let sole_time = now.since(self.refilled.max(handover_end));
+        let added = handover_rate * handover_time.as_secs_f64() + rate * sole_time.as_secs_f64();
+        let capacity = match tenure {
+            KeeperTenure::Established => self.capacity(),
+            KeeperTenure::Recent => self.handover_capacity(settings),
+        };
+        self.tokens = (self.tokens + added).min(capacity);
+        self.refilled = self.refilled.max(now);
+    }
+
+    /// Takes credits. More than one is granted only while the bucket is more than half full: near the limit, credit that one node
+    /// holds and doesn't use would be missing elsewhere.
+    ///
+    /// A client that was refused returns, and is late by then. If it used credit near the limit, a request that would have been in
+    /// time would be refused for it, and its client would be late as well.
+    fn take(&mut self, demand: CreditDemand, now: Timestamp) -> CreditGrant {
+        let reserved = if demand.is_late {
+            self.capacity() * RESERVED_SHARE
+        } else {
+            0.0
+        };
+        if self.tokens < 1.0 + reserved {
+            return CreditGrant {
+                credits: 0,
+                retry_after_ms: self.plan_return(now),
+            };
+        }
+        let spare = (self.tokens - self.capacity() / 2.0).max(1.0);
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "a positive number, and the cast saturates"
+        )]
+        let credits = demand.wanted.clamp(1, spare as u32);
+        self.tokens -= f64::from(credits);
+        CreditGrant {
+            credits,
+            retry_after_ms: 0,
+        }
+    }
+
+    /// Time until a refused client should return, in milliseconds. Each refused client is told a time of its own, one token apart.
+    fn plan_return(&mut self, now: Timestamp) -> u64 {
+        let per_token = 1.0 / self.quota.requests_per_second();
+        let missing = (1.0 - self.tokens).max(0.0);
+        let next_token = now + Duration::from_secs_f64(missing * per_token);
+        let latest = now + MAX_RETRY_AFTER;
+        let after_last = self.last_return + Duration::from_secs_f64(per_token);
+        self.last_return = next_token.max(after_last).min(latest);
+        let wait = self.last_return.since(now).as_millis();
+        u64::try_from(wait).unwrap_or(u64::MAX)
+    }
+}
--- /dev/null
+++ b/src/coordination/rendezvous.rs
@@ -0,0 +1,42 @@
+//! Rendezvous hashing: assigns a subject, such as a request or an organisation, to nodes.
+//!
+//! Nodes that know the same other nodes compute the same order, and a node more or less doesn't change the order of the others.
+
+use std::{
+    hash::{Hash, Hasher},
+    net::SocketAddr,
+};
+use xxhash_rust::xxh64::Xxh64;
+
+/// Sorts the nodes by their rank for the subject with this hash.
+#[must_use]
+pub fn order_nodes(subject: u64, nodes: impl Iterator<Item = SocketAddr>) -> Vec<SocketAddr> {
+    let mut nodes: Vec<SocketAddr> = nodes.collect();
+    nodes.sort_by_cached_key(|node| (rank_node(subject, *node), *node));
+    nodes
+}
+
+/// The first `count` nodes by their rank for the subject with this hash. Takes time proportional to the number of nodes.
+#[must_use]
+pub fn find_first_nodes(
+    subject: u64,
+    nodes: impl Iterator<Item = SocketAddr>,
+    count: usize,
+) -> Vec<SocketAddr> {
+    let mut first: Vec<(u64, SocketAddr)> = Vec::with_capacity(count + 1);
+    for node in nodes {
+        let ranked = (rank_node(subject, node), node);
+        let position = first.partition_point(|known| *known < ranked);
+        if position < count {
+            first.insert(position, ranked);
+            first.truncate(count);
+        }
+    }
+    first.into_iter().map(|(_, node)| node).collect()
+}
+
+fn rank_node(subject: u64, node: SocketAddr) -> u64 {
+    let mut hasher = Xxh64::new(subject);
+    node.hash(&mut hasher);
+    hasher.finish()
+}
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -12,6 +12,7 @@
 //! of the same priority that can. It waits only if late requests have recently got slots; otherwise it is refused at once, while
 //! its client still has time to do something else.
 
+mod fair_order;
 mod forecast;
 mod late_start_share;
 
@@ -20,8 +21,9 @@
         slow_start::{SlowStart, WarmupReport},
         vm_slowdown::VmSlowdown,
     },
-    state::{ablation::Mechanism, timestamp::Timestamp},
+    state::{ablation::Mechanism, names::OrganisationName, timestamp::Timestamp},
 };
+use fair_order::{FairOrder, FairTag};
 use forecast::forecast_start;
 use late_start_share::LateStartShare;
 use std::time::Duration;
@@ -31,10 +33,12 @@
 pub struct SlotNumber(pub u64);
 
 /// Request for a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SlotRequest {
     /// Priority; 0 is the highest.
-    pub priority: u8,
+    pub priority: u16,
+    /// Organisation that sent the request, among which the slots are shared.
+    pub organisation: Option<OrganisationName>,
     /// Time within which the request must finish, otherwise it is refused; zero if it is refused unless a slot is free.
     pub finish_within: Duration,
     /// Time left until its latency target; zero if the target has passed.
@@ -68,11 +72,16 @@
     Expire(SlotNumber),
 }
 
+/// Priority, whether the latency target is missed, and the position in the fair order; the lowest starts first.
+type Rank = (u16, bool, FairTag);
+
 /// Request that waits in the queue.
 #[derive(Clone, Copy, Debug)]
 struct Waiting {
     number: SlotNumber,
-    priority: u8,
+    priority: u16,
+    /// Position in the fair order of the organisations.
+    fair_tag: FairTag,
     expected: Duration,
     /// Latest start to finish within the latency target; none if that was impossible when the request arrived.
     latest_on_time_start: Option<Timestamp>,
@@ -82,14 +91,14 @@
 
 impl Waiting {
     /// Sort key: within a priority, requests that can still meet their latency target come first. Executing a request that is late
-    /// already would make the next one late as well.
-    fn rank(&self, now: Timestamp) -> (u8, bool) {
+    /// already would make the next one late as well. Among equals, the organisations share the slots.
+    fn rank(&self, now: Timestamp) -> Rank {
         let priority = if Mechanism::Priorities.is_disabled() {
             0
         } else {
             self.priority
         };
-        (priority, self.is_late(now))
+        (priority, self.is_late(now), self.fair_tag)
     }
 
     fn is_late(&self, now: Timestamp) -> bool {
@@ -114,6 +123,7 @@
     slowdown: VmSlowdown,
     late_start_share: LateStartShare,
     slow_start: SlowStart,
+    fair_order: FairOrder,
 }
 
 impl SlotQueue {
@@ -128,6 +138,7 @@
             slowdown: VmSlowdown::NONE,
             late_start_share: LateStartShare::default(),
             slow_start: SlowStart::new(now),
+            fair_order: FairOrder::default(),
         }
     }
 
@@ -189,12 +200,14 @@
     }
 
     /// Decides on a new request.
-    pub fn submit(&mut self, request: SlotRequest, now: Timestamp) -> SlotDecision {
-        let finish_before_late = self.forecast_finish(&request, now);
+    pub fn submit(&mut self, request: &SlotRequest, now: Timestamp) -> SlotDecision {
+        let fair_tag = self.fair_order.next_tag(request.organisation.as_ref());
+        let finish_before_late = self.forecast_finish(request, fair_tag, now);
         let meets_target = finish_before_late <= request.target_left;
-        let waiting = self.build_entry(&request, meets_target, now);
-        if self.may_start(&request, now) {
+        let waiting = self.build_entry(request, fair_tag, meets_target, now);
+        if self.may_start(request, now) {
             self.next_number += 1;
+            self.charge_organisation(request);
             self.late_start_share.record_immediate_start();
             self.start(&waiting, now);
             return SlotDecision::Run(waiting.number);
@@ -202,29 +215,44 @@
         let finish_in = if meets_target {
             finish_before_late
         } else {
-            self.forecast_late_finish(&request, now)
+            self.forecast_late_finish(request, fair_tag, now)
         };
         if finish_in > request.finish_within {
             return SlotDecision::Refuse { finish_in };
         }
         self.next_number += 1;
+        self.charge_organisation(request);
         self.waiting.push(waiting);
         SlotDecision::Wait(waiting.number)
     }
 
     /// Builds the queue entry of a request; `meets_target` is true if it can finish within its latency target.
-    fn build_entry(&self, request: &SlotRequest, meets_target: bool, now: Timestamp) -> Waiting {
+    fn build_entry(
+        &self,
+        request: &SlotRequest,
+        fair_tag: FairTag,
+        meets_target: bool,
+        now: Timestamp,
+    ) -> Waiting {
         let duration = self.slowdown.estimate_baseline_duration(request.expected);
         let latest_on_time_start = now + request.target_left.saturating_sub(duration);
         Waiting {
             number: SlotNumber(self.next_number),
             priority: request.priority,
+            fair_tag,
             expected: request.expected,
             latest_on_time_start: meets_target.then_some(latest_on_time_start),
             latest_start: now + request.time_left.saturating_sub(duration),
         }
     }
 
+    /// Charges the execution time of an accepted request to its organisation.
+    fn charge_organisation(&mut self, request: &SlotRequest) {
+        if let Some(organisation) = &request.organisation {
+            self.fair_order.charge(organisation, request.expected);
+        }
+    }
+
     /// Whether a new request runs at once. While the VM is slowed down, a request that must not wait is refused, so that its entry
     /// node tries another node.
     fn may_start(&self, request: &SlotRequest, now: Timestamp) -> bool {
@@ -282,8 +310,13 @@
     }
 
     /// Time in which a request submitted now would finish, if it precedes waiting requests that are late.
-    fn forecast_finish(&self, request: &SlotRequest, now: Timestamp) -> Duration {
-        let rank = (request.priority, false);
+    fn forecast_finish(
+        &self,
+        request: &SlotRequest,
+        fair_tag: FairTag,
+        now: Timestamp,
+    ) -> Duration {
+        let rank = (request.priority, false, fair_tag);
         let before = self
             .waiting
             .iter()
@@ -312,8 +345,13 @@
 
     /// Time in which a request submitted now would finish if all requests that can meet their target precede it, including those
     /// that have yet to arrive.
-    fn forecast_late_finish(&self, request: &SlotRequest, now: Timestamp) -> Duration {
-        let rank = (request.priority, true);
+    fn forecast_late_finish(
+        &self,
+        request: &SlotRequest,
+        fair_tag: FairTag,
+        now: Timestamp,
+    ) -> Duration {
+        let rank = (request.priority, true, fair_tag);
         let late = self.waiting.iter().filter(|waiting| waiting.is_late(now));
         let ahead: Duration = late
             .filter(|waiting| waiting.rank(now) <= rank)
@@ -322,11 +360,13 @@
         let wait = self
             .late_start_share
             .estimate_wait(ahead, request.expected, self.limit);
-        self.forecast_finish(request, now) + self.slowdown.estimate_baseline_duration(wait)
+        self.forecast_finish(request, fair_tag, now)
+            + self.slowdown.estimate_baseline_duration(wait)
     }
 
     fn start(&mut self, waiting: &Waiting, now: Timestamp) {
         self.slow_start.record_start(now);
+        self.fair_order.record_start(waiting.fair_tag);
         self.running.push(Running {
             number: waiting.number,
             ends_at: now + self.slowdown.estimate_duration(waiting.expected),
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -2,8 +2,8 @@
 
 use crate::{
     coordination::{
-        local_upstream::Announcement, retry_budget::RetryBudgetSettings,
-        slow_start::SlowStartSettings,
+        local_upstream::Announcement, quota_keeper::QuotaSettings,
+        retry_budget::RetryBudgetSettings, slow_start::SlowStartSettings,
     },
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
     options::proxy_settings::{
@@ -312,6 +312,8 @@
             shutdown_grace: SHUTDOWN_GRACE,
             configuration_apply_timeout: DEFAULT_CONFIGURATION_APPLY_TIMEOUT,
             slow_start: SlowStartSettings::default(),
+            quota: QuotaSettings::default(),
+            key_expiry: None,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -40,6 +40,11 @@
             "Configuration version {} has no route for the host and path of the request.",
             end.number("version")
         )],
+        RequestOutcome::Unauthorized => vec![format!(
+            "The class needs an API key, and the request had none, several, or one that no organisation held in \
+             configuration version {}.",
+            end.number("version")
+        )],
         RequestOutcome::Other(_) => Vec::new(),
     }
 }
@@ -106,6 +111,11 @@
              quarantined."
                 .to_owned(),
         ],
+        "quota_exceeded" => explain_quota(end, names),
+        "keys_expired" => vec![format!(
+            "{} had been cut off for too long to tell whether the API key was still valid.",
+            end.node
+        )],
         "not_sent" => {
             vec!["No connection to the nodes that were asked could be opened.".to_owned()]
         }
@@ -117,6 +127,21 @@
     causes
 }
 
+/// Explains a refusal because the organisation was over its quota: by whose count.
+fn explain_quota(end: &LogLine, names: &NodeNames) -> Vec<String> {
+    let organisation = end.text("organisation");
+    vec![match end.text("keeper") {
+        "" => format!(
+            "{organisation} was over its quota: its keeper had refused credit less than 50 ms before, or no keeper \
+             could be reached and the share of this node was used up."
+        ),
+        keeper => format!(
+            "{organisation} was over its quota, as counted by {}.",
+            names.find(keeper)
+        ),
+    }]
+}
+
 /// Explains a refusal because no slot was free in time: the nodes asked, and which of them were slow.
 fn explain_no_slot(end: &LogLine, lines: &RequestLines<'_>) -> Vec<String> {
     let earliest = find_earliest_completion(lines);
--- a/src/log_reading/misses/breakdown.rs
+++ b/src/log_reading/misses/breakdown.rs
@@ -20,7 +20,7 @@
 impl Sampling {
     /// Returns of how many requests of this kind one is logged.
     #[must_use]
-    pub const fn one_in(&self, kind: &MissKind) -> u64 {
+    pub fn one_in(&self, kind: &MissKind) -> u64 {
         match kind.sampling_rule() {
             SamplingRule::Ordinary => self.ordinary_one_in,
             SamplingRule::Late => self.late_one_in,
--- a/src/log_reading/misses/kind.rs
+++ b/src/log_reading/misses/kind.rs
@@ -25,6 +25,8 @@
     UpstreamFailed(u64),
     /// The configuration has no route for the request.
     NoRoute,
+    /// The request has no valid API key.
+    Unauthorized,
     /// The client disconnected.
     ClientLeft {
         /// Whether the latency target had passed by then.
@@ -76,6 +78,7 @@
             RequestOutcome::Unknown(cause) => Self::Unknown(cause.to_owned()),
             RequestOutcome::UpstreamFailed(status) => Self::UpstreamFailed(status),
             RequestOutcome::NoRoute => Self::NoRoute,
+            RequestOutcome::Unauthorized => Self::Unauthorized,
             RequestOutcome::ClientLeft => Self::ClientLeft {
                 after_target: end.number("took_ms") > end.number("target_ms"),
             },
@@ -85,10 +88,12 @@
 
     /// What the request counts as in the on-time share.
     #[must_use]
-    pub const fn served(&self) -> Served {
+    pub fn served(&self) -> Served {
         match self {
             Self::OnTime => Served::OnTime,
+            _ if self.is_over_quota() => Served::Excluded,
             Self::NoRoute
+            | Self::Unauthorized
             | Self::NotUnderstood(_)
             | Self::ClientLeft {
                 after_target: false,
@@ -99,14 +104,22 @@
 
     /// Which sampling rate applies to the request.
     #[must_use]
-    pub const fn sampling_rule(&self) -> SamplingRule {
+    pub fn sampling_rule(&self) -> SamplingRule {
         match self {
-            Self::OnTime | Self::NoRoute | Self::ClientLeft { .. } => SamplingRule::Ordinary,
+            _ if self.is_over_quota() => SamplingRule::Ordinary,
+            Self::OnTime | Self::NoRoute | Self::Unauthorized | Self::ClientLeft { .. } => {
+                SamplingRule::Ordinary
+            }
             Self::Late(_) => SamplingRule::Late,
             _ => SamplingRule::Always,
         }
     }
 
+    /// Whether the organisation had sent more requests than its quota permits.
+    fn is_over_quota(&self) -> bool {
+        matches!(self, Self::Refused { reason, .. } if reason == "quota_exceeded")
+    }
+
     /// Outcome in one word. It is also the value of `outcome` in JSON.
     #[must_use]
     pub const fn outcome(&self) -> &'static str {
@@ -117,6 +130,7 @@
             Self::Unknown(_) => "unknown",
             Self::UpstreamFailed(_) => "upstream_failure",
             Self::NoRoute => "no_route",
+            Self::Unauthorized => "unauthorized",
             Self::ClientLeft { .. } => "client_left",
             Self::NotUnderstood(_) => "not_understood",
         }
@@ -126,7 +140,7 @@
     #[must_use]
     pub fn cause(&self) -> String {
         match self {
-            Self::OnTime | Self::NoRoute => String::new(),
+            Self::OnTime | Self::NoRoute | Self::Unauthorized => String::new(),
             Self::Late(cause) => cause.describe().to_owned(),
             Self::Refused {
                 reason: word,
--- a/src/log_reading/outcome.rs
+++ b/src/log_reading/outcome.rs
@@ -20,6 +20,8 @@
     Unknown(&'a str),
     /// The configuration has no route for the request.
     NoRoute,
+    /// The request has no valid API key.
+    Unauthorized,
     /// The client disconnected before the request ended.
     ClientLeft,
     /// Any other word in the field `end`; empty if that field, or the times of an answered request, are missing.
@@ -39,6 +41,7 @@
             EndField::Unknown(cause) => Self::Unknown(cause),
             EndField::CLIENT_LEFT => Self::ClientLeft,
             EndField::Other("no_route") => Self::NoRoute,
+            EndField::Other("unauthorized") => Self::Unauthorized,
             EndField::Other(word) => Self::Other(word),
         }
     }
--- a/src/options/configuration_rules.rs
+++ b/src/options/configuration_rules.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     options::checked_file::RuleViolation,
-    state::configuration::{ClassEntry, Configuration},
+    state::configuration::{ClassEntry, Configuration, OrganisationEntry},
 };
 use std::collections::BTreeSet;
 
@@ -40,6 +40,40 @@
         violations.extend(check_class(&pointer, class));
         violations.extend(find_unknown_services(&pointer, class, &service_names));
     }
+    violations.extend(check_organisations(
+        configuration.organisations.as_deref().unwrap_or_default(),
+    ));
+    violations
+}
+
+/// Names must be unique, a key must stand only once, and a burst needs a rate. Keys are shown by their fingerprints.
+fn check_organisations(organisations: &[OrganisationEntry]) -> Vec<RuleViolation> {
+    let indexed = || organisations.iter().enumerate();
+    let names = indexed().map(|(index, organisation)| {
+        let pointer = format!("/organisations/{index}/name");
+        (pointer, organisation.name.to_string())
+    });
+    let keys = indexed().flat_map(|(index, organisation)| {
+        let keys = organisation.api_keys.iter().enumerate();
+        keys.map(move |(position, key)| {
+            let pointer = format!("/organisations/{index}/api_keys/{position}");
+            (pointer, format!("key {}", key.digest().fingerprint()))
+        })
+    });
+    let mut violations = find_duplicates(names, "give each organisation a unique name");
+    violations.extend(find_duplicates(
+        keys,
+        "give each key to one organisation only",
+    ));
+    for (index, organisation) in indexed() {
+        if organisation.burst > 0 && organisation.requests_per_minute.is_none() {
+            violations.push(RuleViolation::conflict(
+                format!("/organisations/{index}/burst"),
+                "a burst without a rate limits nothing".to_owned(),
+                "add `requests_per_minute`, or remove `burst`",
+            ));
+        }
+    }
     violations
 }
 
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -1,7 +1,10 @@
 //! Settings of a node.
 
 use crate::{
-    coordination::{retry_budget::RetryBudgetSettings, slow_start::SlowStartSettings},
+    coordination::{
+        quota_keeper::QuotaSettings, retry_budget::RetryBudgetSettings,
+        slow_start::SlowStartSettings,
+    },
     state::names::{AvailabilityZoneName, NodeName, ServiceName},
 };
 use http::HeaderName;
@@ -32,6 +35,10 @@
     pub load: HeaderName,
     /// On answers to health checks, the remaining warm-up time of the upstream, in milliseconds.
     pub warmup_left: HeaderName,
+    /// API key of an organisation, in requests of clients.
+    pub api_key: HeaderName,
+    /// Name of the organisation that sent the request, in requests to upstreams.
+    pub organisation: HeaderName,
 }
 
 impl HeaderNames {
@@ -48,6 +55,8 @@
             not_executed: HeaderName::from_static("x-not-executed"),
             load: HeaderName::from_static("x-load"),
             warmup_left: HeaderName::from_static("x-warmup-ms"),
+            api_key: HeaderName::from_static("x-api-key"),
+            organisation: HeaderName::from_static("x-organisation"),
         }
     }
 }
@@ -87,6 +96,11 @@
     pub configuration_apply_timeout: Duration,
     /// Limits on the requests that an upstream gets during its warm-up.
     pub slow_start: SlowStartSettings,
+    /// How far the quotas of organisations may be exceeded.
+    pub quota: QuotaSettings,
+    /// Time after which a node that can't tell whether its configuration is current refuses requests with an API key; `None`
+    /// if it serves them by the configuration that it has.
+    pub key_expiry: Option<Duration>,
 }
 
 /// Settings of a node.
--- a/src/options/schema_check.rs
+++ b/src/options/schema_check.rs
@@ -11,6 +11,9 @@
 /// Maximum edit distance between an unknown key and the known key that is suggested instead.
 const MAX_SUGGESTION_DISTANCE: usize = 4;
 
+/// JSON pointer of the part of a document that holds API keys. Findings don't show its values.
+const SECRET_POINTER: &str = "/organisations";
+
 /// Returns a finding for every violation of the schema.
 pub fn find_schema_errors(document: &JsonDocument, schema: &str) -> Vec<Finding> {
     let schema: Value = serde_json::from_str(schema).expect("the committed schema is JSON");
@@ -86,6 +89,9 @@
             let name = format.replace('-', " ");
             format!("{} is not a {name}", error.instance())
         }
+        _ if error.instance_path().as_str().starts_with(SECRET_POINTER) => {
+            error.masked_with("the value").to_string()
+        }
         _ => error.masked_with(error.instance().to_string()).to_string(),
     }
 }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -5,13 +5,14 @@
 //! State messages are JSON.
 
 use crate::{
+    coordination::quota_keeper::CreditGrant,
     protocol::outcome::{RefusalReason, UnknownCause},
     state::{
         configuration::ConfigurationVersion,
         evacuations::Evacuations,
         incarnation_id::IncarnationId,
         known_node::{NodeLoad, StoredRecord},
-        names::{ClassName, ServiceName},
+        names::{ClassName, OrganisationName, ServiceName},
         request_fingerprint::RequestFingerprint,
         table_change::TableChange,
     },
@@ -26,6 +27,8 @@
 
 /// Bit in the flags of a [`HopRequest`]: running the request twice does no harm.
 const IDEMPOTENT_FLAG: u8 = 1;
+/// Number of fields of a [`HopRequest`], including the optional organisation.
+const HOP_FIELDS: usize = 11;
 /// Bit in the flags of a [`HopRequest`]: another upstream may have run the request already.
 const RETRY_FLAG: u8 = 2;
 
@@ -45,8 +48,8 @@
     pub finish_within: Duration,
     /// Time until the class's latency target is missed; zero if it is missed already.
     pub target_left: Duration,
-    /// Priority; 0 is the highest.
-    pub priority: u8,
+    /// Priority; 0 is the highest. See [`rank_request`](crate::state::organisations::rank_request).
+    pub priority: u16,
     /// Whether running the request twice does no harm.
     pub idempotent: bool,
     /// Whether the request was sent to another upstream before.
@@ -55,6 +58,8 @@
     pub version: ConfigurationVersion,
     /// Address at which the sender accepts messages of other nodes.
     pub sender: SocketAddr,
+    /// Organisation that sent the request; `None` if it needs no API key.
+    pub organisation: Option<OrganisationName>,
 }
 
 /// How an attempt at an upstream ended, as reported by the upstream's node.
@@ -86,7 +91,7 @@
     /// Builds the header's value.
     #[must_use]
     pub fn encode(&self) -> String {
-        format!(
+        let mut text = format!(
             "{};{};{};{};{};{};{};{};{};{}",
             self.service,
             self.class,
@@ -98,7 +103,12 @@
             self.flags(),
             self.version.0,
             self.sender,
-        )
+        );
+        if let Some(organisation) = &self.organisation {
+            text.push(';');
+            text.push_str(organisation.as_str());
+        }
+        text
     }
 
     fn flags(&self) -> u8 {
@@ -110,7 +120,8 @@
     /// Parses the header's value; `None` if it is malformed.
     #[must_use]
     pub fn decode(text: &str) -> Option<Self> {
-        let mut parts = text.split(';');
+        // The name of the organisation is the last field and may contain the separator.
+        let mut parts = text.splitn(HOP_FIELDS, ';');
         let (service, class, caller) = (parts.next()?, parts.next()?, parts.next()?);
         let (time_left, finish_within) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
         let target_left = parts.next()?.parse().ok()?;
@@ -128,8 +139,9 @@
             is_retry: flags & RETRY_FLAG != 0,
             version: ConfigurationVersion(parts.next()?.parse().ok()?),
             sender: parts.next()?.parse().ok()?,
+            organisation: parts.next().map(OrganisationName::from),
         };
-        parts.next().is_none().then_some(request)
+        Some(request)
     }
 }
 
@@ -239,6 +251,21 @@
     pub next: u64,
 }
 
+/// Asks for credit for requests of an organisation: each request that is sent to an upstream uses one credit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CreditRequest {
+    /// The organisation.
+    pub organisation: OrganisationName,
+    /// Number of credits that the sender can use soon; at least 1.
+    pub wanted: u32,
+    /// Whether the request can hardly be answered within its latency target. It gets credit only if there is enough for those that can.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_late: bool,
+    /// Whether another node forwards the request, because the receiver precedes it among the keepers of the organisation's quota.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_forwarded: bool,
+}
+
 /// State that a node sends to another one, requests for state, and the answers to them. A field that is absent has its
 /// default.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -290,6 +317,12 @@
         skip_serializing_if = "Option::is_none"
     )]
     pub lost_in_epoch: Option<u64>,
+    /// Asks the receiver, which keeps the quota of an organisation, for credit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub credit_request: Option<CreditRequest>,
+    /// Answer to `credit_request`; absent if the receiver can't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub credit_grant: Option<CreditGrant>,
     /// What the sender has found out about a request during which upstreams crashed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finding: Option<Rc<CrashFinding>>,
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -39,6 +39,10 @@
     RetryBudgetExhausted,
     /// Upstreams have crashed while they ran requests with the same fingerprint.
     Quarantined,
+    /// The organisation has sent more requests than its quota permits.
+    QuotaExceeded,
+    /// The node has been cut off for too long to tell whether the request's API key is still valid.
+    KeysExpired,
 }
 
 impl RefusalReason {
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -17,6 +17,7 @@
 pub mod operator_requests;
 mod peer_requests;
 mod publishing;
+mod quotas;
 mod retiring;
 mod retry_budgets;
 mod start;
--- a/src/proxy/client_reply.rs
+++ b/src/proxy/client_reply.rs
@@ -23,6 +23,8 @@
     Unknown(UnknownCause),
     /// No route matches the request.
     NoRoute,
+    /// The route needs an API key, and the request has none that is valid.
+    Unauthorized,
 }
 
 /// Builds the reply for an outcome: the upstream's response, or a status with an error text as JSON. `Retry-After` is in seconds
@@ -33,7 +35,7 @@
         RequestOutcome::Answered(response) => strip_connection_headers(*response),
         RequestOutcome::Refused(reason, after) => {
             let text = format!("not run: {}", get_variant_name(&reason));
-            let mut reply = reply_json(StatusCode::SERVICE_UNAVAILABLE, &text);
+            let mut reply = reply_json(get_refusal_status(reason), &text);
             let seconds = format!("{:.3}", after.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&seconds) {
                 reply.headers_mut().insert(RETRY_AFTER, value);
@@ -48,5 +50,13 @@
             reply_json(StatusCode::BAD_GATEWAY, &text)
         }
         RequestOutcome::NoRoute => reply_json(StatusCode::NOT_FOUND, "no route"),
+        RequestOutcome::Unauthorized => reply_json(StatusCode::UNAUTHORIZED, "no valid API key"),
+    }
+}
+
+fn get_refusal_status(reason: RefusalReason) -> StatusCode {
+    match reason {
+        RefusalReason::QuotaExceeded => StatusCode::TOO_MANY_REQUESTS,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -17,6 +17,7 @@
         evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
         executing::Slots,
+        quotas::Quotas,
     },
     state::{
         answered_requests::AnsweredRequests,
@@ -99,6 +100,10 @@
     pub offer_rounds: RefCell<OfferRounds>,
     /// Availability zones that get no requests.
     pub evacuations: EvacuationsInForce,
+    /// Quotas of organisations.
+    pub quotas: Quotas,
+    /// Last time at which another node or the store confirmed that this node is in touch with the mesh.
+    pub last_contact: Cell<Timestamp>,
     /// Notified when a newer routing table is in force.
     pub table_applied: Notify,
     /// Until when this node reads the store in place of a node that can't reach it.
@@ -145,6 +150,8 @@
             table_offered: Notify::new(),
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
+            quotas: Quotas::default(),
+            last_contact: Cell::new(timers.now()),
             table_applied: Notify::new(),
             substitute_reader_until: Cell::default(),
             crash_counts: RefCell::default(),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -1,6 +1,7 @@
 //! Handles the requests of the clients on the node's VM.
 
 mod attempt;
+mod authentication;
 mod request_attempts;
 mod request_log_line;
 mod request_router;
@@ -13,13 +14,16 @@
         core::{ProxyCore, increment},
         crash_detection::find_quarantine,
         entry::{
+            authentication::{KeyError, authenticate, remove_identity},
             request_log_line::RequestLogLine,
             request_router::{ClientCall, RequestRouter},
             startup_wait::wait_during_startup,
         },
+        quotas::{obtain_credit, return_credit},
     },
     state::{
         names::{ClassName, ServiceName},
+        organisations::Organisation,
         request_fingerprint::RequestFingerprint,
         routing_table::Route,
         timestamp::Timestamp,
@@ -43,6 +47,8 @@
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Client connections are closed after this many times the idle time that the configuration allows clients.
 const IDLE_TIMEOUT_FACTOR: u32 = 2;
+/// Divisor of a latency target. A client that returns after more than this part of the target is likely to be answered late.
+const LATE_RETURN_DIVISOR: u32 = 2;
 /// Successive multiples of the golden ratio, modulo 1, are evenly distributed and spread the picks of a service.
 const GOLDEN_RATIO: f64 = 0.618_033_988_749_895;
 
@@ -139,7 +145,9 @@
     let counters = &core.counters;
     match outcome {
         RequestOutcome::Answered(_) => increment(&counters.answered),
-        RequestOutcome::Refused(..) | RequestOutcome::NoRoute => increment(&counters.refused),
+        RequestOutcome::Refused(..) | RequestOutcome::NoRoute | RequestOutcome::Unauthorized => {
+            increment(&counters.refused);
+        }
         RequestOutcome::Unknown(_) => increment(&counters.unknown),
     }
     let Some((class, target)) = class else {
@@ -147,7 +155,9 @@
     };
     core.update_class_counts(&class, |counts| match outcome {
         RequestOutcome::Answered(_) => counts.count_answer(took, target),
-        RequestOutcome::Refused(..) | RequestOutcome::NoRoute => counts.count_refusal(),
+        RequestOutcome::Refused(..) | RequestOutcome::NoRoute | RequestOutcome::Unauthorized => {
+            counts.count_refusal();
+        }
         RequestOutcome::Unknown(_) => counts.count_unknown(),
     });
 }
@@ -176,17 +186,28 @@
         return RequestOutcome::Refused(RefusalReason::NoUpstream, NO_ROUTES_RETRY_AFTER);
     };
     let Some(route) = routes.find_route(req.host(), req.uri.path()).cloned() else {
-        return refuse_without_route(core);
+        return refuse_unless_current(core, RequestOutcome::NoRoute);
     };
-    drop(routes);
     if is_configuration_overdue(core) {
         return RequestOutcome::Refused(RefusalReason::ConfigurationOverdue, NO_ROUTES_RETRY_AFTER);
     }
+    let organisation = match authenticate(core, &routes, &route, &req.headers) {
+        Ok(organisation) => organisation,
+        Err(KeyError::Rejected) => {
+            return refuse_unless_current(core, RequestOutcome::Unauthorized);
+        }
+        Err(KeyError::Expired) => {
+            return RequestOutcome::Refused(RefusalReason::KeysExpired, NO_ROUTES_RETRY_AFTER);
+        }
+    };
+    let mut req = req;
+    remove_identity(core, &routes, &mut req);
+    drop(routes);
     let client_time_left = read_time_left(core, &req);
     let time_left =
         client_time_left.map_or(route.timeout, |time_left| time_left.min(route.timeout));
     let Some(service) = pick_service(core, &route) else {
-        return refuse_without_route(core);
+        return refuse_unless_current(core, RequestOutcome::NoRoute);
     };
     line.record_route(&route, &service, time_left);
     if time_left.is_zero() {
@@ -199,9 +220,18 @@
         core.has_records() || has_node_of_service(core, &service)
     })
     .await;
+    if let Some(organisation) = &organisation {
+        let is_late = is_likely_late(&route, client_time_left);
+        let credit = obtain_credit(core, organisation, is_late).await;
+        line.record_organisation(&organisation.name, credit.keeper);
+        if let Some(retry_after) = credit.refused {
+            return RequestOutcome::Refused(RefusalReason::QuotaExceeded, retry_after);
+        }
+    }
     let deadline = arrived + time_left;
     let remaining = deadline.since(core.timers.now());
     if remaining.is_zero() {
+        return_unused_credit(core, organisation.as_deref());
         return RequestOutcome::Refused(RefusalReason::NoUpstream, NO_ROUTES_RETRY_AFTER);
     }
     let call = ClientCall {
@@ -209,24 +239,42 @@
         fingerprint,
         route,
         service,
+        organisation: organisation.clone(),
         arrived,
         deadline,
     };
     let timeout = core.timers.after(remaining);
     let mut request_router = RequestRouter::new(core, call, line.attempts());
-    tokio::select! {
+    let outcome = tokio::select! {
         outcome = request_router.run() => outcome,
         _ = timeout.recv_async() => request_router.end_at_deadline(),
+    };
+    if matches!(outcome, RequestOutcome::Refused(..)) {
+        return_unused_credit(core, organisation.as_deref());
+    }
+    outcome
+}
+
+/// Whether a request has lost so much of its time that it can hardly be answered within its latency target: its client has been
+/// refused before.
+fn is_likely_late(route: &Route, client_time_left: Option<Duration>) -> bool {
+    let elapsed = client_time_left.map(|time_left| route.timeout.saturating_sub(time_left));
+    elapsed.is_some_and(|elapsed| elapsed > route.target / LATE_RETURN_DIVISOR)
+}
+
+fn return_unused_credit(core: &ProxyCore, organisation: Option<&Organisation>) {
+    if let Some(organisation) = organisation {
+        return_credit(core, organisation);
     }
 }
 
-/// The outcome of a request without a route. Clients don't retry after "no route". If a newer configuration is known to exist, the
-/// route may be in it, so the request is refused with a retry time.
-fn refuse_without_route(core: &ProxyCore) -> RequestOutcome {
+/// Returns `rejected`, the outcome of a request without a route or a valid key, after which clients don't retry. If a newer
+/// configuration is known to exist, the route or the key may be in it, so the request is refused with a retry time.
+fn refuse_unless_current(core: &ProxyCore, rejected: RequestOutcome) -> RequestOutcome {
     if core.table_sources.borrow().highest_reported() > core.directory.borrow().version() {
         return RequestOutcome::Refused(RefusalReason::ConfigurationBehind, NO_ROUTES_RETRY_AFTER);
     }
-    RequestOutcome::NoRoute
+    rejected
 }
 
 /// Whether the configuration in force is too old to route requests: other nodes reported a newer one too long ago. That one may
--- /dev/null
+++ b/src/proxy/entry/authentication.rs
@@ -0,0 +1,69 @@
+//! Identifies the organisation that sent a request, by its API key.
+
+use crate::{
+    proxy::core::ProxyCore,
+    state::{
+        organisations::{KeyDigest, Organisation},
+        routing_table::{Route, RouteIndex},
+    },
+    transport::callers::CallerRequest,
+};
+use http::HeaderMap;
+use std::rc::Rc;
+
+/// Why a request isn't served by its key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum KeyError {
+    /// The route needs a key, and the request has none, several, or one that no organisation holds.
+    Rejected,
+    /// This node has been cut off for too long to tell whether the key is still valid.
+    Expired,
+}
+
+/// Finds the organisation that holds the key of a request. `None` if the request needs no key and has no valid one.
+///
+/// # Errors
+/// If the route needs a key and the request isn't to be served by its key.
+pub fn authenticate(
+    core: &ProxyCore,
+    routes: &RouteIndex,
+    route: &Route,
+    headers: &HeaderMap,
+) -> Result<Option<Rc<Organisation>>, KeyError> {
+    let Some(organisations) = routes.organisations() else {
+        return Ok(None);
+    };
+    let key = read_key(core, headers);
+    let organisation = key.and_then(|key| organisations.find_by_key(&key));
+    if organisation.is_none() && !route.is_public {
+        return Err(KeyError::Rejected);
+    }
+    if organisation.is_some() && have_keys_expired(core) {
+        return Err(KeyError::Expired);
+    }
+    Ok(organisation.cloned())
+}
+
+/// Digest of the key of a request. `None` without a key, or with several: two readers could disagree on which one counts.
+fn read_key(core: &ProxyCore, headers: &HeaderMap) -> Option<KeyDigest> {
+    let mut keys = headers.get_all(&core.settings.headers.api_key).iter();
+    let key = keys.next()?;
+    let is_single = keys.next().is_none();
+    is_single.then(|| KeyDigest::of(key.as_bytes()))
+}
+
+/// Whether a node that must not serve by outdated keys has had no contact with the rest of the mesh for too long.
+fn have_keys_expired(core: &ProxyCore) -> bool {
+    let expiry = core.limits().key_expiry;
+    expiry.is_some_and(|expiry| core.timers.now().since(core.last_contact.get()) > expiry)
+}
+
+/// Removes what identifies the sender: the key, which no other process may learn, and the name of an organisation, which the
+/// upstream trusts. Without organisations, the header of the key has no meaning here and is left.
+pub fn remove_identity(core: &ProxyCore, routes: &RouteIndex, req: &mut CallerRequest) {
+    let names = &core.settings.headers;
+    if routes.organisations().is_some() {
+        req.headers.remove(&names.api_key);
+    }
+    req.headers.remove(&names.organisation);
+}
--- a/src/proxy/entry/request_log_line.rs
+++ b/src/proxy/entry/request_log_line.rs
@@ -8,14 +8,14 @@
         events::{LoggedEnd, ProxyEvent, Severity, in_millis},
     },
     state::{
-        names::{ClassName, ServiceName},
+        names::{ClassName, OrganisationName, ServiceName},
         request_fingerprint::RequestFingerprint,
         routing_table::Route,
         timestamp::Timestamp,
     },
     transport::callers::CallerRequest,
 };
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// Collects the facts of a request for its log line. If it is dropped before the line is written, the line says that the client
 /// disconnected.
@@ -27,6 +27,8 @@
     version: u64,
     service: Option<ServiceName>,
     class: Option<ClassName>,
+    organisation: Option<OrganisationName>,
+    keeper: Option<SocketAddr>,
     time_left: Duration,
     target: Duration,
     attempts: Rc<RequestAttempts>,
@@ -42,6 +44,8 @@
             version: core.directory.borrow().version().0,
             service: None,
             class: None,
+            organisation: None,
+            keeper: None,
             time_left: Duration::ZERO,
             target: Duration::ZERO,
             attempts: Rc::default(),
@@ -58,6 +62,12 @@
         self.target = route.target;
     }
 
+    /// Records the organisation that sent the request, and the node that was asked for credit.
+    pub fn record_organisation(&mut self, name: &OrganisationName, keeper: Option<SocketAddr>) {
+        self.organisation = Some(name.clone());
+        self.keeper = keeper;
+    }
+
     /// The class of the request and its latency target; none if no route was found.
     pub fn class(&self) -> Option<(ClassName, Duration)> {
         self.class.clone().map(|class| (class, self.target))
@@ -75,6 +85,7 @@
             RequestOutcome::Refused(reason, _) => LoggedEnd::Refused(*reason),
             RequestOutcome::Unknown(cause) => LoggedEnd::Unknown(*cause),
             RequestOutcome::NoRoute => LoggedEnd::NoRoute,
+            RequestOutcome::Unauthorized => LoggedEnd::Unauthorized,
         });
     }
 
@@ -103,6 +114,8 @@
             digest: self.fingerprint,
             service: self.service.take(),
             class: self.class.take(),
+            organisation: self.organisation.take(),
+            keeper: self.keeper,
             version: self.version,
             end,
             asked: self.attempts.nodes_asked(),
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -25,6 +25,7 @@
     state::{
         ablation::Mechanism,
         names::{ClassName, ServiceName},
+        organisations::{Organisation, rank_request},
         request_fingerprint::RequestFingerprint,
         routing_table::Route,
         timestamp::Timestamp,
@@ -49,6 +50,8 @@
     pub route: Rc<Route>,
     /// The service picked for it.
     pub service: ServiceName,
+    /// The organisation that sent it; `None` if it needs no API key.
+    pub organisation: Option<Rc<Organisation>>,
     /// When the request arrived.
     pub arrived: Timestamp,
     /// The earlier of the client's deadline and the timeout of the route.
@@ -234,11 +237,16 @@
             time_left: self.call.deadline.since(now),
             finish_within,
             target_left: self.call.route.target.saturating_sub(elapsed),
-            priority: self.call.route.priority,
+            priority: rank_request(self.call.organisation.as_deref(), &self.call.route),
             idempotent: self.call.route.idempotent,
             is_retry: self.attempts.upstream_attempts() > 0 || !self.in_flight.is_empty(),
             version: self.core.directory.borrow().version(),
             sender: self.core.settings.peer_address,
+            organisation: self
+                .call
+                .organisation
+                .as_ref()
+                .map(|known| known.name.clone()),
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -11,7 +11,7 @@
     coordination::publishing::PublicationOutcome,
     protocol::outcome::{RefusalReason, UnknownCause},
     state::{
-        names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
+        names::{AvailabilityZoneName, ClassName, NodeName, OrganisationName, ServiceName},
         request_fingerprint::RequestFingerprint,
     },
 };
@@ -47,6 +47,8 @@
     Unknown(UnknownCause),
     /// No route matches the request.
     NoRoute,
+    /// The route needs an API key, and the request has none that is valid.
+    Unauthorized,
     /// The attempt could not be sent to the other node.
     NotSent,
     /// The client disconnected.
@@ -69,6 +71,12 @@
         service: Option<ServiceName>,
         /// Class of the request; none without a route.
         class: Option<ClassName>,
+        /// Organisation that sent the request; none if it needs no API key.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        organisation: Option<OrganisationName>,
+        /// Node that was asked for credit of the organisation; none if none was asked.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        keeper: Option<SocketAddr>,
         /// Version of the routing table that the request was routed by.
         version: u64,
         /// How the request ended.
@@ -368,6 +376,18 @@
     },
     /// The store has deleted or lost the record of this node. It is written again.
     OwnRecordDropped {},
+    /// This node keeps the quota of an organisation from now on.
+    QuotaKept {
+        /// The organisation.
+        organisation: OrganisationName,
+        /// Whether another node may have kept the quota until now. The first credits are then few.
+        recent: bool,
+    },
+    /// No keeper of an organisation's quota answered. The node uses a small share of the quota until one does.
+    KeepersUnreachable {
+        /// The organisation.
+        organisation: OrganisationName,
+    },
     /// A configuration in the store could not be decoded. The one in force stays.
     ConfigurationRejected {
         /// Description of the error.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -42,6 +42,8 @@
             Self::OwnRecordDropped {} => (835, "own_record_dropped"),
             Self::ZoneEvacuated { .. } => (836, "zone_evacuated"),
             Self::ZoneRestored { .. } => (837, "zone_taken_back"),
+            Self::QuotaKept { .. } => (838, "quota_kept"),
+            Self::KeepersUnreachable { .. } => (839, "keepers_unreachable"),
             Self::ConfigurationRejected { .. } => (841, "configuration_rejected"),
             Self::RecordRejected { .. } => (842, "record_rejected"),
             Self::PublicationEnded { .. } => (845, "publication_ended"),
@@ -118,7 +120,10 @@
         match self {
             Self::Answered(status) if *status < 500 && is_late => Severity::Late,
             Self::Answered(status) if *status < 500 => Severity::Ordinary,
-            Self::ClientLeft | Self::NoRoute => Severity::Ordinary,
+            Self::ClientLeft
+            | Self::NoRoute
+            | Self::Unauthorized
+            | Self::Refused(RefusalReason::QuotaExceeded) => Severity::Ordinary,
             _ => Severity::Important,
         }
     }
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -122,12 +122,13 @@
     let elapsed = now.since(arrived);
     let request = SlotRequest {
         priority: hop.priority,
+        organisation: hop.organisation.clone(),
         finish_within: hop.finish_within.saturating_sub(elapsed),
         target_left: hop.target_left.saturating_sub(elapsed),
         time_left: hop.time_left.saturating_sub(elapsed),
         expected: core.slots.expected_time(&hop.class),
     };
-    core.slots.queue.borrow_mut().submit(request, now)
+    core.slots.queue.borrow_mut().submit(&request, now)
 }
 
 /// Why a request is refused, and the time after which it may be accepted; zero if that is unknown.
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -199,6 +199,11 @@
     headers.insert(&names.target_instance, instance);
     let caller = HeaderValue::from_str(hop.caller.as_str()).ok()?;
     headers.insert(&names.caller_service, caller);
+    headers.remove(&names.organisation);
+    if let Some(organisation) = &hop.organisation {
+        let organisation = HeaderValue::from_str(organisation.as_str()).ok()?;
+        headers.insert(&names.organisation, organisation);
+    }
     let mut request = Request::new(Full::new(req.body));
     *request.method_mut() = req.method;
     *request.uri_mut() = req.uri;
--- /dev/null
+++ b/src/proxy/quotas.rs
@@ -0,0 +1,360 @@
+//! Quotas of organisations at a node: as an entry node it obtains credit for requests, as a keeper it grants credit to others.
+
+use crate::{
+    coordination::{
+        quota_credits::{CreditDecision, QuotaCredits},
+        quota_keeper::{CreditDemand, CreditGrant, KeeperTenure, QuotaKeeper, find_keepers},
+    },
+    protocol::hop::{CreditRequest, StateMessage},
+    proxy::{core::ProxyCore, events::ProxyEvent, state_messages::exchange_state},
+    state::{
+        known_node::KnownNode,
+        names::OrganisationName,
+        organisations::{Organisation, Quota},
+        timestamp::Timestamp,
+    },
+};
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+
+/// Longest time that a request waits for the answers of keepers. It is much longer than a round trip between zones, and short enough
+/// that a request is still in time after one keeper didn't answer.
+const ASKING_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time without a message of another node after which a keeper takes itself to be cut off.
+const MAX_PEER_SILENCE: Duration = Duration::from_millis(300);
+/// Time for which a node asks no keeper after it could reach none.
+const CUT_OFF_PAUSE: Duration = Duration::from_millis(300);
+
+/// Quota state of a node.
+#[derive(Default)]
+pub struct Quotas {
+    keeper: RefCell<QuotaKeeper>,
+    credits: RefCell<QuotaCredits>,
+    /// Until when no keeper is asked.
+    cut_off_until: Cell<Timestamp>,
+    /// Last time at which another node was heard.
+    last_peer_contact: Cell<Timestamp>,
+}
+
+impl Quotas {
+    /// Number of organisations whose quota this node keeps or has kept.
+    #[must_use]
+    pub fn kept(&self) -> usize {
+        self.keeper.borrow().len()
+    }
+}
+
+/// Credit for one request, or none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CreditOutcome {
+    /// Without credit, the time after which there is some.
+    pub refused: Option<Duration>,
+    /// The node that was asked last; none if none was.
+    pub keeper: Option<SocketAddr>,
+}
+
+/// Obtains credit for a request of an organisation. `is_late` is [`CreditDemand::is_late`].
+pub async fn obtain_credit(
+    core: &ProxyCore,
+    organisation: &Organisation,
+    is_late: bool,
+) -> CreditOutcome {
+    let Some(quota) = organisation.quota else {
+        return CreditOutcome {
+            refused: None,
+            keeper: None,
+        };
+    };
+    let now = core.timers.now();
+    let decision = core
+        .quotas
+        .credits
+        .borrow_mut()
+        .decide(&organisation.name, now);
+    let (decision, keeper) = match decision {
+        CreditDecision::Ask { wanted } => {
+            let demand = CreditDemand { wanted, is_late };
+            ask_keepers(core, organisation, quota, demand).await
+        }
+        decided => (decided, None),
+    };
+    let refused = match decision {
+        CreditDecision::Refused { retry_after } => Some(retry_after),
+        CreditDecision::Spent | CreditDecision::Ask { .. } => None,
+    };
+    CreditOutcome { refused, keeper }
+}
+
+/// Returns the credit of a request that wasn't executed and never will be.
+pub fn return_credit(core: &ProxyCore, organisation: &Organisation) {
+    if organisation.quota.is_some() {
+        let now = core.timers.now();
+        let mut credits = core.quotas.credits.borrow_mut();
+        credits.return_credit(&organisation.name, now);
+    }
+}
+
+/// Asks the keepers by rank until one answers. Returns the decision and the node that made it.
+async fn ask_keepers(
+    core: &ProxyCore,
+    organisation: &Organisation,
+    quota: Quota,
+    demand: CreditDemand,
+) -> (CreditDecision, Option<SocketAddr>) {
+    if core.timers.now() >= core.quotas.cut_off_until.get() {
+        let timeout = core.timers.after(ASKING_TIMEOUT);
+        let granted = tokio::select! {
+            granted = find_grant(core, organisation, quota, demand) => granted,
+            _ = timeout.recv_async() => None,
+        };
+        let now = core.timers.now();
+        if let Some((grant, keeper)) = granted {
+            let mut credits = core.quotas.credits.borrow_mut();
+            let decision = credits.apply_grant(&organisation.name, grant, now);
+            return (decision, Some(keeper));
+        }
+        core.quotas.cut_off_until.set(now + CUT_OFF_PAUSE);
+        core.log(&ProxyEvent::KeepersUnreachable {
+            organisation: organisation.name.clone(),
+        });
+    }
+    (decide_cut_off(core, organisation, quota), None)
+}
+
+async fn find_grant(
+    core: &ProxyCore,
+    organisation: &Organisation,
+    quota: Quota,
+    demand: CreditDemand,
+) -> Option<(CreditGrant, SocketAddr)> {
+    for keeper in list_keepers(core, &organisation.name) {
+        if keeper == core.settings.peer_address {
+            if is_silent(core) && !hears_other_node(core, &organisation.name).await {
+                return None;
+            }
+            return Some((grant_locally(core, organisation, quota, demand), keeper));
+        }
+        let request = CreditRequest {
+            organisation: organisation.name.clone(),
+            wanted: demand.wanted,
+            is_late: demand.is_late,
+            is_forwarded: false,
+        };
+        if let Some(grant) = ask_keeper(core, keeper, request).await {
+            return Some((grant, keeper));
+        }
+    }
+    None
+}
+
+/// Asks one node for credit; `None` without an answer, or if it can't be reached.
+async fn ask_keeper(
+    core: &ProxyCore,
+    keeper: SocketAddr,
+    request: CreditRequest,
+) -> Option<CreditGrant> {
+    if !is_reachable(core, keeper) {
+        return None;
+    }
+    let message = StateMessage {
+        credit_request: Some(request),
+        ..StateMessage::default()
+    };
+    let mut attempt = AskedKeeper {
+        core,
+        keeper,
+        is_answered: false,
+    };
+    let answer = exchange_state(core, keeper, &message).await;
+    attempt.is_answered = answer.is_some();
+    answer?.0.credit_grant
+}
+
+/// A keeper that was asked. If it hasn't answered when this is dropped, it gets no requests for a while.
+struct AskedKeeper<'a> {
+    core: &'a ProxyCore,
+    keeper: SocketAddr,
+    is_answered: bool,
+}
+
+impl Drop for AskedKeeper<'_> {
+    fn drop(&mut self) {
+        let now = self.core.timers.now();
+        let mut directory = self.core.directory.borrow_mut();
+        let Some(node) = directory.nodes.get_mut(&self.keeper) else {
+            return;
+        };
+        if self.is_answered {
+            node.reset_backoff();
+            drop(directory);
+            record_peer_contact(self.core);
+        } else {
+            node.record_unreachable(now);
+        }
+    }
+}
+
+/// Records that another node was heard, and that this node is in touch with the mesh.
+pub fn record_peer_contact(core: &ProxyCore) {
+    let now = core.timers.now();
+    core.last_contact.set(now);
+    core.quotas.last_peer_contact.set(now);
+}
+
+/// Whether no other node was heard lately, although some are known. The nodes on the other side of a partition have a keeper of
+/// their own.
+fn is_silent(core: &ProxyCore) -> bool {
+    let own_address = core.settings.peer_address;
+    let directory = core.directory.borrow();
+    let knows_others = directory
+        .nodes
+        .keys()
+        .any(|address| *address != own_address);
+    let silence = core.timers.now().since(core.quotas.last_peer_contact.get());
+    knows_others && silence > MAX_PEER_SILENCE
+}
+
+/// Asks the next keepers of an organisation for an answer, until one gives it. In a mesh without other traffic, a keeper hears from no
+/// node unless it asks.
+async fn hears_other_node(core: &ProxyCore, organisation: &OrganisationName) -> bool {
+    let own_address = core.settings.peer_address;
+    for keeper in list_keepers(core, organisation) {
+        if keeper == own_address || !is_reachable(core, keeper) {
+            continue;
+        }
+        let message = StateMessage::default();
+        if exchange_state(core, keeper, &message).await.is_some() {
+            record_peer_contact(core);
+            return true;
+        }
+    }
+    false
+}
+
+fn is_reachable(core: &ProxyCore, address: SocketAddr) -> bool {
+    let directory = core.directory.borrow();
+    let node = directory.nodes.get(&address);
+    node.is_some_and(|node| node.backoff_until <= core.timers.now())
+}
+
+/// The nodes that may keep the quota of an organisation, by rank. Nodes whose upstream is leaving end soon.
+fn list_keepers(core: &ProxyCore, organisation: &OrganisationName) -> Vec<SocketAddr> {
+    let directory = core.directory.borrow();
+    let is_staying = |node: &&KnownNode| !node.record.leaving;
+    let staying = directory.nodes.values().filter(is_staying);
+    let staying = staying.map(|node| node.record.address);
+    let own_address = core.settings.peer_address;
+    let own = (!directory.nodes.contains_key(&own_address)).then_some(own_address);
+    find_keepers(organisation, staying.chain(own))
+}
+
+/// Decides without a keeper: this node is cut off, or all keepers have been lost at once.
+fn decide_cut_off(core: &ProxyCore, organisation: &Organisation, quota: Quota) -> CreditDecision {
+    let (limits, now) = (core.limits(), core.timers.now());
+    let nodes = core.directory.borrow().nodes.len();
+    let is_permitted = core.quotas.credits.borrow_mut().spend_unconfirmed(
+        &organisation.name,
+        &quota,
+        nodes,
+        &limits.quota,
+        now,
+    );
+    if is_permitted {
+        return CreditDecision::Spent;
+    }
+    CreditDecision::Refused {
+        retry_after: CUT_OFF_PAUSE,
+    }
+}
+
+/// Answers a node that asks for credit. `None` if the organisation isn't known here or has no quota, or if a node that precedes this
+/// one as keeper doesn't answer in time.
+pub async fn answer_credit_request(
+    core: &ProxyCore,
+    request: CreditRequest,
+) -> Option<CreditGrant> {
+    record_peer_contact(core);
+    let organisation = find_organisation(core, &request.organisation)?;
+    let quota = organisation.quota?;
+    if !request.is_forwarded
+        && let Some(grant) = forward_to_preceding(core, &request).await
+    {
+        return Some(grant);
+    }
+    let demand = CreditDemand {
+        wanted: request.wanted,
+        is_late: request.is_late,
+    };
+    Some(grant_locally(core, &organisation, quota, demand))
+}
+
+/// Forwards a request to the nodes that precede this one as keepers, for a sender that doesn't know or can't reach them. Two nodes
+/// that grant credit of the same organisation would exceed its quota.
+async fn forward_to_preceding(core: &ProxyCore, request: &CreditRequest) -> Option<CreditGrant> {
+    let own_address = core.settings.peer_address;
+    let keepers = list_keepers(core, &request.organisation);
+    for keeper in keepers
+        .into_iter()
+        .take_while(|keeper| *keeper != own_address)
+    {
+        let forwarded = CreditRequest {
+            is_forwarded: true,
+            ..request.clone()
+        };
+        if let Some(grant) = ask_keeper(core, keeper, forwarded).await {
+            let now = core.timers.now();
+            let mut kept = core.quotas.keeper.borrow_mut();
+            kept.record_other_keeper(&request.organisation, now);
+            return Some(grant);
+        }
+    }
+    None
+}
+
+fn find_organisation(core: &ProxyCore, name: &OrganisationName) -> Option<Rc<Organisation>> {
+    let routes = core.routes()?;
+    routes.organisations()?.find_by_name(name).cloned()
+}
+
+fn grant_locally(
+    core: &ProxyCore,
+    organisation: &Organisation,
+    quota: Quota,
+    demand: CreditDemand,
+) -> CreditGrant {
+    let (limits, now) = (core.limits(), core.timers.now());
+    let tenure = find_tenure(core, &organisation.name, now);
+    let mut keeper = core.quotas.keeper.borrow_mut();
+    let kept_before = keeper.len();
+    let grant = keeper.grant(
+        &organisation.name,
+        quota,
+        demand,
+        tenure,
+        &limits.quota,
+        now,
+    );
+    if keeper.len() > kept_before {
+        core.log(&ProxyEvent::QuotaKept {
+            organisation: organisation.name.clone(),
+            recent: tenure == KeeperTenure::Recent,
+        });
+    }
+    grant
+}
+
+/// Whether another node may have granted credit of the organisation within the last window. None has if this node ranks first and
+/// has run for so long, or if the whole mesh has just started for the first time.
+fn find_tenure(core: &ProxyCore, organisation: &OrganisationName, now: Timestamp) -> KeeperTenure {
+    let ranks_first = list_keepers(core, organisation).first() == Some(&core.settings.peer_address);
+    let has_run_long = now.since(core.started) > core.limits().quota.window;
+    if ranks_first && (has_run_long || core.settings.first_start) {
+        KeeperTenure::Established
+    } else {
+        KeeperTenure::Recent
+    }
+}
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -10,6 +10,7 @@
         directory::StateSource,
         evacuating::apply_peer_evacuations,
         events::ProxyEvent,
+        quotas::answer_credit_request,
         retiring::is_reachable,
         state_messages::{count_state_bytes, log_malformed, send_along_tree, send_state},
         store_sync::request_own_record_rewrite,
@@ -69,7 +70,7 @@
 
 /// Applies a message of another node, forwards it if the message says so, and answers what it asks.
 pub async fn answer_state_message(core: &Rc<ProxyCore>, body: &[u8]) -> CallerReply {
-    let message: StateMessage = match serde_json::from_slice(body) {
+    let mut message: StateMessage = match serde_json::from_slice(body) {
         Ok(message) => message,
         Err(error) => {
             log_malformed(core, &error);
@@ -82,6 +83,7 @@
     let has_records = message.has_records;
     let is_offer = message.offered_version.is_some();
     let has_evacuations = message.evacuations.is_some();
+    let credit_request = message.credit_request.take();
     apply_message(core, message);
     let mut answer = match changes_since {
         Some(version) => StateMessage {
@@ -102,6 +104,9 @@
     if let Some(suspect) = check_peer {
         answer.peer_reachable = Some(is_reachable(core, suspect).await);
     }
+    if let Some(request) = credit_request {
+        answer.credit_grant = answer_credit_request(core, request).await;
+    }
     if answer == StateMessage::default() {
         return Response::new(Full::default());
     }
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -13,6 +13,7 @@
         directory::StateSource,
         evacuating::apply_peer_evacuations,
         events::{ProxyEvent, in_millis},
+        quotas::record_peer_contact,
         state_messages::exchange_state,
         table_offering::{forward_offer, offer_table},
     },
@@ -50,6 +51,7 @@
 ) -> (ConfigurationVersion, Timestamp) {
     let mut directory = core.directory.borrow_mut();
     directory.record_version(from, version);
+    record_peer_contact(core);
     let (own_version, now) = (directory.version(), core.timers.now());
     core.version_lag
         .borrow_mut()
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,7 @@
 pub mod known_node;
 pub mod latency_histogram;
 pub mod names;
+pub mod organisations;
 pub mod published;
 pub mod quarantine;
 pub mod rate_limit;
--- a/src/state/ablation.rs
+++ b/src/state/ablation.rs
@@ -37,6 +37,8 @@
     StoreReaders,
     /// Keeps a request that crashes upstreams away from all of them.
     Quarantine,
+    /// Shares the slots of an upstream among organisations instead of starting requests in order of arrival.
+    FairShares,
 }
 
 impl Mechanism {
@@ -59,6 +61,7 @@
             Self::SlotLimit => "slot_limit",
             Self::StoreReaders => "readers",
             Self::Quarantine => "quarantine",
+            Self::FairShares => "fair_shares",
         }
     }
 
--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -1,12 +1,13 @@
 //! The configuration that operators publish: services, and classes of work with their latency targets.
 
 use crate::state::{
-    names::{ClassName, ServiceName},
+    names::{ClassName, OrganisationName, ServiceName},
+    organisations::{KeyDigest, Organisation, Quota},
     routing_table::{ClientLimits, Route, RoutingTable, ServiceConfiguration, WeightedService},
 };
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, fmt, rc::Rc, time::Duration};
 
 /// Default path of the health check of upstreams.
 const DEFAULT_HEALTH_PATH: ArcStr = arcstr::literal!("/health");
@@ -80,6 +81,53 @@
     /// Maximum number of upstreams that one request may be sent to.
     #[serde(default = "default_max_attempts")]
     pub max_attempts: u16,
+    /// Whether its requests need no API key of an organisation.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
+}
+
+/// An organisation in the published configuration: a customer with API keys of its own, and a limit on its requests.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OrganisationEntry {
+    /// Name of the organisation, unique in the configuration.
+    pub name: OrganisationName,
+    /// API keys that identify its requests. Each belongs to one organisation only.
+    pub api_keys: Vec<ApiKey>,
+    /// Priority among the organisations, before that of the class; 0 is served first.
+    #[serde(default)]
+    pub priority: u8,
+    /// Sustained rate of requests per minute, over all nodes; `None` if it is not limited.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub requests_per_minute: Option<u32>,
+    /// Number of requests that may exceed the sustained rate at once.
+    #[serde(default)]
+    pub burst: u32,
+}
+
+/// An API key. Its text appears only in the configuration itself.
+#[derive(Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct ApiKey(ArcStr);
+
+impl ApiKey {
+    /// Digest of the key.
+    #[must_use]
+    pub fn digest(&self) -> KeyDigest {
+        KeyDigest::of(self.0.as_bytes())
+    }
+
+    /// Whether the header of a request can carry the key.
+    #[must_use]
+    pub fn fits_header(&self) -> bool {
+        self.0.bytes().all(|byte| byte.is_ascii_graphic())
+    }
+}
+
+impl fmt::Debug for ApiKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.digest().fmt(f)
+    }
 }
 
 /// The complete published configuration.
@@ -90,6 +138,9 @@
     pub services: Vec<ServiceEntry>,
     /// All classes of work.
     pub classes: Vec<ClassEntry>,
+    /// All organisations. Without the key, requests need no API key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<Vec<OrganisationEntry>>,
 }
 
 impl Configuration {
@@ -106,6 +157,10 @@
             routes: self.classes.iter().map(build_route).map(Rc::new).collect(),
             services: self.services.iter().map(build_service).collect(),
             limits: ClientLimits::default(),
+            organisations: self.organisations.as_ref().map(|organisations| {
+                let built = organisations.iter().map(build_organisation);
+                built.map(Rc::new).collect()
+            }),
         }
     }
 
@@ -114,10 +169,23 @@
     pub fn list_changes(&self, earlier: &Self) -> Vec<String> {
         let mut changes = list_service_changes(self, earlier);
         changes.extend(list_class_changes(self, earlier));
+        changes.extend(list_organisation_changes(self, earlier));
         changes
     }
 }
 
+fn build_organisation(entry: &OrganisationEntry) -> Organisation {
+    Organisation {
+        name: entry.name.clone(),
+        keys: entry.api_keys.iter().map(ApiKey::digest).collect(),
+        priority: entry.priority,
+        quota: entry.requests_per_minute.map(|requests| Quota {
+            requests_per_minute: requests.into(),
+            burst: entry.burst,
+        }),
+    }
+}
+
 fn build_route(class: &ClassEntry) -> Route {
     let build_share = |share: &ServiceShare| WeightedService {
         service: share.name.clone(),
@@ -133,6 +201,7 @@
         priority: class.priority,
         max_attempts: class.max_attempts,
         services: class.services.iter().map(build_share).collect(),
+        is_public: class.public,
     }
 }
 
@@ -182,6 +251,66 @@
     changes
 }
 
+/// The changes of organisations. Keys are shown by their fingerprints.
+fn list_organisation_changes(newer: &Configuration, earlier: &Configuration) -> Vec<String> {
+    let (newer, earlier) = (
+        index_by_name(
+            newer.organisations.as_deref().unwrap_or_default(),
+            |entry| &entry.name,
+        ),
+        index_by_name(
+            earlier.organisations.as_deref().unwrap_or_default(),
+            |entry| &entry.name,
+        ),
+    );
+    let mut changes = Vec::new();
+    for (name, entry) in &newer {
+        match earlier.get(name) {
+            None => changes.push(format!("organisation {name} added")),
+            Some(before) => changes.extend(list_organisation_field_changes(name, entry, before)),
+        }
+    }
+    let dropped = earlier.keys().filter(|name| !newer.contains_key(*name));
+    changes.extend(dropped.map(|name| format!("organisation {name} dropped")));
+    changes
+}
+
+fn list_organisation_field_changes(
+    name: &OrganisationName,
+    entry: &OrganisationEntry,
+    before: &OrganisationEntry,
+) -> Vec<String> {
+    let has_key = |entry: &OrganisationEntry, key: &ApiKey| entry.api_keys.contains(key);
+    let added = entry.api_keys.iter().filter(|key| !has_key(before, key));
+    let removed = before.api_keys.iter().filter(|key| !has_key(entry, key));
+    let added = added.map(|key| ("added", key));
+    let keys = added.chain(removed.map(|key| ("revoked", key)));
+    let mut changes: Vec<String> = keys
+        .map(|(what, key)| {
+            let fingerprint = key.digest().fingerprint();
+            format!("organisation {name}: key {fingerprint} {what}")
+        })
+        .collect();
+    if (entry.priority, entry.burst, entry.requests_per_minute)
+        != (before.priority, before.burst, before.requests_per_minute)
+    {
+        changes.push(format!(
+            "organisation {name}: {} instead of {}",
+            describe_limits(entry),
+            describe_limits(before)
+        ));
+    }
+    changes
+}
+
+fn describe_limits(entry: &OrganisationEntry) -> String {
+    let (priority, burst) = (entry.priority, entry.burst);
+    match entry.requests_per_minute {
+        Some(rate) => format!("priority {priority}, {rate} requests a minute, burst {burst}"),
+        None => format!("priority {priority}, no limit"),
+    }
+}
+
 fn list_field_changes(name: &ClassName, entry: &ClassEntry, before: &ClassEntry) -> Vec<String> {
     let fields = |entry: &ClassEntry| {
         // Can't fail: the type has only fields that JSON can represent.
--- a/src/state/names.rs
+++ b/src/state/names.rs
@@ -54,6 +54,10 @@
     /// Name of a region.
     RegionName
 );
+name_type!(
+    /// Name of an organisation.
+    OrganisationName
+);
 
 #[cfg(test)]
 mod tests {
--- a/src/state/routing_table.rs
+++ b/src/state/routing_table.rs
@@ -3,6 +3,7 @@
 use crate::state::{
     configuration::ConfigurationVersion,
     names::{ClassName, ServiceName},
+    organisations::{Organisation, OrganisationIndex},
 };
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
@@ -43,6 +44,9 @@
     pub max_attempts: u16,
     /// Services that requests are sent to; never empty.
     pub services: Vec<WeightedService>,
+    /// Whether requests need no API key of an organisation.
+    #[serde(rename = "public", default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_public: bool,
 }
 
 impl Route {
@@ -116,24 +120,39 @@
     pub services: Vec<ServiceConfiguration>,
     /// Limits for clients.
     pub limits: ClientLimits,
+    /// All organisations, in no particular order. `None` if requests need no API key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub organisations: Option<Vec<Rc<Organisation>>>,
 }
 
-/// A routing table with an index to look up routes.
+/// A routing table with indexes to look up routes and organisations.
 #[derive(Clone, Debug)]
 pub struct RouteIndex {
     table: RoutingTable,
     hosts: HashMap<ArcStr, HostRoutes>,
+    organisations: Option<OrganisationIndex>,
 }
 
 impl RouteIndex {
-    /// Indexes the routes of a table by host and path prefix.
+    /// Indexes the routes of a table by host and path prefix, and its organisations by key and name.
     #[must_use]
     pub fn new(table: RoutingTable) -> Self {
         let mut hosts: HashMap<ArcStr, HostRoutes> = HashMap::new();
         for route in &table.routes {
             hosts.entry(route.host.clone()).or_default().add(route);
         }
-        Self { table, hosts }
+        let organisations = table.organisations.as_deref().map(OrganisationIndex::new);
+        Self {
+            table,
+            hosts,
+            organisations,
+        }
+    }
+
+    /// The organisations; `None` if requests need no API key.
+    #[must_use]
+    pub fn organisations(&self) -> Option<&OrganisationIndex> {
+        self.organisations.as_ref()
     }
 
     /// The indexed table.
--- a/src/state/table_change.rs
+++ b/src/state/table_change.rs
@@ -6,13 +6,14 @@
 
 use crate::state::{
     configuration::ConfigurationVersion,
-    names::ClassName,
+    names::{ClassName, OrganisationName},
+    organisations::Organisation,
     routing_table::{ClientLimits, Route, RoutingTable, ServiceConfiguration, WeightedService},
 };
 use arcstr::ArcStr;
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     hash::{Hash, Hasher},
     rc::Rc,
     time::Duration,
@@ -46,6 +47,8 @@
     priority: u8,
     max_attempts: u16,
     services: Vec<WeightedService>,
+    #[serde(rename = "public", default, skip_serializing_if = "std::ops::Not::not")]
+    is_public: bool,
 }
 
 impl RouteSettings {
@@ -57,6 +60,7 @@
             priority: route.priority,
             max_attempts: route.max_attempts,
             services: route.services.clone(),
+            is_public: route.is_public,
         }
     }
 
@@ -71,6 +75,7 @@
             priority: self.priority,
             max_attempts: self.max_attempts,
             services: self.services.clone(),
+            is_public: self.is_public,
         }
     }
 }
@@ -132,6 +137,9 @@
     /// All services; `None` if they are the same as in the base.
     services: Option<Vec<ServiceConfiguration>>,
     limits: ClientLimits,
+    /// Organisations that are new, differ or are removed; `None` if requests need no API key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    organisations: Option<OrganisationChange>,
 }
 
 impl TableChange {
@@ -169,6 +177,10 @@
             hosts,
             services: services_differ.then(|| table.services.clone()),
             limits: table.limits,
+            organisations: table.organisations.as_ref().map(|organisations| {
+                let before = base.and_then(|base| base.organisations.as_deref());
+                OrganisationChange::between(before.unwrap_or_default(), organisations)
+            }),
         }
     }
 
@@ -186,6 +198,10 @@
             routes: base.map_or_else(Vec::new, |base| list_unchanged_routes(base, &self.hosts)),
             services: services.cloned().unwrap_or_default(),
             limits: self.limits,
+            organisations: self.organisations.as_ref().map(|change| {
+                let before = base.and_then(|base| base.organisations.as_deref());
+                change.apply(before.unwrap_or_default())
+            }),
         };
         for (host, change) in &self.hosts {
             for changed in &change.changed {
@@ -217,6 +233,40 @@
     }
 }
 
+/// Differences in the organisations.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct OrganisationChange {
+    /// Organisations that are new or differ.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    changed: Vec<Rc<Organisation>>,
+    /// Names of removed organisations.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    removed: Vec<OrganisationName>,
+}
+
+impl OrganisationChange {
+    fn between(base: &[Rc<Organisation>], organisations: &[Rc<Organisation>]) -> Self {
+        let mut before: HashMap<&OrganisationName, &Rc<Organisation>> = base
+            .iter()
+            .map(|organisation| (&organisation.name, organisation))
+            .collect();
+        let mut changed = organisations.to_vec();
+        changed.retain(|organisation| before.remove(&organisation.name) != Some(organisation));
+        let removed = before.into_keys().cloned().collect();
+        Self { changed, removed }
+    }
+
+    /// Applies the change to the organisations of the base. Unchanged ones are shared with the base.
+    fn apply(&self, base: &[Rc<Organisation>]) -> Vec<Rc<Organisation>> {
+        let changed = self.changed.iter().map(|organisation| &organisation.name);
+        let replaced: HashSet<&OrganisationName> = changed.chain(&self.removed).collect();
+        let kept = base
+            .iter()
+            .filter(|organisation| !replaced.contains(&organisation.name));
+        kept.chain(&self.changed).cloned().collect()
+    }
+}
+
 /// The settings of a change, each once.
 #[derive(Default)]
 struct SettingsList {
@@ -263,11 +313,20 @@
     kept.into_values().map(Rc::clone).collect()
 }
 
-/// Checksum of a table. It doesn't depend on the order of the routes.
+/// Checksum of a table. It doesn't depend on the order of the routes and the organisations.
 fn compute_checksum(table: &RoutingTable) -> u64 {
-    let routes = table.routes.iter();
-    let sum = routes.fold(0_u64, |sum, route| sum.wrapping_add(hash_value(route)));
-    hash_value(&(table.version, &table.services, table.limits, sum))
+    let sum = sum_hashes(&table.routes);
+    let organisations = table.organisations.as_deref().map(sum_hashes);
+    let summary = (table.version, &table.services, table.limits, sum);
+    match organisations {
+        Some(organisations) => hash_value(&(summary, organisations)),
+        None => hash_value(&summary),
+    }
+}
+
+fn sum_hashes(values: &[impl Hash]) -> u64 {
+    let hashes = values.iter().map(hash_value);
+    hashes.fold(0, u64::wrapping_add)
 }
 
 fn hash_value(value: &impl Hash) -> u64 {
--- a/src/state/table_history.rs
+++ b/src/state/table_history.rs
@@ -2,6 +2,8 @@
 
 use crate::state::{
     configuration::ConfigurationVersion,
+    names::OrganisationName,
+    organisations::Organisation,
     routing_table::{Route, RouteIndex, RoutingTable},
     table_change::TableChange,
 };
@@ -50,7 +52,7 @@
             return false;
         }
         if let Some(current) = self.current.take() {
-            share_routes(&mut table, current.table());
+            share_unchanged(&mut table, current.table());
             self.earlier.push_back(current.table().clone());
             if self.earlier.len() > MAX_EARLIER_TABLES {
                 self.earlier.pop_front();
@@ -81,8 +83,26 @@
     }
 }
 
-/// Makes a table share the routes of the one before it where they are equal. The store returns complete tables; without sharing,
-/// each kept table would hold its own copy of thousands of routes.
+/// Makes a table share the routes and organisations of the one before it where they are equal. The store returns complete tables;
+/// without sharing, each kept table would hold its own copy of thousands of them.
+fn share_unchanged(table: &mut RoutingTable, before: &RoutingTable) {
+    share_routes(table, before);
+    share_organisations(table, before);
+}
+
+fn share_organisations(table: &mut RoutingTable, before: &RoutingTable) {
+    let known = before.organisations.iter().flatten();
+    let known: HashMap<&OrganisationName, &Rc<Organisation>> = known
+        .map(|organisation| (&organisation.name, organisation))
+        .collect();
+    for organisation in table.organisations.iter_mut().flatten() {
+        match known.get(&organisation.name) {
+            Some(same) if *same == organisation => *organisation = Rc::clone(same),
+            _ => {}
+        }
+    }
+}
+
 fn share_routes(table: &mut RoutingTable, before: &RoutingTable) {
     let known = before.routes.iter();
     let known: HashMap<(&str, &str), &Rc<Route>> = known
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -20,6 +20,8 @@
 mod proxy_decisions;
 mod proxy_events;
 mod publishing;
+mod quota_keeper;
+mod quota_mesh;
 mod restored_store;
 mod retiring;
 mod retiring_model;
--- a/tests/integration/mesh_model.rs
+++ b/tests/integration/mesh_model.rs
@@ -277,6 +277,7 @@
         routes: Vec::new(),
         services: Vec::new(),
         limits: ClientLimits::default(),
+        organisations: None,
     }
 }
 
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -1,7 +1,10 @@
 //! Compares the operators' page of metrics with the metrics that a node serves.
 
 use camphorturn::{
-    coordination::{retry_budget::RetryBudgetSettings, slow_start::SlowStartSettings},
+    coordination::{
+        quota_keeper::QuotaSettings, retry_budget::RetryBudgetSettings,
+        slow_start::SlowStartSettings,
+    },
     options::proxy_settings::{HeaderNames, LogSettings, NodeLimits, ProxySettings},
     proxy::{core::ProxyCore, metrics::render_metrics},
     state::class_counts::ClassCounts,
@@ -33,6 +36,8 @@
             shutdown_grace: Duration::from_secs(6),
             configuration_apply_timeout: Duration::from_secs(2),
             slow_start: SlowStartSettings::default(),
+            quota: QuotaSettings::default(),
+            key_expiry: None,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/tests/integration/options.rs
+++ b/tests/integration/options.rs
@@ -230,6 +230,117 @@
     }
 }
 
+/// Failure: a key of a faulty configuration is printed, and ends in the log of a build server.
+#[test]
+fn check_organisations_hides_keys() {
+    let first = "sample-key-of-2026-11";
+    let second = "sample-key-of-2026-12";
+    let faults = [
+        (
+            format!("\"{second}\""),
+            format!("\"{first}\""),
+            "used more than once",
+        ),
+        (
+            format!("\"{second}\""),
+            "\"with space\"".to_owned(),
+            "not allowed",
+        ),
+        (format!("\"{second}\""), "\"\"".to_owned(), "not allowed"),
+        (
+            format!("\"{second}\""),
+            format!("\"{}\"", "x".repeat(201)),
+            "not allowed",
+        ),
+        (
+            format!("[\"{first}\", \"{second}\"]"),
+            format!("{{ \"{first}\": 1 }}"),
+            "wrong type",
+        ),
+        (
+            "\"requests_per_minute\": 9000,".to_owned(),
+            String::new(),
+            "a burst without a rate",
+        ),
+        ("9000".to_owned(), "-1".to_owned(), "not allowed"),
+        ("9000".to_owned(), "1e999".to_owned(), ""),
+        (
+            "\"prairie-clinics\"".to_owned(),
+            "\"two\\nlines\"".to_owned(),
+            "not allowed",
+        ),
+    ];
+    for (from, to, expected) in faults {
+        let text = SAMPLE.replace(&from, &to);
+        assert_ne!(text, SAMPLE, "{from}");
+        let findings = check_and_format(&text);
+        assert!(!findings.is_empty(), "{to}");
+        assert!(
+            findings.iter().any(|line| line.contains(expected)),
+            "{findings:#?}"
+        );
+        for secret in [first, second, "with space", "xxxx"] {
+            assert!(
+                !findings.iter().any(|line| line.contains(secret)),
+                "{findings:#?}"
+            );
+        }
+    }
+}
+
+#[test]
+fn check_organisations_reports_all() {
+    let organisation = "{ \"name\": \"prairie-clinics\", \"api_keys\": [\"sample-key-of-2026-12\"], \"burst\": 2 },";
+    let text = SAMPLE.replace(
+        "\"organisations\": [",
+        &format!("\"organisations\": [{organisation}"),
+    );
+    let findings = check_and_format(&text);
+    let expected = [
+        "$.organisations[0].burst: conflict: a burst without a rate",
+        "$.organisations[1].name: conflict: `prairie-clinics` is used more than once",
+        "$.organisations[1].api_keys[1]: conflict: `key ",
+    ];
+    assert_eq!(findings.len(), expected.len(), "{findings:#?}");
+    for expected_text in expected {
+        assert!(
+            findings.iter().any(|line| line.contains(expected_text)),
+            "{findings:#?}"
+        );
+    }
+}
+
+/// Failure: the history of publications shows the keys themselves.
+#[test]
+fn list_changes_shows_key_fingerprints() {
+    let before = check_configuration("sample", SAMPLE).expect("the sample is right");
+    let text = SAMPLE
+        .replace("sample-key-of-2026-11", "sample-key-of-2027-01")
+        .replace("9000", "600");
+    let after = check_configuration("sample", &text).expect("right");
+    let changes = after.list_changes(&before);
+    assert_eq!(changes.len(), 3, "{changes:#?}");
+    assert!(
+        changes.iter().any(|line| line.ends_with(" added")),
+        "{changes:#?}"
+    );
+    assert!(
+        changes.iter().any(|line| line.ends_with(" revoked")),
+        "{changes:#?}"
+    );
+    assert!(
+        changes
+            .iter()
+            .any(|line| line.contains("600 requests a minute")),
+        "{changes:#?}"
+    );
+    assert!(
+        !changes.iter().any(|line| line.contains("sample-key")),
+        "{changes:#?}"
+    );
+    assert!(!format!("{after:?}").contains("sample-key"));
+}
+
 #[test]
 fn check_syntax_errors() {
     assert!(check_and_format("{\n  \"services\": \n}")[0].starts_with("c.jsonc:"));
--- a/tests/integration/overload.rs
+++ b/tests/integration/overload.rs
@@ -123,15 +123,16 @@
             target_left: TARGET,
             time_left: DEADLINE,
             expected: EXPECTED,
+            organisation: None,
         };
-        let mut decision = self.queue.submit(request, now);
+        let mut decision = self.queue.submit(&request, now);
         if let SlotDecision::Refuse { finish_in } = decision {
             request.finish_within = if finish_in <= TARGET {
                 TARGET
             } else {
                 DEADLINE
             };
-            decision = self.queue.submit(request, now);
+            decision = self.queue.submit(&request, now);
         }
         match decision {
             SlotDecision::Run(number) => {
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -87,6 +87,7 @@
                 weight: 10,
             },
         ],
+        is_public: false,
     })
 }
 
@@ -96,6 +97,7 @@
         routes: vec![route("all", "/a/"), route("part", "/a/b/")],
         services: Vec::new(),
         limits: ClientLimits::default(),
+        organisations: None,
     }
 }
 
--- a/tests/integration/routing_table.rs
+++ b/tests/integration/routing_table.rs
@@ -35,6 +35,7 @@
             service: "desk".into(),
             weight: 1,
         }],
+        is_public: false,
     })
 }
 
@@ -47,6 +48,7 @@
             .collect(),
         services: Vec::new(),
         limits: ClientLimits::default(),
+        organisations: None,
     }
 }
 
--- a/tests/integration/slot_queue.rs
+++ b/tests/integration/slot_queue.rs
@@ -19,13 +19,14 @@
     Timestamp(millis * 1_000)
 }
 
-fn request(priority: u8, finish_within: u64) -> SlotRequest {
+fn request(priority: u16, finish_within: u64) -> SlotRequest {
     SlotRequest {
         priority,
         finish_within: ms(finish_within),
         target_left: ms(finish_within),
         time_left: ms(1_000),
         expected: ms(100),
+        organisation: None,
     }
 }
 
@@ -48,12 +49,12 @@
 fn submit_refused_without_free_slot() {
     let mut queue = SlotQueue::new(1, START);
     assert!(matches!(
-        queue.submit(request(1, 0), START),
+        queue.submit(&request(1, 0), START),
         SlotDecision::Run(_)
     ));
     let finish_in = ms(200);
     assert_eq!(
-        queue.submit(request(1, 0), START),
+        queue.submit(&request(1, 0), START),
         SlotDecision::Refuse { finish_in }
     );
 }
@@ -61,8 +62,8 @@
 #[test]
 fn submit_waits_if_finished_in_time() {
     let mut queue = SlotQueue::new(1, START);
-    let first = slot_number(queue.submit(request(1, 500), START));
-    let second = queue.submit(request(1, 500), START);
+    let first = slot_number(queue.submit(&request(1, 500), START));
+    let second = queue.submit(&request(1, 500), START);
     assert!(matches!(second, SlotDecision::Wait(_)));
     let started = queue.finish(first, at(100));
     assert_eq!(started, [SlotAction::Start(slot_number(second))]);
@@ -71,9 +72,9 @@
 #[test]
 fn finish_starts_higher_priority_first() {
     let mut queue = SlotQueue::new(1, START);
-    let first = slot_number(queue.submit(request(2, 900), START));
-    let low = slot_number(queue.submit(request(2, 900), START));
-    let high = slot_number(queue.submit(request(0, 900), START));
+    let first = slot_number(queue.submit(&request(2, 900), START));
+    let low = slot_number(queue.submit(&request(2, 900), START));
+    let high = slot_number(queue.submit(&request(0, 900), START));
     assert_eq!(queue.finish(first, at(50)), [SlotAction::Start(high)]);
     assert_eq!(queue.finish(high, at(150)), [SlotAction::Start(low)]);
 }
@@ -83,9 +84,9 @@
 #[test]
 fn finish_starts_requests_within_target_first() {
     let mut queue = SlotQueue::new(1, START);
-    let first = slot_number(queue.submit(request(1, 900), START));
-    let late = slot_number(queue.submit(request(1, 300), START));
-    let on_time = slot_number(queue.submit(request(1, 900), at(10)));
+    let first = slot_number(queue.submit(&request(1, 900), START));
+    let late = slot_number(queue.submit(&request(1, 300), START));
+    let on_time = slot_number(queue.submit(&request(1, 900), at(10)));
     assert_eq!(queue.finish(first, at(400)), [SlotAction::Start(on_time)]);
     assert_eq!(queue.finish(on_time, at(500)), [SlotAction::Start(late)]);
 }
@@ -98,10 +99,10 @@
     queue.set_slowdown(slowed_down(), START);
     let finish_in = ms(300);
     assert_eq!(
-        queue.submit(request(1, 0), START),
+        queue.submit(&request(1, 0), START),
         SlotDecision::Refuse { finish_in }
     );
-    let waiting = queue.submit(request(1, 500), START);
+    let waiting = queue.submit(&request(1, 500), START);
     assert!(matches!(waiting, SlotDecision::Wait(_)));
     let started = queue.set_slowdown(VmSlowdown::NONE, at(40));
     assert_eq!(started, [SlotAction::Start(slot_number(waiting))]);
@@ -115,7 +116,7 @@
         expected: ms(15),
         ..request(1, 80)
     };
-    assert!(matches!(queue.submit(short, START), SlotDecision::Run(_)));
+    assert!(matches!(queue.submit(&short, START), SlotDecision::Run(_)));
 }
 
 /// Failure: short requests are refused although they would finish in time. All slots of a slowed-down VM are occupied, and a
@@ -124,21 +125,24 @@
 #[test]
 fn submit_short_request_waits_for_slot_during_slowdown() {
     let mut queue = SlotQueue::new(1, START);
-    slot_number(queue.submit(request(1, 500), START));
+    slot_number(queue.submit(&request(1, 500), START));
     queue.set_slowdown(slowed_down(), at(50));
     let short = SlotRequest {
         expected: ms(15),
         time_left: ms(200),
         ..request(1, 150)
     };
-    assert!(matches!(queue.submit(short, at(50)), SlotDecision::Wait(_)));
+    assert!(matches!(
+        queue.submit(&short, at(50)),
+        SlotDecision::Wait(_)
+    ));
 }
 
 #[test]
 fn expire_request_beyond_deadline() {
     let mut queue = SlotQueue::new(1, START);
-    slot_number(queue.submit(request(1, 900), START));
-    let waiting = slot_number(queue.submit(request(1, 900), START));
+    slot_number(queue.submit(&request(1, 900), START));
+    let waiting = slot_number(queue.submit(&request(1, 900), START));
     assert_eq!(queue.next_expiry(START), Some(at(900)));
     assert_eq!(queue.expire(at(899)), []);
     assert_eq!(queue.expire(at(900)), [SlotAction::Expire(waiting)]);
@@ -147,8 +151,8 @@
 #[test]
 fn withdraw_removes_waiting_request() {
     let mut queue = SlotQueue::new(1, START);
-    let first = slot_number(queue.submit(request(1, 900), START));
-    let waiting = slot_number(queue.submit(request(1, 900), START));
+    let first = slot_number(queue.submit(&request(1, 900), START));
+    let waiting = slot_number(queue.submit(&request(1, 900), START));
     assert!(queue.withdraw(waiting));
     assert!(!queue.withdraw(waiting));
     assert_eq!(queue.finish(first, at(10)), []);
@@ -209,7 +213,7 @@
 ) -> Vec<SlotAction> {
     match step % 5 {
         0 | 1 => {
-            match queue.submit(request(choice % 3, u64::from(choice) * 4), now) {
+            match queue.submit(&request(u16::from(choice % 3), u64::from(choice) * 4), now) {
                 SlotDecision::Run(number) => {
                     model.running.insert(number.0);
                 }
--- a/tests/integration/table_change.rs
+++ b/tests/integration/table_change.rs
@@ -54,6 +54,7 @@
             routes: routes.collect(),
             services: (0..self.services % 4).map(build_service).collect(),
             limits: ClientLimits::default(),
+            organisations: None,
         };
         let mut table = base.clone();
         table.version = ConfigurationVersion(8);
@@ -100,6 +101,7 @@
         priority: generated.settings / 16 % 2,
         max_attempts: u16::from(generated.settings / 32 % 2),
         services,
+        is_public: false,
     }
 }
 
@@ -301,6 +303,7 @@
             service: service_name(0),
             weight: 1,
         }],
+        is_public: false,
     }
 }
 
@@ -311,6 +314,7 @@
         routes: (0..version).map(numbered_route).map(Rc::new).collect(),
         services: vec![build_service(0)],
         limits: ClientLimits::default(),
+        organisations: None,
     }
 }
 
--- a/tests/integration/table_spreading/tables.rs
+++ b/tests/integration/table_spreading/tables.rs
@@ -20,6 +20,7 @@
         routes: routes.collect(),
         services: (0..services).map(build_service).collect(),
         limits: ClientLimits::default(),
+        organisations: None,
     }
 }
 
@@ -49,6 +50,7 @@
             service: service_name(service),
             weight: 1,
         }],
+        is_public: false,
     }
 }
 
