Quotas: a keeper is confirmed by the other candidates; property test in time order

Change: after a restart or a time without contact the first keeper tells the other candidates, which grant no more; a keeper that hears no other node for 300 ms grants no credit; entry nodes note answers of preceding keepers.

--- a/src/coordination/quota_keeper.rs
+++ b/src/coordination/quota_keeper.rs
@@ -21,8 +21,8 @@
 pub const KEEPER_CANDIDATES: usize = 4;
 /// Seed of the hash that ranks the keepers. Any value works, as long as all nodes use the same.
 const RANK_SEED: u64 = 1;
-/// How long a former keeper may still grant credit: the longest backoff after which nodes try it again, and a margin.
-const HANDOVER_TIME: Duration = Duration::from_millis(1_200);
+/// How long a former keeper that can't be reached may still grant credit, until it notices that it is cut off, with a margin.
+const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// A bucket that no node has asked for this time may have been kept by another node meanwhile.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(1);
 /// Share of the tolerated excess that a keeper grants at once while another node may grant credit as well.
@@ -122,7 +122,7 @@
             .entry(organisation.clone())
             .or_insert_with(|| TokenBucket::open(quota, tenure, settings, now));
         let is_idle = now.since(bucket.refilled) > MAX_IDLE_TIME;
-        if is_idle && tenure == KeeperTenure::Recent {
+        if is_idle && !bucket.is_sole && tenure == KeeperTenure::Recent {
             bucket.begin_handover(now);
         }
         bucket.set_quota(quota);
@@ -130,6 +130,51 @@
         bucket.take(demand, now)
     }
 
+    /// Whether the other candidates have to be told that this node keeps the quota: one of them may have kept it since `gap`, the end
+    /// of the last period without contact. What another one granted more than a window ago doesn't matter.
+    #[must_use]
+    pub fn needs_confirmation(
+        &self,
+        organisation: &OrganisationName,
+        gap: Timestamp,
+        settings: &QuotaSettings,
+        now: Timestamp,
+    ) -> bool {
+        match self.buckets.get(organisation) {
+            Some(bucket) => bucket.confirmed < gap,
+            None => now.since(gap) <= settings.window,
+        }
+    }
+
+    /// Records that all other candidates that can be reached know that this node keeps the quota, and grant no credit any more.
+    /// `tenure` is `Recent` if one of them has granted credit within the last window, or if this node has been restarted.
+    pub fn confirm(
+        &mut self,
+        organisation: &OrganisationName,
+        quota: Quota,
+        tenure: KeeperTenure,
+        settings: &QuotaSettings,
+        now: Timestamp,
+    ) {
+        let bucket = self
+            .buckets
+            .entry(organisation.clone())
+            .or_insert_with(|| TokenBucket::open(quota, tenure, settings, now));
+        bucket.confirm(tenure, settings, now);
+    }
+
+    /// Whether this node has granted credit of an organisation within a period until now.
+    #[must_use]
+    pub fn has_granted(
+        &self,
+        organisation: &OrganisationName,
+        period: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let bucket = self.buckets.get(organisation);
+        bucket.is_some_and(|bucket| now.since(bucket.refilled) <= period)
+    }
+
     /// Records that another node, which precedes this one as keeper of an organisation's quota, grants credit.
     pub fn record_other_keeper(&mut self, organisation: &OrganisationName, now: Timestamp) {
         if let Some(bucket) = self.buckets.get_mut(organisation) {
@@ -158,6 +203,10 @@
     refilled: Timestamp,
     /// Until when another keeper may grant credit as well.
     handover_until: Timestamp,
+    /// Whether all other candidates that can be reached know that this node keeps the quota.
+    is_sole: bool,
+    /// When they were told.
+    confirmed: Timestamp,
     /// Time for which the refused client that returns last was told to return.
     last_return: Timestamp,
 }
@@ -169,6 +218,8 @@
             tokens: 0.0,
             refilled: now,
             handover_until: now,
+            is_sole: false,
+            confirmed: now,
             last_return: now,
         };
         bucket.tokens = match tenure {
@@ -184,6 +235,18 @@
     /// From now on, another keeper may grant credit as well.
     fn begin_handover(&mut self, now: Timestamp) {
         self.handover_until = now + HANDOVER_TIME;
+        self.is_sole = false;
+    }
+
+    /// From now on, no other keeper grants credit. What another one has granted within the window is missing here.
+    fn confirm(&mut self, tenure: KeeperTenure, settings: &QuotaSettings, now: Timestamp) {
+        if tenure == KeeperTenure::Recent {
+            self.tokens = self.tokens.min(self.handover_capacity(settings));
+            self.refilled = now;
+        }
+        self.handover_until = now;
+        self.is_sole = true;
+        self.confirmed = now;
     }
 
     /// Replaces the quota. Tokens above a lowered burst are lost.
@@ -214,6 +277,7 @@
         let added = handover_rate * handover_time.as_secs_f64() + rate * sole_time.as_secs_f64();
         let capacity = match tenure {
             KeeperTenure::Established => self.capacity(),
+            KeeperTenure::Recent if self.is_sole => self.capacity(),
             KeeperTenure::Recent => self.handover_capacity(settings),
         };
         self.tokens = (self.tokens + added).min(capacity);
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -320,6 +320,12 @@
     /// Asks the receiver, which keeps the quota of an organisation, for credit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub credit_request: Option<CreditRequest>,
+    /// Tells the receiver that the sender keeps the quota of this organisation from now on.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota_taken: Option<OrganisationName>,
+    /// Answer to `quota_taken`: whether the receiver has granted credit of the organisation within the last window.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota_was_kept: Option<bool>,
     /// Answer to `credit_request`; absent if the receiver can't tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub credit_grant: Option<CreditGrant>,
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -14,6 +14,7 @@
         timestamp::Timestamp,
     },
 };
+use futures::future::join_all;
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -26,6 +27,9 @@
 const ASKING_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time without a message of another node after which a keeper takes itself to be cut off.
 const MAX_PEER_SILENCE: Duration = Duration::from_millis(300);
+/// Number of times that a keeper tells another candidate, and how long it waits for the answer each time.
+const ANNOUNCEMENTS: usize = 2;
+const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(50);
 /// Time for which a node asks no keeper after it could reach none.
 const CUT_OFF_PAUSE: Duration = Duration::from_millis(300);
 
@@ -36,8 +40,10 @@
     credits: RefCell<QuotaCredits>,
     /// Until when no keeper is asked.
     cut_off_until: Cell<Timestamp>,
-    /// Last time at which another node was heard.
-    last_peer_contact: Cell<Timestamp>,
+    /// Last time at which another node was heard; none before the first time.
+    last_peer_contact: Cell<Option<Timestamp>>,
+    /// End of the last period in which no other node was heard; none if there was none after the first contact.
+    contact_since: Cell<Option<Timestamp>>,
 }
 
 impl Quotas {
@@ -133,10 +139,8 @@
 ) -> Option<(CreditGrant, SocketAddr)> {
     for keeper in list_keepers(core, &organisation.name) {
         if keeper == core.settings.peer_address {
-            if is_silent(core) && !hears_other_node(core, &organisation.name).await {
-                return None;
-            }
-            return Some((grant_locally(core, organisation, quota, demand), keeper));
+            let grant = grant_confirmed(core, organisation, quota, demand).await?;
+            return Some((grant, keeper));
         }
         let request = CreditRequest {
             organisation: organisation.name.clone(),
@@ -145,6 +149,7 @@
             is_forwarded: false,
         };
         if let Some(grant) = ask_keeper(core, keeper, request).await {
+            record_other_keeper(core, &organisation.name);
             return Some((grant, keeper));
         }
     }
@@ -202,7 +207,10 @@
 pub fn record_peer_contact(core: &ProxyCore) {
     let now = core.timers.now();
     core.last_contact.set(now);
-    core.quotas.last_peer_contact.set(now);
+    let previous = core.quotas.last_peer_contact.replace(Some(now));
+    if previous.is_some_and(|previous| now.since(previous) > MAX_PEER_SILENCE) {
+        core.quotas.contact_since.set(Some(now));
+    }
 }
 
 /// Whether no other node was heard lately, although some are known. The nodes on the other side of a partition have a keeper of
@@ -214,33 +222,27 @@
         .nodes
         .keys()
         .any(|address| *address != own_address);
-    let silence = core.timers.now().since(core.quotas.last_peer_contact.get());
+    let last_contact = core.quotas.last_peer_contact.get();
+    let silence = core
+        .timers
+        .now()
+        .since(last_contact.unwrap_or(core.started));
     knows_others && silence > MAX_PEER_SILENCE
 }
 
-/// Asks the next keepers of an organisation for an answer, until one gives it. In a mesh without other traffic, a keeper hears from no
-/// node unless it asks.
-async fn hears_other_node(core: &ProxyCore, organisation: &OrganisationName) -> bool {
-    let own_address = core.settings.peer_address;
-    for keeper in list_keepers(core, organisation) {
-        if keeper == own_address || !is_reachable(core, keeper) {
-            continue;
-        }
-        let message = StateMessage::default();
-        if exchange_state(core, keeper, &message).await.is_some() {
-            record_peer_contact(core);
-            return true;
-        }
-    }
-    false
-}
-
 fn is_reachable(core: &ProxyCore, address: SocketAddr) -> bool {
     let directory = core.directory.borrow();
     let node = directory.nodes.get(&address);
     node.is_some_and(|node| node.backoff_until <= core.timers.now())
 }
 
+/// Records that a node which precedes this one as keeper has granted or refused credit.
+fn record_other_keeper(core: &ProxyCore, organisation: &OrganisationName) {
+    let now = core.timers.now();
+    let mut keeper = core.quotas.keeper.borrow_mut();
+    keeper.record_other_keeper(organisation, now);
+}
+
 /// The nodes that may keep the quota of an organisation, by rank. Nodes whose upstream is leaving end soon.
 fn list_keepers(core: &ProxyCore, organisation: &OrganisationName) -> Vec<SocketAddr> {
     let directory = core.directory.borrow();
@@ -289,7 +291,7 @@
         wanted: request.wanted,
         is_late: request.is_late,
     };
-    Some(grant_locally(core, &organisation, quota, demand))
+    grant_confirmed(core, &organisation, quota, demand).await
 }
 
 /// Forwards a request to the nodes that precede this one as keepers, for a sender that doesn't know or can't reach them. Two nodes
@@ -306,9 +308,7 @@
             ..request.clone()
         };
         if let Some(grant) = ask_keeper(core, keeper, forwarded).await {
-            let now = core.timers.now();
-            let mut kept = core.quotas.keeper.borrow_mut();
-            kept.record_other_keeper(&request.organisation, now);
+            record_other_keeper(core, &request.organisation);
             return Some(grant);
         }
     }
@@ -320,39 +320,146 @@
     routes.organisations()?.find_by_name(name).cloned()
 }
 
+/// Grants credit as the keeper; `None` if this node is cut off.
+async fn grant_confirmed(
+    core: &ProxyCore,
+    organisation: &Organisation,
+    quota: Quota,
+    demand: CreditDemand,
+) -> Option<CreditGrant> {
+    let rank = find_own_rank(core, &organisation.name);
+    let needs_confirmation =
+        is_silent(core) || rank == Some(0) && is_unconfirmed(core, organisation);
+    if needs_confirmation && !confirm_keeper(core, organisation, quota, rank).await {
+        return None;
+    }
+    Some(grant_locally(core, organisation, quota, demand, rank))
+}
+
+/// Whether another node may have kept the quota of an organisation since this node was started or cut off.
+fn is_unconfirmed(core: &ProxyCore, organisation: &Organisation) -> bool {
+    let restarted = (!core.settings.first_start).then_some(core.started);
+    let Some(gap) = restarted.max(core.quotas.contact_since.get()) else {
+        return false;
+    };
+    let (limits, now) = (core.limits(), core.timers.now());
+    let keeper = core.quotas.keeper.borrow();
+    keeper.needs_confirmation(&organisation.name, gap, &limits.quota, now)
+}
+
 fn grant_locally(
     core: &ProxyCore,
     organisation: &Organisation,
     quota: Quota,
     demand: CreditDemand,
+    rank: Option<usize>,
 ) -> CreditGrant {
     let (limits, now) = (core.limits(), core.timers.now());
-    let tenure = find_tenure(core, &organisation.name, now);
+    let tenure = find_tenure(core, rank, now);
     let mut keeper = core.quotas.keeper.borrow_mut();
     let kept_before = keeper.len();
-    let grant = keeper.grant(
-        &organisation.name,
-        quota,
-        demand,
-        tenure,
-        &limits.quota,
-        now,
-    );
+    let name = &organisation.name;
+    let grant = keeper.grant(name, quota, demand, tenure, &limits.quota, now);
     if keeper.len() > kept_before {
-        core.log(&ProxyEvent::QuotaKept {
-            organisation: organisation.name.clone(),
-            recent: tenure == KeeperTenure::Recent,
-        });
+        log_kept(core, name, tenure);
     }
     grant
 }
 
+fn log_kept(core: &ProxyCore, organisation: &OrganisationName, tenure: KeeperTenure) {
+    core.log(&ProxyEvent::QuotaKept {
+        organisation: organisation.clone(),
+        recent: tenure == KeeperTenure::Recent,
+    });
+}
+
+/// Tells the other candidates that this node keeps the quota of an organisation; false if this node is cut off. The node may have
+/// been restarted or cut off, and one of them may have kept the quota meanwhile. A candidate that doesn't answer has ended, or is
+/// cut off and grants no credit.
+async fn confirm_keeper(
+    core: &ProxyCore,
+    organisation: &Organisation,
+    quota: Quota,
+    rank: Option<usize>,
+) -> bool {
+    let own_address = core.settings.peer_address;
+    let mut others = list_keepers(core, &organisation.name);
+    others.retain(|keeper| *keeper != own_address);
+    let message = StateMessage {
+        quota_taken: (rank == Some(0)).then(|| organisation.name.clone()),
+        sender: Some(own_address),
+        ..StateMessage::default()
+    };
+    let told = others
+        .iter()
+        .map(|keeper| announce_keeper(core, *keeper, &message));
+    let answers = join_all(told).await;
+    if is_silent(core) {
+        return false;
+    }
+    let (limits, now) = (core.limits(), core.timers.now());
+    let tenure = if answers.contains(&Some(true)) {
+        KeeperTenure::Recent
+    } else {
+        find_tenure(core, rank, now)
+    };
+    if rank == Some(0) {
+        let mut keeper = core.quotas.keeper.borrow_mut();
+        keeper.confirm(&organisation.name, quota, tenure, &limits.quota, now);
+        log_kept(core, &organisation.name, tenure);
+    }
+    true
+}
+
+/// Sends the message of a keeper, twice if it isn't answered soon. Returns whether the other node has granted credit within the last
+/// window; `None` without an answer.
+async fn announce_keeper(core: &ProxyCore, to: SocketAddr, message: &StateMessage) -> Option<bool> {
+    for _ in 0..ANNOUNCEMENTS {
+        let timeout = core.timers.after(ANNOUNCEMENT_TIMEOUT);
+        let answer = tokio::select! {
+            answer = exchange_state(core, to, message) => answer,
+            _ = timeout.recv_async() => None,
+        };
+        if let Some((answer, _)) = answer {
+            record_peer_contact(core);
+            return answer.quota_was_kept;
+        }
+    }
+    None
+}
+
+/// Leaves the quota of an organisation to a node that precedes this one as keeper, and answers whether this node has granted credit
+/// of it within the last window.
+pub fn hand_over_quota(
+    core: &ProxyCore,
+    organisation: &OrganisationName,
+    to: Option<SocketAddr>,
+) -> bool {
+    record_peer_contact(core);
+    let now = core.timers.now();
+    let mut directory = core.directory.borrow_mut();
+    if let Some(node) = to.and_then(|to| directory.nodes.get_mut(&to)) {
+        node.reset_backoff();
+    }
+    drop(directory);
+    let mut keeper = core.quotas.keeper.borrow_mut();
+    let was_kept = keeper.has_granted(organisation, core.limits().quota.window, now);
+    keeper.record_other_keeper(organisation, now);
+    was_kept
+}
+
+/// Rank of this node among the keepers of an organisation's quota; `None` if it is none of them.
+fn find_own_rank(core: &ProxyCore, organisation: &OrganisationName) -> Option<usize> {
+    let own_address = core.settings.peer_address;
+    let keepers = list_keepers(core, organisation);
+    keepers.iter().position(|keeper| *keeper == own_address)
+}
+
 /// Whether another node may have granted credit of the organisation within the last window. None has if this node ranks first and
 /// has run for so long, or if the whole mesh has just started for the first time.
-fn find_tenure(core: &ProxyCore, organisation: &OrganisationName, now: Timestamp) -> KeeperTenure {
-    let ranks_first = list_keepers(core, organisation).first() == Some(&core.settings.peer_address);
+fn find_tenure(core: &ProxyCore, rank: Option<usize>, now: Timestamp) -> KeeperTenure {
     let has_run_long = now.since(core.started) > core.limits().quota.window;
-    if ranks_first && (has_run_long || core.settings.first_start) {
+    if rank == Some(0) && (has_run_long || core.settings.first_start) {
         KeeperTenure::Established
     } else {
         KeeperTenure::Recent
--- a/tests/integration/quota_mesh.rs
+++ b/tests/integration/quota_mesh.rs
@@ -28,6 +28,8 @@
 const TIMEOUT_MICROS: u64 = 120_000;
 /// Time without a message of another node after which a node takes itself to be cut off.
 const MAX_PEER_SILENCE_MICROS: u64 = 300_000;
+/// Length of a run.
+const RUN_SECONDS: u32 = 14;
 const SECOND_MICROS: u64 = 1_000_000;
 
 /// What is drawn for one run.
@@ -76,7 +78,40 @@
     }
 }
 
+/// A request that waits for credit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Ask {
+    entry: usize,
+    wanted: u32,
+    /// Rank of the keeper that is asked.
+    rank: usize,
+    /// Rank of the keeper to which the asked one forwards.
+    forward_rank: usize,
+}
+
+/// What happens next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Kill,
+    /// A request arrives at a node.
+    Arrive(usize),
+    /// The message arrives at the keeper.
+    AtKeeper(Ask),
+    /// The forwarded message arrives at the keeper that precedes.
+    AtPreceding(Ask),
+    /// The answer arrives at the keeper that forwarded.
+    Forwarded(Ask, u32),
+    /// The answer arrives at the entry node.
+    Answer(Ask, u32),
+    /// The entry node gives up waiting for the keeper.
+    AskTimeout(Ask),
+    /// The keeper that forwarded gives up waiting.
+    ForwardTimeout(Ask),
+}
+
 struct Mesh {
+    events: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    next_number: u64,
     plan: Plan,
     rng: StdRng,
     nodes: Vec<Node>,
@@ -101,6 +136,8 @@
             (0..count).map(|number| (address(number), number)).collect();
         let ranked = find_keepers(&organisation(), by_address.keys().copied());
         Self {
+            events: BinaryHeap::new(),
+            next_number: 0,
             plan,
             rng: StdRng::seed_from_u64(plan.seed),
             nodes: (0..count).map(|_| Node::new(0, true)).collect(),
@@ -121,8 +158,88 @@
         self.rng.random_range(100..=self.plan.delay_micros.max(101))
     }
 
-    /// Handles a request that arrives at a node; records whether and when it is sent to an upstream.
-    fn handle(&mut self, entry: usize, now: u64) {
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.next_number += 1;
+        self.events.push(Reverse((at, self.next_number, event)));
+    }
+
+    fn handle(&mut self, event: Event, now: u64) {
+        match event {
+            Event::Kill => self.kill_first_keeper(now),
+            Event::Arrive(entry) => self.arrive(entry, now),
+            Event::AtKeeper(ask) => self.answer(ask, now),
+            Event::AtPreceding(ask) => {
+                let credits = self
+                    .grant(self.keepers[ask.forward_rank], ask.wanted, now)
+                    .credits;
+                self.reply(
+                    Event::Forwarded(ask, credits),
+                    Event::ForwardTimeout(ask),
+                    now,
+                );
+            }
+            Event::Forwarded(ask, credits) => {
+                let keeper = self.keepers[ask.rank];
+                let kept = &mut self.nodes[keeper].keeper;
+                kept.record_other_keeper(&organisation(), Timestamp(now));
+                self.reply(Event::Answer(ask, credits), Event::AskTimeout(ask), now);
+            }
+            Event::Answer(ask, credits) => {
+                let kept = &mut self.nodes[ask.entry].keeper;
+                kept.record_other_keeper(&organisation(), Timestamp(now));
+                self.apply(ask.entry, credits, now);
+            }
+            Event::AskTimeout(ask) => {
+                let keeper = self.keepers[ask.rank];
+                self.nodes[ask.entry]
+                    .backoff
+                    .insert(keeper, now + BACKOFF_MICROS);
+                self.ask_next(
+                    Ask {
+                        rank: ask.rank + 1,
+                        ..ask
+                    },
+                    now,
+                );
+            }
+            Event::ForwardTimeout(ask) => {
+                let (keeper, preceding) = (self.keepers[ask.rank], self.keepers[ask.forward_rank]);
+                self.nodes[keeper]
+                    .backoff
+                    .insert(preceding, now + BACKOFF_MICROS);
+                let forward_rank = ask.forward_rank + 1;
+                self.answer(
+                    Ask {
+                        forward_rank,
+                        ..ask
+                    },
+                    now,
+                );
+            }
+        }
+    }
+
+    /// Sends the answer, or lets the other side time out because the answer is lost.
+    fn reply(&mut self, answer: Event, timeout: Event, now: u64) {
+        if self.rng.random_bool(self.plan.loss) {
+            self.schedule(now + TIMEOUT_MICROS, timeout);
+        } else {
+            let delay = self.draw_delay();
+            self.schedule(now + delay, answer);
+        }
+    }
+
+    /// Sends a message from one node to another, or lets the sender time out.
+    fn send(&mut self, from: usize, to: usize, message: Event, timeout: Event, now: u64) {
+        if self.can_reach(from, to, now) {
+            let delay = self.draw_delay();
+            self.schedule(now + delay, message);
+        } else {
+            self.schedule(now + TIMEOUT_MICROS, timeout);
+        }
+    }
+
+    fn arrive(&mut self, entry: usize, now: u64) {
         if now < self.nodes[entry].down_until {
             return;
         }
@@ -130,89 +247,101 @@
             .credits
             .decide(&organisation(), Timestamp(now))
         {
-            CreditDecision::Spent => self.admit(now),
+            CreditDecision::Spent => self.admitted.push(now),
             CreditDecision::Refused { .. } => self.refused += 1,
-            CreditDecision::Ask { wanted } => self.ask(entry, wanted, now),
+            CreditDecision::Ask { wanted } => {
+                let ask = Ask {
+                    entry,
+                    wanted,
+                    rank: 0,
+                    forward_rank: 0,
+                };
+                self.ask_next(ask, now);
+            }
         }
     }
 
-    fn ask(&mut self, entry: usize, wanted: u32, arrived: u64) {
-        let mut now = arrived;
-        for keeper in self.keepers.clone() {
-            let grant = if keeper == entry && self.is_isolated(entry, now) {
+    fn ask_next(&mut self, ask: Ask, now: u64) {
+        let entry = ask.entry;
+        for rank in ask.rank..self.keepers.len() {
+            let keeper = self.keepers[rank];
+            if keeper == entry && self.is_isolated(entry, now) {
                 break;
-            } else if keeper == entry {
-                Some(self.grant(keeper, wanted, now))
-            } else {
-                self.send(entry, keeper, &mut now, |mesh, now| {
-                    mesh.answer(keeper, wanted, now)
-                })
-            };
-            let Some(grant) = grant else {
-                continue;
-            };
-            let credits = &mut self.nodes[entry].credits;
-            match credits.apply_grant(&organisation(), grant, Timestamp(now)) {
-                CreditDecision::Spent => self.admit(now),
-                _ => self.refused += 1,
             }
-            return;
+            if keeper == entry {
+                let grant = self.grant(keeper, ask.wanted, now);
+                return self.apply(entry, grant.credits, now);
+            }
+            if !self.is_backed_off(entry, keeper, now) {
+                let ask = Ask {
+                    rank,
+                    forward_rank: 0,
+                    ..ask
+                };
+                return self.send(
+                    entry,
+                    keeper,
+                    Event::AtKeeper(ask),
+                    Event::AskTimeout(ask),
+                    now,
+                );
+            }
         }
         let (quota, nodes) = (self.quota(), self.nodes.len());
         let credits = &mut self.nodes[entry].credits;
-        let now_at = Timestamp(now);
-        if credits.spend_unconfirmed(&organisation(), &quota, nodes, &SETTINGS, now_at) {
-            self.admit(now);
+        let at = Timestamp(now);
+        if credits.spend_unconfirmed(&organisation(), &quota, nodes, &SETTINGS, at) {
+            self.admitted.push(now);
         } else {
             self.refused += 1;
         }
     }
 
-    /// Sends a request to a keeper and advances `now` to the time of its answer. `None` if it isn't asked or doesn't answer.
-    fn send(
-        &mut self,
-        from: usize,
-        to: usize,
-        now: &mut u64,
-        answer: impl FnOnce(&mut Self, &mut u64) -> CreditGrant,
-    ) -> Option<CreditGrant> {
-        if *now
-            < self.nodes[from]
-                .backoff
-                .get(&to)
-                .copied()
-                .unwrap_or_default()
-        {
-            return None;
+    /// A node that is asked for credit forwards the request to a keeper that precedes it, or grants credit.
+    fn answer(&mut self, ask: Ask, now: u64) {
+        let keeper = self.keepers[ask.rank];
+        if now < self.nodes[keeper].down_until {
+            return self.schedule(now + TIMEOUT_MICROS, Event::AskTimeout(ask));
         }
-        let mut grant = None;
-        if self.can_reach(from, to, *now) {
-            *now += self.draw_delay();
-            grant = Some(answer(self, now));
-            *now += self.draw_delay();
-        }
-        if grant.is_none() || self.rng.random_bool(self.plan.loss) {
-            *now += TIMEOUT_MICROS;
-            self.nodes[from].backoff.insert(to, *now + BACKOFF_MICROS);
-            return None;
+        for forward_rank in ask.forward_rank..ask.rank {
+            let preceding = self.keepers[forward_rank];
+            if !self.is_backed_off(keeper, preceding, now) {
+                let ask = Ask {
+                    forward_rank,
+                    ..ask
+                };
+                let (message, timeout) = (Event::AtPreceding(ask), Event::ForwardTimeout(ask));
+                return self.send(keeper, preceding, message, timeout, now);
+            }
         }
-        grant
+        let credits = self.grant(keeper, ask.wanted, now).credits;
+        self.reply(Event::Answer(ask, credits), Event::AskTimeout(ask), now);
     }
 
-    /// Answer of a node that is asked for credit. It forwards the request to a keeper that precedes it.
-    fn answer(&mut self, keeper: usize, wanted: u32, now: &mut u64) -> CreditGrant {
-        for preceding in self.keepers.clone() {
-            if preceding == keeper {
-                break;
-            }
-            let grant = |mesh: &mut Self, now: &mut u64| mesh.grant(preceding, wanted, *now);
-            if let Some(grant) = self.send(keeper, preceding, now, grant) {
-                let kept = &mut self.nodes[keeper].keeper;
-                kept.record_other_keeper(&organisation(), Timestamp(*now));
-                return grant;
-            }
+    fn apply(&mut self, entry: usize, credits: u32, now: u64) {
+        let grant = CreditGrant {
+            credits,
+            retry_after_ms: 100,
+        };
+        let account = &mut self.nodes[entry].credits;
+        match account.apply_grant(&organisation(), grant, Timestamp(now)) {
+            CreditDecision::Spent => self.admitted.push(now),
+            _ => self.refused += 1,
         }
-        self.grant(keeper, wanted, *now)
+    }
+
+    fn is_backed_off(&self, from: usize, to: usize, now: u64) -> bool {
+        let until = self.nodes[from].backoff.get(&to);
+        until.is_some_and(|until| now < *until)
+    }
+
+    fn kill_first_keeper(&mut self, now: u64) {
+        let back = now + self.rng.random_range(300_000..2 * SECOND_MICROS);
+        let first = self.keepers[0];
+        let cut_off = self.nodes[first].cut_off.clone();
+        self.nodes[first] = Node::new(back, false);
+        self.nodes[first].down_until = back;
+        self.nodes[first].cut_off = cut_off;
     }
 
     /// Whether a node has noticed that it is cut off.
@@ -236,60 +365,95 @@
         } else {
             KeeperTenure::Recent
         };
+        let healed = Some(node.cut_off.end).filter(|end| (1..=now).contains(end));
+        let restarted = (!node.first_start).then_some(node.started);
+        let gap = healed.max(restarted).map(Timestamp);
+        let is_unconfirmed = gap.is_some_and(|gap| {
+            let now = Timestamp(now);
+            node.keeper
+                .needs_confirmation(&organisation(), gap, &SETTINGS, now)
+        });
+        if ranks_first && is_unconfirmed {
+            self.confirm(keeper, tenure, now);
+        }
         let demand = CreditDemand {
             wanted,
             is_late: false,
         };
-        let now = Timestamp(now);
-        node.keeper
-            .grant(&organisation(), quota, demand, tenure, &SETTINGS, now)
+        let kept = &mut self.nodes[keeper].keeper;
+        kept.grant(
+            &organisation(),
+            quota,
+            demand,
+            tenure,
+            &SETTINGS,
+            Timestamp(now),
+        )
     }
 
-    fn admit(&mut self, now: u64) {
-        self.admitted.push(now);
+    /// Tells the other candidates that a node keeps the quota again.
+    fn confirm(&mut self, keeper: usize, tenure: KeeperTenure, now: u64) {
+        let mut tenure = tenure;
+        let at = Timestamp(now);
+        let others: Vec<usize> = self.keepers[1..].to_vec();
+        for other in others {
+            let loss = self.plan.loss;
+            let is_lost = (0..2).all(|_| self.rng.random_bool(loss));
+            if is_lost || !self.can_reach(keeper, other, now) {
+                continue;
+            }
+            let node = &mut self.nodes[other];
+            node.backoff.remove(&keeper);
+            if node
+                .keeper
+                .has_granted(&organisation(), SETTINGS.window, at)
+            {
+                tenure = KeeperTenure::Recent;
+            }
+            node.keeper.record_other_keeper(&organisation(), at);
+        }
+        let quota = self.quota();
+        let kept = &mut self.nodes[keeper].keeper;
+        kept.confirm(&organisation(), quota, tenure, &SETTINGS, at);
     }
 
-    fn run(&mut self) {
-        let mut events: BinaryHeap<Reverse<(u64, u32)>> = BinaryHeap::new();
-        let seconds = 14_u32;
-        let total = f64::from(self.plan.rate * seconds) * self.plan.load;
+    fn draw_events(&mut self) {
+        let total = f64::from(self.plan.rate * RUN_SECONDS) * self.plan.load;
         #[expect(
             clippy::cast_possible_truncation,
             clippy::cast_sign_loss,
             reason = "a small number"
         )]
         let total = total as u32;
+        let end = u64::from(RUN_SECONDS) * SECOND_MICROS;
         for number in 0..total {
             let in_burst = self.plan.burst && number % 3 == 0;
             let range = if in_burst {
                 6_000_000..6_100_000
             } else {
-                0..14_000_000
+                0..end
             };
-            events.push(Reverse((self.rng.random_range(range), number)));
+            let (at, entry) = (self.rng.random_range(range), self.draw_entry());
+            self.schedule(at, Event::Arrive(entry));
+        }
+        for _ in 0..self.plan.kills {
+            let at = self.rng.random_range(SECOND_MICROS..end);
+            self.schedule(at, Event::Kill);
         }
-        let kills: Vec<u64> = (0..self.plan.kills)
-            .map(|_| self.rng.random_range(1_000_000..12_000_000))
-            .collect();
         for number in 0..usize::from(self.plan.cut_off) {
-            let from = self.rng.random_range(1_000_000..10_000_000);
+            let from = self.rng.random_range(SECOND_MICROS..end);
             let node = number * 3 % self.nodes.len();
             self.nodes[node].cut_off = from..from + 3 * SECOND_MICROS;
         }
-        let mut pending_kills = kills;
-        while let Some(Reverse((now, _))) = events.pop() {
-            pending_kills.retain(|kill| {
-                let is_due = *kill <= now;
-                if is_due {
-                    let first = self.keepers[0];
-                    let back = kill + self.rng.random_range(300_000..2 * SECOND_MICROS);
-                    self.nodes[first] = Node::new(back, false);
-                    self.nodes[first].down_until = back;
-                }
-                !is_due
-            });
-            let entry = self.rng.random_range(0..self.nodes.len());
-            self.handle(entry, now);
+    }
+
+    fn draw_entry(&mut self) -> usize {
+        self.rng.random_range(0..self.nodes.len())
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((now, _, event))) = self.events.pop() {
+            self.handle(event, now);
         }
     }
 
@@ -337,6 +501,7 @@
         .with_test_time(Duration::from_mins(2))
         .for_each(|(seed, bytes)| {
             let mut mesh = Mesh::new(draw_plan(*seed, *bytes));
+            mesh.draw_events();
             mesh.run();
             mesh.assert_bound();
         });
@@ -360,9 +525,10 @@
             });
             let interval = SECOND_MICROS / u64::from(rate) + 1;
             for number in 0..u64::from(rate) * 20 {
-                let entry = mesh.rng.random_range(0..mesh.nodes.len());
-                mesh.handle(entry, number * interval);
+                let entry = mesh.draw_entry();
+                mesh.schedule(number * interval, Event::Arrive(entry));
             }
+            mesh.run();
             assert_eq!(mesh.refused, 0, "{nodes} nodes, {rate} a second");
             mesh.assert_bound();
         }
@@ -384,9 +550,10 @@
         burst: false,
     });
     for number in 0..150 {
-        let entry = mesh.rng.random_range(0..mesh.nodes.len());
-        mesh.handle(entry, 1_000_000 + number * 666);
+        let entry = mesh.draw_entry();
+        mesh.schedule(1_000_000 + number * 666, Event::Arrive(entry));
     }
+    mesh.run();
     mesh.assert_bound();
     assert!(
         (8..=12).contains(&mesh.admitted.len()),
