Metrics and contact for organisations; a restarted node probes its upstream again

- Counters of unauthorized requests and by organisation (ten largest and the rest), gauge of kept quotas.
- strict revocation: a node without contact for revoke_s asks other nodes, then refuses requests with a key.

--- a/src/commands/publish.rs
+++ b/src/commands/publish.rs
@@ -201,10 +201,18 @@
     }
 }
 
+/// Status of a node whose event loop did not answer the operators' interface in time. It may publish the configuration afterwards.
+const NODE_TIMEOUT_STATUS: u16 = 504;
+
 /// Converts an error to an outcome. A node that was reached but did not answer may have published the configuration.
-fn build_failure_outcome(problem: &OperatorClientError) -> PublicationOutcome {
+#[must_use]
+pub fn build_failure_outcome(problem: &OperatorClientError) -> PublicationOutcome {
     let reason = problem.to_string();
     match problem {
+        OperatorClientError::Refused {
+            status: NODE_TIMEOUT_STATUS,
+            ..
+        } => PublicationOutcome::Unknown { reason },
         OperatorClientError::Refused { .. } | OperatorClientError::NotSent(_) => {
             PublicationOutcome::NotStored { reason }
         }
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -398,7 +398,9 @@
             }
             "upstream_departed" => "learned that its upstream had departed",
             "upstream_replaced" => "found another incarnation in place of its upstream",
-            "upstream_announced" => "learned of a new incarnation of its upstream",
+            "upstream_announced" => {
+                "learned of a new incarnation of its upstream, or of another number of slots"
+            }
             "store_lost" => "lost its connection to the store",
             _ => return None,
         };
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -17,6 +17,7 @@
         evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
         executing::Slots,
+        mesh_contact::MeshContact,
         quotas::Quotas,
     },
     state::{
@@ -26,6 +27,7 @@
         crash_counts::CrashCounts,
         known_node::{NodeRecord, StoredRecord},
         names::{ClassName, ServiceName},
+        organisation_counts::CountsByOrganisation,
         quarantine::Quarantine,
         request_fingerprint::RequestFingerprint,
         routing_table::{RouteIndex, RoutingTable},
@@ -86,6 +88,8 @@
     pub started: Timestamp,
     /// How client requests ended, by class.
     pub class_counts: RefCell<BTreeMap<ClassName, ClassCounts>>,
+    /// Client requests by organisation.
+    pub organisation_counts: RefCell<CountsByOrganisation>,
     /// Moving average of the bytes of a request and its response, by class.
     pub class_bytes: RefCell<ClassBytes>,
     /// Whether a newer routing table is being fetched from other nodes.
@@ -102,8 +106,8 @@
     pub evacuations: EvacuationsInForce,
     /// Quotas of organisations.
     pub quotas: Quotas,
-    /// Last time at which another node or the store confirmed that this node is in touch with the mesh.
-    pub last_contact: Cell<Timestamp>,
+    /// Contact with other nodes and the store.
+    pub contact: MeshContact,
     /// Notified when a newer routing table is in force.
     pub table_applied: Notify,
     /// Until when this node reads the store in place of a node that can't reach it.
@@ -142,6 +146,7 @@
             log_writer: LineWriter::new(settings.name.clone(), settings.log, timers.now()),
             started: timers.now(),
             class_counts: RefCell::default(),
+            organisation_counts: RefCell::default(),
             class_bytes: RefCell::default(),
             limits: Cell::new(settings.limits),
             is_fetching_table: Cell::new(false),
@@ -151,7 +156,7 @@
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
             quotas: Quotas::default(),
-            last_contact: Cell::new(timers.now()),
+            contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
             substitute_reader_until: Cell::default(),
             crash_counts: RefCell::default(),
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -12,6 +12,8 @@
     pub answered: Cell<u64>,
     /// Client requests refused without having been executed.
     pub refused: Cell<u64>,
+    /// Client requests without a valid API key.
+    pub unauthorized: Cell<u64>,
     /// Client requests of which it is unknown whether they were executed.
     pub unknown: Cell<u64>,
     /// Requests executed at the local upstream.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -14,7 +14,7 @@
         core::{ProxyCore, increment},
         crash_detection::find_quarantine,
         entry::{
-            authentication::{KeyError, authenticate, remove_identity},
+            authentication::{authenticate, have_keys_expired, remove_identity},
             request_log_line::RequestLogLine,
             request_router::{ClientCall, RequestRouter},
             startup_wait::wait_during_startup,
@@ -191,18 +191,16 @@
     if is_configuration_overdue(core) {
         return RequestOutcome::Refused(RefusalReason::ConfigurationOverdue, NO_ROUTES_RETRY_AFTER);
     }
-    let organisation = match authenticate(core, &routes, &route, &req.headers) {
-        Ok(organisation) => organisation,
-        Err(KeyError::Rejected) => {
-            return refuse_unless_current(core, RequestOutcome::Unauthorized);
-        }
-        Err(KeyError::Expired) => {
-            return RequestOutcome::Refused(RefusalReason::KeysExpired, NO_ROUTES_RETRY_AFTER);
-        }
+    let Ok(organisation) = authenticate(core, &routes, &route, &req.headers) else {
+        increment(&core.counters.unauthorized);
+        return refuse_unless_current(core, RequestOutcome::Unauthorized);
     };
     let mut req = req;
     remove_identity(core, &routes, &mut req);
     drop(routes);
+    if organisation.is_some() && have_keys_expired(core).await {
+        return RequestOutcome::Refused(RefusalReason::KeysExpired, NO_ROUTES_RETRY_AFTER);
+    }
     let client_time_left = read_time_left(core, &req);
     let time_left =
         client_time_left.map_or(route.timeout, |time_left| time_left.min(route.timeout));
@@ -224,6 +222,9 @@
         let is_late = is_likely_late(&route, client_time_left);
         let credit = obtain_credit(core, organisation, is_late).await;
         line.record_organisation(&organisation.name, credit.keeper);
+        core.organisation_counts
+            .borrow_mut()
+            .count(&organisation.name, credit.refused.is_some());
         if let Some(retry_after) = credit.refused {
             return RequestOutcome::Refused(RefusalReason::QuotaExceeded, retry_after);
         }
--- a/src/proxy/entry/authentication.rs
+++ b/src/proxy/entry/authentication.rs
@@ -1,7 +1,7 @@
 //! Identifies the organisation that sent a request, by its API key.
 
 use crate::{
-    proxy::core::ProxyCore,
+    proxy::{core::ProxyCore, mesh_contact::ask_for_contact},
     state::{
         organisations::{KeyDigest, Organisation},
         routing_table::{Route, RouteIndex},
@@ -11,35 +11,27 @@
 use http::HeaderMap;
 use std::rc::Rc;
 
-/// Why a request isn't served by its key.
+/// The route needs a key, and the request has none, several, or one that no organisation holds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum KeyError {
-    /// The route needs a key, and the request has none, several, or one that no organisation holds.
-    Rejected,
-    /// This node has been cut off for too long to tell whether the key is still valid.
-    Expired,
-}
+pub struct KeyRejected;
 
 /// Finds the organisation that holds the key of a request. `None` if the request needs no key and has no valid one.
 ///
 /// # Errors
-/// If the route needs a key and the request isn't to be served by its key.
+/// If the route needs a key and the request has no valid one.
 pub fn authenticate(
     core: &ProxyCore,
     routes: &RouteIndex,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<Option<Rc<Organisation>>, KeyError> {
+) -> Result<Option<Rc<Organisation>>, KeyRejected> {
     let Some(organisations) = routes.organisations() else {
         return Ok(None);
     };
     let key = read_key(core, headers);
     let organisation = key.and_then(|key| organisations.find_by_key(&key));
     if organisation.is_none() && !route.is_public {
-        return Err(KeyError::Rejected);
-    }
-    if organisation.is_some() && have_keys_expired(core) {
-        return Err(KeyError::Expired);
+        return Err(KeyRejected);
     }
     Ok(organisation.cloned())
 }
@@ -52,10 +44,16 @@
     is_single.then(|| KeyDigest::of(key.as_bytes()))
 }
 
-/// Whether a node that must not serve by outdated keys has had no contact with the rest of the mesh for too long.
-fn have_keys_expired(core: &ProxyCore) -> bool {
-    let expiry = core.limits().key_expiry;
-    expiry.is_some_and(|expiry| core.timers.now().since(core.last_contact.get()) > expiry)
+/// Whether this node must not serve by its keys, since it can't tell whether they are current: it has been cut off for too long.
+pub async fn have_keys_expired(core: &ProxyCore) -> bool {
+    let Some(expiry) = core.limits().key_expiry else {
+        return false;
+    };
+    let is_expired = || core.timers.now().since(core.contact.last()) > expiry;
+    if is_expired() {
+        ask_for_contact(core).await;
+    }
+    is_expired()
 }
 
 /// Removes what identifies the sender: the key, which no other process may learn, and the name of an organisation, which the
--- a/src/proxy/executing/probes.rs
+++ b/src/proxy/executing/probes.rs
@@ -15,21 +15,33 @@
 
 /// Timeout of a probe. After a timeout the last reported slowdown of the upstream stays in use.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(30);
+/// Number of probes by which a node that was restarted verifies the stored record of its upstream, and the pause after each that
+/// isn't answered. An upstream that answers none announces itself within a second or two.
+const VERIFYING_PROBES: usize = 4;
+const VERIFYING_PAUSE: Duration = Duration::from_millis(50);
 /// A kept connection that has been idle for longer is not used for a probe.
 const IDLE_LIMIT: Duration = Duration::from_secs(2);
 /// Maximum body of a probe response, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// Whether the upstream answers a probe as the incarnation of the record and accepts requests (a success status).
+/// Whether the upstream answers a probe as the incarnation of the record and accepts requests (a success status). An upstream that
+/// doesn't answer is probed again: on a busy VM the answer to a single probe may come too late.
 pub async fn verify_incarnation(core: &Rc<ProxyCore>, record: &NodeRecord) -> bool {
     let Some(uri) = find_health_uri(core, &record.service) else {
         return false;
     };
-    let Ok(answer) = send_probe(core, uri, ConnectionReuse::Any).await else {
-        return false;
-    };
-    let is_same = read_instance(core, &answer)
-        .is_some_and(|reported| reported == record.incarnation.instance);
+    for _ in 0..VERIFYING_PROBES {
+        if let Ok(answer) = send_probe(core, uri.clone(), ConnectionReuse::Any).await {
+            return is_accepting(core, record, &answer);
+        }
+        let _ = core.timers.after(VERIFYING_PAUSE).recv_async().await;
+    }
+    false
+}
+
+fn is_accepting(core: &ProxyCore, record: &NodeRecord, answer: &Response<Bytes>) -> bool {
+    let is_same =
+        read_instance(core, answer).is_some_and(|reported| reported == record.incarnation.instance);
     is_same && answer.status().is_success()
 }
 
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -5,7 +5,7 @@
         core::ProxyCore,
         store_calls::{CallReason, StoreCall},
     },
-    state::class_counts::ClassCounts,
+    state::{class_counts::ClassCounts, organisation_counts::OrganisationCounts},
 };
 use prometheus_client::{
     collector::Collector,
@@ -35,8 +35,14 @@
     gauges: Vec<MetricValue>,
     classes: Vec<(String, ClassCounts)>,
     store_calls: Vec<(StoreCall, CallReason, u64)>,
+    organisations: Vec<(String, OrganisationCounts)>,
 }
 
+/// Number of organisations with metrics of their own.
+const LISTED_ORGANISATIONS: usize = 10;
+/// Label of the sum of all other organisations.
+const OTHER_ORGANISATIONS: &str = "";
+
 /// Renders the current metrics of a node as `OpenMetrics` text.
 #[must_use]
 pub fn render_metrics(core: &ProxyCore) -> String {
@@ -59,9 +65,24 @@
                 .map(|(class, counts)| (class.to_string(), *counts))
                 .collect(),
             store_calls: core.counters.store_calls.list(),
+            organisations: list_organisations(core),
         }
     }
 
+    fn encode_organisation_counter(
+        &self,
+        encoder: &mut DescriptorEncoder<'_>,
+        (name, help): (&str, &str),
+        read: impl Fn(&OrganisationCounts) -> u64,
+    ) -> Result<(), fmt::Error> {
+        let mut metric = encoder.encode_descriptor(name, help, None, MetricType::Counter)?;
+        for (organisation, counts) in &self.organisations {
+            let labels = [("organisation", organisation.as_str())];
+            ConstCounter::new(read(counts)).encode(metric.encode_family(&labels)?)?;
+        }
+        Ok(())
+    }
+
     fn encode_class_counter(
         &self,
         encoder: &mut DescriptorEncoder<'_>,
@@ -122,11 +143,32 @@
         self.encode_class_counter(encoder, requests, |counts| counts.requests)?;
         let on_target = ("class_on_target", "Of these, answered within the target");
         self.encode_class_counter(encoder, on_target, |counts| counts.on_target)?;
+        let requests = (
+            "organisation_requests",
+            "Requests of an organisation with a valid key",
+        );
+        self.encode_organisation_counter(encoder, requests, |counts| counts.requests)?;
+        let over_quota = (
+            "organisation_over_quota",
+            "Of these, refused because the quota was used up",
+        );
+        self.encode_organisation_counter(encoder, over_quota, |counts| counts.over_quota)?;
         self.encode_store_calls(encoder)?;
         self.encode_latency(encoder)
     }
 }
 
+/// The largest organisations, and the sum of the others if there are any.
+fn list_organisations(core: &ProxyCore) -> Vec<(String, OrganisationCounts)> {
+    let counts = core.organisation_counts.borrow();
+    let (largest, others) = counts.list_largest(LISTED_ORGANISATIONS);
+    let largest = largest
+        .into_iter()
+        .map(|(name, counts)| (name.to_string(), counts));
+    let others = (others.requests > 0).then(|| (OTHER_ORGANISATIONS.to_owned(), others));
+    largest.chain(others).collect()
+}
+
 fn read_counters(core: &ProxyCore) -> Vec<MetricValue> {
     let counters = &core.counters;
     let metric = |name, help, value| MetricValue { name, help, value };
@@ -147,6 +189,11 @@
             "Of these, ended without it being known whether they ran",
             counters.unknown.get(),
         ),
+        metric(
+            "unauthorized",
+            "Of the refused ones, those without a valid API key",
+            counters.unauthorized.get(),
+        ),
         metric(
             "executed",
             "Requests handed to the upstream beside the node",
@@ -212,6 +259,11 @@
             "Availability zones whose upstreams get no requests",
             u64::try_from(core.evacuations.zones().len()).unwrap_or(u64::MAX),
         ),
+        metric(
+            "quotas_kept",
+            "Organisations whose quota this node keeps or has kept",
+            u64::try_from(core.quotas.kept()).unwrap_or(u64::MAX),
+        ),
         metric("nodes", "Nodes known, this one included", nodes),
         metric(
             "version",
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -6,7 +6,12 @@
         quota_keeper::{CreditDemand, CreditGrant, KeeperTenure, QuotaKeeper, find_keepers},
     },
     protocol::hop::{CreditRequest, StateMessage},
-    proxy::{core::ProxyCore, events::ProxyEvent, state_messages::exchange_state},
+    proxy::{
+        core::ProxyCore,
+        events::ProxyEvent,
+        mesh_contact::{is_silent, record_peer_contact},
+        state_messages::exchange_state,
+    },
     state::{
         known_node::KnownNode,
         names::OrganisationName,
@@ -25,8 +30,6 @@
 /// Longest time that a request waits for the answers of keepers. It is much longer than a round trip between zones, and short enough
 /// that a request is still in time after one keeper didn't answer.
 const ASKING_TIMEOUT: Duration = Duration::from_millis(250);
-/// Time without a message of another node after which a keeper takes itself to be cut off.
-const MAX_PEER_SILENCE: Duration = Duration::from_millis(300);
 /// Number of times that a keeper tells another candidate, and how long it waits for the answer each time.
 const ANNOUNCEMENTS: usize = 2;
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_millis(50);
@@ -40,10 +43,6 @@
     credits: RefCell<QuotaCredits>,
     /// Until when no keeper is asked.
     cut_off_until: Cell<Timestamp>,
-    /// Last time at which another node was heard; none before the first time.
-    last_peer_contact: Cell<Option<Timestamp>>,
-    /// End of the last period in which no other node was heard; none if there was none after the first contact.
-    contact_since: Cell<Option<Timestamp>>,
 }
 
 impl Quotas {
@@ -195,41 +194,13 @@
         };
         if self.is_answered {
             node.reset_backoff();
-            drop(directory);
-            record_peer_contact(self.core);
+            self.core.contact.record_peer(now);
         } else {
             node.record_unreachable(now);
         }
     }
 }
 
-/// Records that another node was heard, and that this node is in touch with the mesh.
-pub fn record_peer_contact(core: &ProxyCore) {
-    let now = core.timers.now();
-    core.last_contact.set(now);
-    let previous = core.quotas.last_peer_contact.replace(Some(now));
-    if previous.is_some_and(|previous| now.since(previous) > MAX_PEER_SILENCE) {
-        core.quotas.contact_since.set(Some(now));
-    }
-}
-
-/// Whether no other node was heard lately, although some are known. The nodes on the other side of a partition have a keeper of
-/// their own.
-fn is_silent(core: &ProxyCore) -> bool {
-    let own_address = core.settings.peer_address;
-    let directory = core.directory.borrow();
-    let knows_others = directory
-        .nodes
-        .keys()
-        .any(|address| *address != own_address);
-    let last_contact = core.quotas.last_peer_contact.get();
-    let silence = core
-        .timers
-        .now()
-        .since(last_contact.unwrap_or(core.started));
-    knows_others && silence > MAX_PEER_SILENCE
-}
-
 fn is_reachable(core: &ProxyCore, address: SocketAddr) -> bool {
     let directory = core.directory.borrow();
     let node = directory.nodes.get(&address);
@@ -339,7 +310,7 @@
 /// Whether another node may have kept the quota of an organisation since this node was started or cut off.
 fn is_unconfirmed(core: &ProxyCore, organisation: &Organisation) -> bool {
     let restarted = (!core.settings.first_start).then_some(core.started);
-    let Some(gap) = restarted.max(core.quotas.contact_since.get()) else {
+    let Some(gap) = restarted.max(core.contact.since()) else {
         return false;
     };
     let (limits, now) = (core.limits(), core.timers.now());
--- a/src/proxy/store_sync/configuration.rs
+++ b/src/proxy/store_sync/configuration.rs
@@ -37,7 +37,7 @@
 
     pub(super) fn apply_configuration(&self, records: &RecordBatch, read: TopicRead) {
         let core = &self.core;
-        core.last_contact.set(core.timers.now());
+        core.contact.record_store(core.timers.now());
         // Evacuations are applied before tables, so that no request is sent on new routes to a zone that was evacuated earlier.
         let changes = self.decode_evacuations(records);
         let evacuation_read = match read {
--- a/src/proxy/table_fetching.rs
+++ b/src/proxy/table_fetching.rs
@@ -13,7 +13,7 @@
         directory::StateSource,
         evacuating::apply_peer_evacuations,
         events::{ProxyEvent, in_millis},
-        quotas::record_peer_contact,
+        mesh_contact::record_peer_contact,
         state_messages::exchange_state,
         table_offering::{forward_offer, offer_table},
     },
--- a/src/state.rs
+++ b/src/state.rs
@@ -12,6 +12,7 @@
 pub mod known_node;
 pub mod latency_histogram;
 pub mod names;
+pub mod organisation_counts;
 pub mod organisations;
 pub mod published;
 pub mod quarantine;
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -21,7 +21,6 @@
     request::Parts,
     uri::{Authority, PathAndQuery},
 };
-use http_body_util::Full;
 use hyper::{
     body::{Body, Incoming},
     server::conn::http1,
@@ -255,6 +254,3 @@
         tracing::trace!(%error, "caller connection ended");
     }
 }
-
-/// Body type of a [`CallerReply`].
-pub type ReplyBody = Full<Bytes>;
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -93,3 +93,28 @@
         assert!(text.contains(line), "{line} in\n{text}");
     }
 }
+
+/// Failure: hundreds of organisations make as many series of metrics.
+#[test]
+fn render_metrics_by_organisation() {
+    let core = start_core();
+    for number in 0..40_u32 {
+        let name = format!("organisation-{number:02}");
+        for _ in 0..=number {
+            let mut counts = core.organisation_counts.borrow_mut();
+            counts.count(&name.as_str().into(), number == 39);
+        }
+    }
+    let text = render_metrics(&core);
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("camphorturn_organisation_requests_total{"));
+    assert_eq!(lines.count(), 11);
+    for line in [
+        "camphorturn_organisation_requests_total{organisation=\"organisation-39\"} 40",
+        "camphorturn_organisation_over_quota_total{organisation=\"organisation-39\"} 40",
+        "camphorturn_organisation_requests_total{organisation=\"\"} 465",
+    ] {
+        assert!(text.contains(line), "{line} in\n{text}");
+    }
+}
--- a/tests/integration/operators.rs
+++ b/tests/integration/operators.rs
@@ -1,6 +1,7 @@
 //! Tests of the operators' HTTP server with a stub of the event loop.
 
 use camphorturn::{
+    commands::publish::build_failure_outcome,
     coordination::publishing::{PublicationOutcome, PublicationRequest},
     options::checked_file::check_configuration,
     protocol::operator_views::{
@@ -8,6 +9,7 @@
     },
     state::configuration::ConfigurationVersion,
     transport::operators::{
+        client::OperatorClientError,
         request::{EvacuationError, OperatorRequest},
         server::{OperatorServer, serve_operators},
     },
@@ -217,3 +219,16 @@
     drop(rx);
     assert_eq!(send_expecting_error(get(&server, "/health")).0, 503);
 }
+
+/// Failure: an operator is told that a publication was not stored, although the node publishes it after its answer was due.
+#[test]
+fn build_failure_outcome_node_timeout() {
+    let refused = |status| OperatorClientError::Refused {
+        status,
+        problem: String::new(),
+    };
+    let outcome = build_failure_outcome(&refused(504));
+    assert!(matches!(outcome, PublicationOutcome::Unknown { .. }));
+    let outcome = build_failure_outcome(&refused(400));
+    assert!(matches!(outcome, PublicationOutcome::NotStored { .. }));
+}
