Soak and dev mode: organisations, keys taken away, a quota that is exceeded

Soak: callers send keys of an organisation without a limit, of one that is asked for several times its quota, of one whose key changes with each configuration, and unknown ones. Checks from what upstreams see: the right organisation, no key, nothing without a valid key, the quota in each window, nothing after a revocation must be in force.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -1,6 +1,11 @@
 //! Callers on each VM: they keep connections open and send requests all the time, also while the node stops.
 
-use crate::{configurations::DrawnRequest, history::CallerRecord, mesh::SoakMesh};
+use crate::{
+    configurations::DrawnRequest,
+    history::CallerRecord,
+    mesh::SoakMesh,
+    organisations::{UNLIMITED, draw_key, mark_target},
+};
 use bytes::Bytes;
 use camphorturn::local_mesh::client::{CallFailure, CallerCall, CallerClient};
 use http::{HeaderMap, HeaderValue, Method, header::HOST};
@@ -23,14 +28,24 @@
 /// Sends random requests to one node until the mesh is finished. Node and caller number determine the requests together with
 /// the seed.
 pub async fn call_node(mesh: Rc<SoakMesh>, node: usize, caller: usize, seed: u64) {
-    let mut rng = StdRng::seed_from_u64(seed ^ ((node as u64) << 32) ^ caller as u64);
+    let seed = seed ^ ((node as u64) << 32) ^ caller as u64;
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut key_rng = StdRng::seed_from_u64(!seed);
     let client = CallerClient::new(mesh.vms[node].client_address());
     let mut number = 0;
     while !mesh.is_finished() {
         number += 1;
         let id = format!("{node}-{caller}-{number}");
-        let drawn = mesh.configurations.borrow().draw_request(&mut rng, &id);
-        let call = PreparedCall { node, id, drawn };
+        let mut drawn = mesh.configurations.borrow().draw_request(&mut rng, &id);
+        let newest_version = mesh.configurations.borrow().newest_version();
+        let key = draw_key(&mut key_rng, newest_version);
+        drawn.target = mark_target(&drawn.target, &key);
+        let call = PreparedCall {
+            node,
+            id,
+            key,
+            drawn,
+        };
         let record = call.send(&mesh, &client).await;
         let is_not_sent = record.answer == Err(CallFailure::NotSent);
         if !is_not_sent {
@@ -51,6 +66,7 @@
         let call = PreparedCall {
             node,
             id: format!("{}-{number}", target.trim_start_matches('/')),
+            key: UNLIMITED.to_owned(),
             drawn: DrawnRequest {
                 route_version: 0,
                 idempotent: true,
@@ -69,6 +85,8 @@
     node: usize,
     /// Request id.
     id: String,
+    /// API key.
+    key: String,
     drawn: DrawnRequest,
 }
 
@@ -101,6 +119,9 @@
         if let Ok(id) = HeaderValue::from_str(&self.id) {
             headers.insert("camphorturn-request-id", id);
         }
+        if let Ok(key) = HeaderValue::from_str(&self.key) {
+            headers.insert("api-key", key);
+        }
         let request_timeout = HeaderValue::from_static(REQUEST_TIMEOUT_MS);
         headers.insert("camphorturn-timeout-ms", request_timeout);
         CallerCall {
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,7 +1,8 @@
 //! Checks of the promises against what callers and upstreams observed. The names of promises are written out in reports.
 
 use crate::{
-    history::{Acknowledged, CallerRecord, History, UpdateOutage, UpstreamPeriod, Violation},
+    history::{Acknowledged, CallerRecord, History, UpstreamPeriod, Violation},
+    organisations::check_organisations,
     vm::{CRASHING_PREFIX, get_zone_number},
 };
 use camphorturn::local_mesh::client::CallFailure;
@@ -51,11 +52,7 @@
         let request_executions = by_target.get(request.target.as_str()).unwrap_or(&none);
         found.extend(check_request(request, request_executions));
         found.extend(check_planned_stop(request, request_executions, history));
-        found.extend(check_change_in_force(
-            request,
-            &changes,
-            &history.update_outages,
-        ));
+        found.extend(check_change_in_force(request, &changes, history));
     }
     found.extend(check_unrequested(history, executions));
     found.extend(check_drains(history, executions));
@@ -63,6 +60,7 @@
     found.extend(check_versions(history));
     found.extend(check_evacuations(history, executions));
     found.extend(check_warmups(history, executions));
+    found.extend(check_organisations(history, executions));
     found
 }
 
@@ -105,7 +103,7 @@
         }
         Ok((200, body)) if !body.contains(&request.target) => "an answer is the one to its request",
         Ok((404, _)) if request.route_version == 0 => "a route that is in force is never denied",
-        Ok((200 | 404 | 429 | 500 | 502 | 503 | 504, _)) | Err(_) => return None,
+        Ok((200 | 401 | 404 | 429 | 500 | 502 | 503 | 504, _)) | Err(_) => return None,
         Ok(_) => "an answer has an expected status",
     };
     Some(build_violation(promise, request, request_executions))
@@ -126,19 +124,14 @@
 fn check_change_in_force(
     request: &CallerRecord,
     changes: &HashMap<u64, Instant>,
-    update_outages: &[UpdateOutage],
+    history: &History,
 ) -> Option<Violation> {
     let acknowledged = *changes.get(&request.route_version)?;
     let due = acknowledged + IN_FORCE_LIMIT;
     if !matches!(request.answer, Ok((404, _))) || request.sent < due {
         return None;
     }
-    let delays_updates = |outage: &UpdateOutage| {
-        outage.node.is_none_or(|node| node == request.node)
-            && outage.from <= request.ended
-            && outage.to + IN_FORCE_LIMIT > request.sent
-    };
-    if update_outages.iter().any(delays_updates) {
+    if history.delays_updates(request, IN_FORCE_LIMIT) {
         return None;
     }
     let promise = "an acknowledged change is in force in time";
--- a/soak/src/configurations.rs
+++ b/soak/src/configurations.rs
@@ -1,5 +1,6 @@
 //! The configurations that the operator publishes. Each version keeps all routes of the one before and adds some.
 
+use crate::organisations::build_organisations;
 use rand::{Rng, RngExt};
 use serde_json::{Value, json};
 
@@ -82,6 +83,7 @@
                 "max_header_bytes": 16384, "max_body_bytes": 1_048_576, "header_timeout_s": 3,
                 "idle_timeout_s": 15,
             },
+            "tenants": build_organisations(self.newest_version()),
             "virtual_hosts": [{ "host": "shop.example", "paths": paths }],
         })
         .to_string()
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -2,7 +2,7 @@
 
 use camphorturn::local_mesh::client::CallFailure;
 use serde::Serialize;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// A request and its result, as its caller observed them.
 #[derive(Clone, Debug)]
@@ -120,3 +120,15 @@
     #[serde(rename = "seen")]
     pub observed: String,
 }
+
+impl History {
+    /// Whether a fault may have kept the node of a request from receiving changes until `limit` before it was sent.
+    #[must_use]
+    pub fn delays_updates(&self, request: &CallerRecord, limit: Duration) -> bool {
+        self.update_outages.iter().any(|outage| {
+            outage.node.is_none_or(|node| node == request.node)
+                && outage.from <= request.ended
+                && outage.to + limit > request.sent
+        })
+    }
+}
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod history;
 pub mod link;
 mod mesh;
+pub mod organisations;
 pub mod report;
 pub mod seed_run;
 mod serve;
--- a/soak/src/serve.rs
+++ b/soak/src/serve.rs
@@ -1,6 +1,6 @@
 //! Command `serve`: runs nodes without faults, to try requests by hand.
 
-use crate::{mesh::SoakMesh, seed_run::READY_TIMEOUT};
+use crate::{mesh::SoakMesh, organisations::UNLIMITED, seed_run::READY_TIMEOUT};
 use std::io;
 use tokio::signal::ctrl_c;
 
@@ -28,7 +28,7 @@
     if let Some(first) = mesh.vms.first() {
         println!(
             "\nSend a request:\n  curl -i -H 'Host: shop.example' -H 'Camphorturn-Request-Id: r1' \
-             http://{}/look/7",
+             -H 'Api-Key: {UNLIMITED}' http://{}/look/7",
             first.client_address()
         );
     }
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -6,6 +6,7 @@
     history::{
         Acknowledged, CallerRecord, Disturbance, Evacuation, History, UpdateOutage, UpstreamPeriod,
     },
+    organisations::check_organisations,
 };
 use camphorturn_stand_ins::upstream::ExecutedRequest;
 use std::time::{Duration, Instant};
@@ -35,6 +36,8 @@
         instance: "u1-1".to_owned(),
         incarnation_started_ms: 1,
         executed_at,
+        organisation: target.rsplit_once('~').map(|(_, name)| name.to_owned()),
+        has_key: false,
     }
 }
 
@@ -343,3 +346,49 @@
     assert!(check_crashing(30, Some(outage(Some(1)))).is_empty());
     assert_eq!(check_crashing(30, Some(outage(Some(2)))).len(), 1);
 }
+
+#[test]
+fn check_organisations_of_executions() {
+    let now = Instant::now();
+    let history = History::default();
+    let valid = executed("/look/1~unlimited", now);
+    assert_eq!(
+        check_organisations(&history, std::slice::from_ref(&valid)).len(),
+        0
+    );
+    let with_key = ExecutedRequest {
+        has_key: true,
+        ..valid.clone()
+    };
+    let foreign = ExecutedRequest {
+        organisation: Some("limited".to_owned()),
+        ..valid.clone()
+    };
+    let nameless = ExecutedRequest {
+        organisation: None,
+        ..valid
+    };
+    for broken in [
+        with_key,
+        foreign,
+        nameless,
+        executed("/look/1~unknown", now),
+    ] {
+        assert_eq!(check_organisations(&history, &[broken]).len(), 1);
+    }
+}
+
+#[test]
+fn check_organisations_quota() {
+    let now = Instant::now();
+    let history = History::default();
+    let execute = |count: u64, pause_ms: u64| -> Vec<ExecutedRequest> {
+        (0..count)
+            .map(|number| now + Duration::from_millis(number * pause_ms))
+            .map(|at| executed("/look/1~limited", at))
+            .collect()
+    };
+    assert_eq!(check_organisations(&history, &execute(152, 1)).len(), 0);
+    assert_eq!(check_organisations(&history, &execute(153, 1)).len(), 1);
+    assert_eq!(check_organisations(&history, &execute(400, 34)).len(), 0);
+}
--- a/src/commands/dev.rs
+++ b/src/commands/dev.rs
@@ -14,7 +14,7 @@
     options::exit_code::ExitCode,
 };
 use bpaf::Bpaf;
-use deployments::{build_booking_mesh_plan, build_call_kinds};
+use deployments::{LIMITED_PARTNER, ORDINARY_PARTNER, build_booking_mesh_plan, build_call_kinds};
 use report::DevReport;
 use signal_hook::{
     consts::{SIGINT, SIGTERM},
@@ -173,6 +173,17 @@
         out,
         "  curl -i -H 'Host: frontdesk.example' -d '{{\"slot\":7}}' http://{callers}/bookings/"
     )?;
+    writeln!(
+        out,
+        "To send a lookup of an organisation, and one of an organisation whose quota a single request uses up:"
+    )?;
+    for partner in [&ORDINARY_PARTNER, &LIMITED_PARTNER] {
+        writeln!(
+            out,
+            "  curl -i -H 'Host: frontdesk.example' -H 'X-Api-Key: {}' http://{callers}/slots/partners/",
+            partner.api_key
+        )?;
+    }
     let program = find_program_path();
     let access = format!("--node {operators} --token {LOCAL_TOKEN}");
     writeln!(out, "To inspect the nodes:")?;
--- a/src/commands/dev/deployments.rs
+++ b/src/commands/dev/deployments.rs
@@ -6,7 +6,7 @@
         plan::{MeshPlan, ServicePlan},
     },
     state::{
-        configuration::{ClassEntry, Configuration, ServiceEntry, ServiceShare},
+        configuration::{ClassEntry, Configuration, OrganisationEntry, ServiceEntry, ServiceShare},
         names::{AvailabilityZoneName, ClassName, ServiceName},
     },
 };
@@ -14,6 +14,25 @@
 use http::Method;
 use std::time::Duration;
 
+/// An organisation of dev mode, with its only key.
+pub struct SamplePartner {
+    /// Name of the organisation.
+    pub name: &'static str,
+    /// Its API key.
+    pub api_key: &'static str,
+}
+
+/// An organisation within its quota.
+pub const ORDINARY_PARTNER: SamplePartner = SamplePartner {
+    name: "prairie-clinics",
+    api_key: "dev-key-of-prairie-clinics",
+};
+/// An organisation whose quota is used up by its first request.
+pub const LIMITED_PARTNER: SamplePartner = SamplePartner {
+    name: "trial-account",
+    api_key: "dev-key-of-trial-account",
+};
+
 /// Number of slots of every upstream.
 const SLOTS_PER_UPSTREAM: u16 = 6;
 
@@ -77,8 +96,29 @@
             build_class("confirmation", "dock", "/confirmations/", 100, 0, false),
             build_class("tide", "dock", "/tides/", 25, 1, true),
             build_class("availability", "dock", "/berths/", 50, 2, true),
+            ClassEntry {
+                public: false,
+                ..build_class("partner", "frontdesk", "/slots/partners/", 50, 1, true)
+            },
         ],
-        organisations: None,
+        organisations: Some(vec![
+            build_organisation(&ORDINARY_PARTNER, 6_000, 100),
+            build_organisation(&LIMITED_PARTNER, 6, 1),
+        ]),
+    }
+}
+
+fn build_organisation(
+    partner: &SamplePartner,
+    requests_per_minute: u32,
+    burst: u32,
+) -> OrganisationEntry {
+    OrganisationEntry {
+        name: partner.name.into(),
+        api_keys: vec![partner.api_key.into()],
+        priority: 0,
+        requests_per_minute: Some(requests_per_minute),
+        burst,
     }
 }
 
@@ -103,11 +143,11 @@
         timeout_ms: 2_000,
         priority,
         max_attempts: 2,
-        public: false,
+        public: true,
     }
 }
 
-/// Builds a kind of call for every class. Idempotent calls are made four times as often as the others.
+/// Builds a kind of call for every class that needs no API key. Idempotent calls are made four times as often as the others.
 #[must_use]
 pub fn build_call_kinds(configuration: &Configuration) -> Vec<CallKind> {
     let build = |class: &ClassEntry| CallKind {
@@ -123,5 +163,6 @@
         target: Duration::from_millis(class.target_ms.into()),
         weight: if class.idempotent { 4 } else { 1 },
     };
-    configuration.classes.iter().map(build).collect()
+    let public = configuration.classes.iter().filter(|class| class.public);
+    public.map(build).collect()
 }
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -57,6 +57,8 @@
     signature: "x-upstream-signature",
     not_executed: "x-not-executed",
     warmup_left: "x-warmup-ms",
+    organisation: "x-organisation",
+    api_key: "x-api-key",
 };
 
 /// A running node with its upstream. Dropping it ends both at once.
--- a/src/state/configuration.rs
+++ b/src/state/configuration.rs
@@ -116,11 +116,11 @@
     pub fn digest(&self) -> KeyDigest {
         KeyDigest::of(self.0.as_bytes())
     }
+}
 
-    /// Whether the header of a request can carry the key.
-    #[must_use]
-    pub fn fits_header(&self) -> bool {
-        self.0.bytes().all(|byte| byte.is_ascii_graphic())
+impl From<&str> for ApiKey {
+    fn from(text: &str) -> Self {
+        Self(ArcStr::from(text))
     }
 }
 
--- a/stand-ins/src/upstream/serving.rs
+++ b/stand-ins/src/upstream/serving.rs
@@ -130,6 +130,7 @@
 }
 
 fn record_execution(state: &UpstreamState, request: &PlainRequest) {
+    let names = state.settings.names;
     let executions = state.settings.executions.lock();
     let mut executions = executions.unwrap_or_else(PoisonError::into_inner);
     executions.push(ExecutedRequest {
@@ -137,6 +138,8 @@
         instance: state.instance.borrow().clone(),
         incarnation_started_ms: state.started_ms.get(),
         executed_at: Instant::now(),
+        organisation: request.header(names.organisation).map(str::to_owned),
+        has_key: request.header(names.api_key).is_some(),
     });
 }
 
--- a/stand-ins/src/upstream/settings.rs
+++ b/stand-ins/src/upstream/settings.rs
@@ -22,6 +22,10 @@
     pub not_executed: &'static str,
     /// Remaining time of the upstream's warm-up, in milliseconds.
     pub warmup_left: &'static str,
+    /// Organisation that sent the request.
+    pub organisation: &'static str,
+    /// API key of a client, which no upstream is to get.
+    pub api_key: &'static str,
 }
 
 impl UpstreamHeaderNames {
@@ -34,6 +38,8 @@
         signature: "camphorturn-server-signature",
         not_executed: "camphorturn-not-executed",
         warmup_left: "camphorturn-warmup-ms",
+        organisation: "camphorturn-tenant",
+        api_key: "api-key",
     };
 }
 
@@ -59,6 +65,10 @@
     pub incarnation_started_ms: u64,
     /// When the execution started.
     pub executed_at: Instant,
+    /// Organisation that the request names.
+    pub organisation: Option<String>,
+    /// Whether the request has the header of an API key.
+    pub has_key: bool,
 }
 
 /// Requests that upstreams executed, in the order of their starts. It is shared with the code that checks it, also after the
