Quotas: only some of the nodes that are cut off admit a request

Cause: each node that reached no keeper admitted one request in a window; with a third of 89 nodes cut off these are more than the tolerated excess. Test first: admit_flood_while_many_nodes_are_cut_off had 106 within a window, 99 permitted. Change: a node admits one request only if its rank for the organisation is among those that the excess bears.

--- a/src/coordination/quota_credits.rs
+++ b/src/coordination/quota_credits.rs
@@ -29,6 +29,17 @@
 const CUT_OFF_DIVISOR: f64 = 2.0;
 /// Most that such a node may use, as a share of the tolerated excess. Several nodes may be cut off at once.
 const CUT_OFF_EXCESS_SHARE: f64 = 0.06;
+/// Number of nodes that may send one request each while they are cut off, as a share of the tolerated excess.
+const CUT_OFF_NODES_SHARE: f64 = 0.6;
+
+/// Place of a node in the mesh.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct MeshPosition {
+    /// Number of known nodes.
+    pub nodes: usize,
+    /// Rank of the node for an organisation, from 0 to 1; see [`rank_node_for`](crate::coordination::quota_keeper::rank_node_for).
+    pub node_rank: f64,
+}
 
 /// Decision on a request of an organisation.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,22 +120,26 @@
     }
 
     /// Whether a request may be sent although no keeper can be reached. Each node may use half of its equal share of the quota, in a
-    /// small mesh a small part of the tolerated excess, and at least one request in a window.
+    /// small mesh a small part of the tolerated excess. If that is less than one request in a window, only some of the nodes may send
+    /// one: those whose `node_rank`, from 0 to 1 and different for each node and organisation, is low enough.
     pub fn spend_unconfirmed(
         &mut self,
         organisation: &OrganisationName,
         quota: &Quota,
-        nodes: usize,
+        mesh: MeshPosition,
         settings: &QuotaSettings,
         now: Timestamp,
     ) -> bool {
         let account = self.find_account(organisation, now);
         drop_older(&mut account.unconfirmed, settings.window, now);
         #[expect(clippy::cast_precision_loss, reason = "far below 2^52")]
-        let (used, nodes) = (account.unconfirmed.len() as f64, nodes.max(1) as f64);
+        let (used, nodes) = (account.unconfirmed.len() as f64, mesh.nodes.max(1) as f64);
+        let excess = settings.tolerated_excess(quota);
         let equal_share = quota.permitted_within(settings.window) / nodes / CUT_OFF_DIVISOR;
-        let share = equal_share.min(settings.tolerated_excess(quota) * CUT_OFF_EXCESS_SHARE);
-        let is_permitted = used + 1.0 <= share.max(1.0);
+        let share = equal_share.min(excess * CUT_OFF_EXCESS_SHARE);
+        let may_send_one = mesh.node_rank * nodes < excess * CUT_OFF_NODES_SHARE;
+        let limit = if may_send_one { share.max(1.0) } else { share };
+        let is_permitted = used + 1.0 <= limit;
         if is_permitted {
             account.unconfirmed.push_back(now);
         }
--- a/src/coordination/quota_keeper.rs
+++ b/src/coordination/quota_keeper.rs
@@ -9,7 +9,7 @@
 //! at first. What both grant then stays within the excess over the quota that operators tolerate.
 
 use crate::{
-    coordination::rendezvous::find_first_nodes,
+    coordination::rendezvous::{find_first_nodes, rank_node},
     state::{names::OrganisationName, organisations::Quota, timestamp::Timestamp},
 };
 use serde::{Deserialize, Serialize};
@@ -21,6 +21,8 @@
 pub const KEEPER_CANDIDATES: usize = 4;
 /// Seed of the hash that ranks the keepers. Any value works, as long as all nodes use the same.
 const RANK_SEED: u64 = 1;
+/// Upper bound of the ranks that rendezvous hashing gives.
+const MAX_RANK: f64 = 18_446_744_073_709_551_615.0;
 /// How long a former keeper that can't be reached may still grant credit, until it notices that it is cut off, with a margin.
 const HANDOVER_TIME: Duration = Duration::from_secs(1);
 /// A bucket that no node has asked for this time may have been kept by another node meanwhile.
@@ -96,8 +98,20 @@
     organisation: &OrganisationName,
     nodes: impl Iterator<Item = SocketAddr>,
 ) -> Vec<SocketAddr> {
-    let subject = xxh64(organisation.as_str().as_bytes(), RANK_SEED);
-    find_first_nodes(subject, nodes, KEEPER_CANDIDATES)
+    find_first_nodes(hash_organisation(organisation), nodes, KEEPER_CANDIDATES)
+}
+
+/// Rank of a node for an organisation, from 0 to 1: evenly distributed over the nodes, and independent of other organisations.
+#[must_use]
+pub fn rank_node_for(organisation: &OrganisationName, node: SocketAddr) -> f64 {
+    let rank = rank_node(hash_organisation(organisation), node);
+    #[expect(clippy::cast_precision_loss, reason = "a rank needs few digits")]
+    let rank = rank as f64;
+    rank / MAX_RANK
+}
+
+fn hash_organisation(organisation: &OrganisationName) -> u64 {
+    xxh64(organisation.as_str().as_bytes(), RANK_SEED)
 }
 
 /// Token buckets of the organisations whose quota this node keeps.
--- a/src/coordination/rendezvous.rs
+++ b/src/coordination/rendezvous.rs
@@ -35,7 +35,9 @@
     first.into_iter().map(|(_, node)| node).collect()
 }
 
-fn rank_node(subject: u64, node: SocketAddr) -> u64 {
+/// Rank of a node for the subject with this hash; the lowest is the first.
+#[must_use]
+pub fn rank_node(subject: u64, node: SocketAddr) -> u64 {
     let mut hasher = Xxh64::new(subject);
     node.hash(&mut hasher);
     hasher.finish()
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -2,8 +2,10 @@
 
 use crate::{
     coordination::{
-        quota_credits::{CreditDecision, QuotaCredits},
-        quota_keeper::{CreditDemand, CreditGrant, KeeperTenure, QuotaKeeper, find_keepers},
+        quota_credits::{CreditDecision, MeshPosition, QuotaCredits},
+        quota_keeper::{
+            CreditDemand, CreditGrant, KeeperTenure, QuotaKeeper, find_keepers, rank_node_for,
+        },
     },
     protocol::hop::{CreditRequest, StateMessage},
     proxy::{
@@ -228,11 +230,14 @@
 /// Decides without a keeper: this node is cut off, or all keepers have been lost at once.
 fn decide_cut_off(core: &ProxyCore, organisation: &Organisation, quota: Quota) -> CreditDecision {
     let (limits, now) = (core.limits(), core.timers.now());
-    let nodes = core.directory.borrow().nodes.len();
+    let mesh = MeshPosition {
+        nodes: core.directory.borrow().nodes.len(),
+        node_rank: rank_node_for(&organisation.name, core.settings.peer_address),
+    };
     let is_permitted = core.quotas.credits.borrow_mut().spend_unconfirmed(
         &organisation.name,
         &quota,
-        nodes,
+        mesh,
         &limits.quota,
         now,
     );
--- a/tests/integration/quota_keeper.rs
+++ b/tests/integration/quota_keeper.rs
@@ -2,10 +2,10 @@
 
 use camphorturn::{
     coordination::{
-        quota_credits::{CreditDecision, QuotaCredits},
+        quota_credits::{CreditDecision, MeshPosition, QuotaCredits},
         quota_keeper::{
             CreditDemand, CreditGrant, KEEPER_CANDIDATES, KeeperTenure, QuotaKeeper, QuotaSettings,
-            find_keepers,
+            find_keepers, rank_node_for,
         },
     },
     state::{names::OrganisationName, organisations::Quota, timestamp::Timestamp},
@@ -233,21 +233,37 @@
     ));
 }
 
-/// Failure: a node that is cut off admits everything, or nothing.
+/// Failure: a node that is cut off admits everything, or all such nodes together admit more than the tolerated excess.
 #[test]
 fn spend_unconfirmed_is_bounded() {
     let mut credits = QuotaCredits::default();
-    let spent = |credits: &mut QuotaCredits, quota: &Quota, now| {
-        let spend = |_: &u32| credits.spend_unconfirmed(&organisation(), quota, 89, &SETTINGS, now);
+    let mut spend_all = |quota: &Quota, node_rank: f64, now| {
+        let mesh = MeshPosition {
+            nodes: 89,
+            node_rank,
+        };
+        let spend =
+            |_: &u32| credits.spend_unconfirmed(&organisation(), quota, mesh, &SETTINGS, now);
         (0..100_u32).filter(spend).count()
     };
-    assert_eq!(spent(&mut credits, &QUOTA, at(0)), 1);
-    assert_eq!(spent(&mut credits, &QUOTA, at(4_000)), 0);
-    assert_eq!(spent(&mut credits, &QUOTA, at(6_000)), 1);
+    assert_eq!(spend_all(&QUOTA, 0.1, at(0)), 1);
+    assert_eq!(spend_all(&QUOTA, 0.1, at(4_000)), 0);
+    assert_eq!(spend_all(&QUOTA, 0.1, at(6_000)), 1);
+    assert_eq!(spend_all(&QUOTA, 0.9, at(12_000)), 0);
     let large = Quota {
         requests_per_minute: 9_360,
         burst: 156,
     };
-    let share = spent(&mut credits, &large, at(20_000));
+    let share = spend_all(&large, 0.9, at(20_000));
     assert!((4..=6).contains(&share), "{share}");
 }
+
+#[test]
+fn rank_node_for_is_even() {
+    let ranks = (0..200).map(|number| {
+        let node = SocketAddr::from(([10, 0, 0, number], 7_660));
+        rank_node_for(&organisation(), node)
+    });
+    let below_quarter = ranks.filter(|rank| *rank < 0.25).count();
+    assert!((30..=70).contains(&below_quarter), "{below_quarter}");
+}
--- a/tests/integration/quota_mesh.rs
+++ b/tests/integration/quota_mesh.rs
@@ -2,9 +2,10 @@
 
 use camphorturn::{
     coordination::{
-        quota_credits::{CreditDecision, QuotaCredits},
+        quota_credits::{CreditDecision, MeshPosition, QuotaCredits},
         quota_keeper::{
             CreditDemand, CreditGrant, KeeperTenure, QuotaKeeper, QuotaSettings, find_keepers,
+            rank_node_for,
         },
     },
     state::{names::OrganisationName, organisations::Quota, timestamp::Timestamp},
@@ -47,8 +48,8 @@
     loss: f64,
     /// Number of times that the keeper is killed; it is back within two seconds and knows nothing.
     kills: u8,
-    /// Number of nodes that are cut off from all others, for three seconds.
-    cut_off: u8,
+    /// Number of nodes that are cut off from all others, for three seconds; in large meshes up to a quarter of them.
+    cut_off: usize,
     /// Whether a third of the requests come within 100 ms.
     burst: bool,
 }
@@ -125,15 +126,17 @@
     "marina".into()
 }
 
+fn get_address(node: usize) -> SocketAddr {
+    let host = u8::try_from(node).expect("few nodes");
+    SocketAddr::from(([10, 0, 0, host], 7_660))
+}
+
 impl Mesh {
     fn new(plan: Plan) -> Self {
         let count = usize::from(plan.nodes);
-        let address = |number: usize| {
-            let host = u8::try_from(number).expect("few nodes");
-            SocketAddr::from(([10, 0, 0, host], 7_660))
-        };
-        let by_address: BTreeMap<SocketAddr, usize> =
-            (0..count).map(|number| (address(number), number)).collect();
+        let by_address: BTreeMap<SocketAddr, usize> = (0..count)
+            .map(|number| (get_address(number), number))
+            .collect();
         let ranked = find_keepers(&organisation(), by_address.keys().copied());
         Self {
             events: BinaryHeap::new(),
@@ -287,10 +290,14 @@
                 );
             }
         }
-        let (quota, nodes) = (self.quota(), self.nodes.len());
+        let quota = self.quota();
+        let mesh = MeshPosition {
+            nodes: self.nodes.len(),
+            node_rank: rank_node_for(&organisation(), get_address(entry)),
+        };
         let credits = &mut self.nodes[entry].credits;
         let at = Timestamp(now);
-        if credits.spend_unconfirmed(&organisation(), &quota, nodes, &SETTINGS, at) {
+        if credits.spend_unconfirmed(&organisation(), &quota, mesh, &SETTINGS, at) {
             self.admitted.push(now);
         } else {
             self.refused += 1;
@@ -440,7 +447,7 @@
             let at = self.rng.random_range(SECOND_MICROS..end);
             self.schedule(at, Event::Kill);
         }
-        for number in 0..usize::from(self.plan.cut_off) {
+        for number in 0..self.plan.cut_off {
             let from = self.rng.random_range(SECOND_MICROS..end);
             let node = number * 3 % self.nodes.len();
             self.nodes[node].cut_off = from..from + 3 * SECOND_MICROS;
@@ -486,7 +493,8 @@
         delay_micros: 200 + u64::from(delay) * 150,
         loss: f64::from(loss % 4) * 0.01,
         kills: kills % 3,
-        cut_off: cut_off % 4,
+        cut_off: usize::from(cut_off % 4)
+            .max(usize::from(cut_off % 4) * (3 + usize::from(nodes % 98)) / 12),
         burst: burst % 2 == 0,
     }
 }
@@ -561,3 +569,31 @@
         mesh.admitted.len()
     );
 }
+
+/// Failure: a third of the nodes are cut off when an organisation begins to send eight times its limit. Each of them admits a request,
+/// which together are more than the tolerated excess.
+#[test]
+fn admit_flood_while_many_nodes_are_cut_off() {
+    for seed in 0..10 {
+        let mut mesh = Mesh::new(Plan {
+            seed,
+            nodes: 89,
+            rate: 12,
+            load: 8.0,
+            delay_micros: 2_000,
+            loss: 0.02,
+            kills: 0,
+            cut_off: 29,
+            burst: false,
+        });
+        for number in 0..29 {
+            mesh.nodes[number * 3].cut_off = 5_500_000..9_500_000;
+        }
+        for number in 0..480 {
+            let entry = mesh.draw_entry();
+            mesh.schedule(6_000_000 + number * 10_000, Event::Arrive(entry));
+        }
+        mesh.run();
+        mesh.assert_bound();
+    }
+}
