--- a/src/coordination/quota_credits.rs
+++ b/src/coordination/quota_credits.rs
@@ -21,8 +21,8 @@
 const ADVANCE_SHARE: f64 = 0.1;
 /// Longest time for which a refusal of the keeper holds for further requests. The keeper isn't asked meanwhile.
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(50);
-/// Number of organisations from which those without recent requests are forgotten.
-const MAX_IDLE_ACCOUNTS: usize = 256;
+/// Number of organisations up to which those without recent requests are remembered.
+const MIN_PRUNED_ACCOUNTS: usize = 256;
 /// Time without requests after which an organisation may be forgotten; longer than the window of any quota in use.
 const MAX_IDLE_ACCOUNT_TIME: Duration = Duration::from_mins(1);
 /// Divisor of a node's equal share of a quota, which it may use while it can reach no keeper.
@@ -62,6 +62,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct QuotaCredits {
     accounts: HashMap<OrganisationName, CreditAccount>,
+    /// Number of accounts at which those without recent requests are removed next. It is at least twice the number that remained
+    /// the last time, so that removals take a constant time per account.
+    prune_at: usize,
 }
 
 /// Credit of one organisation.
@@ -151,8 +154,9 @@
         organisation: &OrganisationName,
         now: Timestamp,
     ) -> &mut CreditAccount {
-        if self.accounts.len() >= MAX_IDLE_ACCOUNTS && !self.accounts.contains_key(organisation) {
+        if self.accounts.len() >= self.prune_at.max(MIN_PRUNED_ACCOUNTS) {
             self.accounts.retain(|_, account| account.is_recent(now));
+            self.prune_at = 2 * self.accounts.len();
         }
         self.accounts.entry(organisation.clone()).or_default()
     }
--- a/src/coordination/rendezvous.rs
+++ b/src/coordination/rendezvous.rs
@@ -2,11 +2,8 @@
 //!
 //! Nodes that know the same other nodes compute the same order, and a node more or less doesn't change the order of the others.
 
-use std::{
-    hash::{Hash, Hasher},
-    net::SocketAddr,
-};
-use xxhash_rust::xxh64::Xxh64;
+use std::net::{IpAddr, SocketAddr};
+use xxhash_rust::xxh64::xxh64;
 
 /// Sorts the nodes by their rank for the subject with this hash.
 #[must_use]
@@ -26,6 +23,9 @@
     let mut first: Vec<(u64, SocketAddr)> = Vec::with_capacity(count + 1);
     for node in nodes {
         let ranked = (rank_node(subject, node), node);
+        if first.len() == count && first.last().is_some_and(|last| *last < ranked) {
+            continue;
+        }
         let position = first.partition_point(|known| *known < ranked);
         if position < count {
             first.insert(position, ranked);
@@ -38,7 +38,18 @@
 /// Rank of a node for the subject with this hash; the lowest is the first.
 #[must_use]
 pub fn rank_node(subject: u64, node: SocketAddr) -> u64 {
-    let mut hasher = Xxh64::new(subject);
-    node.hash(&mut hasher);
-    hasher.finish()
+    // One call of the hash function a node: an entry node ranks hundreds of nodes for a request.
+    let [high, low] = node.port().to_be_bytes();
+    match node.ip() {
+        IpAddr::V4(ip) => {
+            let [a, b, c, d] = ip.octets();
+            xxh64(&[a, b, c, d, high, low], subject)
+        }
+        IpAddr::V6(ip) => {
+            let mut bytes = [0; 18];
+            bytes[..16].copy_from_slice(&ip.octets());
+            bytes[16..].copy_from_slice(&[high, low]);
+            xxh64(&bytes, subject)
+        }
+    }
 }
