--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -39,6 +39,8 @@
     pub api_key: HeaderName,
     /// Name of the organisation that sent the request, in requests to upstreams.
     pub organisation: HeaderName,
+    /// Prefixes of the names of headers that the platform defines. All others belong to applications.
+    pub reserved_prefixes: [&'static str; 2],
 }
 
 impl HeaderNames {
@@ -57,8 +59,28 @@
             warmup_left: HeaderName::from_static("x-warmup-ms"),
             api_key: HeaderName::from_static("x-api-key"),
             organisation: HeaderName::from_static("x-organisation"),
+            reserved_prefixes: ["x-upstream-", "x-server-"],
         }
     }
+
+    /// Whether the platform defines the header and nodes don't read it.
+    #[must_use]
+    pub fn is_reserved_and_unread(&self, name: &HeaderName) -> bool {
+        let is_reserved = |prefix: &&str| name.as_str().starts_with(*prefix);
+        self.reserved_prefixes.iter().any(is_reserved) && !self.is_read_in_answers(name)
+    }
+
+    fn is_read_in_answers(&self, name: &HeaderName) -> bool {
+        [
+            &self.request_id,
+            &self.signature,
+            &self.instance,
+            &self.not_executed,
+            &self.load,
+            &self.warmup_left,
+        ]
+        .contains(&name)
+    }
 }
 
 /// Sampling and retention of log lines.
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -16,7 +16,7 @@
         directory::{Directory, StateSource},
         evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
-        executing::Slots,
+        executing::{Slots, UnreadHeaders},
         mesh_contact::MeshContact,
         quotas::Quotas,
     },
@@ -70,6 +70,8 @@
     pub local_upstream: RefCell<LocalUpstream>,
     /// Slots of the local upstream.
     pub slots: Slots,
+    /// Headers of the local upstream that were reported as unread.
+    pub unread_headers: UnreadHeaders,
     /// Retry budgets by service.
     pub retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Calls to other services per execution of a class at the local upstream.
@@ -137,6 +139,7 @@
             own_record_lost: Notify::new(),
             local_upstream: RefCell::default(),
             slots: Slots::new(settings.limits.probes_per_second, timers.now()),
+            unread_headers: UnreadHeaders::default(),
             retry_budgets: RefCell::default(),
             calls_per_execution: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -176,6 +176,15 @@
         /// Largest number of requests that the upstream is given per second until then.
         limit: usize,
     },
+    /// The local upstream sent a header of the platform that this version does not read. Written once for each name.
+    HeaderUnread {
+        /// Identity of the upstream's incarnation.
+        instance: String,
+        /// Name of the header.
+        header: String,
+        /// Beginning of its value.
+        value: String,
+    },
     /// The local upstream has announced that it leaves for good.
     UpstreamDeparted {
         /// Identity of the upstream's incarnation.
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -5,6 +5,7 @@
 mod probes;
 mod slots;
 mod slowdown;
+mod upstream_headers;
 mod warmup;
 
 use crate::{
@@ -31,6 +32,7 @@
 pub use slots::{Slots, compute_slot_limit, refuse_queued_requests, set_slot_limit};
 use slowdown::refresh_slowdown;
 use std::{rc::Rc, time::Duration};
+pub use upstream_headers::UnreadHeaders;
 pub use warmup::record_warmup_left;
 use warmup::refresh_warmup;
 
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -11,7 +11,7 @@
         core::ProxyCore,
         crash_detection::{AbortedRequest, detect_crash, record_local_answer},
         events::ProxyEvent,
-        executing::slowdown::record_load_header,
+        executing::{slowdown::record_load_header, upstream_headers::log_unread_headers},
     },
     state::{ablation::Mechanism, request_fingerprint::RequestFingerprint},
     transport::{
@@ -150,6 +150,7 @@
 ) -> (AttemptOutcome, Option<Response<Bytes>>) {
     let names = &core.settings.headers;
     record_load_header(core, response.headers());
+    log_unread_headers(core, response.headers(), instance);
     if response.status() == StatusCode::MISDIRECTED_REQUEST {
         // Another incarnation has the address; what is known of the former one is no longer valid.
         core.log(&ProxyEvent::UpstreamReplaced {
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -71,6 +71,8 @@
     warmup_until: Cell<Option<Instant>>,
     planned_actions: RefCell<VecDeque<UpstreamAction>>,
     received_requests: RefCell<Vec<PlainRequest>>,
+    /// Further headers of every answer to a request.
+    reports: RefCell<Vec<(String, String)>>,
     health_checks: Cell<u32>,
     is_leaving: Cell<bool>,
     /// Number of requests in progress.
@@ -116,6 +118,7 @@
             warmup_until: Cell::default(),
             planned_actions: RefCell::default(),
             received_requests: RefCell::default(),
+            reports: RefCell::default(),
             health_checks: Cell::default(),
             is_leaving: Cell::default(),
             running: Cell::default(),
@@ -206,6 +209,14 @@
         self.state.warmup_left()
     }
 
+    /// Sets the headers, as name and value, that every answer to a request has from now on besides the usual ones.
+    pub fn set_reports(&self, headers: &[(&str, &str)]) {
+        let headers = headers.iter();
+        *self.state.reports.borrow_mut() = headers
+            .map(|(name, value)| ((*name).to_owned(), (*value).to_owned()))
+            .collect();
+    }
+
     /// Sets whether health checks are answered with 503, as by a draining upstream, from now on.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.state.is_leaving.set(is_leaving);
--- a/stand-ins/src/upstream/answer.rs
+++ b/stand-ins/src/upstream/answer.rs
@@ -33,16 +33,28 @@
     }
 
     /// Builds the bytes to send for an action. The second value is whether the connection stays open afterwards. `load` is the
-    /// value of the load header.
-    pub fn build(&self, action: UpstreamAction, load: &str) -> (Vec<u8>, bool) {
+    /// value of the load header, and `reports` are further headers.
+    pub fn build(
+        &self,
+        action: UpstreamAction,
+        load: &str,
+        reports: &[(String, String)],
+    ) -> (Vec<u8>, bool) {
         let names = self.names;
         let id = self.id.as_str();
+        let reports = reports
+            .iter()
+            .map(|(name, value)| (name.as_str(), value.as_str()));
         let head = |id| {
-            [
+            let known = [
                 (names.request_id, id),
                 (names.load, load),
                 (names.signature, "signed"),
-            ]
+            ];
+            known
+                .into_iter()
+                .chain(reports.clone())
+                .collect::<Vec<(&str, &str)>>()
         };
         match action {
             UpstreamAction::Answer | UpstreamAction::Hold => {
--- a/stand-ins/src/upstream/serving.rs
+++ b/stand-ins/src/upstream/serving.rs
@@ -125,7 +125,7 @@
         return false;
     }
     drop(running);
-    let (bytes, keep_open) = answer.build(action, &format_load(state));
+    let (bytes, keep_open) = answer.build(action, &format_load(state), &state.reports.borrow());
     write_all(stream, &bytes).await.is_ok() && keep_open
 }
 
