An upstream's request limit is kept by its local node

What owners of upstreams saw: 33 requests in 4 s at an upstream that had named a limit of 1.9 a second, allowed 16. Cause: no code read the limit; nodes passed answers on with it and went on as before. The class: what an upstream says about itself in an answer is ignored unless a node already knew the header. Change: the node beside the upstream, through which all requests reach it, paces their starts by the limit (bursts of half a second's worth). Requests beyond it are refused at once with the time at which they would end, so entry nodes go on to other upstreams; they don't ask a limited node of their zone again while that time is valid. An answer without a limit ends it only if it is a success whose request was sent after the last answer that named one. Entry nodes remember the limit and send it along, since a restarted node doesn't know it before its first answer. Both spellings of the header are read; what can't be read is counted and logged. Line 819, three metrics.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -10,6 +10,7 @@
 pub mod quota_credits;
 pub mod quota_keeper;
 pub mod rendezvous;
+pub mod request_limit;
 pub mod retiring;
 pub mod retry_budget;
 pub mod slot_queue;
--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -32,6 +32,8 @@
     pub in_local_zone: bool,
     /// Expected load relative to the limit of the node, including the request, weighted by its health; lower is better.
     pub cost: f64,
+    /// Whether the upstream names a request limit.
+    pub is_limited: bool,
     /// Time in which a request of the class would finish there, if the node recently reported it with a refusal.
     pub reported_finish: Option<Duration>,
 }
@@ -57,6 +59,7 @@
                 address: node.record.address,
                 in_local_zone: node.record.availability_zone == *zone,
                 cost: estimate_cost(node, common_failures, now) * find_silence_factor(node, now),
+                is_limited: node.request_limit.rate().is_some(),
                 reported_finish: node.reported_finish(class, now),
             };
             (candidate, chance())
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -18,10 +18,16 @@
 
 use crate::{
     coordination::{
+        request_limit::RequestLimit,
         slow_start::{SlowStart, WarmupReport},
         vm_slowdown::VmSlowdown,
     },
-    state::{ablation::Mechanism, names::OrganisationName, timestamp::Timestamp},
+    state::{
+        ablation::Mechanism,
+        names::OrganisationName,
+        request_rate::{LimitReport, RequestRate},
+        timestamp::Timestamp,
+    },
 };
 use fair_order::{FairOrder, FairTag};
 use forecast::forecast_start;
@@ -123,6 +129,7 @@
     slowdown: VmSlowdown,
     late_start_share: LateStartShare,
     slow_start: SlowStart,
+    request_limit: RequestLimit,
     fair_order: FairOrder,
 }
 
@@ -138,6 +145,7 @@
             slowdown: VmSlowdown::NONE,
             late_start_share: LateStartShare::default(),
             slow_start: SlowStart::new(now),
+            request_limit: RequestLimit::default(),
             fair_order: FairOrder::default(),
         }
     }
@@ -172,9 +180,10 @@
         self.start_waiting(now)
     }
 
-    /// Resets the warm-up for a new incarnation of the upstream.
+    /// Resets the warm-up and the request limit for a new incarnation of the upstream.
     pub fn begin_incarnation(&mut self) {
         self.slow_start.begin_incarnation();
+        self.request_limit.begin_incarnation();
     }
 
     /// Records that the current incarnation of the upstream got requests from an earlier process of this node.
@@ -193,6 +202,28 @@
         self.slow_start.is_warming_up(now)
     }
 
+    /// The request limit that the upstream names; `None` if it names none.
+    #[must_use]
+    pub fn request_limit(&self) -> Option<RequestRate> {
+        self.request_limit.rate()
+    }
+
+    /// Records what an answer to a request that was sent at `sent` says about the request limit.
+    pub fn record_limit_report(
+        &mut self,
+        report: LimitReport,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> Vec<SlotAction> {
+        self.request_limit.record_report(report, sent, now);
+        self.start_waiting(now)
+    }
+
+    /// Records a request limit that an entry node remembers.
+    pub fn record_remembered_limit(&mut self, rate: RequestRate, now: Timestamp) {
+        self.request_limit.record_remembered(rate, now);
+    }
+
     /// Records the current slowdown of the VM.
     pub fn set_slowdown(&mut self, slowdown: VmSlowdown, now: Timestamp) -> Vec<SlotAction> {
         self.slowdown = slowdown;
@@ -261,9 +292,15 @@
         can_start_another && self.slowdown.should_start_now(request.expected) && !is_redirected
     }
 
-    /// Whether the limit and the warm-up of the upstream permit one more request now.
+    /// Whether the limits and the warm-up of the upstream permit one more request now.
     fn can_start_another(&self, now: Timestamp) -> bool {
-        self.running.len() < self.limit && self.slow_start.wait(0, now).is_zero()
+        self.running.len() < self.limit && self.wait_for_rate(0, now).is_zero()
+    }
+
+    /// Time until the warm-up and the request limit of the upstream permit a request, if `ahead` other requests start before it.
+    fn wait_for_rate(&self, ahead: usize, now: Timestamp) -> Duration {
+        let warmup_wait = self.slow_start.wait(ahead, now);
+        warmup_wait.max(self.request_limit.wait(ahead, now))
     }
 
     /// Records the end of a request at the upstream.
@@ -300,9 +337,9 @@
             .iter()
             .map(|waiting| waiting.latest_start)
             .min()?;
-        let wait = self.slow_start.wait(0, now);
-        let waits_for_warmup = self.running.len() < self.limit && !wait.is_zero();
-        Some(if waits_for_warmup {
+        let wait = self.wait_for_rate(0, now);
+        let waits_for_rate = self.running.len() < self.limit && !wait.is_zero();
+        Some(if waits_for_rate {
             expiry.min(now + wait)
         } else {
             expiry
@@ -321,7 +358,7 @@
             .waiting
             .iter()
             .filter(|waiting| waiting.rank(now) <= rank);
-        let warmup_wait = self.slow_start.wait(before.clone().count(), now);
+        let rate_wait = self.wait_for_rate(before.clone().count(), now);
         let ahead =
             before.map(|waiting| self.slowdown.estimate_baseline_duration(waiting.expected));
         let running_ends = self
@@ -340,7 +377,7 @@
                 self.slowdown.estimate_baseline_duration(request.expected),
             )
         };
-        forecast_start(self.limit, running_ends, ahead, pause).max(warmup_wait) + duration
+        forecast_start(self.limit, running_ends, ahead, pause).max(rate_wait) + duration
     }
 
     /// Time in which a request submitted now would finish if all requests that can meet their target precede it, including those
@@ -366,6 +403,7 @@
 
     fn start(&mut self, waiting: &Waiting, now: Timestamp) {
         self.slow_start.record_start(now);
+        self.request_limit.record_start(now);
         self.fair_order.record_start(waiting.fair_tag);
         self.running.push(Running {
             number: waiting.number,
--- a/src/coordination/slot_search.rs
+++ b/src/coordination/slot_search.rs
@@ -146,8 +146,16 @@
     /// Returns the next step.
     pub fn find_next(&mut self, time: SearchTime) -> SearchStep {
         if self.phase == Phase::LocalZone {
-            if let Some(next) = self.local_zone.next() {
-                return SearchStep::TryNode(next.address);
+            while let Some(next) = self.local_zone.next() {
+                // Slots become free within milliseconds, while a request limit delays the next start for longer.
+                let Some(finish_in) = next.reported_finish.filter(|_| next.is_limited) else {
+                    return SearchStep::TryNode(next.address);
+                };
+                self.record_refusal(Refusal {
+                    node: next.address,
+                    in_local_zone: true,
+                    finish_in,
+                });
             }
             self.phase = if self.is_local_wait_short_enough(time) {
                 Phase::Wait
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -35,6 +35,9 @@
     pub load: HeaderName,
     /// On answers to health checks, the remaining warm-up time of the upstream, in milliseconds.
     pub warmup_left: HeaderName,
+    /// In an answer, the requests per second that the upstream accepts from all nodes together, a decimal number. Upstreams use
+    /// either name.
+    pub request_limit: [HeaderName; 2],
     /// API key of an organisation, in requests of clients.
     pub api_key: HeaderName,
     /// Name of the organisation that sent the request, in requests to upstreams.
@@ -57,6 +60,10 @@
             not_executed: HeaderName::from_static("x-not-executed"),
             load: HeaderName::from_static("x-load"),
             warmup_left: HeaderName::from_static("x-warmup-ms"),
+            request_limit: [
+                HeaderName::from_static("x-request-limit"),
+                HeaderName::from_static("x-server-limit"),
+            ],
             api_key: HeaderName::from_static("x-api-key"),
             organisation: HeaderName::from_static("x-organisation"),
             reserved_prefixes: ["x-upstream-", "x-server-"],
@@ -71,15 +78,15 @@
     }
 
     fn is_read_in_answers(&self, name: &HeaderName) -> bool {
-        [
+        let single = [
             &self.request_id,
             &self.signature,
             &self.instance,
             &self.not_executed,
             &self.load,
             &self.warmup_left,
-        ]
-        .contains(&name)
+        ];
+        single.contains(&name) || self.request_limit.contains(name)
     }
 }
 
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,6 +2,7 @@
 
 pub mod headers;
 pub mod hop;
+pub mod limit_report;
 pub mod operator_views;
 pub mod outcome;
 pub mod store;
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -14,11 +14,12 @@
         known_node::{NodeLoad, StoredRecord},
         names::{ClassName, OrganisationName, ServiceName},
         request_fingerprint::RequestFingerprint,
+        request_rate::RequestRate,
         table_change::TableChange,
     },
 };
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{fmt::Write, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Header of requests and answers between nodes; holds a [`HopRequest`] or a [`HopAnswer`].
 pub const HOP_HEADER: &str = "x-hop";
@@ -27,10 +28,14 @@
 
 /// Bit in the flags of a [`HopRequest`]: running the request twice does no harm.
 const IDEMPOTENT_FLAG: u8 = 1;
-/// Number of fields of a [`HopRequest`], including the optional organisation.
-const HOP_FIELDS: usize = 11;
+/// Number of fields of a [`HopRequest`] before its flags.
+const FIELDS_BEFORE_FLAGS: usize = 7;
+/// Number of fields of a [`HopRequest`] after its flags, including the optional organisation.
+const FIELDS_AFTER_FLAGS: usize = 3;
 /// Bit in the flags of a [`HopRequest`]: another upstream may have run the request already.
 const RETRY_FLAG: u8 = 2;
+/// Bit in the flags of a [`HopRequest`]: the field after the sender's address holds the request limit.
+const LIMIT_FLAG: u8 = 4;
 
 /// What the entry node sends along with a request that it forwards to an upstream's node.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +63,9 @@
     pub version: ConfigurationVersion,
     /// Address at which the sender accepts messages of other nodes.
     pub sender: SocketAddr,
+    /// Request limit that the upstream named in an answer to the sender; `None` if it names none. The receiver may have been
+    /// restarted since.
+    pub request_limit: Option<RequestRate>,
     /// Organisation that sent the request; `None` if it needs no API key.
     pub organisation: Option<OrganisationName>,
 }
@@ -104,6 +112,10 @@
             self.version.0,
             self.sender,
         );
+        if let Some(rate) = self.request_limit {
+            // Writing to a string never fails.
+            let _ = write!(text, ";{}", rate.0);
+        }
         if let Some(organisation) = &self.organisation {
             text.push(';');
             text.push_str(organisation.as_str());
@@ -114,19 +126,23 @@
     fn flags(&self) -> u8 {
         let idempotent = if self.idempotent { IDEMPOTENT_FLAG } else { 0 };
         let retry = if self.is_retry { RETRY_FLAG } else { 0 };
-        idempotent | retry
+        let limit = self.request_limit.map_or(0, |_| LIMIT_FLAG);
+        idempotent | retry | limit
     }
 
     /// Parses the header's value; `None` if it is malformed.
     #[must_use]
     pub fn decode(text: &str) -> Option<Self> {
-        // The name of the organisation is the last field and may contain the separator.
-        let mut parts = text.splitn(HOP_FIELDS, ';');
+        let mut parts = text.splitn(FIELDS_BEFORE_FLAGS + 1, ';');
         let (service, class, caller) = (parts.next()?, parts.next()?, parts.next()?);
         let (time_left, finish_within) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
         let target_left = parts.next()?.parse().ok()?;
         let priority = parts.next()?.parse().ok()?;
-        let flags: u8 = parts.next()?.parse().ok()?;
+        let (flags, rest) = parts.next()?.split_once(';')?;
+        let flags: u8 = flags.parse().ok()?;
+        let has_limit = flags & LIMIT_FLAG != 0;
+        // The name of the organisation is the last field and may contain the separator.
+        let mut parts = rest.splitn(FIELDS_AFTER_FLAGS + usize::from(has_limit), ';');
         let request = Self {
             service: service.into(),
             class: class.into(),
@@ -139,6 +155,11 @@
             is_retry: flags & RETRY_FLAG != 0,
             version: ConfigurationVersion(parts.next()?.parse().ok()?),
             sender: parts.next()?.parse().ok()?,
+            request_limit: if has_limit {
+                Some(RequestRate(parts.next()?.parse().ok()?))
+            } else {
+                None
+            },
             organisation: parts.next().map(OrganisationName::from),
         };
         Some(request)
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -24,6 +24,10 @@
     pub aborted_by_crash: Cell<u64>,
     /// Probes sent to the local upstream.
     pub probes: Cell<u64>,
+    /// Answers of the local upstream that named a request limit.
+    pub limits_named: Cell<u64>,
+    /// Answers of the local upstream whose request limit could not be read.
+    pub limits_unreadable: Cell<u64>,
     /// Bytes of state messages received from other nodes.
     pub state_bytes: Cell<u64>,
     /// Routing tables received from other nodes that were not newer than the one in force.
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     protocol::{
         hop::{AttemptOutcome, HopRequest},
+        limit_report::read_limit_report,
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{
@@ -12,7 +13,9 @@
         executing::{CompletedAttempt, execute},
         peer_requests::send_hop,
     },
-    state::{ablation::Mechanism, known_node::KnownNode, timestamp::Timestamp},
+    state::{
+        ablation::Mechanism, known_node::KnownNode, request_rate::LimitReport, timestamp::Timestamp,
+    },
     transport::{callers::CallerRequest, outgoing::SendError},
 };
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
@@ -183,6 +186,12 @@
         };
         node.record_response(now);
         node.load = Some((completed.answer.load, now));
+        if let Some(response) = &completed.response {
+            let names = &self.core.settings.headers;
+            let report = read_limit_report(names, response.headers(), response.status());
+            let report = report.unwrap_or(LimitReport::Unknown);
+            node.request_limit.record(report, self.sent, now);
+        }
         if let AttemptOutcome::Refused(reason) = completed.answer.outcome {
             back_off_after_refusal(node, reason, now);
         }
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -27,6 +27,7 @@
         names::{ClassName, ServiceName},
         organisations::{Organisation, rank_request},
         request_fingerprint::RequestFingerprint,
+        request_rate::RequestRate,
         routing_table::Route,
         timestamp::Timestamp,
     },
@@ -242,6 +243,7 @@
             is_retry: self.attempts.upstream_attempts() > 0 || !self.in_flight.is_empty(),
             version: self.core.directory.borrow().version(),
             sender: self.core.settings.peer_address,
+            request_limit: find_request_limit(&self.core, to),
             organisation: self
                 .call
                 .organisation
@@ -283,6 +285,12 @@
     }
 }
 
+/// The request limit that the upstream of a node named last in an answer to a request of this node.
+fn find_request_limit(core: &ProxyCore, node: SocketAddr) -> Option<RequestRate> {
+    let directory = core.directory.borrow();
+    directory.nodes.get(&node)?.request_limit.rate()
+}
+
 /// Whether a service has upstreams in evacuated zones.
 fn has_evacuated_upstreams(core: &ProxyCore, service: &ServiceName) -> bool {
     let directory = core.directory.borrow();
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -176,7 +176,8 @@
         /// Largest number of requests that the upstream is given per second until then.
         limit: usize,
     },
-    /// The local upstream sent a header of the platform that this version does not read. Written once for each name.
+    /// The local upstream sent a header of the platform that this version does not know or can't read. Written once for each
+    /// name.
     HeaderUnread {
         /// Identity of the upstream's incarnation.
         instance: String,
@@ -185,6 +186,15 @@
         /// Beginning of its value.
         value: String,
     },
+    /// The request limit that the local upstream names began, changed or ended.
+    RequestLimitChanged {
+        /// Identity of the upstream's incarnation.
+        instance: String,
+        /// Requests per second; none if the limit has ended.
+        per_second: Option<f64>,
+        /// Where the change came from.
+        source: &'static str,
+    },
     /// The local upstream has announced that it leaves for good.
     UpstreamDeparted {
         /// Identity of the upstream's incarnation.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -26,6 +26,7 @@
             Self::UpstreamCrashed { .. } => (816, "upstream_crashed"),
             Self::UpstreamWarmingUp { .. } => (817, "upstream_cold"),
             Self::HeaderUnread { .. } => (818, "header_unread"),
+            Self::RequestLimitChanged { .. } => (819, "request_limit_changed"),
             Self::TableInForce { .. } => (821, "table_in_force"),
             Self::StateFetched { .. } => (826, "state_fetched"),
             Self::TableOffered { .. } => (820, "table_offered"),
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -3,6 +3,7 @@
 mod attempt_log_line;
 mod dispatch;
 mod probes;
+mod request_limit;
 mod slots;
 mod slowdown;
 mod upstream_headers;
@@ -28,6 +29,7 @@
 use dispatch::dispatch;
 use http::Response;
 pub use probes::{has_incarnation_ended, probe_instance, verify_incarnation};
+use request_limit::record_remembered_limit;
 use slots::{SlotGuard, wait_for_slot};
 pub use slots::{Slots, compute_slot_limit, refuse_queued_requests, set_slot_limit};
 use slowdown::refresh_slowdown;
@@ -73,6 +75,9 @@
     if hop.is_retry && !has_call_budget(core, &hop.class) {
         return refuse(core, RefusalReason::RetryBudgetExhausted, Duration::ZERO);
     }
+    if let Some(rate) = hop.request_limit {
+        record_remembered_limit(core, rate);
+    }
     refresh_slowdown(core).await;
     refresh_warmup(core).await;
     line.record_decision();
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -11,7 +11,10 @@
         core::ProxyCore,
         crash_detection::{AbortedRequest, detect_crash, record_local_answer},
         events::ProxyEvent,
-        executing::{slowdown::record_load_header, upstream_headers::log_unread_headers},
+        executing::{
+            request_limit::record_limit_header, slowdown::record_load_header,
+            upstream_headers::log_unread_headers,
+        },
     },
     state::{ablation::Mechanism, request_fingerprint::RequestFingerprint},
     transport::{
@@ -81,6 +84,9 @@
             return (AttemptOutcome::Unknown(UnknownCause::DeadlinePassed), None);
         }
     };
+    if let Ok(response) = &send_result {
+        record_limit_header(core, response, started);
+    }
     let now = core.timers.now();
     let is_disconnected = matches!(send_result, Err(SendError::Disconnected));
     let result = classify_send_result(core, send_result, &incarnation.instance);
--- a/src/proxy/executing/probes.rs
+++ b/src/proxy/executing/probes.rs
@@ -3,7 +3,7 @@
 use crate::{
     proxy::{
         core::{ProxyCore, increment},
-        executing::warmup::record_warmup_header,
+        executing::{request_limit::record_probed_limit, warmup::record_warmup_header},
     },
     state::{known_node::NodeRecord, names::ServiceName},
     transport::outgoing::{ConnectionReuse, SendError, SendOptions},
@@ -128,6 +128,7 @@
         sent = core.outgoing.send(upstream, request, options, is_answer) => {
             let answer = sent.map_err(ProbeError::Failed)?;
             record_warmup_header(core, answer.headers());
+            record_probed_limit(core, &answer);
             Ok(answer)
         }
         _ = timeout.recv_async() => Err(ProbeError::TimedOut),
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -5,7 +5,7 @@
     proxy::{core::ProxyCore, executing::slowdown::SlowdownTracker},
     state::{
         ablation::Mechanism, failure_rate::FailureRate, known_node::NodeLoad, names::ClassName,
-        service_times::ServiceTimes, timestamp::Timestamp,
+        request_rate::RequestRate, service_times::ServiceTimes, timestamp::Timestamp,
     },
 };
 use flume::Sender;
@@ -90,6 +90,12 @@
         }
     }
 
+    /// The request limit that the upstream names; `None` if it names none.
+    #[must_use]
+    pub fn request_limit(&self) -> Option<RequestRate> {
+        self.queue.borrow().request_limit()
+    }
+
     /// Expected time that a request of a class takes at full speed of the VM.
     #[must_use]
     pub fn expected_time(&self, class: &ClassName) -> Duration {
--- a/src/proxy/executing/upstream_headers.rs
+++ b/src/proxy/executing/upstream_headers.rs
@@ -1,7 +1,7 @@
-//! Reports headers of the local upstream's answers that the platform defines and this version does not read.
+//! Reports headers of the local upstream's answers that the platform defines and this version does not know or can't read.
 
 use crate::proxy::{core::ProxyCore, events::ProxyEvent};
-use http::{HeaderMap, HeaderName};
+use http::{HeaderMap, HeaderName, HeaderValue};
 use std::{cell::RefCell, collections::HashSet};
 
 /// Maximum number of names that are reported by one process.
@@ -21,11 +21,31 @@
     }
 }
 
-/// Logs each unread header of an answer, once for each name.
+/// Logs each unknown header of an answer, once for each name.
 pub fn log_unread_headers(core: &ProxyCore, headers: &HeaderMap, instance: &str) {
     let names = &core.settings.headers;
+    let unknown = headers
+        .iter()
+        .filter(|(name, _)| names.is_reserved_and_unread(name));
+    log_once(core, unknown, instance);
+}
+
+/// Logs the headers of an answer that name a request limit which can't be read, once for each name.
+pub fn log_unreadable_limit(core: &ProxyCore, headers: &HeaderMap, instance: &str) {
+    let names = &core.settings.headers;
+    let limits = headers
+        .iter()
+        .filter(|(name, _)| names.request_limit.contains(name));
+    log_once(core, limits, instance);
+}
+
+fn log_once<'a>(
+    core: &ProxyCore,
+    headers: impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)>,
+    instance: &str,
+) {
     for (name, value) in headers {
-        if names.is_reserved_and_unread(name) && core.unread_headers.insert(name) {
+        if core.unread_headers.insert(name) {
             let text = String::from_utf8_lossy(value.as_bytes());
             core.log(&ProxyEvent::HeaderUnread {
                 instance: instance.to_owned(),
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -214,6 +214,16 @@
             "Questions to the upstream for its load",
             counters.probes.get(),
         ),
+        metric(
+            "limits_named",
+            "Answers of the upstream that named a request limit",
+            counters.limits_named.get(),
+        ),
+        metric(
+            "limits_unreadable",
+            "Answers of the upstream whose request limit could not be read",
+            counters.limits_unreadable.get(),
+        ),
         metric(
             "state_bytes",
             "Bytes of messages with state from other nodes",
@@ -244,6 +254,11 @@
         metric("running", "Requests at the upstream", load.running.into()),
         metric("queued", "Requests that wait for it", load.queued.into()),
         metric("limit", "Requests let run at once", load.limit.into()),
+        metric(
+            "request_limit_millis",
+            "Thousandths of a request per second that the upstream accepts; 0 if it names no limit",
+            core.slots.request_limit().map_or(0, |rate| rate.0.into()),
+        ),
         metric(
             "slowdown_percent",
             "Time that work takes now, in percent of the usual",
--- a/src/state.rs
+++ b/src/state.rs
@@ -18,6 +18,7 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod request_fingerprint;
+pub mod request_rate;
 pub mod routing_table;
 pub mod service_times;
 pub mod store_position;
--- a/src/state/known_node.rs
+++ b/src/state/known_node.rs
@@ -4,6 +4,7 @@
     ablation::Mechanism,
     incarnation_id::IncarnationId,
     names::{AvailabilityZoneName, ClassName, NodeName, ServiceName},
+    request_rate::NamedLimit,
     timestamp::Timestamp,
 };
 use serde::{Deserialize, Serialize};
@@ -17,6 +18,8 @@
 /// A refusal stays valid for the reported completion time divided by this number: a queue that delays a request by that time isn't
 /// worked off in a quarter of it.
 const REFUSAL_VALIDITY_DIVISOR: u32 = 4;
+/// The same for an upstream that names a request limit: it starts requests at fixed intervals.
+const LIMITED_REFUSAL_VALIDITY_DIVISOR: u32 = 2;
 
 /// What a node announces about itself and its local upstream. Written to the store as JSON.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +79,8 @@
     pub outstanding: u16,
     /// Load that the node reported last, including requests of this node, and when it arrived.
     pub load: Option<(NodeLoad, Timestamp)>,
+    /// Request limit that the upstream named in its answers to requests of this node.
+    pub request_limit: NamedLimit,
     /// No request is sent to the node before this time. Set after the node could not be reached, or refused for a reason that
     /// applies to all requests.
     pub backoff_until: Timestamp,
@@ -96,6 +101,7 @@
             revision: stored.revision,
             outstanding: 0,
             load: None,
+            request_limit: NamedLimit::default(),
             backoff_until: Timestamp::default(),
             consecutive_failures: 0,
             silent_since: None,
@@ -116,7 +122,11 @@
         }
         let (reported_at, finish) = *self.refusals.get(class)?;
         let age = now.since(reported_at);
-        (age <= finish / REFUSAL_VALIDITY_DIVISOR).then(|| finish.saturating_sub(age))
+        let divisor = match self.request_limit.rate() {
+            Some(_) => LIMITED_REFUSAL_VALIDITY_DIVISOR,
+            None => REFUSAL_VALIDITY_DIVISOR,
+        };
+        (age <= finish / divisor).then(|| finish.saturating_sub(age))
     }
 
     /// Records that a request was sent to the node.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -24,6 +24,7 @@
 mod publishing;
 mod quota_keeper;
 mod quota_mesh;
+mod request_limit;
 mod restored_store;
 mod retiring;
 mod retiring_model;
--- a/tests/integration/slot_search.rs
+++ b/tests/integration/slot_search.rs
@@ -23,6 +23,7 @@
         address: address(last),
         in_local_zone,
         cost: 1.0,
+        is_limited: false,
         reported_finish: None,
     }
 }
@@ -43,6 +44,20 @@
     }
 }
 
+/// Failure: each request asks in vain a node of its zone whose upstream has a request limit that is used up.
+#[test]
+fn find_next_limited_node_in_local_zone() {
+    let limited = PlacementCandidate {
+        is_limited: true,
+        reported_finish: Some(Duration::from_millis(500)),
+        ..candidate(1, true)
+    };
+    let candidates = vec![limited, candidate(2, true)];
+    let mut search = SlotSearch::begin(candidates, TARGET, 0.0);
+    assert_eq!(search.find_next(time(0)), SearchStep::TryNode(address(2)));
+    assert!(search.has_refusals());
+}
+
 #[test]
 fn find_next_short_wait_in_local_zone() {
     let candidates = vec![candidate(1, true), candidate(2, false)];
