Nodes name the request limit of their upstream in all answers to entry nodes

Cause: an entry node learned of a limit only from an answer that it passed on itself. One whose requests had all been refused sent no limit along, and a restarted node started requests up to its slots. limit_kept_after_node_restart failed once when run beside other tests (6 of 3 requests in 4 s). Change: the answer between nodes has the limit as an optional last field, only while there is one. A node that names none may have been restarted, so only a response of the upstream ends the limit that an entry node remembers.

--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -63,7 +63,7 @@
     pub version: ConfigurationVersion,
     /// Address at which the sender accepts messages of other nodes.
     pub sender: SocketAddr,
-    /// Request limit that the upstream named in an answer to the sender; `None` if it names none. The receiver may have been
+    /// Request limit of the upstream that an answer has shown to the sender; `None` if it knows of none. The receiver may have been
     /// restarted since.
     pub request_limit: Option<RequestRate>,
     /// Organisation that sent the request; `None` if it needs no API key.
@@ -93,6 +93,8 @@
     /// After [`RefusalReason::QueueFull`] the time in which the request would have ended, after
     /// [`RefusalReason::Quarantined`] the rest of the quarantine. If the request got a slot, the time that it waited for it.
     pub finish_or_wait: Duration,
+    /// Request limit that the upstream names; `None` if it names none or the answering node doesn't know it.
+    pub request_limit: Option<RequestRate>,
 }
 
 impl HopRequest {
@@ -171,7 +173,7 @@
     #[must_use]
     pub fn encode(&self) -> String {
         let load = self.load;
-        format!(
+        let mut text = format!(
             "{};{};{};{};{};{};{};{}",
             encode_outcome(self.outcome),
             load.running,
@@ -181,7 +183,12 @@
             load.failed_percent,
             self.version.0,
             self.finish_or_wait.as_millis(),
-        )
+        );
+        if let Some(rate) = self.request_limit {
+            // Writing to a string never fails.
+            let _ = write!(text, ";{}", rate.0);
+        }
+        text
     }
 
     /// Parses the header's value; `None` if it is malformed.
@@ -199,6 +206,10 @@
             },
             version: ConfigurationVersion(parts.next()?.parse().ok()?),
             finish_or_wait: Duration::from_millis(parts.next()?.parse().ok()?),
+            request_limit: match parts.next() {
+                Some(rate) => Some(RequestRate(rate.parse().ok()?)),
+                None => None,
+            },
         };
         parts.next().is_none().then_some(answer)
     }
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -186,17 +186,26 @@
         };
         node.record_response(now);
         node.load = Some((completed.answer.load, now));
-        if let Some(response) = &completed.response {
-            let names = &self.core.settings.headers;
-            let report = read_limit_report(names, response.headers(), response.status());
-            let report = report.unwrap_or(LimitReport::Unknown);
-            node.request_limit.record(report, self.sent, now);
-        }
+        let report = self.read_limit_report(completed);
+        node.request_limit.record(report, self.sent, now);
         if let AttemptOutcome::Refused(reason) = completed.answer.outcome {
             back_off_after_refusal(node, reason, now);
         }
     }
 
+    /// What the answer says about the request limit. A node that names none may have been restarted, so only the upstream's own
+    /// response shows that there is none.
+    fn read_limit_report(&self, completed: &CompletedAttempt) -> LimitReport {
+        if let Some(rate) = completed.answer.request_limit {
+            return LimitReport::Named(rate);
+        }
+        let names = &self.core.settings.headers;
+        let response = completed.response.as_ref();
+        let report = response
+            .map(|response| read_limit_report(names, response.headers(), response.status()));
+        report.and_then(Result::ok).unwrap_or(LimitReport::Unknown)
+    }
+
     /// Sends no attempts to the node for a while.
     fn back_off_node(&self) {
         if Mechanism::NodeBackoff.is_disabled() {
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -285,7 +285,7 @@
     }
 }
 
-/// The request limit that the upstream of a node named last in an answer to a request of this node.
+/// The request limit of the upstream of a node, as far as answers to requests of this node have shown.
 fn find_request_limit(core: &ProxyCore, node: SocketAddr) -> Option<RequestRate> {
     let directory = core.directory.borrow();
     directory.nodes.get(&node)?.request_limit.rate()
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -185,5 +185,6 @@
         load: core.slots.load(),
         version: core.directory.borrow().version(),
         finish_or_wait,
+        request_limit: core.slots.request_limit(),
     }
 }
--- a/src/state/known_node.rs
+++ b/src/state/known_node.rs
@@ -79,7 +79,7 @@
     pub outstanding: u16,
     /// Load that the node reported last, including requests of this node, and when it arrived.
     pub load: Option<(NodeLoad, Timestamp)>,
-    /// Request limit that the upstream named in its answers to requests of this node.
+    /// Request limit of the upstream, as far as answers to requests of this node have shown.
     pub request_limit: NamedLimit,
     /// No request is sent to the node before this time. Set after the node could not be reached, or refused for a reason that
     /// applies to all requests.
--- a/tests/integration/request_limit.rs
+++ b/tests/integration/request_limit.rs
@@ -5,11 +5,13 @@
     coordination::request_limit::RequestLimit,
     options::proxy_settings::HeaderNames,
     protocol::{
-        hop::HopRequest,
+        hop::{AttemptOutcome, HopAnswer, HopRequest},
         limit_report::{UnreadableLimit, read_limit_report},
+        outcome::RefusalReason,
     },
     state::{
         configuration::ConfigurationVersion,
+        known_node::NodeLoad,
         request_rate::{LimitReport, RequestRate},
         timestamp::Timestamp,
     },
@@ -192,3 +194,17 @@
         }
     }
 }
+
+#[test]
+fn hop_answer_with_limit() {
+    for request_limit in [None, Some(RequestRate(1_900))] {
+        let sent = HopAnswer {
+            outcome: AttemptOutcome::Refused(RefusalReason::QueueFull),
+            load: NodeLoad::default(),
+            version: ConfigurationVersion(7),
+            finish_or_wait: SECOND,
+            request_limit,
+        };
+        assert_eq!(HopAnswer::decode(&sent.encode()), Some(sent));
+    }
+}
