--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -28,6 +28,8 @@
     pub limits_named: Cell<u64>,
     /// Answers of the local upstream whose request limit could not be read.
     pub limits_unreadable: Cell<u64>,
+    /// Answers of the local upstream of which it can't be read whether it is leaving.
+    pub leaving_unreadable: Cell<u64>,
     /// Bytes of state messages received from other nodes.
     pub state_bytes: Cell<u64>,
     /// Routing tables received from other nodes that were not newer than the one in force.
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -224,6 +224,11 @@
             "Answers of the upstream whose request limit could not be read",
             counters.limits_unreadable.get(),
         ),
+        metric(
+            "leaving_unreadable",
+            "Answers of the upstream of which it could not be read whether it leaves",
+            counters.leaving_unreadable.get(),
+        ),
         metric(
             "state_bytes",
             "Bytes of messages with state from other nodes",
