An upstream that says in an answer that it is leaving gets no more requests

Cause: the same class as the request limit: what an upstream says of itself in an answer was passed on and read by no node. Leaving counted only if announced or deregistered. Change: the local node marks the incarnation as leaving at once, refuses what waits, and publishes its record, as after an announcement; a probe's answer counts if it names the known incarnation, an answer 421 does not. An entry node that passed on such an answer sends nothing more to that incarnation, whatever a restarted node or its record says. Quotas still go by the record, which all nodes share.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -52,7 +52,7 @@
     let nodes_of_service = nodes.clone().filter(|node| node.record.service == *service);
     let common_failures = find_common_failures(nodes_of_service);
     let mut candidates: Vec<(PlacementCandidate, f64)> = nodes
-        .filter(|node| node.record.service == *service && !node.record.leaving)
+        .filter(|node| node.record.service == *service && !node.is_leaving())
         .filter(|node| node.backoff_until <= now)
         .map(|node| {
             let candidate = PlacementCandidate {
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -38,6 +38,8 @@
     /// In an answer, the requests per second that the upstream accepts from all nodes together, a decimal number. Upstreams use
     /// either name.
     pub request_limit: [HeaderName; 2],
+    /// In an answer, `1` if the upstream is leaving and takes no new requests. Upstreams use either name.
+    pub leaving: [HeaderName; 2],
     /// API key of an organisation, in requests of clients.
     pub api_key: HeaderName,
     /// Name of the organisation that sent the request, in requests to upstreams.
@@ -64,6 +66,10 @@
                 HeaderName::from_static("x-request-limit"),
                 HeaderName::from_static("x-server-limit"),
             ],
+            leaving: [
+                HeaderName::from_static("x-upstream-leaving"),
+                HeaderName::from_static("x-server-leaving"),
+            ],
             api_key: HeaderName::from_static("x-api-key"),
             organisation: HeaderName::from_static("x-organisation"),
             reserved_prefixes: ["x-upstream-", "x-server-"],
@@ -86,7 +92,8 @@
             &self.load,
             &self.warmup_left,
         ];
-        single.contains(&name) || self.request_limit.contains(name)
+        let double = self.request_limit.iter().chain(&self.leaving);
+        single.into_iter().chain(double).any(|read| read == name)
     }
 }
 
--- a/src/protocol.rs
+++ b/src/protocol.rs
@@ -2,6 +2,7 @@
 
 pub mod headers;
 pub mod hop;
+pub mod leaving_report;
 pub mod limit_report;
 pub mod operator_views;
 pub mod outcome;
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -1,7 +1,7 @@
 //! Removal of hop-by-hop headers from messages that are forwarded, and the check of a message's length headers.
 
 use http::{
-    HeaderMap, HeaderName,
+    HeaderMap, HeaderName, HeaderValue,
     header::{
         CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
@@ -43,6 +43,14 @@
         .collect()
 }
 
+/// All values of a header that may have either of two names.
+pub fn list_values<'a>(
+    headers: &'a HeaderMap,
+    names: &'a [HeaderName; 2],
+) -> impl Iterator<Item = &'a HeaderValue> {
+    names.iter().flat_map(|name| headers.get_all(name))
+}
+
 /// Whether the headers give the message's length twice: by several `Content-Length` headers, or by
 /// `Content-Length` and `Transfer-Encoding`. Two readers of the same bytes could then disagree about
 /// where the message ends.
@@ -55,7 +63,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use http::HeaderValue;
 
     #[test]
     fn remove_hop_by_hop_named_by_connection() {
--- a/src/protocol/limit_report.rs
+++ b/src/protocol/limit_report.rs
@@ -2,9 +2,11 @@
 
 use crate::{
     options::proxy_settings::HeaderNames,
+    protocol::headers::list_values,
     state::request_rate::{LimitReport, RequestRate},
 };
 use http::{HeaderMap, StatusCode};
+use thiserror::Error;
 
 /// What the headers of an answer say about the limit; `Err` if they name one that can't be read. Of several values the lowest
 /// counts. Only a success without a limit shows that there is none.
@@ -16,10 +18,7 @@
     headers: &HeaderMap,
     status: StatusCode,
 ) -> Result<LimitReport, UnreadableLimit> {
-    let values = || {
-        let names = names.request_limit.iter();
-        names.flat_map(|name| headers.get_all(name))
-    };
+    let values = || list_values(headers, &names.request_limit);
     let rates = values().filter_map(|value| RequestRate::parse(value.to_str().ok()?));
     match rates.min() {
         Some(rate) => Ok(LimitReport::Named(rate)),
@@ -30,6 +29,6 @@
 }
 
 /// A limit was named that is no decimal number.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 #[error("the request limit is no decimal number")]
 pub struct UnreadableLimit;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -64,6 +64,8 @@
     pub stored_record: RefCell<Option<NodeRecord>>,
     /// Latest store epoch in which the store was found to have lost the record of this node.
     pub record_lost_in_epoch: Cell<u64>,
+    /// Notified when an answer of the local upstream has changed the record of this node.
+    pub own_record_changed: Notify,
     /// Notified when the record of this node has to be written again.
     pub own_record_lost: Notify,
     /// The upstream on the same VM, as its announcements describe it.
@@ -136,6 +138,7 @@
             node_records_loaded: Notify::new(),
             stored_record: RefCell::default(),
             record_lost_in_epoch: Cell::default(),
+            own_record_changed: Notify::new(),
             own_record_lost: Notify::new(),
             local_upstream: RefCell::default(),
             slots: Slots::new(settings.limits.probes_per_second, timers.now()),
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -158,7 +158,7 @@
     /// Applies the record of this node. It has revision 0 until it is read from the store.
     pub fn apply_own_record(&mut self, record: NodeRecord) {
         if let Some(known) = self.nodes.get_mut(&record.address) {
-            known.record = record;
+            known.replace_record(record);
             // Refusals by an earlier incarnation of the upstream don't apply to this one.
             known.reset_backoff();
             return;
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -293,7 +293,7 @@
 fn has_node_of_service(core: &ProxyCore, service: &ServiceName) -> bool {
     let directory = core.directory.borrow();
     let mut nodes = directory.nodes.values();
-    nodes.any(|node| node.record.service == *service && !node.record.leaving)
+    nodes.any(|node| node.record.service == *service && !node.is_leaving())
 }
 
 fn pick_service(core: &ProxyCore, route: &Route) -> Option<ServiceName> {
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -3,6 +3,7 @@
 use crate::{
     protocol::{
         hop::{AttemptOutcome, HopRequest},
+        leaving_report::read_leaving_report,
         limit_report::read_limit_report,
         outcome::{RefusalReason, UnknownCause},
     },
@@ -188,6 +189,9 @@
         node.load = Some((completed.answer.load, now));
         let report = self.read_limit_report(completed);
         node.request_limit.record(report, self.sent, now);
+        if self.says_leaving(completed) {
+            node.record_leaving();
+        }
         if let AttemptOutcome::Refused(reason) = completed.answer.outcome {
             back_off_after_refusal(node, reason, now);
         }
@@ -206,6 +210,14 @@
         report.and_then(Result::ok).unwrap_or(LimitReport::Unknown)
     }
 
+    /// Whether the response says that the upstream is leaving. Its own node counts and logs what can't be read.
+    fn says_leaving(&self, completed: &CompletedAttempt) -> bool {
+        let names = &self.core.settings.headers;
+        let response = completed.response.as_ref();
+        response
+            .is_some_and(|response| read_leaving_report(names, response.headers()).unwrap_or(false))
+    }
+
     /// Sends no attempts to the node for a while.
     fn back_off_node(&self) {
         if Mechanism::NodeBackoff.is_disabled() {
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -2,6 +2,7 @@
 
 mod attempt_log_line;
 mod dispatch;
+mod leaving;
 mod probes;
 mod request_limit;
 mod slots;
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -12,8 +12,8 @@
         crash_detection::{AbortedRequest, detect_crash, record_local_answer},
         events::ProxyEvent,
         executing::{
-            request_limit::record_limit_header, slowdown::record_load_header,
-            upstream_headers::log_unread_headers,
+            leaving::record_leaving_header, request_limit::record_limit_header,
+            slowdown::record_load_header, upstream_headers::log_unread_headers,
         },
     },
     state::{ablation::Mechanism, request_fingerprint::RequestFingerprint},
@@ -86,6 +86,7 @@
     };
     if let Ok(response) = &send_result {
         record_limit_header(core, response, started);
+        record_leaving_header(core, response, &incarnation);
     }
     let now = core.timers.now();
     let is_disconnected = matches!(send_result, Err(SendError::Disconnected));
--- a/src/proxy/executing/probes.rs
+++ b/src/proxy/executing/probes.rs
@@ -3,7 +3,10 @@
 use crate::{
     proxy::{
         core::{ProxyCore, increment},
-        executing::{request_limit::record_probed_limit, warmup::record_warmup_header},
+        executing::{
+            leaving::record_probed_leaving, request_limit::record_probed_limit,
+            warmup::record_warmup_header,
+        },
     },
     state::{known_node::NodeRecord, names::ServiceName},
     transport::outgoing::{ConnectionReuse, SendError, SendOptions},
@@ -129,6 +132,7 @@
             let answer = sent.map_err(ProbeError::Failed)?;
             record_warmup_header(core, answer.headers());
             record_probed_limit(core, &answer);
+            record_probed_leaving(core, &answer);
             Ok(answer)
         }
         _ = timeout.recv_async() => Err(ProbeError::TimedOut),
--- a/src/proxy/executing/upstream_headers.rs
+++ b/src/proxy/executing/upstream_headers.rs
@@ -32,13 +32,18 @@
 
 /// Logs the headers of an answer that name a request limit which can't be read, once for each name.
 pub fn log_unreadable_limit(core: &ProxyCore, headers: &HeaderMap, instance: &str) {
-    let names = &core.settings.headers;
-    let limits = headers
-        .iter()
-        .filter(|(name, _)| names.request_limit.contains(name));
+    let names = &core.settings.headers.request_limit;
+    let limits = headers.iter().filter(|(name, _)| names.contains(name));
     log_once(core, limits, instance);
 }
 
+/// Logs the headers of an answer of which it can't be read whether the upstream is leaving, once for each name.
+pub fn log_unreadable_leaving(core: &ProxyCore, headers: &HeaderMap, instance: &str) {
+    let names = &core.settings.headers.leaving;
+    let reports = headers.iter().filter(|(name, _)| names.contains(name));
+    log_once(core, reports, instance);
+}
+
 fn log_once<'a>(
     core: &ProxyCore,
     headers: impl Iterator<Item = (&'a HeaderName, &'a HeaderValue)>,
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -25,7 +25,7 @@
         state_sharing::delegate_store_reading,
         store_calls::{CallReason, StoreCall},
         table_offering::keep_zone_current,
-        upstream_announcements::{RecordWrite, build_own_record},
+        upstream_announcements::{RecordWrite, build_own_record, publish_own_record_when_changed},
     },
     state::store_position::StorePosition,
 };
@@ -66,6 +66,10 @@
         Rc::clone(core),
         record_writes.clone(),
     ));
+    spawn_local(publish_own_record_when_changed(
+        Rc::clone(core),
+        record_writes.clone(),
+    ));
     spawn_local(retire_lost_nodes(Rc::clone(core), store.clone()));
     spawn_local(keep_zone_current(Rc::clone(core)));
     spawn_local(write_quarantines(Rc::clone(core), store.clone()));
--- a/src/proxy/upstream_announcements.rs
+++ b/src/proxy/upstream_announcements.rs
@@ -97,6 +97,13 @@
     incarnation: &IncarnationId,
     record_writes: &Sender<RecordWrite>,
 ) {
+    if record_departure(core, incarnation) {
+        publish_change(core, record_writes).await;
+    }
+}
+
+/// Records that an incarnation of the upstream is leaving, and returns whether this was unknown. From then on it gets no requests.
+pub fn record_departure(core: &ProxyCore, incarnation: &IncarnationId) -> bool {
     let is_first_notice = core
         .local_upstream
         .borrow_mut()
@@ -105,7 +112,18 @@
         core.log(&ProxyEvent::UpstreamDeparted {
             instance: incarnation.instance.clone(),
         });
-        publish_change(core, record_writes).await;
+    }
+    is_first_notice
+}
+
+/// Publishes the record of this node each time that an answer of the upstream has changed it, until dropped.
+pub async fn publish_own_record_when_changed(
+    core: Rc<ProxyCore>,
+    record_writes: Sender<RecordWrite>,
+) {
+    loop {
+        core.own_record_changed.notified().await;
+        publish_change(&core, &record_writes).await;
     }
 }
 
--- a/src/state/known_node.rs
+++ b/src/state/known_node.rs
@@ -81,6 +81,9 @@
     pub load: Option<(NodeLoad, Timestamp)>,
     /// Request limit of the upstream, as far as answers to requests of this node have shown.
     pub request_limit: NamedLimit,
+    /// Whether an answer to a request of this node said that the upstream is leaving. It stays set for the incarnation: the node may
+    /// be restarted and not know it any more.
+    said_leaving: bool,
     /// No request is sent to the node before this time. Set after the node could not be reached, or refused for a reason that
     /// applies to all requests.
     pub backoff_until: Timestamp,
@@ -102,6 +105,7 @@
             outstanding: 0,
             load: None,
             request_limit: NamedLimit::default(),
+            said_leaving: false,
             backoff_until: Timestamp::default(),
             consecutive_failures: 0,
             silent_since: None,
@@ -109,6 +113,26 @@
         }
     }
 
+    /// Replaces the record. What answers of an earlier incarnation said doesn't hold for another one.
+    pub fn replace_record(&mut self, record: NodeRecord) {
+        if self.record.incarnation != record.incarnation {
+            self.request_limit = NamedLimit::default();
+            self.said_leaving = false;
+        }
+        self.record = record;
+    }
+
+    /// Records that an answer to a request of this node said that the upstream is leaving.
+    pub fn record_leaving(&mut self) {
+        self.said_leaving = true;
+    }
+
+    /// Whether the upstream is leaving, by its record or by an answer.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.record.leaving || self.said_leaving
+    }
+
     /// Records that the node had no free slot for a request of a class, and reported that the request would finish in `finish`.
     pub fn record_refusal(&mut self, class: &ClassName, finish: Duration, now: Timestamp) {
         self.refusals.insert(class.clone(), (now, finish));
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -7,6 +7,7 @@
 mod evacuations;
 mod fair_shares;
 mod imports;
+mod leaving_report;
 mod local_mesh;
 mod log_causes;
 mod log_reading;
