An unsigned success without a request limit doesn't end the limit

Cause: an answer that is not the upstream's own (no signature) has no limit, and ended the one in force. Change: only a signed success counts. The case stands in request_limit::read_limit_report_by_headers_and_status and failed before.

--- a/src/protocol/limit_report.rs
+++ b/src/protocol/limit_report.rs
@@ -9,7 +9,7 @@
 use thiserror::Error;
 
 /// What the headers of an answer say about the limit; `Err` if they name one that can't be read. Of several values the lowest
-/// counts. Only a success without a limit shows that there is none.
+/// counts. Only a signed success without a limit shows that there is none.
 ///
 /// # Errors
 /// If no value can be read.
@@ -23,7 +23,9 @@
     match rates.min() {
         Some(rate) => Ok(LimitReport::Named(rate)),
         None if values().next().is_some() => Err(UnreadableLimit),
-        None if status.is_success() => Ok(LimitReport::NotNamed),
+        None if status.is_success() && headers.contains_key(&names.signature) => {
+            Ok(LimitReport::NotNamed)
+        }
         None => Ok(LimitReport::Unknown),
     }
 }
--- a/tests/integration/request_limit.rs
+++ b/tests/integration/request_limit.rs
@@ -62,6 +62,7 @@
     let [name, other_name] = &names.request_limit;
     let report = |values: &[(&HeaderName, &str)], status| {
         let mut headers = HeaderMap::new();
+        headers.insert(&names.signature, HeaderValue::from_static("signed"));
         for (name, value) in values {
             let value = HeaderValue::from_str(value).expect("a valid value");
             headers.append(*name, value);
@@ -78,6 +79,11 @@
     );
     assert_eq!(report(&[], StatusCode::OK), Ok(LimitReport::NotNamed));
     assert_eq!(report(&[], failed), Ok(LimitReport::Unknown));
+    assert_eq!(
+        read_limit_report(&names, &HeaderMap::new(), StatusCode::OK),
+        Ok(LimitReport::Unknown),
+        "unsigned"
+    );
     let replaced = StatusCode::MISDIRECTED_REQUEST;
     assert_eq!(report(&[], replaced), Ok(LimitReport::Unknown));
 }
