Late announcements: an upstream that misses a probe is probed again

Cause: one probe of 30 ms decided whether a late announcement of another incarnation is contradicted. Unanswered, the announcement was applied and the serving incarnation counted as ended. Change: up to four probes, as for a stored record, within the second in which an announcement has to be acknowledged.

--- a/src/proxy/executing/probes.rs
+++ b/src/proxy/executing/probes.rs
@@ -18,8 +18,8 @@
 
 /// Timeout of a probe. After a timeout the last reported slowdown of the upstream stays in use.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(30);
-/// Number of probes by which a node that was restarted verifies the stored record of its upstream, and the pause after each that
-/// isn't answered. An upstream that answers none announces itself within a second or two.
+/// Number of probes by which a node verifies which incarnation of its upstream is running, and the pause after each that isn't
+/// answered. All of them take less than the second within which an announcement has to be acknowledged.
 const VERIFYING_PROBES: usize = 4;
 const VERIFYING_PAUSE: Duration = Duration::from_millis(50);
 /// A kept connection that has been idle for longer is not used for a probe.
@@ -33,13 +33,19 @@
     let Some(uri) = find_health_uri(core, &record.service) else {
         return false;
     };
+    let answer = probe_until_answered(core, uri).await;
+    answer.is_some_and(|answer| is_accepting(core, record, &answer))
+}
+
+/// Probes the upstream up to [`VERIFYING_PROBES`] times, until it answers.
+async fn probe_until_answered(core: &Rc<ProxyCore>, uri: Uri) -> Option<Response<Bytes>> {
     for _ in 0..VERIFYING_PROBES {
         if let Ok(answer) = send_probe(core, uri.clone(), ConnectionReuse::Any).await {
-            return is_accepting(core, record, &answer);
+            return Some(answer);
         }
         let _ = core.timers.after(VERIFYING_PAUSE).recv_async().await;
     }
-    false
+    None
 }
 
 fn is_accepting(core: &ProxyCore, record: &NodeRecord, answer: &Response<Bytes>) -> bool {
@@ -48,10 +54,10 @@
     is_same && answer.status().is_success()
 }
 
-/// The instance name with which the upstream answers a probe; none without an answer.
+/// The instance name with which the upstream answers one of a few probes; none without an answer.
 pub async fn probe_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
     let uri = find_health_uri(core, service)?;
-    let answer = send_probe(core, uri, ConnectionReuse::Any).await.ok()?;
+    let answer = probe_until_answered(core, uri).await?;
     read_instance(core, &answer).map(str::to_owned)
 }
 
