Upstream health: decisions that eject an upstream which fails requests

Cause: an upstream that fails most of its requests while its health check passes keeps getting them; no node acts on its failed share.

An entry node remembers the refusal in KnownNode, and order_candidates leaves such nodes out.

--- a/src/coordination/placement.rs
+++ b/src/coordination/placement.rs
@@ -40,7 +40,8 @@
 
 /// Returns the available nodes of a service in the order in which to ask them: nodes of `zone` first, then by ascending cost.
 /// `chance` returns random numbers from 0 to 1 that order nodes of equal cost, so that entry nodes with the same knowledge don't
-/// all ask the same node.
+/// all ask the same node. Nodes that have refused requests because their upstream fails are left out, unless there are no others;
+/// then the one that did so least recently comes first.
 #[must_use]
 pub fn order_candidates<'a>(
     nodes: impl Iterator<Item = &'a KnownNode> + Clone,
@@ -51,9 +52,15 @@
 ) -> Vec<PlacementCandidate> {
     let nodes_of_service = nodes.clone().filter(|node| node.record.service == *service);
     let common_failures = find_common_failures(nodes_of_service);
-    let mut candidates: Vec<(PlacementCandidate, f64)> = nodes
+    let available = nodes
         .filter(|node| node.record.service == *service && !node.is_leaving())
-        .filter(|node| node.backoff_until <= now)
+        .filter(|node| node.backoff_until <= now);
+    let (failing, mut others): (Vec<_>, Vec<_>) =
+        available.partition(|node| node.refused_as_failing(now).is_some());
+    keep_one_ejected(&mut others, now);
+    let offered = if others.is_empty() { failing } else { others };
+    let mut candidates: Vec<(PlacementCandidate, Option<Timestamp>, f64)> = offered
+        .into_iter()
         .map(|node| {
             let candidate = PlacementCandidate {
                 address: node.record.address,
@@ -62,20 +69,35 @@
                 is_limited: node.request_limit.rate().is_some(),
                 reported_finish: node.reported_finish(class, now),
             };
-            (candidate, chance())
+            (candidate, node.refused_as_failing(now), chance())
         })
         .collect();
-    candidates.sort_by(|(a, chance_a), (b, chance_b)| {
+    candidates.sort_by(|(a, refused_a, chance_a), (b, refused_b, chance_b)| {
         let by_zone = b.in_local_zone.cmp(&a.in_local_zone);
         let by_cost = a.cost.total_cmp(&b.cost);
-        by_zone.then(by_cost).then(chance_a.total_cmp(chance_b))
+        let by_zone_and_refusal = by_zone.then(refused_a.cmp(refused_b));
+        by_zone_and_refusal
+            .then(by_cost)
+            .then(chance_a.total_cmp(chance_b))
     });
     candidates
         .into_iter()
-        .map(|(candidate, _)| candidate)
+        .map(|(candidate, ..)| candidate)
         .collect()
 }
 
+/// Keeps only one of the nodes whose upstream is ejected as far as is known, although the wait that they named has passed. A search asks
+/// few nodes, and each of these is likely to refuse.
+fn keep_one_ejected(nodes: &mut Vec<&KnownNode>, now: Timestamp) {
+    let ejected = nodes.iter().filter(|node| node.is_ejected(now));
+    let kept = ejected
+        .min_by_key(|node| (node.last_ejection_notice(), node.record.address))
+        .map(|node| node.record.address);
+    if kept.is_some() {
+        nodes.retain(|node| !node.is_ejected(now) || Some(node.record.address) == kept);
+    }
+}
+
 /// Number of requests at the node relative to the number that it executes concurrently, multiplied by the reported slowdown of its
 /// VM and by a factor for failures that exceed those of the other upstreams.
 fn estimate_cost(node: &KnownNode, common_failures: u8, now: Timestamp) -> f64 {
--- a/src/state/known_node.rs
+++ b/src/state/known_node.rs
@@ -21,6 +21,9 @@
 /// The same for an upstream that names a request limit: it starts requests at fixed intervals.
 const LIMITED_REFUSAL_VALIDITY_DIVISOR: u32 = 2;
 
+/// Time for which an upstream counts as ejected after its node said so. No refusal names a longer wait.
+const EJECTION_VALIDITY: Duration = Duration::from_secs(10);
+
 /// What a node announces about itself and its local upstream. Written to the store as JSON.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct NodeRecord {
@@ -91,6 +94,8 @@
     pub consecutive_failures: u32,
     /// Since when the node has left requests unanswered; `None` if no answer is expected.
     pub silent_since: Option<Timestamp>,
+    /// The latest refusal because the upstream fails its requests, and until when the node gets no requests therefore.
+    failing: Option<(Timestamp, Timestamp)>,
     /// By class: when the node last refused a request, and the completion time that it reported with the refusal.
     refusals: HashMap<ClassName, (Timestamp, Duration)>,
 }
@@ -109,6 +114,7 @@
             backoff_until: Timestamp::default(),
             consecutive_failures: 0,
             silent_since: None,
+            failing: None,
             refusals: HashMap::new(),
         }
     }
@@ -118,10 +124,42 @@
         if self.record.incarnation != record.incarnation {
             self.request_limit = NamedLimit::default();
             self.said_leaving = false;
+            self.failing = None;
         }
         self.record = record;
     }
 
+    /// Records that the node refused a request because its upstream fails requests, and named this wait.
+    pub fn record_failing(&mut self, wait: Duration, now: Timestamp) {
+        self.failing = Some((now, now + wait));
+    }
+
+    /// Records that the node accepted a request that was sent at `sent`: the upstream is no longer ejected, unless the node said so
+    /// since.
+    pub fn record_accepted(&mut self, sent: Timestamp) {
+        self.failing = self.failing.filter(|(refused, _)| *refused > sent);
+    }
+
+    /// Whether the node has said lately that its upstream is ejected, and accepted no request since.
+    #[must_use]
+    pub fn is_ejected(&self, now: Timestamp) -> bool {
+        self.failing
+            .is_some_and(|(refused, _)| now.since(refused) <= EJECTION_VALIDITY)
+    }
+
+    /// When the node last said that its upstream is ejected.
+    #[must_use]
+    pub fn last_ejection_notice(&self) -> Option<Timestamp> {
+        self.failing.map(|(refused, _)| refused)
+    }
+
+    /// When the node last said that its upstream fails requests, if the wait that it named hasn't passed.
+    #[must_use]
+    pub fn refused_as_failing(&self, now: Timestamp) -> Option<Timestamp> {
+        let (refused, until) = self.failing?;
+        (now < until).then_some(refused)
+    }
+
     /// Records that an answer to a request of this node said that the upstream is leaving.
     pub fn record_leaving(&mut self) {
         self.said_leaving = true;
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -40,5 +40,7 @@
 mod table_change;
 mod table_sources;
 mod table_spreading;
+mod upstream_health;
+mod upstream_health_mesh;
 mod version_lag;
 mod vm_slowdown;
