Nodes eject a local upstream that fails requests

Cause: the decisions of coordination/upstream_health were not wired in.

Change: proxy/health.rs applies them: admission before a slot is requested, evidence from each execution, one timer for executions that last too long, refusal of waiting requests at an ejection. New refusal `upstream_failing`, which entry nodes remember for the time that it names; a search whose nodes all refused for that reason begins again, at most twice. Events 861 to 863, four metrics, `ejected` in `status`. It is enabled by NodeLimits::upstream_health, on the platform by `health` in `policies`.

--- a/src/commands/status/text.rs
+++ b/src/commands/status/text.rs
@@ -132,6 +132,7 @@
     let condition = match upstream {
         None => "missing",
         Some(upstream) if upstream.leaving => "leaving",
+        Some(upstream) if upstream.ejected => "ejected",
         Some(_) => "serving",
     };
     format!(
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -18,5 +18,6 @@
 pub mod slow_start;
 pub mod store_reading;
 pub mod table_sources;
+pub mod upstream_health;
 pub mod version_lag;
 pub mod vm_slowdown;
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -3,7 +3,7 @@
 use crate::{
     coordination::{
         quota_keeper::QuotaSettings, retry_budget::RetryBudgetSettings,
-        slow_start::SlowStartSettings,
+        slow_start::SlowStartSettings, upstream_health::UpstreamHealthSettings,
     },
     state::names::{AvailabilityZoneName, NodeName, ServiceName},
 };
@@ -137,6 +137,8 @@
     /// Time after which a node that can't tell whether its configuration is current refuses requests with an API key; `None`
     /// if it serves them by the configuration that it has.
     pub key_expiry: Option<Duration>,
+    /// Ejection of upstreams that fail while their health check passes; `None` if no upstream is ejected.
+    pub upstream_health: Option<UpstreamHealthSettings>,
 }
 
 /// Settings of a node.
--- a/src/protocol/operator_views.rs
+++ b/src/protocol/operator_views.rs
@@ -65,6 +65,11 @@
     pub failed_percent: u8,
     /// Load probes that the node has sent to the upstream so far.
     pub probes: u64,
+    /// Whether the upstream is ejected because it fails requests. It gets only trials.
+    pub ejected: bool,
+    /// Time until the next trial of an ejected upstream, in milliseconds; `None` if it is not ejected.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub next_trial_ms: Option<u64>,
 }
 
 /// Counts of a class's requests at the node to which clients sent them, since the node's start.
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -43,6 +43,8 @@
     QuotaExceeded,
     /// The node has been cut off for too long to tell whether the request's API key is still valid.
     KeysExpired,
+    /// The upstream is ejected, since it fails requests, and the request is no trial.
+    UpstreamFailing,
 }
 
 impl RefusalReason {
@@ -57,6 +59,7 @@
                 | Self::UpstreamDown
                 | Self::ServiceMismatch
                 | Self::NotSent
+                | Self::UpstreamFailing
         )
     }
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -17,6 +17,7 @@
         evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
         executing::{Slots, UnreadHeaders},
+        health::LocalHealth,
         mesh_contact::MeshContact,
         quotas::Quotas,
     },
@@ -72,6 +73,8 @@
     pub local_upstream: RefCell<LocalUpstream>,
     /// Slots of the local upstream.
     pub slots: Slots,
+    /// Verdict on the local upstream.
+    pub health: LocalHealth,
     /// Headers of the local upstream that were reported as unread.
     pub unread_headers: UnreadHeaders,
     /// Retry budgets by service.
@@ -142,6 +145,7 @@
             own_record_lost: Notify::new(),
             local_upstream: RefCell::default(),
             slots: Slots::new(settings.limits.probes_per_second, timers.now()),
+            health: LocalHealth::default(),
             unread_headers: UnreadHeaders::default(),
             retry_budgets: RefCell::default(),
             calls_per_execution: RefCell::default(),
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -30,6 +30,12 @@
     pub limits_unreadable: Cell<u64>,
     /// Answers of the local upstream of which it can't be read whether it is leaving.
     pub leaving_unreadable: Cell<u64>,
+    /// Ejections of the local upstream.
+    pub ejections: Cell<u64>,
+    /// Requests sent to the ejected local upstream as trials.
+    pub upstream_trials: Cell<u64>,
+    /// Requests refused since the local upstream is ejected or returning.
+    pub refused_as_failing: Cell<u64>,
     /// Bytes of state messages received from other nodes.
     pub state_bytes: Cell<u64>,
     /// Routing tables received from other nodes that were not newer than the one in force.
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -192,8 +192,14 @@
         if self.says_leaving(completed) {
             node.record_leaving();
         }
-        if let AttemptOutcome::Refused(reason) = completed.answer.outcome {
-            back_off_after_refusal(node, reason, now);
+        match completed.answer.outcome {
+            AttemptOutcome::Refused(RefusalReason::UpstreamFailing) => {
+                node.record_failing(completed.answer.finish_or_wait, now);
+            }
+            AttemptOutcome::Refused(reason) => back_off_after_refusal(node, reason, now),
+            AttemptOutcome::Answered | AttemptOutcome::Unknown(_) => {
+                node.record_accepted(self.sent);
+            }
         }
     }
 
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -41,6 +41,9 @@
 /// Random factor of the `Retry-After` times of refused clients.
 const RETRY_AFTER_SPREAD: Range<f64> = 0.8..1.2;
 
+/// How often the search for a slot may begin again after refusals by nodes of ejected upstreams.
+const MAX_SEARCH_RESTARTS: u32 = 2;
+
 /// A client request with its route, service and deadline.
 pub struct ClientCall {
     /// The request.
@@ -72,22 +75,26 @@
     last_refusal: RefusalReason,
     /// Retries spent from the retry budget.
     spent_retries: u16,
+    /// Whether a node of an ejected upstream has refused the request since the search began.
+    was_refused_as_failing: bool,
+    /// How often the search has begun again.
+    search_restarts: u32,
 }
 
 impl RequestRouter {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
-        let kilobytes = core.class_bytes.borrow().average_bytes(&call.route.class) / 1_000.0;
-        let candidates = find_candidates(core, &call.service, &call.route.class);
         Self {
             core: Rc::clone(core),
-            search: SlotSearch::begin(candidates, call.route.target, kilobytes),
+            search: begin_search(core, &call),
             call: Rc::new(call),
             in_flight: FuturesUnordered::new(),
             attempts,
             earlier_outcome: None,
             last_refusal: RefusalReason::NoUpstream,
             spent_retries: 0,
+            was_refused_as_failing: false,
+            search_restarts: 0,
         }
     }
 
@@ -207,6 +214,7 @@
                 node,
                 finish_within,
             } => self.start_attempt(node, finish_within),
+            SearchStep::GiveUp if self.restart_search() => return self.try_next_node(),
             SearchStep::GiveUp => {
                 self.set_refusal_without_attempt();
                 return false;
@@ -215,6 +223,18 @@
         true
     }
 
+    /// Begins the search again if nodes of ejected upstreams have refused the request. A search asks only a few nodes, and while many
+    /// upstreams have just been ejected, all of these may refuse although others are healthy.
+    fn restart_search(&mut self) -> bool {
+        let restarts = self.was_refused_as_failing && self.search_restarts < MAX_SEARCH_RESTARTS;
+        if restarts {
+            self.was_refused_as_failing = false;
+            self.search_restarts += 1;
+            self.search = begin_search(&self.core, &self.call);
+        }
+        restarts
+    }
+
     /// Sets the reason for a refusal without any attempt: all nodes have just reported full queues, or all are in evacuated zones.
     fn set_refusal_without_attempt(&mut self) {
         if self.last_refusal != RefusalReason::NoUpstream {
@@ -285,6 +305,12 @@
     }
 }
 
+fn begin_search(core: &ProxyCore, call: &ClientCall) -> SlotSearch {
+    let kilobytes = core.class_bytes.borrow().average_bytes(&call.route.class) / 1_000.0;
+    let candidates = find_candidates(core, &call.service, &call.route.class);
+    SlotSearch::begin(candidates, call.route.target, kilobytes)
+}
+
 /// The request limit of the upstream of a node, as far as answers to requests of this node have shown.
 fn find_request_limit(core: &ProxyCore, node: SocketAddr) -> Option<RequestRate> {
     let directory = core.directory.borrow();
--- a/src/proxy/entry/request_router/attempt_results.rs
+++ b/src/proxy/entry/request_router/attempt_results.rs
@@ -81,6 +81,9 @@
                 if reason == RefusalReason::QueueFull {
                     self.record_full_queue(to, answer.finish_or_wait);
                 }
+                if reason == RefusalReason::UpstreamFailing {
+                    self.was_refused_as_failing = true;
+                }
                 if reason.is_node_wide() {
                     self.search.continue_in_remote_zones();
                 }
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -205,6 +205,31 @@
         /// Identity of the incarnation that was known before.
         instance: String,
     },
+    /// The local upstream was ejected, since it fails requests while its peers don't. It gets only trials.
+    UpstreamEjected {
+        /// Identity of the upstream's incarnation.
+        instance: String,
+        /// Executions since its failures began.
+        executions: u32,
+        /// Number of them that failed.
+        failures: u32,
+        /// Share of requests that fail at the peers, in percent.
+        peers_percent: u8,
+        /// Time until the first trial.
+        trial_ms: u64,
+    },
+    /// The trials of the local upstream have succeeded. It gets requests again, more and more of them.
+    UpstreamReturning {
+        /// Identity of the upstream's incarnation.
+        instance: String,
+    },
+    /// The ejection of the local upstream ended without trials, since its peers fail as well or too many are ejected.
+    EjectionWithdrawn {
+        /// Identity of the upstream's incarnation.
+        instance: String,
+        /// Share of requests that fail at the peers, in percent.
+        peers_percent: u8,
+    },
     /// The local upstream crashed while it ran a request.
     UpstreamCrashed {
         /// Identity of the upstream's incarnation.
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -20,6 +20,7 @@
         core::{ProxyCore, increment},
         crash_detection::find_quarantine,
         graceful_stop::accepts_work,
+        health::{Trial, admit, recheck},
         retry_budgets::{has_call_budget, spend_call_budget},
     },
     state::{request_fingerprint::RequestFingerprint, timestamp::Timestamp},
@@ -76,6 +77,10 @@
     if hop.is_retry && !has_call_budget(core, &hop.class) {
         return refuse(core, RefusalReason::RetryBudgetExhausted, Duration::ZERO);
     }
+    let trial = match admit(core, hop.idempotent) {
+        Ok(trial) => trial,
+        Err(wait) => return refuse(core, RefusalReason::UpstreamFailing, wait),
+    };
     if let Some(rate) = hop.request_limit {
         record_remembered_limit(core, rate);
     }
@@ -89,16 +94,19 @@
         }
         SlotDecision::Wait(number) => {
             if !wait_for_slot(core, number).await {
-                let (reason, finish_or_wait) = find_refusal(core, hop, fingerprint)
-                    .unwrap_or((RefusalReason::DeadlineTooShort, hop.time_left));
+                let (reason, finish_or_wait) =
+                    find_late_refusal(core, hop, fingerprint, trial.as_ref())
+                        .unwrap_or((RefusalReason::DeadlineTooShort, hop.time_left));
                 return refuse(core, reason, finish_or_wait);
             }
             number
         }
     };
     let slot_guard = SlotGuard::new(core, number);
-    // While the request waited, the upstream may have started to drain, or the request may have been quarantined.
-    if let Some((reason, finish_or_wait)) = find_refusal(core, hop, fingerprint) {
+    // While the request waited, the upstream may have started to drain or been ejected, or the request may have been quarantined.
+    if let Some((reason, finish_or_wait)) =
+        find_late_refusal(core, hop, fingerprint, trial.as_ref())
+    {
         return refuse(core, reason, finish_or_wait);
     }
     let waited = core.timers.now().since(arrived);
@@ -114,7 +122,7 @@
         .calls_per_execution
         .borrow_mut()
         .record_start(&hop.class, core.timers.now());
-    let (outcome, response) = dispatch(core, hop, req, fingerprint, time_left).await;
+    let (outcome, response) = dispatch(core, hop, req, fingerprint, time_left, trial).await;
     drop(slot_guard);
     core.calls_per_execution
         .borrow_mut()
@@ -153,6 +161,17 @@
     find_unavailability_reason(core, hop).map(|reason| (reason, Duration::ZERO))
 }
 
+/// Like [`find_refusal`], for a request that was admitted and has waited since.
+fn find_late_refusal(
+    core: &ProxyCore,
+    hop: &HopRequest,
+    fingerprint: RequestFingerprint,
+    trial: Option<&Trial>,
+) -> Option<(RefusalReason, Duration)> {
+    let refusal = find_refusal(core, hop, fingerprint);
+    refusal.or_else(|| Some((RefusalReason::UpstreamFailing, recheck(core, trial)?)))
+}
+
 /// Why the local upstream accepts no request of this service now; none if it does.
 fn find_unavailability_reason(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
     if !accepts_work(core, hop.time_left) {
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -1,6 +1,7 @@
 //! Sends a request to the local upstream and classifies its response.
 
 use crate::{
+    coordination::upstream_health::{EvidenceKind, ExecutionEnd},
     options::proxy_settings::HeaderNames,
     protocol::{
         headers::remove_hop_by_hop,
@@ -15,6 +16,7 @@
             leaving::record_leaving_header, request_limit::record_limit_header,
             slowdown::record_load_header, upstream_headers::log_unread_headers,
         },
+        health::{RunningExecution, Trial},
     },
     state::{ablation::Mechanism, request_fingerprint::RequestFingerprint},
     transport::{
@@ -48,6 +50,7 @@
     req: CallerRequest,
     fingerprint: RequestFingerprint,
     time_left: Duration,
+    trial: Option<Trial>,
 ) -> (AttemptOutcome, Option<Response<Bytes>>) {
     let Some(incarnation) = core
         .local_upstream
@@ -72,6 +75,7 @@
         max_body_bytes: MAX_BODY_BYTES,
         answer_timeouts: None,
     };
+    let execution = RunningExecution::begin(core, &hop.class, trial);
     let started = core.timers.now();
     let slowdown_percent = core.slots.load().slowdown_percent;
     let deadline = core.timers.after(time_left);
@@ -80,7 +84,7 @@
     let send_result = tokio::select! {
         send_result = core.outgoing.send(address, request, options, is_answer) => send_result,
         _ = deadline.recv_async() => {
-            core.slots.record_result(true);
+            execution.finish(ExecutionEnd::Abandoned, true);
             return (AttemptOutcome::Unknown(UnknownCause::DeadlinePassed), None);
         }
     };
@@ -98,15 +102,17 @@
         service: hop.service.clone(),
     });
     if is_upstream_crash(core, aborted).await {
-        core.slots.record_result(true);
+        execution.finish(ExecutionEnd::Ended(EvidenceKind::Reset), true);
         return (AttemptOutcome::Unknown(UnknownCause::UpstreamCrashed), None);
     }
     if result.0 == AttemptOutcome::Answered {
         record_local_answer(core, fingerprint, &incarnation);
     }
     let status = result.1.as_ref().map(Response::status);
-    core.slots
-        .record_result(status.is_none_or(|status| status.is_server_error()));
+    execution.finish(
+        classify_end(result.0, status),
+        status.is_none_or(|status| status.is_server_error()),
+    );
     if status.is_some_and(|status| status.is_success()) {
         core.slots
             .record_duration(&hop.class, now.since(started), slowdown_percent);
@@ -114,6 +120,18 @@
     result
 }
 
+/// What the result says about the upstream's health. An upstream that rejects a request is not held to fail.
+fn classify_end(outcome: AttemptOutcome, status: Option<StatusCode>) -> ExecutionEnd {
+    match (outcome, status) {
+        (AttemptOutcome::Refused(_), _) => ExecutionEnd::NotExecuted,
+        (AttemptOutcome::Answered, Some(status)) if !status.is_server_error() => {
+            ExecutionEnd::Ended(EvidenceKind::Answered)
+        }
+        (AttemptOutcome::Answered, Some(_)) => ExecutionEnd::Ended(EvidenceKind::Failed),
+        _ => ExecutionEnd::Ended(EvidenceKind::Reset),
+    }
+}
+
 /// Whether the upstream has crashed, if it has aborted a request. After a crash it gets no requests for a while.
 async fn is_upstream_crash(core: &Rc<ProxyCore>, aborted: Option<AbortedRequest>) -> bool {
     let Some(aborted) = aborted else {
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a node in the `OpenMetrics` text format. `docs/operators/metrics.md` lists them.
 
 use crate::{
+    coordination::upstream_health::HealthState,
     proxy::{
         core::ProxyCore,
         store_calls::{CallReason, StoreCall},
@@ -229,6 +230,21 @@
             "Answers of the upstream of which it could not be read whether it leaves",
             counters.leaving_unreadable.get(),
         ),
+        metric(
+            "ejections",
+            "Ejections of the upstream because it failed requests",
+            counters.ejections.get(),
+        ),
+        metric(
+            "upstream_trials",
+            "Requests admitted as trials of the ejected upstream",
+            counters.upstream_trials.get(),
+        ),
+        metric(
+            "refused_as_failing",
+            "Requests refused because the upstream is ejected or returning",
+            counters.refused_as_failing.get(),
+        ),
         metric(
             "state_bytes",
             "Bytes of messages with state from other nodes",
@@ -284,6 +300,11 @@
             "Organisations whose quota this node keeps or has kept",
             u64::try_from(core.quotas.kept()).unwrap_or(u64::MAX),
         ),
+        metric(
+            "ejected",
+            "1 while the upstream is ejected because it fails requests, else 0",
+            u64::from(core.health.state(core.timers.now()) == HealthState::Ejected),
+        ),
         metric("nodes", "Nodes known, this one included", nodes),
         metric(
             "version",
--- a/src/proxy/operator_requests.rs
+++ b/src/proxy/operator_requests.rs
@@ -142,6 +142,7 @@
     let load = core.slots.load();
     let upstream = core.local_upstream.borrow();
     let current = upstream.current()?;
+    let time_to_trial = core.health.time_to_trial(core.timers.now());
     Some(UpstreamStatus {
         instance: current.identity.instance.clone(),
         leaving: current.leaving,
@@ -152,6 +153,8 @@
         slowdown_percent: load.slowdown_percent,
         failed_percent: load.failed_percent,
         probes: core.counters.probes.get(),
+        ejected: time_to_trial.is_some(),
+        next_trial_ms: time_to_trial.map(in_millis),
     })
 }
 
