Quotas: several keepers with fixed shares

Cause: each organisation had one keeper.

Change: per availability zone the first two nodes by rank keep the quota (at least four in all), and each grants an equal share from a bucket of its own. The tolerated excess is divided: buckets 0.2, reserve for entry nodes that lack keepers 0.3, nodes that reach no keeper 0.3 (0.6 before). Entry nodes ask keepers of their zone first, each with a timeout of 50 ms; a refusal holds per keeper, and for the organisation once all have refused. A node that is gone counts for two windows more, a node that joined grants nothing for as long. Credit lapses 200 ms after its grant also if it is returned. Handover, confirmation and forwarding are removed, and their messages.

Tests: the simulated mesh has zones, nodes that join and are gone at different times for each node, stalls, changed quotas and returned credit, and counts starts at upstreams. Tests of the handover are replaced by tests of the sum over all keepers, of a restarted keeper and of the settling time. spend_unconfirmed_is_bounded uses rank 0.05 instead of 0.1, since the nodes without a keeper now share half as much of the excess.

--- a/examples/organisation_decisions.rs
+++ b/examples/organisation_decisions.rs
@@ -5,9 +5,11 @@
 use camphorturn::{
     coordination::{
         quota_credits::{CreditDecision, QuotaCredits},
-        quota_keeper::{CreditDemand, KeeperTenure, QuotaKeeper, QuotaSettings, find_keepers},
+        quota_keeper::{CreditDemand, KeeperShare, QuotaKeeper},
+        quota_shares::{KeeperMembers, QuotaSettings, most_keepers},
     },
     state::{
+        names::AvailabilityZoneName,
         organisations::{KeyDigest, Organisation, OrganisationIndex, Quota},
         timestamp::Timestamp,
     },
@@ -16,6 +18,7 @@
 
 const ORGANISATIONS: usize = 10_000;
 const NODES: u16 = 870;
+const ZONES: usize = 3;
 const ROUNDS: usize = 200_000;
 
 fn main() {
@@ -42,6 +45,13 @@
         .collect();
     let (mut credits, mut keeper) = (QuotaCredits::default(), QuotaKeeper::default());
     let settings = QuotaSettings::default();
+    let zones: Vec<AvailabilityZoneName> = (0..ZONES)
+        .map(|number| format!("zone-{number}").as_str().into())
+        .collect();
+    let mut members = KeeperMembers::default();
+    let placed = nodes.iter().zip(zones.iter().cycle());
+    let placed = placed.map(|(address, zone)| (*address, zone));
+    members.update(1, placed, &settings, Timestamp::default());
     let mut lookups = Vec::with_capacity(ROUNDS);
     let mut decisions = Vec::with_capacity(ROUNDS);
     for round in 0..ROUNDS {
@@ -53,14 +63,24 @@
         let now = Timestamp(round as u64 * 2_000);
         let started = Instant::now();
         if let CreditDecision::Ask { wanted } = credits.decide(&organisation.name, now) {
-            black_box(find_keepers(&organisation.name, nodes.iter().copied()));
+            let most = most_keepers(&quota, &settings);
+            let mut keepers = members.find_keepers(&organisation.name, most);
+            members.order_for_entry(&mut keepers, nodes[0], &zones[0]);
             let demand = CreditDemand {
                 wanted,
                 is_late: false,
+                lacks_keepers: false,
+            };
+            let share = KeeperShare {
+                keepers: keepers.len(),
+                since: Timestamp::default(),
+                starts_full: true,
             };
-            let tenure = KeeperTenure::Established;
-            let grant = keeper.grant(&organisation.name, quota, demand, tenure, &settings, now);
-            black_box(credits.apply_grant(&organisation.name, grant, now));
+            let name = &organisation.name;
+            let address = keepers[0].address;
+            black_box(credits.may_ask(name, address, now));
+            let grant = keeper.grant(name, quota, share, demand, &settings, now);
+            black_box(credits.apply_grant(name, address, grant, now, now));
         }
         decisions.push(started.elapsed().as_nanos());
     }
--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -9,6 +9,7 @@
 pub mod publishing;
 pub mod quota_credits;
 pub mod quota_keeper;
+pub mod quota_shares;
 pub mod rendezvous;
 pub mod request_limit;
 pub mod retiring;
--- a/src/coordination/quota_credits.rs
+++ b/src/coordination/quota_credits.rs
@@ -1,14 +1,16 @@
 //! Credit of organisations at an entry node.
 //!
-//! Credit that the keeper of a quota has granted and that isn't used lapses soon: the keeper counts it as spent, and requests that
-//! use it late would add to those of a later window.
+//! Credit that a keeper of a quota has granted and that isn't used lapses soon: the keeper counts it as spent, and requests that
+//! use it late would add to those of a later window. The same holds for credit that a request returns: its lifetime still begins with
+//! the grant.
 
 use crate::{
-    coordination::quota_keeper::{CreditGrant, QuotaSettings},
+    coordination::{quota_keeper::CreditGrant, quota_shares::QuotaSettings},
     state::{names::OrganisationName, organisations::Quota, timestamp::Timestamp},
 };
 use std::{
     collections::{HashMap, VecDeque},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -19,27 +21,29 @@
 /// Share of the requests of a period for which credit is asked in advance: those that are expected within half of the lifetime of
 /// credit.
 const ADVANCE_SHARE: f64 = 0.1;
-/// A refusal of the keeper holds for further requests for the time until the organisation has credit again, divided by this number,
-/// and not longer than the maximum. The keeper isn't asked meanwhile: hundreds of nodes that ask for each request of an organisation far
-/// beyond its limit would keep it busy.
+/// A refusal of a keeper holds for further requests for the time until it has credit again, divided by this number, and not longer
+/// than the maximum. The keeper isn't asked meanwhile: hundreds of nodes that ask for each request of an organisation far beyond its
+/// limit would keep it busy.
 const REFUSAL_VALIDITY_DIVISOR: u32 = 4;
 const MAX_REFUSAL_TIME: Duration = Duration::from_millis(250);
 /// Number of organisations up to which those without recent requests are remembered.
 const MIN_PRUNED_ACCOUNTS: usize = 256;
 /// Time without requests after which an organisation may be forgotten; longer than the window of any quota in use.
 const MAX_IDLE_ACCOUNT_TIME: Duration = Duration::from_mins(1);
+/// Number of keepers whose refusals are remembered for an organisation; more than there are, since keepers change.
+const MAX_REFUSALS: usize = 16;
 /// Divisor of a node's equal share of a quota, the most that it may use while it can reach no keeper.
 const CUT_OFF_DIVISOR: f64 = 2.0;
 /// Share of the tolerated excess that all nodes together may use while they can reach no keeper. Any number of them may be cut off,
-/// and the keeper may grant the whole quota to the others.
-const CUT_OFF_EXCESS_SHARE: f64 = 0.6;
+/// and the keepers may grant the whole quota to the others.
+const CUT_OFF_EXCESS_SHARE: f64 = 0.3;
 
 /// Place of a node in the mesh.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MeshPosition {
     /// Number of known nodes.
     pub nodes: usize,
-    /// Rank of the node for an organisation, from 0 to 1; see [`rank_node_for`](crate::coordination::quota_keeper::rank_node_for).
+    /// Rank of the node for an organisation, from 0 to 1; see [`rank_node_for`](crate::coordination::quota_shares::rank_node_for).
     pub node_rank: f64,
 }
 
@@ -47,8 +51,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CreditDecision {
     /// The request may be sent. It has used one credit.
-    Spent,
-    /// The keeper has to be asked for credit.
+    Spent {
+        /// When a keeper granted the credit.
+        granted: Timestamp,
+    },
+    /// A keeper has to be asked for credit.
     Ask {
         /// Number of credits that can be used soon.
         wanted: u32,
@@ -73,23 +80,37 @@
 #[derive(Clone, Debug, Default)]
 struct CreditAccount {
     credits: u32,
-    credits_expire: Timestamp,
+    /// When the oldest of the credits was granted.
+    granted: Timestamp,
+    /// Until when requests are refused without asking, since all keepers have refused.
     refused_until: Timestamp,
     /// Time for which refused clients are told to return.
     next_credit: Timestamp,
+    /// The last answers without credit of keepers that aren't asked for a while.
+    refusals: Vec<KeeperRefusal>,
     /// Times of the last requests, oldest first.
     uses: VecDeque<Timestamp>,
     /// Times of the last requests that were sent without asking a keeper, oldest first.
     unconfirmed: VecDeque<Timestamp>,
 }
 
+/// Answer of a keeper without credit.
+#[derive(Clone, Copy, Debug)]
+struct KeeperRefusal {
+    keeper: SocketAddr,
+    /// Until when the keeper isn't asked.
+    until: Timestamp,
+    /// When the keeper has credit again; `None` if the asked node doesn't keep the quota.
+    next_credit: Option<Timestamp>,
+}
+
 impl QuotaCredits {
     /// Decides on a request that arrives now.
     pub fn decide(&mut self, organisation: &OrganisationName, now: Timestamp) -> CreditDecision {
         let account = self.find_account(organisation, now);
         account.record_use(now);
-        if account.spend(now) {
-            return CreditDecision::Spent;
+        if let Some(granted) = account.spend(now) {
+            return CreditDecision::Spent { granted };
         }
         if now < account.refused_until {
             let retry_after = account.next_credit.since(now);
@@ -100,29 +121,89 @@
         }
     }
 
-    /// Applies the answer of a keeper on behalf of a request. `CreditDecision::Ask` isn't returned.
+    /// Whether a keeper may be asked for credit: it has refused none lately.
+    #[must_use]
+    pub fn may_ask(
+        &self,
+        organisation: &OrganisationName,
+        keeper: SocketAddr,
+        now: Timestamp,
+    ) -> bool {
+        let account = self.accounts.get(organisation);
+        let mut refusals = account.iter().flat_map(|account| &account.refusals);
+        !refusals.any(|refusal| refusal.keeper == keeper && now < refusal.until)
+    }
+
+    /// Applies the answer of a keeper on behalf of a request, which was asked at `asked`. `None` without credit: the next keeper is to be
+    /// asked.
     pub fn apply_grant(
         &mut self,
         organisation: &OrganisationName,
+        keeper: SocketAddr,
         grant: CreditGrant,
+        asked: Timestamp,
         now: Timestamp,
-    ) -> CreditDecision {
+    ) -> Option<CreditDecision> {
         let account = self.find_account(organisation, now);
         if let Some(remaining) = grant.credits.checked_sub(1) {
-            account.add_credits(remaining, now);
+            account.add_credits(remaining, asked, now);
             account.refused_until = now;
-            return CreditDecision::Spent;
+            return Some(CreditDecision::Spent { granted: asked });
         }
         let retry_after = Duration::from_millis(grant.retry_after_ms);
-        account.refused_until =
-            now + (retry_after / REFUSAL_VALIDITY_DIVISOR).min(MAX_REFUSAL_TIME);
-        account.next_credit = now + retry_after;
-        CreditDecision::Refused { retry_after }
+        account.record_refusal(KeeperRefusal {
+            keeper,
+            until: now + (retry_after / REFUSAL_VALIDITY_DIVISOR).min(MAX_REFUSAL_TIME),
+            next_credit: Some(now + retry_after),
+        });
+        None
+    }
+
+    /// Records that a node answered that it doesn't keep the quota.
+    pub fn record_no_keeper(
+        &mut self,
+        organisation: &OrganisationName,
+        node: SocketAddr,
+        now: Timestamp,
+    ) {
+        let account = self.find_account(organisation, now);
+        account.record_refusal(KeeperRefusal {
+            keeper: node,
+            until: now + MAX_REFUSAL_TIME,
+            next_credit: None,
+        });
     }
 
-    /// Returns the credit of a request that wasn't executed. The next request of the organisation may use it.
-    pub fn return_credit(&mut self, organisation: &OrganisationName, now: Timestamp) {
-        self.find_account(organisation, now).add_credits(1, now);
+    /// Refuses a request after none of the `asked` keepers had credit, and further ones until the first of them may be asked again.
+    /// `None` if none of them has refused: no keeper was reached.
+    pub fn refuse(
+        &mut self,
+        organisation: &OrganisationName,
+        asked: &[SocketAddr],
+        now: Timestamp,
+    ) -> Option<CreditDecision> {
+        let account = self.find_account(organisation, now);
+        let refusals = account.refusals.iter();
+        let refusals = refusals.filter(|refusal| asked.contains(&refusal.keeper));
+        let refused = refusals.filter_map(|refusal| Some((refusal.until, refusal.next_credit?)));
+        let (until, next_credit) =
+            refused.reduce(|first, other| (first.0.min(other.0), first.1.min(other.1)))?;
+        account.refused_until = until;
+        account.next_credit = next_credit;
+        let retry_after = next_credit.since(now);
+        Some(CreditDecision::Refused { retry_after })
+    }
+
+    /// Returns the credit of a request that wasn't executed. The next request of the organisation may use it within the lifetime that
+    /// began when a keeper granted it at `granted`.
+    pub fn return_credit(
+        &mut self,
+        organisation: &OrganisationName,
+        granted: Timestamp,
+        now: Timestamp,
+    ) {
+        self.find_account(organisation, now)
+            .add_credits(1, granted, now);
     }
 
     /// Whether a request may be sent although no keeper can be reached. Each node may use its equal share of a part of the tolerated
@@ -176,25 +257,38 @@
         last.is_some_and(|last| now.since(*last) <= MAX_IDLE_ACCOUNT_TIME)
     }
 
-    fn spend(&mut self, now: Timestamp) -> bool {
-        if now >= self.credits_expire || self.credits == 0 {
+    /// Uses a credit. Returns when it was granted; `None` if there is none.
+    fn spend(&mut self, now: Timestamp) -> Option<Timestamp> {
+        if now >= self.granted + CREDIT_LIFETIME {
             self.credits = 0;
-            return false;
         }
-        self.credits -= 1;
-        true
+        self.credits = self.credits.checked_sub(1)?;
+        Some(self.granted)
     }
 
-    fn add_credits(&mut self, credits: u32, now: Timestamp) {
-        if now >= self.credits_expire {
+    fn add_credits(&mut self, credits: u32, granted: Timestamp, now: Timestamp) {
+        if now >= self.granted + CREDIT_LIFETIME {
             self.credits = 0;
         }
-        if credits > 0 && self.credits == 0 {
-            self.credits_expire = now + CREDIT_LIFETIME;
+        if credits == 0 || now >= granted + CREDIT_LIFETIME {
+            return;
         }
+        self.granted = if self.credits == 0 {
+            granted
+        } else {
+            self.granted.min(granted)
+        };
         self.credits += credits;
     }
 
+    fn record_refusal(&mut self, refusal: KeeperRefusal) {
+        self.refusals.retain(|known| known.keeper != refusal.keeper);
+        if self.refusals.len() >= MAX_REFUSALS {
+            self.refusals.remove(0);
+        }
+        self.refusals.push(refusal);
+    }
+
     fn predict_uses(&self) -> u32 {
         #[expect(
             clippy::cast_possible_truncation,
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     coordination::{
-        local_upstream::Announcement, quota_keeper::QuotaSettings,
+        local_upstream::Announcement, quota_shares::QuotaSettings,
         retry_budget::RetryBudgetSettings, slow_start::SlowStartSettings,
     },
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -132,7 +132,7 @@
     let organisation = end.text("organisation");
     vec![match end.text("keeper") {
         "" => format!(
-            "{organisation} was over its quota: its keeper had refused credit less than 50 ms before, or no keeper \
+            "{organisation} was over its quota: its keepers had refused credit less than 250 ms before, or no keeper \
              could be reached and the share of this node was used up."
         ),
         keeper => format!(
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     coordination::{
-        quota_keeper::QuotaSettings, retry_budget::RetryBudgetSettings,
+        quota_shares::QuotaSettings, retry_budget::RetryBudgetSettings,
         slow_start::SlowStartSettings,
     },
     state::names::{AvailabilityZoneName, NodeName, ServiceName},
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -293,9 +293,9 @@
     /// Whether the request can hardly be answered within its latency target. It gets credit only if there is enough for those that can.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub is_late: bool,
-    /// Whether another node forwards the request, because the receiver precedes it among the keepers of the organisation's quota.
+    /// Whether the sender can't reach some of the keepers of the organisation's quota.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub is_forwarded: bool,
+    pub lacks_keepers: bool,
 }
 
 /// State that a node sends to another one, requests for state, and the answers to them. A field that is absent has its
@@ -349,16 +349,10 @@
         skip_serializing_if = "Option::is_none"
     )]
     pub lost_in_epoch: Option<u64>,
-    /// Asks the receiver, which keeps the quota of an organisation, for credit.
+    /// Asks the receiver, one of the keepers of the quota of an organisation, for credit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub credit_request: Option<CreditRequest>,
-    /// Tells the receiver that the sender keeps the quota of this organisation from now on.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub quota_taken: Option<OrganisationName>,
-    /// Answer to `quota_taken`: whether the receiver has granted credit of the organisation within the last window.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub quota_was_kept: Option<bool>,
-    /// Answer to `credit_request`; absent if the receiver can't tell.
+    /// Answer to `credit_request`; absent if the receiver doesn't keep the quota.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub credit_grant: Option<CreditGrant>,
     /// What the sender has found out about a request during which upstreams crashed.
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -34,6 +34,10 @@
     pub state_bytes: Cell<u64>,
     /// Routing tables received from other nodes that were not newer than the one in force.
     pub stale_tables: Cell<u64>,
+    /// Messages that asked another node for credit of an organisation.
+    pub credit_requests: Cell<u64>,
+    /// Of these, not answered in time.
+    pub credit_timeouts: Cell<u64>,
     /// Calls to the store.
     pub store_calls: StoreCallCounts,
 }
--- a/src/proxy/directory.rs
+++ b/src/proxy/directory.rs
@@ -50,6 +50,8 @@
     known_versions: BTreeMap<SocketAddr, ConfigurationVersion>,
     /// Revision up to which the store's records of nodes have been read.
     read_position: u64,
+    /// Rises with each change of the known records.
+    generation: u64,
 }
 
 impl Directory {
@@ -118,7 +120,7 @@
         if source == StateSource::Peer && is_known_part && is_unknown {
             return false;
         }
-        match self.nodes.get_mut(&stored.record.address) {
+        let is_changed = match self.nodes.get_mut(&stored.record.address) {
             Some(known) if stored.revision <= known.revision => false,
             Some(known) if is_same_incarnation(&known.record, &stored.record) => {
                 let is_changed = known.record != stored.record;
@@ -131,7 +133,15 @@
                 self.nodes.insert(address, KnownNode::new(stored));
                 true
             }
-        }
+        };
+        self.generation += u64::from(is_changed);
+        is_changed
+    }
+
+    /// A number that rises with each change of the known records.
+    #[must_use]
+    pub const fn generation(&self) -> u64 {
+        self.generation
     }
 
     /// Compares the known records with the first full read after the store was restored from a backup, and updates their
@@ -157,6 +167,7 @@
 
     /// Applies the record of this node. It has revision 0 until it is read from the store.
     pub fn apply_own_record(&mut self, record: NodeRecord) {
+        self.generation += 1;
         if let Some(known) = self.nodes.get_mut(&record.address) {
             known.replace_record(record);
             // Refusals by an earlier incarnation of the upstream don't apply to this one.
@@ -192,6 +203,7 @@
         let nodes = self.nodes.values();
         let dropped = nodes.filter(|known| stored(known) && is_dropped(&known.record));
         let dropped: Vec<NodeRecord> = dropped.map(|known| known.record.clone()).collect();
+        self.generation += u64::from(!dropped.is_empty());
         for record in &dropped {
             self.nodes.remove(&record.address);
             self.known_versions.remove(&record.address);
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -218,9 +218,11 @@
         core.has_records() || has_node_of_service(core, &service)
     })
     .await;
+    let mut granted = None;
     if let Some(organisation) = &organisation {
         let is_late = is_likely_late(&route, client_time_left);
         let credit = obtain_credit(core, organisation, is_late).await;
+        granted = credit.granted;
         line.record_organisation(&organisation.name, credit.keeper);
         core.organisation_counts
             .borrow_mut()
@@ -232,7 +234,7 @@
     let deadline = arrived + time_left;
     let remaining = deadline.since(core.timers.now());
     if remaining.is_zero() {
-        return_unused_credit(core, organisation.as_deref());
+        return_unused_credit(core, organisation.as_deref(), granted);
         return RequestOutcome::Refused(RefusalReason::NoUpstream, NO_ROUTES_RETRY_AFTER);
     }
     let call = ClientCall {
@@ -251,7 +253,7 @@
         _ = timeout.recv_async() => request_router.end_at_deadline(),
     };
     if matches!(outcome, RequestOutcome::Refused(..)) {
-        return_unused_credit(core, organisation.as_deref());
+        return_unused_credit(core, organisation.as_deref(), granted);
     }
     outcome
 }
@@ -263,9 +265,13 @@
     elapsed.is_some_and(|elapsed| elapsed > route.target / LATE_RETURN_DIVISOR)
 }
 
-fn return_unused_credit(core: &ProxyCore, organisation: Option<&Organisation>) {
-    if let Some(organisation) = organisation {
-        return_credit(core, organisation);
+fn return_unused_credit(
+    core: &ProxyCore,
+    organisation: Option<&Organisation>,
+    granted: Option<Timestamp>,
+) {
+    if let (Some(organisation), Some(granted)) = (organisation, granted) {
+        return_credit(core, organisation, granted);
     }
 }
 
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -395,12 +395,14 @@
     },
     /// The store has deleted or lost the record of this node. It is written again.
     OwnRecordDropped {},
-    /// This node keeps the quota of an organisation from now on.
+    /// This node is one of the keepers of an organisation's quota from now on.
     QuotaKept {
         /// The organisation.
         organisation: OrganisationName,
-        /// Whether another node may have kept the quota until now. The first credits are then few.
+        /// Whether this node may have granted credit before its restart. It begins without credit.
         recent: bool,
+        /// Number of keepers, of which each grants an equal share.
+        keepers: usize,
     },
     /// No keeper of an organisation's quota answered. The node uses a small share of the quota until one does.
     KeepersUnreachable {
--- a/src/proxy/mesh_contact.rs
+++ b/src/proxy/mesh_contact.rs
@@ -9,8 +9,6 @@
 use rand::seq::IteratorRandom;
 use std::{cell::Cell, net::SocketAddr, time::Duration};
 
-/// Time without a message of another node after which a node takes itself to be cut off.
-const MAX_PEER_SILENCE: Duration = Duration::from_millis(300);
 /// Number of nodes that a node asks for an answer to find out whether it is cut off.
 const ASKED_NODES: usize = 3;
 /// Longest time that it waits for their answers.
@@ -20,10 +18,6 @@
 pub struct MeshContact {
     /// Last time at which another node or the store was heard; at first the start of the process.
     last: Cell<Timestamp>,
-    /// Last time at which another node was heard; none before the first time.
-    last_peer: Cell<Option<Timestamp>>,
-    /// End of the last period in which no other node was heard; none if there was none after the first contact.
-    since: Cell<Option<Timestamp>>,
 }
 
 impl MeshContact {
@@ -32,8 +26,6 @@
     pub fn new(now: Timestamp) -> Self {
         Self {
             last: Cell::new(now),
-            last_peer: Cell::default(),
-            since: Cell::default(),
         }
     }
 
@@ -45,16 +37,6 @@
     /// Records that another node was heard.
     pub fn record_peer(&self, now: Timestamp) {
         self.last.set(now);
-        let previous = self.last_peer.replace(Some(now));
-        if previous.is_some_and(|previous| now.since(previous) > MAX_PEER_SILENCE) {
-            self.since.set(Some(now));
-        }
-    }
-
-    /// End of the last period in which no other node was heard; none if there was none after the first contact.
-    #[must_use]
-    pub fn since(&self) -> Option<Timestamp> {
-        self.since.get()
     }
 
     /// Last time at which another node or the store was heard.
@@ -69,16 +51,6 @@
     core.contact.record_peer(core.timers.now());
 }
 
-/// Whether no other node was heard lately, although some are known.
-pub fn is_silent(core: &ProxyCore) -> bool {
-    let own_address = core.settings.peer_address;
-    let directory = core.directory.borrow();
-    let mut known_addresses = directory.nodes.keys();
-    let knows_others = known_addresses.any(|address| *address != own_address);
-    let last_contact = core.contact.last_peer.get().unwrap_or(core.started);
-    knows_others && core.timers.now().since(last_contact) > MAX_PEER_SILENCE
-}
-
 /// Asks some other nodes for an answer. In a mesh without other traffic, a node hears from no other one unless it asks.
 pub async fn ask_for_contact(core: &ProxyCore) {
     let own_address = core.settings.peer_address;
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -239,6 +239,16 @@
             "Routing tables from other nodes that were no news",
             counters.stale_tables.get(),
         ),
+        metric(
+            "credit_requests",
+            "Messages that asked another node for credit of an organisation",
+            counters.credit_requests.get(),
+        ),
+        metric(
+            "credit_timeouts",
+            "Of these, not answered in time",
+            counters.credit_timeouts.get(),
+        ),
     ]
 }
 
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -10,7 +10,7 @@
         directory::StateSource,
         evacuating::apply_peer_evacuations,
         events::ProxyEvent,
-        quotas::{answer_credit_request, hand_over_quota},
+        quotas::answer_credit_request,
         retiring::is_reachable,
         state_messages::{count_state_bytes, log_malformed, send_along_tree, send_state},
         store_sync::request_own_record_rewrite,
@@ -84,7 +84,6 @@
     let is_offer = message.offered_version.is_some();
     let has_evacuations = message.evacuations.is_some();
     let credit_request = message.credit_request.take();
-    let quota_taken = message.quota_taken.take();
     apply_message(core, message);
     let mut answer = match changes_since {
         Some(version) => StateMessage {
@@ -105,11 +104,8 @@
     if let Some(suspect) = check_peer {
         answer.peer_reachable = Some(is_reachable(core, suspect).await);
     }
-    if let Some(organisation) = quota_taken {
-        answer.quota_was_kept = Some(hand_over_quota(core, &organisation, from));
-    }
     if let Some(request) = credit_request {
-        answer.credit_grant = answer_credit_request(core, request).await;
+        answer.credit_grant = answer_credit_request(core, &request);
     }
     if answer == StateMessage::default() {
         return Response::new(Full::default());
