--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -14,6 +14,7 @@
 mod mesh_model;
 mod metrics_page;
 mod misses;
+mod node_liveness;
 mod offer_rounds;
 mod operators;
 mod options;
