Check nodes that leave attempts unanswered and hedge those of suspect ones

Cause: a request that was sent to a stalled node waited for its deadline, or for 0.6 of its latency target if it was idempotent and was executed at once; one that waited in the queue of that node was not hedged at all. Change: src/proxy/liveness.rs watches the attempts at other nodes and sends the checks that node_liveness asks for. A suspect node is no candidate until it answers. Routers of idempotent requests whose attempts are all at suspect nodes begin a new search at once, within the retry budget and max_attempts. Events 861 and 862, four metrics.

--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -316,6 +316,7 @@
             slow_start: SlowStartSettings::default(),
             quota: QuotaSettings::default(),
             key_expiry: None,
+            node_checks: false,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -137,6 +137,9 @@
     /// Time after which a node that can't tell whether its configuration is current refuses requests with an API key; `None`
     /// if it serves them by the configuration that it has.
     pub key_expiry: Option<Duration>,
+    /// Whether this node checks nodes that leave its requests unanswered for unusually long, and sends idempotent requests to another
+    /// node if the check isn't answered.
+    pub node_checks: bool,
 }
 
 /// Settings of a node.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -13,6 +13,7 @@
 pub mod events;
 mod executing;
 mod graceful_stop;
+mod liveness;
 mod mesh_contact;
 pub mod metrics;
 pub mod operator_requests;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -17,6 +17,7 @@
         evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
         executing::{Slots, UnreadHeaders},
+        liveness::PeerLiveness,
         mesh_contact::MeshContact,
         quotas::Quotas,
     },
@@ -108,6 +109,8 @@
     pub offer_rounds: RefCell<OfferRounds>,
     /// Availability zones that get no requests.
     pub evacuations: EvacuationsInForce,
+    /// Liveness of other nodes.
+    pub liveness: PeerLiveness,
     /// Quotas of organisations.
     pub quotas: Quotas,
     /// Contact with other nodes and the store.
@@ -161,6 +164,7 @@
             table_offered: Notify::new(),
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
+            liveness: PeerLiveness::default(),
             quotas: Quotas::default(),
             contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -12,6 +12,7 @@
         entry::{request_attempts::RequestAttempts, request_router::ClientCall},
         events::{LoggedEnd, ProxyEvent, in_millis},
         executing::{CompletedAttempt, execute},
+        liveness::WatchedAttempt,
         peer_requests::send_hop,
     },
     state::{
@@ -111,6 +112,8 @@
     sent: Timestamp,
     /// Age of the known load of the node when the attempt was sent.
     known_load_age: Option<Duration>,
+    /// `None` if the attempt is not watched.
+    watched: Option<WatchedAttempt>,
     ended: Cell<bool>,
 }
 
@@ -128,6 +131,8 @@
             node.record_sent_request(sent);
             known_load_age = node.load.map(|(_, at)| sent.since(at));
         }
+        let route = &call.route;
+        let watched = WatchedAttempt::begin(core, to, (&call.service, &route.class), route.target);
         Self {
             core: Rc::clone(core),
             call: Rc::clone(call),
@@ -136,12 +141,16 @@
             finish_within,
             sent,
             known_load_age,
+            watched,
             ended: Cell::new(false),
         }
     }
 
     fn finish(&self, result: &Result<CompletedAttempt, SendError>) {
         self.ended.set(true);
+        if let Some(watched) = &self.watched {
+            watched.record_result(result);
+        }
         self.update_known_node(result);
         let slowdown_percent = result
             .as_ref()
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -64,6 +64,8 @@
     core: Rc<ProxyCore>,
     call: Rc<ClientCall>,
     in_flight: FuturesUnordered<LocalBoxFuture<'static, AttemptResult>>,
+    /// Nodes of the attempts in flight.
+    nodes_in_flight: Vec<SocketAddr>,
     search: SlotSearch,
     attempts: Rc<RequestAttempts>,
     /// Outcome of an earlier attempt that may be retried: a server error, or why it is unknown whether the request was executed.
@@ -77,13 +79,12 @@
 impl RequestRouter {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
-        let kilobytes = core.class_bytes.borrow().average_bytes(&call.route.class) / 1_000.0;
-        let candidates = find_candidates(core, &call.service, &call.route.class);
         Self {
             core: Rc::clone(core),
-            search: SlotSearch::begin(candidates, call.route.target, kilobytes),
+            search: begin_search(core, &call),
             call: Rc::new(call),
             in_flight: FuturesUnordered::new(),
+            nodes_in_flight: Vec::new(),
             attempts,
             earlier_outcome: None,
             last_refusal: RefusalReason::NoUpstream,
@@ -92,7 +93,7 @@
     }
 
     /// Makes attempts until one gives a final outcome or no node is left to ask. An idempotent request without an answer is hedged
-    /// once.
+    /// once, and whenever all nodes that have it are suspect.
     pub async fn run(&mut self) -> RequestOutcome {
         if !self.try_next_node() {
             return self.end_without_answer();
@@ -110,10 +111,15 @@
                     self.start_hedge();
                     continue;
                 }
+                () = self.core.liveness.wait_for_suspicion(), if self.call.route.idempotent => {
+                    self.hedge_suspect_attempts();
+                    continue;
+                }
             };
             let Some(attempt) = attempt else {
                 return self.end_without_answer();
             };
+            self.nodes_in_flight.retain(|node| *node != attempt.to);
             let step = self.apply_result(attempt);
             if let Some(outcome) = self.perform_step(step) {
                 return outcome;
@@ -136,9 +142,9 @@
     fn perform_step(&mut self, step: NextStep) -> Option<RequestOutcome> {
         let continues = match step {
             NextStep::End(outcome) => return Some(outcome),
-            NextStep::TryAnotherNode | NextStep::Retry if !self.in_flight.is_empty() => true,
-            NextStep::TryAnotherNode => self.try_next_node(),
-            NextStep::Retry => self.retry(),
+            NextStep::TryAnotherNode | NextStep::Retry if self.has_live_attempt() => true,
+            NextStep::TryAnotherNode => self.try_next_node() || !self.in_flight.is_empty(),
+            NextStep::Retry => self.retry() || !self.in_flight.is_empty(),
         };
         (!continues).then(|| self.end_without_answer())
     }
@@ -154,6 +160,29 @@
         }
     }
 
+    /// Whether an attempt is in flight at a node that is not suspect.
+    fn has_live_attempt(&self) -> bool {
+        let liveness = &self.core.liveness;
+        let mut nodes = self.nodes_in_flight.iter();
+        nodes.any(|node| !liveness.is_suspect(*node))
+    }
+
+    /// Sends the request to another node if all nodes that have it are suspect, also if it waits there for a slot. The search begins
+    /// again: what is known of the nodes has changed, and the request may have been meant to wait at one of the suspect ones.
+    fn hedge_suspect_attempts(&mut self) {
+        if Mechanism::Hedging.is_disabled()
+            || self.in_flight.is_empty()
+            || self.has_live_attempt()
+            || !self.try_spend_retry()
+        {
+            return;
+        }
+        self.search = begin_search(&self.core, &self.call);
+        if self.try_next_node() {
+            increment(&self.core.liveness.hedges);
+        }
+    }
+
     fn retry(&mut self) -> bool {
         !Mechanism::Retries.is_disabled()
             && self.may_retry()
@@ -201,7 +230,7 @@
             elapsed: now.since(self.call.arrived),
             remaining: self.call.deadline.since(now),
         };
-        match self.search.find_next(time) {
+        match self.find_next_live_node(time) {
             SearchStep::TryNode(node) => self.start_attempt(node, Duration::ZERO),
             SearchStep::WaitAt {
                 node,
@@ -215,6 +244,18 @@
         true
     }
 
+    /// The next step of the search that leads to a node that is not suspect.
+    fn find_next_live_node(&mut self, time: SearchTime) -> SearchStep {
+        loop {
+            let step = self.search.find_next(time);
+            match step {
+                SearchStep::TryNode(node) | SearchStep::WaitAt { node, .. }
+                    if self.core.liveness.is_suspect(node) => {}
+                _ => return step,
+            }
+        }
+    }
+
     /// Sets the reason for a refusal without any attempt: all nodes have just reported full queues, or all are in evacuated zones.
     fn set_refusal_without_attempt(&mut self) {
         if self.last_refusal != RefusalReason::NoUpstream {
@@ -229,6 +270,7 @@
 
     fn start_attempt(&mut self, to: SocketAddr, finish_within: Duration) {
         self.attempts.count_node_asked();
+        self.nodes_in_flight.push(to);
         let now = self.core.timers.now();
         let elapsed = now.since(self.call.arrived);
         let hop = HopRequest {
@@ -300,6 +342,13 @@
     })
 }
 
+/// Begins the search for a slot among the nodes that are available now.
+fn begin_search(core: &ProxyCore, call: &ClientCall) -> SlotSearch {
+    let kilobytes = core.class_bytes.borrow().average_bytes(&call.route.class) / 1_000.0;
+    let candidates = find_candidates(core, &call.service, &call.route.class);
+    SlotSearch::begin(candidates, call.route.target, kilobytes)
+}
+
 fn find_candidates(
     core: &ProxyCore,
     service: &ServiceName,
@@ -309,7 +358,10 @@
     let chance = || rand::rng().random_range(0.0..1.0);
     let known_nodes = directory.nodes.values();
     order_candidates(
-        known_nodes.filter(|node| !core.evacuations.contains(&node.record.availability_zone)),
+        known_nodes.filter(|node| {
+            !core.evacuations.contains(&node.record.availability_zone)
+                && !core.liveness.is_suspect(node.record.address)
+        }),
         (service, class),
         &core.settings.availability_zone,
         chance,
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -4,8 +4,10 @@
 
 mod catalogue;
 mod lines;
+mod liveness;
 
 pub use lines::LineWriter;
+pub use liveness::{NodeClearance, NodeSuspicion};
 
 use crate::{
     coordination::publishing::PublicationOutcome,
@@ -362,6 +364,10 @@
         /// Pause before the next request to it.
         pause_ms: u64,
     },
+    /// Another node is suspect: it has not answered a check. It gets no requests until it answers.
+    NodeSuspected(NodeSuspicion),
+    /// Another node is no longer suspect.
+    NodeCleared(NodeClearance),
     /// A new or changed record of a node was applied.
     NodeKnown {
         /// Name of the node.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -58,6 +58,8 @@
             Self::NodeStopped { .. } => (853, "node_stopped"),
             Self::SettingsRead { .. } => (854, "settings_read"),
             Self::SettingsRejected { .. } => (855, "settings_rejected"),
+            Self::NodeSuspected(..) => (861, "node_suspected"),
+            Self::NodeCleared(..) => (862, "node_cleared"),
         }
     }
 
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -234,6 +234,21 @@
             "Bytes of messages with state from other nodes",
             counters.state_bytes.get(),
         ),
+        metric(
+            "node_checks",
+            "Checks of nodes that left requests unanswered",
+            core.liveness.checks.get(),
+        ),
+        metric(
+            "nodes_suspected",
+            "Of these, those after which a node was suspect",
+            core.liveness.suspicions.get(),
+        ),
+        metric(
+            "suspect_hedges",
+            "Requests sent to a further node because theirs was suspect",
+            core.liveness.hedges.get(),
+        ),
         metric(
             "stale_tables",
             "Routing tables from other nodes that were no news",
@@ -279,6 +294,11 @@
             "Availability zones whose upstreams get no requests",
             u64::try_from(core.evacuations.zones().len()).unwrap_or(u64::MAX),
         ),
+        metric(
+            "suspect_nodes",
+            "Nodes that are suspect because they answer nothing",
+            u64::try_from(core.liveness.list_suspects().len()).unwrap_or(u64::MAX),
+        ),
         metric(
             "quotas_kept",
             "Organisations whose quota this node keeps or has kept",
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -38,6 +38,7 @@
             slow_start: SlowStartSettings::default(),
             quota: QuotaSettings::default(),
             key_expiry: None,
+            node_checks: false,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/tests/integration/node_liveness.rs
+++ b/tests/integration/node_liveness.rs
@@ -182,7 +182,7 @@
 fn suspect_node_stalled_in_long_execution() {
     let mut mesh = Mesh::new();
     mesh.warm_up();
-    mesh.send(node(1), Duration::from_secs(60));
+    mesh.send(node(1), Duration::from_mins(1));
     mesh.run(Duration::from_secs(10));
     mesh.stalled.push(node(1));
     let stalled = mesh.now;
@@ -325,7 +325,7 @@
 fn suspect_after_own_stall_in_check() {
     let mut mesh = Mesh::new();
     mesh.send(node(1), Duration::from_secs(9));
-    mesh.run(TARGET / 2 - TICK);
+    mesh.run(TARGET.mul_f64(0.49));
     mesh.stalled.push(node(1));
     while mesh.checks.is_empty() {
         mesh.run(Duration::from_millis(1));
