--- a/src/protocol/operator_views.rs
+++ b/src/protocol/operator_views.rs
@@ -130,6 +130,8 @@
     pub leaving: bool,
     /// Consecutive failures to reach the other node.
     pub failures: u32,
+    /// Whether the other node is suspect: it accepted requests and did not answer a check.
+    pub suspect: bool,
 }
 
 /// Answer to a drain request and to a health check.
--- a/src/proxy/operator_requests.rs
+++ b/src/proxy/operator_requests.rs
@@ -184,6 +184,7 @@
             operators: node.record.operator_address,
             leaving: node.record.leaving,
             failures: node.consecutive_failures,
+            suspect: core.liveness.is_suspect(node.record.address),
         })
         .collect()
 }
