Soak: upstreams that fail while their health checks pass; no import cycle

Cause: the soak had upstreams that fail a few requests, and none that fails for seconds beside healthy ones. checks.rs and organisations.rs imported each other. Change: the stand-in does an action with a share of its requests until told otherwise, while health checks pass; seeds draw up to three such failures (errors, connections closed without an answer, no answer), with a generator of their own. The soak's nodes have the policy health. IN_FORCE_LIMIT moved to history.rs; no promise changed.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -1,7 +1,7 @@
 //! Checks of the promises against what callers and upstreams observed. The names of promises are written out in reports.
 
 use crate::{
-    history::{Acknowledged, CallerRecord, History, UpstreamPeriod, Violation},
+    history::{Acknowledged, CallerRecord, History, IN_FORCE_LIMIT, UpstreamPeriod, Violation},
     organisations::check_organisations,
     vm::{CRASHING_PREFIX, get_zone_number},
 };
@@ -23,10 +23,6 @@
 /// Time without outages and faults after which a node is taken to be up to date with the others.
 const CONNECTED_AFTER: Duration = Duration::from_secs(3);
 
-/// Time after an acknowledged change within which every node must have it in force. For a node that was kept from receiving
-/// changes, or has started, the time counts from the end of that period. The platform's users rely on this limit.
-pub const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_500);
-
 /// Time after an acknowledged evacuation from which the zone may receive no request.
 pub const EVACUATION_LIMIT: Duration = Duration::from_secs(5);
 /// Most requests that an upstream in warm-up may receive within a second, by the configuration (`warmup_per_s`) and the
--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -34,6 +34,18 @@
 /// Duration of an upstream's warm-up; the configuration's `warmup_s`.
 pub const WARMUP_DURATION: Duration = Duration::from_secs(3);
 
+/// Fewest and most failures of upstreams whose health checks pass, per seed, and the shortest and longest duration of one.
+const UPSTREAM_FAILURES: (usize, usize) = (0, 3);
+const UPSTREAM_FAILURE_MS: (u64, u64) = (1_000, 5_000);
+/// What such an upstream does, with which share of its requests in percent: errors, connections closed without an answer, no
+/// answer at all.
+const UPSTREAM_FAILURE_KINDS: [(UpstreamAction, u8); 4] = [
+    (UpstreamAction::Fail, 65),
+    (UpstreamAction::Fail, 100),
+    (UpstreamAction::LoseAnswer, 65),
+    (UpstreamAction::Hold, 100),
+];
+
 /// Fewest and most times that a request which crashes upstreams is sent.
 const CRASHING_REQUESTS: (usize, usize) = (8, 24);
 
@@ -107,6 +119,15 @@
         /// Number of requests.
         times: usize,
     },
+    /// The upstream does this with a share of its requests for the fault's duration, while its health checks pass.
+    Fail {
+        /// Number of the VM.
+        node: usize,
+        /// What the upstream does with them.
+        act: UpstreamAction,
+        /// Share of the requests.
+        percent: u8,
+    },
     /// The upstream announces that it is draining; then another incarnation takes its address.
     Leave(usize),
     /// Another incarnation takes the upstream's address, without an announcement.
@@ -180,6 +201,8 @@
     draw.faults.extend(draw_evacuations(seed, span));
     draw.faults.extend(draw_warmups(seed, span, nodes));
     draw.faults.extend(draw_store_restores(seed, span));
+    draw.faults
+        .extend(draw_upstream_failures(seed, span, nodes));
     draw.faults.sort_by_key(|fault| fault.start);
     draw.faults
 }
@@ -235,6 +258,25 @@
     (0..count).map(draw).collect()
 }
 
+/// Draws the failures of upstreams whose health checks pass, with a generator of their own.
+fn draw_upstream_failures(seed: u64, span: Duration, nodes: usize) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(8));
+    let count = rng.random_range(UPSTREAM_FAILURES.0..=UPSTREAM_FAILURES.1);
+    let draw = |_| {
+        let (act, percent) = choose(&mut rng, &UPSTREAM_FAILURE_KINDS);
+        PlannedFault {
+            start: rng.random_range(Duration::ZERO..span),
+            duration: draw_duration(&mut rng, UPSTREAM_FAILURE_MS),
+            fault: Fault::Fail {
+                node: rng.random_range(0..nodes),
+                act,
+                percent,
+            },
+        }
+    };
+    (0..count).map(draw).collect()
+}
+
 /// Bandwidth between nodes in bytes per second; none if it is unlimited. Half of the seeds have limited links.
 #[must_use]
 pub fn draw_link_bandwidth(seed: u64) -> Option<u32> {
--- a/soak/src/history.rs
+++ b/soak/src/history.rs
@@ -4,6 +4,10 @@
 use serde::Serialize;
 use std::time::{Duration, Instant};
 
+/// Time after an acknowledged change within which every node must have it in force. For a node that was kept from receiving
+/// changes, or has started, the time counts from the end of that period. The platform's users rely on this limit.
+pub const IN_FORCE_LIMIT: Duration = Duration::from_millis(2_500);
+
 /// A request and its result, as its caller observed them.
 #[derive(Clone, Debug)]
 pub struct CallerRecord {
--- a/soak/src/organisations.rs
+++ b/soak/src/organisations.rs
@@ -1,9 +1,6 @@
 //! Organisations of the published configurations, the keys that callers send, and checks of what upstreams see of them.
 
-use crate::{
-    checks::IN_FORCE_LIMIT,
-    history::{Acknowledged, CallerRecord, History, Violation},
-};
+use crate::history::{Acknowledged, CallerRecord, History, IN_FORCE_LIMIT, Violation};
 use camphorturn_stand_ins::upstream::ExecutedRequest;
 use rand::{Rng, RngExt};
 use serde_json::{Value, json};
--- a/soak/src/seed_run.rs
+++ b/soak/src/seed_run.rs
@@ -10,7 +10,7 @@
     report::SeedReport,
     vm::{CRASHING_PREFIX, Vm},
 };
-use camphorturn_stand_ins::store::StoreCondition;
+use camphorturn_stand_ins::{store::StoreCondition, upstream::UpstreamAction};
 use nix::sys::signal::Signal;
 use std::{
     io,
@@ -176,6 +176,14 @@
             mesh.history.borrow_mut().warmups.push(warmup);
         }
         Fault::Act { node, act, times } => vm(node).upstream.plan_actions(&vec![act; times]),
+        Fault::Fail { node, act, percent } => {
+            vm(node).upstream.set_usual_action(act, percent);
+            sleep(duration).await;
+            vm(node)
+                .upstream
+                .set_usual_action(UpstreamAction::Answer, 100);
+            vm(node).upstream.release();
+        }
         Fault::Leave(node) => {
             vm(node).is_leaving.set(true);
             vm(node).upstream.set_leaving(true);
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -280,7 +280,7 @@
         let text = format!(
             "node_name: \"n{number}\"\nbootstrap: {first_start}\nzone: \"{zone}\"\nlisten_addrs:\n  outbound: \"{ip}:{CLIENTS_PORT}\"\n  \
              inbound: \"{ip}:{PEERS_PORT}\"\n  ready: \"{ip}:{READY_PORT}\"\n  control_plane: \
-             \"{ip}:{ANNOUNCEMENTS_PORT}\"\nport_range:\n  - {METRICS_PORT}\n  - {METRICS_PORT}\npolicy_params:\n  \
+             \"{ip}:{ANNOUNCEMENTS_PORT}\"\nport_range:\n  - {METRICS_PORT}\n  - {METRICS_PORT}\npolicies:\n  - \"health\"\npolicy_params:\n  \
              retry_budget_ratio: 0.2\n  retry_slack: {retry_slack}\n  retry_window_s: 10\n  grace_s: {GRACE_SECONDS}\n  \
              probes_per_s: 60\n  warmup_overage: 1.5\n  warmup_slack: 8\napp_addr: \"{app}\"\nservice: \"{service}\"\nplatform:\n  address: \"{store}\"\n"
         );
--- a/soak/tests/checks.rs
+++ b/soak/tests/checks.rs
@@ -2,9 +2,10 @@
 
 use camphorturn::local_mesh::client::CallFailure;
 use camphorturn_soak::{
-    checks::{EVACUATION_LIMIT, IN_FORCE_LIMIT, WARMUP_REQUESTS_PER_SECOND, find_violations},
+    checks::{EVACUATION_LIMIT, WARMUP_REQUESTS_PER_SECOND, find_violations},
     history::{
-        Acknowledged, CallerRecord, Disturbance, Evacuation, History, UpdateOutage, UpstreamPeriod,
+        Acknowledged, CallerRecord, Disturbance, Evacuation, History, IN_FORCE_LIMIT, UpdateOutage,
+        UpstreamPeriod,
     },
     organisations::check_organisations,
 };
--- a/soak/tests/fault_plan.rs
+++ b/soak/tests/fault_plan.rs
@@ -18,6 +18,7 @@
 #[test]
 fn draw_faults_order_and_kinds() {
     let (mut corruptions, mut crashes, mut restores) = (0, 0, 0);
+    let mut failures = 0;
     for seed in 0..20 {
         let faults = draw_faults(seed, SPAN, 6);
         assert!(faults.is_sorted_by_key(|fault| fault.start));
@@ -30,9 +31,11 @@
         for planned in faults {
             corruptions += usize::from(matches!(planned.fault, Fault::Foreign(..)));
             crashes += usize::from(matches!(planned.fault, Fault::Crash(_)));
+            failures += usize::from(matches!(planned.fault, Fault::Fail { .. }));
             restores += usize::from(matches!(planned.fault, Fault::StoreReturns(_)));
         }
     }
+    assert!(failures > 0);
     assert!(
         corruptions > 0 && crashes > 0 && restores > 0,
         "{corruptions}, {crashes}, {restores}"
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -70,6 +70,8 @@
     slowdown_percent: Cell<u16>,
     warmup_until: Cell<Option<Instant>>,
     planned_actions: RefCell<VecDeque<UpstreamAction>>,
+    /// What is done with a share of the requests, in percent, for which no action is planned.
+    usual_action: Cell<(UpstreamAction, u8)>,
     received_requests: RefCell<Vec<PlainRequest>>,
     /// Further headers of every answer to a request.
     reports: RefCell<Vec<(String, String)>>,
@@ -117,6 +119,7 @@
             slowdown_percent: Cell::new(100),
             warmup_until: Cell::default(),
             planned_actions: RefCell::default(),
+            usual_action: Cell::new((UpstreamAction::Answer, 100)),
             received_requests: RefCell::default(),
             reports: RefCell::default(),
             health_checks: Cell::default(),
@@ -141,6 +144,12 @@
         self.state.planned_actions.borrow_mut().extend(actions);
     }
 
+    /// Sets what is done from now on with this share of the requests for which no action is planned; the others are answered.
+    /// Health checks are still answered as by a healthy upstream.
+    pub fn set_usual_action(&self, action: UpstreamAction, percent: u8) {
+        self.state.usual_action.set((action, percent));
+    }
+
     /// Removes the actions that are still planned.
     pub fn clear_planned_actions(&self) {
         self.state.planned_actions.borrow_mut().clear();
--- a/stand-ins/src/upstream/serving.rs
+++ b/stand-ins/src/upstream/serving.rs
@@ -99,7 +99,7 @@
             .is_ok();
     }
     let action = state.planned_actions.borrow_mut().pop_front();
-    let action = action.unwrap_or(UpstreamAction::Answer);
+    let action = action.unwrap_or_else(|| draw_usual_action(state));
     let answer = Answer::prepare(&state.settings, &request);
     if state.is_crashed_by_request(&request.target) {
         record_execution(state, &request);
@@ -129,6 +129,16 @@
     write_all(stream, &bytes).await.is_ok() && keep_open
 }
 
+fn draw_usual_action(state: &UpstreamState) -> UpstreamAction {
+    let (action, percent) = state.usual_action.get();
+    // Without a draw, an upstream that always does the same draws the same service times as before.
+    if percent >= 100 || state.rng.borrow_mut().random_range(0..100) < percent {
+        action
+    } else {
+        UpstreamAction::Answer
+    }
+}
+
 fn record_execution(state: &UpstreamState, request: &PlainRequest) {
     let names = state.settings.names;
     let executions = state.settings.executions.lock();
