Soak: a partition in which no node reaches another one

Cause: the soak had no partition of the mesh, while callers of one organisation send several times its quota. Change: one seed in four has a link in front of each node, and all of these forward nothing for 1 to 5 s. The limited organisation's callers go on, and the promises, among them its quota, are checked as before. A partition into groups of nodes is not played: links do not know which node a connection comes from.

--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -46,6 +46,10 @@
     (UpstreamAction::Hold, 100),
 ];
 
+/// One in this many seeds has a partition, and its shortest and longest duration.
+const PARTITION_ONE_IN: u64 = 4;
+const PARTITION_MS: (u64, u64) = (1_000, 5_000);
+
 /// Fewest and most times that a request which crashes upstreams is sent.
 const CRASHING_REQUESTS: (usize, usize) = (8, 24);
 
@@ -128,6 +132,8 @@
         /// Share of the requests.
         percent: u8,
     },
+    /// No node reaches another one for the fault's duration: connections are accepted and nothing is forwarded.
+    Partition,
     /// The upstream announces that it is draining; then another incarnation takes its address.
     Leave(usize),
     /// Another incarnation takes the upstream's address, without an announcement.
@@ -203,6 +209,7 @@
     draw.faults.extend(draw_store_restores(seed, span));
     draw.faults
         .extend(draw_upstream_failures(seed, span, nodes));
+    draw.faults.extend(draw_partition(seed, span));
     draw.faults.sort_by_key(|fault| fault.start);
     draw.faults
 }
@@ -258,6 +265,23 @@
     (0..count).map(draw).collect()
 }
 
+/// Whether the mesh is partitioned in a seed. Its nodes then have links in front of them.
+#[must_use]
+pub const fn has_partition(seed: u64) -> bool {
+    seed.is_multiple_of(PARTITION_ONE_IN)
+}
+
+/// Draws the partition, with a generator of its own.
+fn draw_partition(seed: u64, span: Duration) -> Option<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(24));
+    let partition = PlannedFault {
+        start: rng.random_range(Duration::ZERO..span),
+        duration: draw_duration(&mut rng, PARTITION_MS),
+        fault: Fault::Partition,
+    };
+    has_partition(seed).then_some(partition)
+}
+
 /// Draws the failures of upstreams whose health checks pass, with a generator of their own.
 fn draw_upstream_failures(seed: u64, span: Duration, nodes: usize) -> Vec<PlannedFault> {
     let mut rng = StdRng::seed_from_u64(seed.rotate_left(8));
--- a/soak/src/mesh.rs
+++ b/soak/src/mesh.rs
@@ -3,7 +3,7 @@
 use crate::{
     configurations::{Configurations, SERVICES},
     corruption::{Corruption, CorruptionTarget, corrupt},
-    fault_plan::draw_link_bandwidth,
+    fault_plan::{draw_link_bandwidth, has_partition},
     heartbeats::{send_corrupted_heartbeat, send_heartbeats},
     history::{Acknowledged, Evacuation, History, UpdateOutage},
     vm::{Vm, VmPlan, ZONES, get_zone_number},
@@ -77,14 +77,16 @@
         let executions = ExecutionLog::default();
         let mut vms = Vec::new();
         for number in 0..nodes {
+            let may_have_link = number < MAX_LOW_BANDWIDTH_PAIRS / nodes;
             let plan = VmPlan {
                 number,
                 ip: compute_ip(number),
                 zone: ZONES[get_zone_number(number)],
                 service: SERVICES[number % SERVICES.len()],
                 folder: folder.clone(),
-                link_bytes_per_second: link_bytes_per_second
-                    .filter(|_| number < MAX_LOW_BANDWIDTH_PAIRS / nodes),
+                has_peers_link: may_have_link
+                    && (link_bytes_per_second.is_some() || seed.is_some_and(has_partition)),
+                link_bytes_per_second: link_bytes_per_second.filter(|_| may_have_link),
             };
             vms.push(Vm::open(plan, store.address, ExecutionLog::clone(&executions)).await?);
         }
--- a/soak/src/seed_run.rs
+++ b/soak/src/seed_run.rs
@@ -176,6 +176,12 @@
             mesh.history.borrow_mut().warmups.push(warmup);
         }
         Fault::Act { node, act, times } => vm(node).upstream.plan_actions(&vec![act; times]),
+        Fault::Partition => {
+            set_partition(&mesh, Some(LinkFault::Silent));
+            sleep(duration).await;
+            set_partition(&mesh, None);
+            mesh.record_update_outage(None, from);
+        }
         Fault::Fail { node, act, percent } => {
             vm(node).upstream.set_usual_action(act, percent);
             sleep(duration).await;
@@ -258,6 +264,11 @@
     Vm::set_link_fault(link, None);
 }
 
+fn set_partition(mesh: &SoakMesh, fault: Option<LinkFault>) {
+    let links = mesh.vms.iter().filter_map(|vm| vm.peers_link.as_ref());
+    links.for_each(|link| Vm::set_link_fault(link, fault));
+}
+
 fn kill_node(mesh: &SoakMesh, node: usize) {
     record_disturbance(mesh, node, KILL_AFTEREFFECT, false);
     mesh.vms[node].signal(Signal::SIGKILL);
--- a/soak/src/vm.rs
+++ b/soak/src/vm.rs
@@ -61,6 +61,8 @@
     pub service: &'static str,
     /// Folder for the node's settings and log.
     pub folder: PathBuf,
+    /// Whether other nodes reach this one over a link.
+    pub has_peers_link: bool,
     /// Bandwidth of the link from other nodes in bytes per second, each way; none if it is unlimited.
     pub link_bytes_per_second: Option<u32>,
 }
@@ -84,7 +86,8 @@
     /// When the node's process first got SIGTERM or SIGKILL; none since its start.
     pub stop_requested_at: Cell<Option<Instant>>,
     heartbeat_count: Cell<u64>,
-    peers_link: Option<Link>,
+    /// Link from other nodes, if there is one.
+    pub peers_link: Option<Link>,
     retry_slack: Cell<u32>,
     process: RefCell<Option<Child>>,
 }
@@ -117,7 +120,7 @@
         let upstream = StandInUpstream::start_with(settings).await?;
         let upstream_link = Link::open(upstream.address).await?;
         let mut peers_link = None;
-        if plan.link_bytes_per_second.is_some() {
+        if plan.has_peers_link {
             let (link_address, to) = (PEERS_PORT, NODE_BEHIND_LINK_PORT);
             let (link_address, to) = ((plan.ip, link_address).into(), (plan.ip, to).into());
             peers_link =
--- a/soak/tests/fault_plan.rs
+++ b/soak/tests/fault_plan.rs
@@ -18,7 +18,7 @@
 #[test]
 fn draw_faults_order_and_kinds() {
     let (mut corruptions, mut crashes, mut restores) = (0, 0, 0);
-    let mut failures = 0;
+    let (mut failures, mut partitions) = (0, 0);
     for seed in 0..20 {
         let faults = draw_faults(seed, SPAN, 6);
         assert!(faults.is_sorted_by_key(|fault| fault.start));
@@ -32,10 +32,11 @@
             corruptions += usize::from(matches!(planned.fault, Fault::Foreign(..)));
             crashes += usize::from(matches!(planned.fault, Fault::Crash(_)));
             failures += usize::from(matches!(planned.fault, Fault::Fail { .. }));
+            partitions += usize::from(planned.fault == Fault::Partition);
             restores += usize::from(matches!(planned.fault, Fault::StoreReturns(_)));
         }
     }
-    assert!(failures > 0);
+    assert!(failures > 0 && partitions > 0, "{failures}, {partitions}");
     assert!(
         corruptions > 0 && crashes > 0 && restores > 0,
         "{corruptions}, {crashes}, {restores}"
