--- a/soak/src/fault_plan.rs
+++ b/soak/src/fault_plan.rs
@@ -34,6 +34,22 @@
 /// Duration of an upstream's warm-up; the configuration's `warmup_s`.
 pub const WARMUP_DURATION: Duration = Duration::from_secs(3);
 
+/// Fewest and most failures of upstreams whose health checks pass, per seed, and the shortest and longest duration of one.
+const UPSTREAM_FAILURES: (usize, usize) = (0, 3);
+const UPSTREAM_FAILURE_MS: (u64, u64) = (1_000, 5_000);
+/// What such an upstream does, with which share of its requests in percent: errors, connections closed without an answer, no
+/// answer at all.
+const UPSTREAM_FAILURE_KINDS: [(UpstreamAction, u8); 4] = [
+    (UpstreamAction::Fail, 65),
+    (UpstreamAction::Fail, 100),
+    (UpstreamAction::LoseAnswer, 65),
+    (UpstreamAction::Hold, 100),
+];
+
+/// One in this many seeds has a partition, and its shortest and longest duration.
+const PARTITION_ONE_IN: u64 = 4;
+const PARTITION_MS: (u64, u64) = (1_000, 5_000);
+
 /// Fewest and most times that a request which crashes upstreams is sent.
 const CRASHING_REQUESTS: (usize, usize) = (8, 24);
 
@@ -107,6 +123,17 @@
         /// Number of requests.
         times: usize,
     },
+    /// The upstream does this with a share of its requests for the fault's duration, while its health checks pass.
+    Fail {
+        /// Number of the VM.
+        node: usize,
+        /// What the upstream does with them.
+        act: UpstreamAction,
+        /// Share of the requests.
+        percent: u8,
+    },
+    /// No node reaches another one for the fault's duration: connections are accepted and nothing is forwarded.
+    Partition,
     /// The upstream announces that it is draining; then another incarnation takes its address.
     Leave(usize),
     /// Another incarnation takes the upstream's address, without an announcement.
@@ -180,6 +207,9 @@
     draw.faults.extend(draw_evacuations(seed, span));
     draw.faults.extend(draw_warmups(seed, span, nodes));
     draw.faults.extend(draw_store_restores(seed, span));
+    draw.faults
+        .extend(draw_upstream_failures(seed, span, nodes));
+    draw.faults.extend(draw_partition(seed, span));
     draw.faults.sort_by_key(|fault| fault.start);
     draw.faults
 }
@@ -235,6 +265,42 @@
     (0..count).map(draw).collect()
 }
 
+/// Whether the mesh is partitioned in a seed. Its nodes then have links in front of them.
+#[must_use]
+pub const fn has_partition(seed: u64) -> bool {
+    seed.is_multiple_of(PARTITION_ONE_IN)
+}
+
+/// Draws the partition, with a generator of its own.
+fn draw_partition(seed: u64, span: Duration) -> Option<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(24));
+    let partition = PlannedFault {
+        start: rng.random_range(Duration::ZERO..span),
+        duration: draw_duration(&mut rng, PARTITION_MS),
+        fault: Fault::Partition,
+    };
+    has_partition(seed).then_some(partition)
+}
+
+/// Draws the failures of upstreams whose health checks pass, with a generator of their own.
+fn draw_upstream_failures(seed: u64, span: Duration, nodes: usize) -> Vec<PlannedFault> {
+    let mut rng = StdRng::seed_from_u64(seed.rotate_left(8));
+    let count = rng.random_range(UPSTREAM_FAILURES.0..=UPSTREAM_FAILURES.1);
+    let draw = |_| {
+        let (act, percent) = choose(&mut rng, &UPSTREAM_FAILURE_KINDS);
+        PlannedFault {
+            start: rng.random_range(Duration::ZERO..span),
+            duration: draw_duration(&mut rng, UPSTREAM_FAILURE_MS),
+            fault: Fault::Fail {
+                node: rng.random_range(0..nodes),
+                act,
+                percent,
+            },
+        }
+    };
+    (0..count).map(draw).collect()
+}
+
 /// Bandwidth between nodes in bytes per second; none if it is unlimited. Half of the seeds have limited links.
 #[must_use]
 pub fn draw_link_bandwidth(seed: u64) -> Option<u32> {
--- a/soak/src/seed_run.rs
+++ b/soak/src/seed_run.rs
@@ -10,7 +10,7 @@
     report::SeedReport,
     vm::{CRASHING_PREFIX, Vm},
 };
-use camphorturn_stand_ins::store::StoreCondition;
+use camphorturn_stand_ins::{store::StoreCondition, upstream::UpstreamAction};
 use nix::sys::signal::Signal;
 use std::{
     io,
@@ -176,6 +176,20 @@
             mesh.history.borrow_mut().warmups.push(warmup);
         }
         Fault::Act { node, act, times } => vm(node).upstream.plan_actions(&vec![act; times]),
+        Fault::Partition => {
+            set_partition(&mesh, Some(LinkFault::Silent));
+            sleep(duration).await;
+            set_partition(&mesh, None);
+            mesh.record_update_outage(None, from);
+        }
+        Fault::Fail { node, act, percent } => {
+            vm(node).upstream.set_usual_action(act, percent);
+            sleep(duration).await;
+            vm(node)
+                .upstream
+                .set_usual_action(UpstreamAction::Answer, 100);
+            vm(node).upstream.release();
+        }
         Fault::Leave(node) => {
             vm(node).is_leaving.set(true);
             vm(node).upstream.set_leaving(true);
@@ -250,6 +264,11 @@
     Vm::set_link_fault(link, None);
 }
 
+fn set_partition(mesh: &SoakMesh, fault: Option<LinkFault>) {
+    let links = mesh.vms.iter().filter_map(|vm| vm.peers_link.as_ref());
+    links.for_each(|link| Vm::set_link_fault(link, fault));
+}
+
 fn kill_node(mesh: &SoakMesh, node: usize) {
     record_disturbance(mesh, node, KILL_AFTEREFFECT, false);
     mesh.vms[node].signal(Signal::SIGKILL);
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -317,6 +317,7 @@
             quota: QuotaSettings::default(),
             key_expiry: None,
             upstream_health: None,
+            node_checks: false,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -139,6 +139,9 @@
     pub key_expiry: Option<Duration>,
     /// Ejection of upstreams that fail while their health check passes; `None` if no upstream is ejected.
     pub upstream_health: Option<UpstreamHealthSettings>,
+    /// Whether this node checks nodes that leave its requests unanswered for unusually long, and sends idempotent requests to another
+    /// node if the check isn't answered.
+    pub node_checks: bool,
 }
 
 /// Settings of a node.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -14,6 +14,7 @@
 mod executing;
 mod graceful_stop;
 mod health;
+mod liveness;
 mod mesh_contact;
 pub mod metrics;
 pub mod operator_requests;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -18,6 +18,7 @@
         events::{LineWriter, ProxyEvent},
         executing::{Slots, UnreadHeaders},
         health::LocalHealth,
+        liveness::PeerLiveness,
         mesh_contact::MeshContact,
         quotas::Quotas,
     },
@@ -111,6 +112,8 @@
     pub offer_rounds: RefCell<OfferRounds>,
     /// Availability zones that get no requests.
     pub evacuations: EvacuationsInForce,
+    /// Liveness of other nodes.
+    pub liveness: PeerLiveness,
     /// Quotas of organisations.
     pub quotas: Quotas,
     /// Contact with other nodes and the store.
@@ -165,6 +168,7 @@
             table_offered: Notify::new(),
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
+            liveness: PeerLiveness::default(),
             quotas: Quotas::default(),
             contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -61,6 +61,8 @@
             Self::NodeStopped { .. } => (853, "node_stopped"),
             Self::SettingsRead { .. } => (854, "settings_read"),
             Self::SettingsRejected { .. } => (855, "settings_rejected"),
+            Self::NodeSuspected(..) => (864, "node_suspected"),
+            Self::NodeCleared(..) => (865, "node_cleared"),
         }
     }
 
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -39,6 +39,7 @@
             quota: QuotaSettings::default(),
             key_expiry: None,
             upstream_health: None,
+            node_checks: false,
         },
         log: LogSettings {
             ordinary_one_in: 1,
