Call admission: requests whose calls will be rejected are refused before they run

Cause: while a called service rejects half of what arrives, executions of the calling class fail after their work, and at a full upstream requests that would succeed wait behind them.

Change: `call_admission` decides at the node beside the upstream from what it sees itself: results of the calls that start there, and failed executions by class. Off by default (`NodeLimits::overload.call_admission`, the platform's policy `health`). Line 809, a metric, a cause in `explain`, two ablation switches.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -1,5 +1,6 @@
 //! Decision logic of a node: pure functions of state, event and time that return actions.
 
+pub mod call_admission;
 pub mod calls_per_execution;
 pub mod crash_counters;
 pub mod fanout;
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -106,6 +106,11 @@
              budget."
                 .to_owned(),
         ],
+        "calls_rejected" => vec![
+            "The upstreams had more requests than they could execute, and other services rejected most calls that \
+             requests of this class make."
+                .to_owned(),
+        ],
         "quarantined" => vec![
             "Upstreams crashed while they executed a request with the same fingerprint, so such requests are \
              quarantined."
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -5,7 +5,10 @@
         quota_keeper::QuotaSettings, retry_budget::RetryBudgetSettings,
         slow_start::SlowStartSettings,
     },
-    state::names::{AvailabilityZoneName, NodeName, ServiceName},
+    state::{
+        ablation::Mechanism,
+        names::{AvailabilityZoneName, NodeName, ServiceName},
+    },
 };
 use http::HeaderName;
 use std::{net::SocketAddr, time::Duration};
@@ -125,6 +128,22 @@
     /// Refuses a request at an upstream with a request limit as soon as its turn is forecast beyond its deadline, and derives
     /// `Retry-After` from the queue.
     pub early_refusal: bool,
+    /// Refuses a request at a full upstream if the calls that it would make to other services are likely to be rejected.
+    pub call_admission: bool,
+}
+
+impl OverloadSettings {
+    /// Whether early refusals are enabled.
+    #[must_use]
+    pub fn refuses_early(self) -> bool {
+        self.early_refusal && !Mechanism::EarlyRefusals.is_disabled()
+    }
+
+    /// Whether refusals because of rejected calls are enabled.
+    #[must_use]
+    pub fn admits_by_calls(self) -> bool {
+        self.call_admission && !Mechanism::CallAdmission.is_disabled()
+    }
 }
 
 /// Limits of a node. They may change while the node runs.
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -37,6 +37,8 @@
     /// The attempt is a retry, and the calls that it would make again exceed the retry budget that operators allow.
     #[serde(rename = "repeats_spent")]
     RetryBudgetExhausted,
+    /// The upstream has more requests than it can execute, and most calls that this one would make are rejected.
+    CallsRejected,
     /// Upstreams have crashed while they ran requests with the same fingerprint.
     Quarantined,
     /// The organisation has sent more requests than its quota permits.
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -4,6 +4,7 @@
 //! The local upstream of a node is the upstream on the same VM. All state lives on one event-loop thread.
 //! `docs/design/platform.md` describes the path of a request.
 
+mod calls;
 mod client_reply;
 pub mod core;
 mod crash_detection;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -7,9 +7,9 @@
 
 use crate::{
     coordination::{
-        calls_per_execution::CallsPerExecution, local_upstream::LocalUpstream,
-        offer_rounds::OfferRounds, retry_budget::RetryBudget, table_sources::TableSources,
-        version_lag::VersionLag,
+        call_admission::CallAdmission, calls_per_execution::CallsPerExecution,
+        local_upstream::LocalUpstream, offer_rounds::OfferRounds, retry_budget::RetryBudget,
+        table_sources::TableSources, version_lag::VersionLag,
     },
     options::proxy_settings::{NodeLimits, ProxySettings},
     proxy::{
@@ -78,6 +78,8 @@
     pub retry_budgets: RefCell<HashMap<ServiceName, RetryBudget>>,
     /// Calls to other services per execution of a class at the local upstream.
     pub calls_per_execution: RefCell<CallsPerExecution>,
+    /// Results of the calls that start here, and refusals of requests whose calls would be rejected.
+    pub call_admission: RefCell<CallAdmission>,
     /// Connections to the local upstream and to other nodes.
     pub outgoing: Rc<OutgoingConnections>,
     /// Client requests in progress.
@@ -145,6 +147,7 @@
             unread_headers: UnreadHeaders::default(),
             retry_budgets: RefCell::default(),
             calls_per_execution: RefCell::default(),
+            call_admission: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
             in_progress: Cell::new(0),
             stopping_since: Cell::new(None),
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -20,6 +20,8 @@
     pub executed: Cell<u64>,
     /// Retries and hedges that were spent from a retry budget.
     pub retries: Cell<u64>,
+    /// Requests refused because their calls would be rejected.
+    pub calls_rejected: Cell<u64>,
     /// Requests that the local upstream was executing when it crashed.
     pub aborted_by_crash: Cell<u64>,
     /// Probes sent to the local upstream.
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -8,6 +8,7 @@
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{
+        calls::record_call,
         core::ProxyCore,
         entry::{request_attempts::RequestAttempts, request_router::ClientCall},
         events::{LoggedEnd, ProxyEvent, in_millis},
@@ -142,6 +143,9 @@
 
     fn finish(&self, result: &Result<CompletedAttempt, SendError>) {
         self.ended.set(true);
+        if let Ok(completed) = result {
+            record_call(&self.core, &self.call.service, completed.answer.outcome);
+        }
         self.update_known_node(result);
         let slowdown_percent = result
             .as_ref()
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -5,7 +5,7 @@
 use crate::{
     coordination::{
         placement::{PlacementCandidate, order_candidates},
-        slot_search::{SearchStep, SearchTime, SlotSearch, find_hedge_delay},
+        slot_search::{RETRY_AFTER_RANGE, SearchStep, SearchTime, SlotSearch, find_hedge_delay},
     },
     protocol::{
         hop::HopRequest,
@@ -40,6 +40,8 @@
 
 /// Random factor of the `Retry-After` times of refused clients.
 const RETRY_AFTER_SPREAD: Range<f64> = 0.8..1.2;
+/// The same after refusals because of rejected calls, which end for all clients at the same time.
+const CALLS_RETRY_AFTER_SPREAD: Range<f64> = 1.0..2.0;
 
 /// A client request with its route, service and deadline.
 pub struct ClientCall {
@@ -272,7 +274,12 @@
     }
 
     fn find_retry_after(&self) -> Duration {
-        if self.core.limits().overload.early_refusal {
+        if self.last_refusal == RefusalReason::CallsRejected {
+            // Clients that return earlier are refused again.
+            let (_, max) = RETRY_AFTER_RANGE;
+            return max.mul_f64(rand::rng().random_range(CALLS_RETRY_AFTER_SPREAD));
+        }
+        if self.core.limits().overload.refuses_early() {
             let remaining = self.call.deadline.since(self.core.timers.now());
             let chance = rand::rng().random_range(0.0..1.0);
             return self.search.find_spread_retry_after(remaining, chance);
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -186,6 +186,13 @@
         /// Beginning of its value.
         value: String,
     },
+    /// Refusals of a class whose calls are rejected began or ended.
+    CallRefusalsChanged {
+        /// The class.
+        class: ClassName,
+        /// Whether its requests are refused.
+        refuses: bool,
+    },
     /// The request limit that the local upstream names began, changed or ended.
     RequestLimitChanged {
         /// Identity of the upstream's incarnation.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -18,6 +18,7 @@
             Self::CrashCounted { .. } => (806, "crash_counted"),
             Self::RequestQuarantined { .. } => (807, "request_quarantined"),
             Self::QuarantineLifted { .. } => (808, "quarantine_lifted"),
+            Self::CallRefusalsChanged { .. } => (809, "call_refusals_changed"),
             Self::UpstreamAnnounced { .. } => (811, "upstream_announced"),
             Self::UpstreamDeparted { .. } => (812, "upstream_departed"),
             Self::UpstreamReplaced { .. } => (813, "upstream_replaced"),
@@ -111,7 +112,8 @@
     pub const fn severity(&self) -> Severity {
         match self {
             Self::Answered(status) if *status < 500 => Severity::Ordinary,
-            Self::Refused(RefusalReason::QueueFull) | Self::Abandoned => Severity::Ordinary,
+            Self::Refused(RefusalReason::QueueFull | RefusalReason::CallsRejected)
+            | Self::Abandoned => Severity::Ordinary,
             _ => Severity::Important,
         }
     }
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -17,6 +17,7 @@
         outcome::RefusalReason,
     },
     proxy::{
+        calls::{find_call_refusal, record_execution_end, record_execution_start},
         core::{ProxyCore, increment},
         crash_detection::find_quarantine,
         graceful_stop::accepts_work,
@@ -82,6 +83,9 @@
     refresh_slowdown(core).await;
     refresh_warmup(core).await;
     line.record_decision();
+    if let Some(next_check) = find_call_refusal(core, hop) {
+        return refuse(core, RefusalReason::CallsRejected, next_check);
+    }
     let number = match request_slot(core, hop, arrived) {
         SlotDecision::Run(number) => number,
         SlotDecision::Refuse { finish_in } => {
@@ -114,8 +118,12 @@
         .calls_per_execution
         .borrow_mut()
         .record_start(&hop.class, core.timers.now());
+    record_execution_start(core, &hop.class);
     let (outcome, response) = dispatch(core, hop, req, fingerprint, time_left).await;
     drop(slot_guard);
+    if let Some(response) = &response {
+        record_execution_end(core, &hop.class, response.status().is_server_error());
+    }
     core.calls_per_execution
         .borrow_mut()
         .record_end(&hop.class, &execution);
@@ -137,7 +145,7 @@
         expected: core.slots.expected_time(&hop.class),
     };
     let mut queue = core.slots.queue.borrow_mut();
-    queue.set_early_refusal(core.limits().overload.early_refusal);
+    queue.set_early_refusal(core.limits().overload.refuses_early());
     queue.submit(&request, now)
 }
 
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -209,7 +209,7 @@
 pub async fn wait_for_slot(core: &Rc<ProxyCore>, number: SlotNumber) -> bool {
     let (tx, rx) = flume::bounded(1);
     core.slots.waiting_requests.borrow_mut().insert(number, tx);
-    if core.limits().overload.early_refusal {
+    if core.limits().overload.refuses_early() {
         // The request may have moved the turn of others beyond their deadline.
         let actions = core.slots.queue.borrow_mut().expire(core.timers.now());
         apply_slot_actions(core, actions);
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -204,6 +204,11 @@
             "Requests sent to a further upstream",
             counters.retries.get(),
         ),
+        metric(
+            "calls_rejected",
+            "Requests refused at the upstream's node because their calls would be rejected",
+            counters.calls_rejected.get(),
+        ),
         metric(
             "crashed",
             "Requests that were at the upstream when it crashed",
--- a/src/state/ablation.rs
+++ b/src/state/ablation.rs
@@ -39,6 +39,10 @@
     Quarantine,
     /// Shares the slots of an upstream among organisations instead of starting requests in order of arrival.
     FairShares,
+    /// Refuses requests at upstreams with a request limit as soon as their turn is forecast beyond their deadline.
+    EarlyRefusals,
+    /// Refuses requests at a full upstream if their calls would be rejected.
+    CallAdmission,
 }
 
 impl Mechanism {
@@ -62,6 +66,8 @@
             Self::StoreReaders => "readers",
             Self::Quarantine => "quarantine",
             Self::FairShares => "fair_shares",
+            Self::EarlyRefusals => "early_refusals",
+            Self::CallAdmission => "call_admission",
         }
     }
 
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the `camphorturn` crate.
 
 mod access;
+mod call_admission;
 mod command_line;
 mod contributing_page;
 mod crash_counting;
--- a/tests/integration/overload_mesh.rs
+++ b/tests/integration/overload_mesh.rs
@@ -22,10 +22,13 @@
             work: millis(110),
             target: millis(300),
             deadline: millis(1_200),
+            failed_share: 0.0,
         }],
         phases: vec![(1.0, Duration::from_secs(20))],
         refuses_early,
         clients_return: false,
+        admits_by_calls: false,
+        accepted_share: 1.0,
         seed,
     }
 }
@@ -35,10 +38,7 @@
     let mut sum = ClassOutcome::default();
     for seed in 0..6 {
         for outcome in Replay::new(setup(seed)).play() {
-            sum.on_time += outcome.on_time;
-            sum.late += outcome.late;
-            sum.not_served += outcome.not_served;
-            sum.refused_after.extend(outcome.refused_after);
+            sum.add(outcome);
         }
     }
     sum
@@ -60,6 +60,7 @@
                 work: millis(410),
                 target: millis(1_200),
                 deadline: millis(5_000),
+                failed_share: 0.0,
             },
             Class {
                 priority: 2,
@@ -67,6 +68,7 @@
                 work: millis(310),
                 target: millis(1_000),
                 deadline: millis(4_000),
+                failed_share: 0.0,
             },
         ],
         phases: vec![
@@ -76,6 +78,8 @@
         ],
         refuses_early,
         clients_return: false,
+        admits_by_calls: false,
+        accepted_share: 1.0,
         seed,
     }
 }
@@ -144,3 +148,78 @@
         }
     }
 }
+
+/// Four upstreams with two classes under `load` times the capacity. The first class calls a service that rejects 55% of the calls.
+fn with_calls(load: f64, admits_by_calls: bool, seed: u64) -> Setup {
+    let class = |failed_share| Class {
+        priority: 1,
+        rate: load / 2.0 * 16.0 / 0.2,
+        work: millis(200),
+        target: millis(600),
+        deadline: millis(2_000),
+        failed_share,
+    };
+    Setup {
+        upstreams: 4,
+        slots: 4,
+        request_limit: None,
+        classes: vec![class(0.55), class(0.0)],
+        phases: vec![(1.0, Duration::from_secs(20))],
+        refuses_early: false,
+        clients_return: false,
+        admits_by_calls,
+        accepted_share: 0.45,
+        seed,
+    }
+}
+
+/// Sums of the outcomes by class over several seeds.
+fn play_by_class(setup: impl Fn(u64) -> Setup) -> [ClassOutcome; 2] {
+    [0, 1].map(|class| {
+        let mut sum = ClassOutcome::default();
+        for seed in 0..6 {
+            sum.add(Replay::new(setup(seed)).play().swap_remove(class));
+        }
+        sum
+    })
+}
+
+/// Guards against requests that wait behind executions whose calls are rejected after their work. The calling class must not be
+/// starved either.
+#[test]
+fn replay_rejected_calls_under_overload() {
+    for load in [1.1, 1.3, 2.0] {
+        let before = play_by_class(|seed| with_calls(load, false, seed));
+        let after = play_by_class(|seed| with_calls(load, true, seed));
+        for outcomes in [&before, &after] {
+            println!(
+                "load {load}\n{}\n{}",
+                outcomes[0].describe(),
+                outcomes[1].describe()
+            );
+        }
+        let served = |outcomes: &[ClassOutcome; 2]| outcomes[0].served() + outcomes[1].served();
+        let on_time = |outcomes: &[ClassOutcome; 2]| outcomes[0].on_time + outcomes[1].on_time;
+        assert!(on_time(&after) * 100 >= on_time(&before) * 105);
+        assert!(served(&after) >= served(&before));
+        assert!(after[0].served() * 8 >= served(&after), "starved");
+    }
+}
+
+/// Without overload, and while most calls are accepted, the decisions are those without the setting.
+#[test]
+fn replay_accepted_calls() {
+    for seed in 0..3 {
+        for (load, accepted_share) in [(0.6, 0.45), (1.3, 0.95)] {
+            let [before, after] = [false, true].map(|admits| {
+                let setup = with_calls(load, admits, seed);
+                Replay::new(Setup {
+                    accepted_share,
+                    ..setup
+                })
+                .play()
+            });
+            assert_eq!(before, after);
+        }
+    }
+}
--- a/tests/integration/overload_mesh/replay.rs
+++ b/tests/integration/overload_mesh/replay.rs
@@ -3,6 +3,7 @@
 
 use camphorturn::{
     coordination::{
+        call_admission::{CallAdmission, UpstreamLoad},
         placement::order_candidates,
         slot_queue::{SlotAction, SlotDecision, SlotNumber, SlotQueue, SlotRequest},
         slot_search::{Refusal, SearchStep, SearchTime, SlotSearch},
@@ -32,6 +33,8 @@
     pub work: Duration,
     pub target: Duration,
     pub deadline: Duration,
+    /// Share of the executions that fail because calls are rejected.
+    pub failed_share: f64,
 }
 
 /// Upstreams and load of a replay.
@@ -48,6 +51,10 @@
     pub refuses_early: bool,
     /// Whether refused clients return after `Retry-After`, until their deadline.
     pub clients_return: bool,
+    /// Whether requests whose calls will be rejected are refused.
+    pub admits_by_calls: bool,
+    /// Share of the calls that the called service accepts.
+    pub accepted_share: f64,
     pub seed: u64,
 }
 
@@ -60,6 +67,8 @@
     pub refused_after: Vec<Duration>,
     /// Requests that were not served before their deadline, whatever the number of refusals.
     pub not_served: u32,
+    /// Executions that failed after their work; they aren't served either.
+    pub failed: u32,
 }
 
 impl ClassOutcome {
@@ -74,12 +83,22 @@
         soon.count()
     }
 
+    /// Adds the counts of another replay.
+    pub fn add(&mut self, other: Self) {
+        self.on_time += other.on_time;
+        self.late += other.late;
+        self.not_served += other.not_served;
+        self.failed += other.failed;
+        self.refused_after.extend(other.refused_after);
+    }
+
     /// Counts for the output of a test.
     pub fn describe(&self) -> String {
         format!(
-            "on time {}, late {}, not served {}, refusals {}, within 50 ms {}",
+            "on time {}, late {}, failed {}, not served {}, refusals {}, within 50 ms {}",
             self.on_time,
             self.late,
+            self.failed,
             self.not_served,
             self.refused_after.len(),
             self.refused_sooner_than(Duration::from_millis(50)),
@@ -101,6 +120,7 @@
 pub struct Replay {
     setup: Setup,
     queues: Vec<SlotQueue>,
+    admissions: Vec<CallAdmission>,
     /// What the entry node beside each upstream knows of all nodes.
     known: Vec<Vec<KnownNode>>,
     random: StdRng,
@@ -160,6 +180,7 @@
         let known = (0..setup.upstreams).map(|_| (0..setup.upstreams).map(node).collect());
         Self {
             queues: queues.collect(),
+            admissions: vec![CallAdmission::default(); setup.upstreams],
             known: known.collect(),
             random: StdRng::seed_from_u64(setup.seed),
             requests: HashMap::new(),
@@ -263,6 +284,9 @@
                     SearchStep::GiveUp => return self.refuse(&request, now),
                 };
             let index = usize::from(node.port());
+            if self.refuses_calls(index, request.class, now) {
+                continue;
+            }
             let decision = self.queues[index].submit(
                 &SlotRequest {
                     priority: class.priority,
@@ -298,6 +322,32 @@
         }
     }
 
+    /// The bound of the calls is the same for all classes, since a node can't tell which execution makes a call.
+    fn refuses_calls(&mut self, node: usize, class: usize, now: Timestamp) -> bool {
+        let load = UpstreamLoad {
+            queued: self.queues[node].queued(),
+            limit: self.queues[node].limit(),
+        };
+        let calls = [("called".into(), 1.4)];
+        let admission = &mut self.admissions[node];
+        self.setup.admits_by_calls
+            && admission
+                .decide(&class_name(class), &calls, load, now)
+                .is_refused
+    }
+
+    /// Records the end of an execution, which made a call if it belongs to a class that fails at times.
+    fn record_execution(&mut self, node: usize, class: usize, now: Timestamp) -> bool {
+        let failed_share = self.setup.classes[class].failed_share;
+        let has_failed = failed_share > 0.0 && self.random.random_bool(failed_share);
+        if failed_share > 0.0 {
+            let is_accepted = self.random.random_bool(self.setup.accepted_share);
+            self.admissions[node].record_call(&"called".into(), is_accepted, now);
+        }
+        self.admissions[node].record_end(&class_name(class), has_failed, now);
+        has_failed
+    }
+
     fn record_load(&mut self, entry: usize, index: usize, now: Timestamp) {
         let queue = &self.queues[index];
         let count = |count| u16::try_from(count).unwrap_or(u16::MAX);
@@ -313,6 +363,7 @@
 
     fn start(&mut self, node: usize, number: SlotNumber, now: Timestamp) {
         let request = &self.requests[&(node, number)];
+        self.admissions[node].record_start(&class_name(request.class), now);
         let work = self.setup.classes[request.class].work;
         let took = work.mul_f64(self.random.random_range(0.65..1.35));
         self.ends.push(Reverse((now + took, node, number.0)));
@@ -326,8 +377,11 @@
         let request = self.requests.remove(&(node, number)).expect("it ran");
         let class = self.setup.classes[request.class];
         let took = now.since(request.first_arrived);
+        let has_failed = self.record_execution(node, request.class, now);
         let outcome = &mut self.outcomes[request.class];
-        if took <= class.target {
+        if has_failed {
+            outcome.failed += 1;
+        } else if took <= class.target {
             outcome.on_time += 1;
         } else if took <= class.deadline {
             outcome.late += 1;
