A request whose API key is withdrawn while it waits isn't run

Cause: the entry node checks a key once, when the request arrives. The executing node knows only the organisation, so a request that waits there runs although its key is gone.

Change: the executing node refuses a request before it runs if its organisation has lost a key since the request came (`keys_expired`, which nodes of the previous version know). The entry node checks the key before each attempt and before a refusal, and answers 401 if it is gone.

--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -43,7 +43,8 @@
     Quarantined,
     /// The organisation has sent more requests than its quota permits.
     QuotaExceeded,
-    /// The node has been cut off for too long to tell whether the request's API key is still valid.
+    /// The node can't tell whether the request's API key is still valid: it has been cut off for too long, or a key of the
+    /// organisation was withdrawn while the request waited there.
     KeysExpired,
 }
 
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -191,13 +191,16 @@
     if is_configuration_overdue(core) {
         return RequestOutcome::Refused(RefusalReason::ConfigurationOverdue, NO_ROUTES_RETRY_AFTER);
     }
-    let Ok(organisation) = authenticate(core, &routes, &route, &req.headers) else {
+    let Ok(sender) = authenticate(core, &routes, &route, &req.headers) else {
         increment(&core.counters.unauthorized);
         return refuse_unless_current(core, RequestOutcome::Unauthorized);
     };
     let mut req = req;
     remove_identity(core, &routes, &mut req);
     drop(routes);
+    let organisation = sender
+        .as_ref()
+        .map(|sender| Rc::clone(&sender.organisation));
     if organisation.is_some() && have_keys_expired(core).await {
         return RequestOutcome::Refused(RefusalReason::KeysExpired, NO_ROUTES_RETRY_AFTER);
     }
@@ -240,7 +243,7 @@
         fingerprint,
         route,
         service,
-        organisation: organisation.clone(),
+        sender,
         arrived,
         deadline,
     };
--- a/src/proxy/entry/authentication.rs
+++ b/src/proxy/entry/authentication.rs
@@ -15,6 +15,28 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeyRejected;
 
+/// The organisation that sent a request, and the key that identified it.
+#[derive(Clone, Debug)]
+pub struct Sender {
+    /// The organisation.
+    pub organisation: Rc<Organisation>,
+    key: KeyDigest,
+}
+
+impl Sender {
+    /// Whether the organisation no longer holds the key.
+    pub fn was_key_withdrawn(&self, core: &ProxyCore) -> bool {
+        let Some(routes) = core.routes() else {
+            return false;
+        };
+        let Some(organisations) = routes.organisations() else {
+            return false;
+        };
+        let holder = organisations.find_by_key(&self.key);
+        holder.is_none_or(|holder| holder.name != self.organisation.name)
+    }
+}
+
 /// Finds the organisation that holds the key of a request. `None` if the request needs no key and has no valid one.
 ///
 /// # Errors
@@ -24,16 +46,18 @@
     routes: &RouteIndex,
     route: &Route,
     headers: &HeaderMap,
-) -> Result<Option<Rc<Organisation>>, KeyRejected> {
+) -> Result<Option<Sender>, KeyRejected> {
     let Some(organisations) = routes.organisations() else {
         return Ok(None);
     };
-    let key = read_key(core, headers);
-    let organisation = key.and_then(|key| organisations.find_by_key(&key));
-    if organisation.is_none() && !route.is_public {
+    let sender = read_key(core, headers).and_then(|key| {
+        let organisation = Rc::clone(organisations.find_by_key(&key)?);
+        Some(Sender { organisation, key })
+    });
+    if sender.is_none() && !route.is_public {
         return Err(KeyRejected);
     }
-    Ok(organisation.cloned())
+    Ok(sender)
 }
 
 /// Digest of the key of a request. `None` without a key, or with several: two readers could disagree on which one counts.
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -17,6 +17,7 @@
         crash_detection::find_quarantine,
         entry::{
             attempt::{AttemptResult, run_attempt},
+            authentication::Sender,
             request_attempts::RequestAttempts,
         },
         events::ProxyEvent,
@@ -53,8 +54,8 @@
     pub route: Rc<Route>,
     /// The service picked for it.
     pub service: ServiceName,
-    /// The organisation that sent it; `None` if it needs no API key.
-    pub organisation: Option<Rc<Organisation>>,
+    /// The organisation that sent it, with its key; `None` if it needs no API key.
+    pub sender: Option<Sender>,
     /// When the request arrived.
     pub arrived: Timestamp,
     /// The earlier of the client's deadline and the timeout of the route.
@@ -76,6 +77,17 @@
     spent_retries: u16,
 }
 
+impl ClientCall {
+    fn organisation(&self) -> Option<&Organisation> {
+        self.sender.as_ref().map(|sender| &*sender.organisation)
+    }
+
+    fn was_key_withdrawn(&self, core: &ProxyCore) -> bool {
+        let sender = self.sender.as_ref();
+        sender.is_some_and(|sender| sender.was_key_withdrawn(core))
+    }
+}
+
 impl RequestRouter {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
@@ -195,6 +207,7 @@
     fn try_next_node(&mut self) -> bool {
         if !self.may_attempt_another()
             || find_quarantine(&self.core, self.call.fingerprint).is_some()
+            || self.call.was_key_withdrawn(&self.core)
         {
             return false;
         }
@@ -240,17 +253,13 @@
             time_left: self.call.deadline.since(now),
             finish_within,
             target_left: self.call.route.target.saturating_sub(elapsed),
-            priority: rank_request(self.call.organisation.as_deref(), &self.call.route),
+            priority: rank_request(self.call.organisation(), &self.call.route),
             idempotent: self.call.route.idempotent,
             is_retry: self.attempts.upstream_attempts() > 0 || !self.in_flight.is_empty(),
             version: self.core.directory.borrow().version(),
             sender: self.core.settings.peer_address,
             request_limit: find_request_limit(&self.core, to),
-            organisation: self
-                .call
-                .organisation
-                .as_ref()
-                .map(|known| known.name.clone()),
+            organisation: self.call.organisation().map(|known| known.name.clone()),
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
@@ -270,6 +279,10 @@
         if let Some(remaining) = find_quarantine(&self.core, self.call.fingerprint) {
             return RequestOutcome::Refused(RefusalReason::Quarantined, remaining);
         }
+        if self.call.was_key_withdrawn(&self.core) {
+            increment(&self.core.counters.unauthorized);
+            return RequestOutcome::Unauthorized;
+        }
         RequestOutcome::Refused(self.last_refusal, self.find_retry_after())
     }
 
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -9,6 +9,7 @@
 mod slowdown;
 mod upstream_headers;
 mod warmup;
+mod withdrawn_keys;
 
 use crate::{
     coordination::slot_queue::{SlotDecision, SlotRequest},
@@ -39,6 +40,7 @@
 pub use upstream_headers::UnreadHeaders;
 pub use warmup::record_warmup_left;
 use warmup::refresh_warmup;
+use withdrawn_keys::{find_organisation, was_key_withdrawn};
 
 /// The result of an attempt, from the local upstream or from another node.
 #[derive(Debug)]
@@ -71,6 +73,7 @@
     line: &mut AttemptLogLine,
 ) -> CompletedAttempt {
     let arrived = core.timers.now();
+    let organisation = find_organisation(core, hop);
     if let Some((reason, finish_or_wait)) = find_refusal(core, hop, fingerprint) {
         return refuse(core, reason, finish_or_wait);
     }
@@ -105,6 +108,9 @@
     if let Some((reason, finish_or_wait)) = find_refusal(core, hop, fingerprint) {
         return refuse(core, reason, finish_or_wait);
     }
+    if was_key_withdrawn(core, organisation.as_ref()) {
+        return refuse(core, RefusalReason::KeysExpired, Duration::ZERO);
+    }
     let waited = core.timers.now().since(arrived);
     line.record_start(waited);
     let Some(time_left) = hop.time_left.checked_sub(waited) else {
