--- a/src/coordination/slot_queue/limited_arrivals.rs
+++ b/src/coordination/slot_queue/limited_arrivals.rs
@@ -6,8 +6,8 @@
 /// Time constant of the counts: long enough for several starts under a limit, about as long as the waits that are forecast.
 const DECAY_TIME: Duration = Duration::from_secs(1);
 /// Minimum share of the starts that a forecast leaves to a rank. Arrivals that use up the limit may end at any time, so some
-/// requests wait for that. In the replay `overload_mesh`, with a tenth 12% fewer requests are served, and with a quarter refusals
-/// take longer than 50 ms for one in ten.
+/// requests wait for that. In the replay `overload_mesh`, with a tenth 12% fewer requests of returning clients are served, and with a
+/// quarter more than one in ten refusals take longer than 50 ms.
 const MIN_FREE_SHARE: f64 = 0.2;
 
 /// Priority, and whether the latency target is missed; the lowest starts first.
