Explanation of keys_expired names withdrawn keys

Cause: a node may refuse a request with `keys_expired` because a key was withdrawn while it waited; `explain` says that the node was cut off.

Change: the explanation names both.

--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -118,7 +118,8 @@
         ],
         "quota_exceeded" => explain_quota(end, names),
         "keys_expired" => vec![format!(
-            "{} had been cut off for too long to tell whether the API key was still valid.",
+            "It was not known whether the API key was still valid: {} had been cut off for too long, or a key of the \
+             organisation was withdrawn while the request waited.",
             end.node
         )],
         "not_sent" => {
