--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -7,7 +7,8 @@
     },
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
     options::proxy_settings::{
-        DEFAULT_CONFIGURATION_APPLY_TIMEOUT, HeaderNames, LogSettings, NodeLimits, ProxySettings,
+        DEFAULT_CONFIGURATION_APPLY_TIMEOUT, HeaderNames, LogSettings, NodeLimits,
+        OverloadSettings, ProxySettings,
     },
     proxy::{
         ProxyListeners, core::ProxyCore, operator_requests::answer_operators, run_proxy,
@@ -318,6 +319,7 @@
             key_expiry: None,
             upstream_health: None,
             node_checks: false,
+            overload: OverloadSettings::default(),
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -106,6 +106,11 @@
              budget."
                 .to_owned(),
         ],
+        "calls_rejected" => vec![
+            "The upstreams had more requests than they could execute, and other services rejected most calls that \
+             requests of this class make."
+                .to_owned(),
+        ],
         "quarantined" => vec![
             "Upstreams crashed while they executed a request with the same fingerprint, so such requests are \
              quarantined."
@@ -113,7 +118,8 @@
         ],
         "quota_exceeded" => explain_quota(end, names),
         "keys_expired" => vec![format!(
-            "{} had been cut off for too long to tell whether the API key was still valid.",
+            "It was not known whether the API key was still valid: {} had been cut off for too long, or a key of the \
+             organisation was withdrawn while the request waited.",
             end.node
         )],
         "not_sent" => {
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -5,7 +5,10 @@
         quota_shares::QuotaSettings, retry_budget::RetryBudgetSettings,
         slow_start::SlowStartSettings, upstream_health::UpstreamHealthSettings,
     },
-    state::names::{AvailabilityZoneName, NodeName, ServiceName},
+    state::{
+        ablation::Mechanism,
+        names::{AvailabilityZoneName, NodeName, ServiceName},
+    },
 };
 use http::HeaderName;
 use std::{net::SocketAddr, time::Duration};
@@ -119,6 +122,30 @@
 /// Default of [`NodeLimits::configuration_apply_timeout`].
 pub const DEFAULT_CONFIGURATION_APPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// What a node refuses under overload before it is certain that it can't be served in time. All of it is off by default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct OverloadSettings {
+    /// Refuses a request at an upstream with a request limit as soon as its turn is forecast beyond its deadline, and derives
+    /// `Retry-After` from the queue.
+    pub early_refusal: bool,
+    /// Refuses a request at a full upstream if the calls that it would make to other services are likely to be rejected.
+    pub call_admission: bool,
+}
+
+impl OverloadSettings {
+    /// Whether early refusals are enabled.
+    #[must_use]
+    pub fn refuses_early(self) -> bool {
+        self.early_refusal && !Mechanism::EarlyRefusals.is_disabled()
+    }
+
+    /// Whether refusals because of rejected calls are enabled.
+    #[must_use]
+    pub fn admits_by_calls(self) -> bool {
+        self.call_admission && !Mechanism::CallAdmission.is_disabled()
+    }
+}
+
 /// Limits of a node. They may change while the node runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct NodeLimits {
@@ -142,6 +169,8 @@
     /// Whether this node checks nodes that leave its requests unanswered for unusually long, and sends idempotent requests to another
     /// node if the check isn't answered.
     pub node_checks: bool,
+    /// Refusals under overload.
+    pub overload: OverloadSettings,
 }
 
 /// Settings of a node.
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -37,11 +37,14 @@
     /// The attempt is a retry, and the calls that it would make again exceed the retry budget that operators allow.
     #[serde(rename = "repeats_spent")]
     RetryBudgetExhausted,
+    /// The upstream has more requests than it can execute, and most calls that this one would make are rejected.
+    CallsRejected,
     /// Upstreams have crashed while they ran requests with the same fingerprint.
     Quarantined,
     /// The organisation has sent more requests than its quota permits.
     QuotaExceeded,
-    /// The node has been cut off for too long to tell whether the request's API key is still valid.
+    /// The node can't tell whether the request's API key is still valid: it has been cut off for too long, or a key of the
+    /// organisation was withdrawn while the request waited there.
     KeysExpired,
     /// The upstream is ejected, since it fails requests, and the request is no trial.
     UpstreamFailing,
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -8,6 +8,7 @@
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{
+        calls::record_call,
         core::ProxyCore,
         entry::{request_attempts::RequestAttempts, request_router::ClientCall},
         events::{LoggedEnd, ProxyEvent, in_millis},
@@ -151,6 +152,9 @@
         if let Some(watched) = &self.watched {
             watched.record_result(result);
         }
+        if let Ok(completed) = result {
+            record_call(&self.core, &self.call.service, completed.answer.outcome);
+        }
         self.update_known_node(result);
         let slowdown_percent = result
             .as_ref()
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -5,7 +5,7 @@
 use crate::{
     coordination::{
         placement::{PlacementCandidate, order_candidates},
-        slot_search::{SearchStep, SearchTime, SlotSearch, find_hedge_delay},
+        slot_search::{RETRY_AFTER_RANGE, SearchStep, SearchTime, SlotSearch, find_hedge_delay},
     },
     protocol::{
         hop::HopRequest,
@@ -17,6 +17,7 @@
         crash_detection::find_quarantine,
         entry::{
             attempt::{AttemptResult, run_attempt},
+            authentication::Sender,
             request_attempts::RequestAttempts,
         },
         events::ProxyEvent,
@@ -40,6 +41,8 @@
 
 /// Random factor of the `Retry-After` times of refused clients.
 const RETRY_AFTER_SPREAD: Range<f64> = 0.8..1.2;
+/// The same after refusals because of rejected calls, which end for all clients at the same time.
+const CALLS_RETRY_AFTER_SPREAD: Range<f64> = 1.0..2.0;
 
 /// How often the search for a slot may begin again after refusals by nodes of ejected upstreams.
 const MAX_SEARCH_RESTARTS: u32 = 2;
@@ -54,8 +57,8 @@
     pub route: Rc<Route>,
     /// The service picked for it.
     pub service: ServiceName,
-    /// The organisation that sent it; `None` if it needs no API key.
-    pub organisation: Option<Rc<Organisation>>,
+    /// The organisation that sent it, with its key; `None` if it needs no API key.
+    pub sender: Option<Sender>,
     /// When the request arrived.
     pub arrived: Timestamp,
     /// The earlier of the client's deadline and the timeout of the route.
@@ -83,6 +86,17 @@
     search_restarts: u32,
 }
 
+impl ClientCall {
+    fn organisation(&self) -> Option<&Organisation> {
+        self.sender.as_ref().map(|sender| &*sender.organisation)
+    }
+
+    fn was_key_withdrawn(&self, core: &ProxyCore) -> bool {
+        let sender = self.sender.as_ref();
+        sender.is_some_and(|sender| sender.was_key_withdrawn(core))
+    }
+}
+
 impl RequestRouter {
     pub fn new(core: &Rc<ProxyCore>, call: ClientCall, attempts: Rc<RequestAttempts>) -> Self {
         count_request(core, &call.service);
@@ -231,6 +245,7 @@
     fn try_next_node(&mut self) -> bool {
         if !self.may_attempt_another()
             || find_quarantine(&self.core, self.call.fingerprint).is_some()
+            || self.call.was_key_withdrawn(&self.core)
         {
             return false;
         }
@@ -302,17 +317,13 @@
             time_left: self.call.deadline.since(now),
             finish_within,
             target_left: self.call.route.target.saturating_sub(elapsed),
-            priority: rank_request(self.call.organisation.as_deref(), &self.call.route),
+            priority: rank_request(self.call.organisation(), &self.call.route),
             idempotent: self.call.route.idempotent,
             is_retry: self.attempts.upstream_attempts() > 0 || !self.in_flight.is_empty(),
             version: self.core.directory.borrow().version(),
             sender: self.core.settings.peer_address,
             request_limit: find_request_limit(&self.core, to),
-            organisation: self
-                .call
-                .organisation
-                .as_ref()
-                .map(|known| known.name.clone()),
+            organisation: self.call.organisation().map(|known| known.name.clone()),
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
@@ -332,8 +343,26 @@
         if let Some(remaining) = find_quarantine(&self.core, self.call.fingerprint) {
             return RequestOutcome::Refused(RefusalReason::Quarantined, remaining);
         }
+        if self.call.was_key_withdrawn(&self.core) {
+            increment(&self.core.counters.unauthorized);
+            return RequestOutcome::Unauthorized;
+        }
+        RequestOutcome::Refused(self.last_refusal, self.find_retry_after())
+    }
+
+    fn find_retry_after(&self) -> Duration {
+        if self.last_refusal == RefusalReason::CallsRejected {
+            // Clients that return earlier are refused again.
+            let (_, max) = RETRY_AFTER_RANGE;
+            return max.mul_f64(rand::rng().random_range(CALLS_RETRY_AFTER_SPREAD));
+        }
+        if self.core.limits().overload.refuses_early() {
+            let remaining = self.call.deadline.since(self.core.timers.now());
+            let chance = rand::rng().random_range(0.0..1.0);
+            return self.search.find_spread_retry_after(remaining, chance);
+        }
         let spread = rand::rng().random_range(RETRY_AFTER_SPREAD);
-        RequestOutcome::Refused(self.last_refusal, self.search.find_retry_after(spread))
+        self.search.find_retry_after(spread)
     }
 }
 
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -9,6 +9,7 @@
 mod slowdown;
 mod upstream_headers;
 mod warmup;
+mod withdrawn_keys;
 
 use crate::{
     coordination::slot_queue::{SlotDecision, SlotRequest},
@@ -17,6 +18,7 @@
         outcome::RefusalReason,
     },
     proxy::{
+        calls::{find_call_refusal, record_execution_end, record_execution_start},
         core::{ProxyCore, increment},
         crash_detection::find_quarantine,
         graceful_stop::accepts_work,
@@ -39,6 +41,7 @@
 pub use upstream_headers::UnreadHeaders;
 pub use warmup::record_warmup_left;
 use warmup::refresh_warmup;
+use withdrawn_keys::{find_organisation, was_key_withdrawn};
 
 /// The result of an attempt, from the local upstream or from another node.
 #[derive(Debug)]
@@ -71,6 +74,7 @@
     line: &mut AttemptLogLine,
 ) -> CompletedAttempt {
     let arrived = core.timers.now();
+    let organisation = find_organisation(core, hop);
     if let Some((reason, finish_or_wait)) = find_refusal(core, hop, fingerprint) {
         return refuse(core, reason, finish_or_wait);
     }
@@ -87,6 +91,9 @@
     refresh_slowdown(core).await;
     refresh_warmup(core).await;
     line.record_decision();
+    if let Some(next_check) = find_call_refusal(core, hop) {
+        return refuse(core, RefusalReason::CallsRejected, next_check);
+    }
     let number = match request_slot(core, hop, arrived) {
         SlotDecision::Run(number) => number,
         SlotDecision::Refuse { finish_in } => {
@@ -109,6 +116,9 @@
     {
         return refuse(core, reason, finish_or_wait);
     }
+    if was_key_withdrawn(core, organisation.as_ref()) {
+        return refuse(core, RefusalReason::KeysExpired, Duration::ZERO);
+    }
     let waited = core.timers.now().since(arrived);
     line.record_start(waited);
     let Some(time_left) = hop.time_left.checked_sub(waited) else {
@@ -122,8 +132,12 @@
         .calls_per_execution
         .borrow_mut()
         .record_start(&hop.class, core.timers.now());
+    record_execution_start(core, &hop.class);
     let (outcome, response) = dispatch(core, hop, req, fingerprint, time_left, trial).await;
     drop(slot_guard);
+    if let Some(response) = &response {
+        record_execution_end(core, &hop.class, response.status().is_server_error());
+    }
     core.calls_per_execution
         .borrow_mut()
         .record_end(&hop.class, &execution);
@@ -144,7 +158,9 @@
         time_left: hop.time_left.saturating_sub(elapsed),
         expected: core.slots.expected_time(&hop.class),
     };
-    core.slots.queue.borrow_mut().submit(&request, now)
+    let mut queue = core.slots.queue.borrow_mut();
+    queue.set_early_refusal(core.limits().overload.refuses_early());
+    queue.submit(&request, now)
 }
 
 /// Why a request is refused, and the time after which it may be accepted; zero if that is unknown.
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -171,6 +171,13 @@
 }
 
 fn read_counters(core: &ProxyCore) -> Vec<MetricValue> {
+    let mut counters = read_request_counters(core);
+    counters.extend(read_upstream_counters(core));
+    counters.extend(read_node_counters(core));
+    counters
+}
+
+fn read_request_counters(core: &ProxyCore) -> Vec<MetricValue> {
     let counters = &core.counters;
     let metric = |name, help, value| MetricValue { name, help, value };
     vec![
@@ -205,6 +212,18 @@
             "Requests sent to a further upstream",
             counters.retries.get(),
         ),
+        metric(
+            "calls_rejected",
+            "Requests refused at the upstream's node because their calls would be rejected",
+            counters.calls_rejected.get(),
+        ),
+    ]
+}
+
+fn read_upstream_counters(core: &ProxyCore) -> Vec<MetricValue> {
+    let counters = &core.counters;
+    let metric = |name, help, value| MetricValue { name, help, value };
+    vec![
         metric(
             "crashed",
             "Requests that were at the upstream when it crashed",
@@ -245,6 +264,13 @@
             "Requests refused because the upstream is ejected or returning",
             counters.refused_as_failing.get(),
         ),
+    ]
+}
+
+fn read_node_counters(core: &ProxyCore) -> Vec<MetricValue> {
+    let counters = &core.counters;
+    let metric = |name, help, value| MetricValue { name, help, value };
+    vec![
         metric(
             "state_bytes",
             "Bytes of messages with state from other nodes",
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests of the `camphorturn` crate.
 
 mod access;
+mod call_admission;
 mod command_line;
 mod contributing_page;
 mod crash_counting;
@@ -21,6 +22,7 @@
 mod organisations;
 mod outgoing;
 mod overload;
+mod overload_mesh;
 mod proxy_decisions;
 mod proxy_events;
 mod publishing;
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -5,7 +5,9 @@
         quota_shares::QuotaSettings, retry_budget::RetryBudgetSettings,
         slow_start::SlowStartSettings,
     },
-    options::proxy_settings::{HeaderNames, LogSettings, NodeLimits, ProxySettings},
+    options::proxy_settings::{
+        HeaderNames, LogSettings, NodeLimits, OverloadSettings, ProxySettings,
+    },
     proxy::{core::ProxyCore, metrics::render_metrics},
     state::class_counts::ClassCounts,
     timers::TimerService,
@@ -40,6 +42,7 @@
             key_expiry: None,
             upstream_health: None,
             node_checks: false,
+            overload: OverloadSettings::default(),
         },
         log: LogSettings {
             ordinary_one_in: 1,
