Nodes tell earlier versions of an ejection as `upstream_down`

Cause: a node of an earlier version can't decode the refusal `upstream_failing`. It would take the answer for malformed and report a non-idempotent request as possibly executed. Each such refusal also had a log line of its own.

Change: a flag in HopRequest says that the sender understands the refusal. Attempts that end with it are logged as ordinary. Placement has a test for nodes that refused; explain names the reason.

--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -95,6 +95,10 @@
             "The nodes that were asked had no local upstream, or could not connect to it."
                 .to_owned(),
         ],
+        "upstream_failing" => vec![
+            "The upstreams that were asked were ejected because they failed requests, and no other was left to ask."
+                .to_owned(),
+        ],
         "upstream_shed" => {
             vec![
                 "The upstream reported that it had not executed the request, and no other was left to ask."
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -37,6 +37,9 @@
 /// Bit in the flags of a [`HopRequest`]: the field after the sender's address holds the request limit.
 const LIMIT_FLAG: u8 = 4;
 
+/// Bit in the flags of a [`HopRequest`]: the sender understands [`RefusalReason::UpstreamFailing`].
+const EJECTION_FLAG: u8 = 8;
+
 /// What the entry node sends along with a request that it forwards to an upstream's node.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
@@ -68,6 +71,9 @@
     pub request_limit: Option<RequestRate>,
     /// Organisation that sent the request; `None` if it needs no API key.
     pub organisation: Option<OrganisationName>,
+    /// Whether the sender understands [`RefusalReason::UpstreamFailing`]. A node of an earlier version would take the answer for
+    /// malformed, and the request for one that may have been executed.
+    pub knows_ejection: bool,
 }
 
 /// How an attempt at an upstream ended, as reported by the upstream's node.
@@ -129,7 +135,12 @@
         let idempotent = if self.idempotent { IDEMPOTENT_FLAG } else { 0 };
         let retry = if self.is_retry { RETRY_FLAG } else { 0 };
         let limit = self.request_limit.map_or(0, |_| LIMIT_FLAG);
-        idempotent | retry | limit
+        let ejection = if self.knows_ejection {
+            EJECTION_FLAG
+        } else {
+            0
+        };
+        idempotent | retry | limit | ejection
     }
 
     /// Parses the header's value; `None` if it is malformed.
@@ -163,6 +174,7 @@
                 None
             },
             organisation: parts.next().map(OrganisationName::from),
+            knows_ejection: flags & EJECTION_FLAG != 0,
         };
         Some(request)
     }
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -269,6 +269,7 @@
                 .organisation
                 .as_ref()
                 .map(|known| known.name.clone()),
+            knows_ejection: self.core.limits().upstream_health.is_some(),
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -4,12 +4,12 @@
 
 mod catalogue;
 mod lines;
+mod logged_end;
 
-pub use lines::LineWriter;
+pub use {lines::LineWriter, logged_end::LoggedEnd};
 
 use crate::{
     coordination::publishing::PublicationOutcome,
-    protocol::outcome::{RefusalReason, UnknownCause},
     state::{
         names::{AvailabilityZoneName, ClassName, NodeName, OrganisationName, ServiceName},
         request_fingerprint::RequestFingerprint,
@@ -35,28 +35,6 @@
     Important,
 }
 
-/// How a request or an attempt ended.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum LoggedEnd {
-    /// The upstream answered with this HTTP status.
-    Answered(u16),
-    /// The request was refused and did not run.
-    Refused(RefusalReason),
-    /// It is not known whether the request ran.
-    Unknown(UnknownCause),
-    /// No route matches the request.
-    NoRoute,
-    /// The route needs an API key, and the request has none that is valid.
-    Unauthorized,
-    /// The attempt could not be sent to the other node.
-    NotSent,
-    /// The client disconnected.
-    ClientLeft,
-    /// The request ended while the attempt was still in progress.
-    Abandoned,
-}
-
 /// One event. Fields that end in `_ms` are times in milliseconds.
 #[derive(Clone, Debug, Serialize)]
 #[serde(untagged)]
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -108,13 +108,14 @@
 }
 
 impl LoggedEnd {
-    /// Severity of the end of an attempt. A refusal for lack of slots is ordinary: the entry node tries further nodes, so the
-    /// request has not failed yet.
+    /// Severity of the end of an attempt. A refusal for lack of slots or for an ejected upstream is ordinary: the entry node tries
+    /// further nodes, so the request has not failed yet, and there may be many.
     #[must_use]
     pub const fn severity(&self) -> Severity {
         match self {
             Self::Answered(status) if *status < 500 => Severity::Ordinary,
-            Self::Refused(RefusalReason::QueueFull) | Self::Abandoned => Severity::Ordinary,
+            Self::Refused(RefusalReason::QueueFull | RefusalReason::UpstreamFailing)
+            | Self::Abandoned => Severity::Ordinary,
             _ => Severity::Important,
         }
     }
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -79,7 +79,7 @@
     }
     let trial = match admit(core, hop.idempotent) {
         Ok(trial) => trial,
-        Err(wait) => return refuse(core, RefusalReason::UpstreamFailing, wait),
+        Err(wait) => return refuse(core, name_ejection(hop), wait),
     };
     if let Some(rate) = hop.request_limit {
         record_remembered_limit(core, rate);
@@ -169,7 +169,16 @@
     trial: Option<&Trial>,
 ) -> Option<(RefusalReason, Duration)> {
     let refusal = find_refusal(core, hop, fingerprint);
-    refusal.or_else(|| Some((RefusalReason::UpstreamFailing, recheck(core, trial)?)))
+    refusal.or_else(|| Some((name_ejection(hop), recheck(core, trial)?)))
+}
+
+/// The reason for a refusal because of an ejection, as the sender of the request understands it.
+const fn name_ejection(hop: &HopRequest) -> RefusalReason {
+    if hop.knows_ejection {
+        RefusalReason::UpstreamFailing
+    } else {
+        RefusalReason::UpstreamDown
+    }
 }
 
 /// Why the local upstream accepts no request of this service now; none if it does.
--- a/src/proxy/health.rs
+++ b/src/proxy/health.rs
@@ -199,18 +199,19 @@
 
 /// Forgets evidence and verdict if they are about an earlier incarnation of the upstream.
 fn forget_former_incarnation(core: &ProxyCore) {
-    let Some(current) = find_own_identity(core) else {
+    let upstream = core.local_upstream.borrow();
+    let Some(current) = upstream.current().map(|current| &current.identity) else {
         return;
     };
     let mut known = core.health.incarnation.borrow_mut();
-    let is_same = known.as_ref().is_none_or(|known| {
+    let is_same = known.as_ref().is_some_and(|known| {
         let starts = known.started_ms.zip(current.started_ms);
         known.instance == current.instance && starts.is_none_or(|(a, b)| a == b)
     });
     if !is_same {
         core.health.state.borrow_mut().begin_incarnation();
+        *known = Some(current.clone());
     }
-    *known = Some(current);
 }
 
 fn find_instance(core: &ProxyCore) -> String {
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -320,6 +320,45 @@
     assert_eq!(order(Timestamp(300_000)), 2);
 }
 
+/// Failure: requests go to nodes that have just refused them because their upstream is ejected, or nowhere although no others are left.
+#[test]
+fn order_candidates_ejected() {
+    let second = Duration::from_secs(1);
+    let mut nodes = [1, 2, 3].map(|number| known_node(number, "a"));
+    nodes[0].record_failing(second, Timestamp(20));
+    nodes[1].record_failing(second, Timestamp(10));
+    let order = |nodes: &[KnownNode], now| -> Vec<SocketAddr> {
+        let order = order_candidates(
+            nodes.iter(),
+            (&"desk".into(), &"look".into()),
+            &"a".into(),
+            || 0.5,
+            now,
+        );
+        order.iter().map(|candidate| candidate.address).collect()
+    };
+    assert_eq!(order(&nodes, Timestamp(30)), [address(3)]);
+    assert_eq!(
+        order(&nodes[..2], Timestamp(30)),
+        [address(2), address(1)],
+        "the node that refused least recently comes first"
+    );
+    // Only one of them is asked at a time once the waits have passed.
+    let later = Timestamp(30) + second;
+    assert_eq!(order(&nodes, later), [address(2), address(3)]);
+    nodes[0].record_accepted(Timestamp(15));
+    assert_eq!(order(&nodes[..1], later).len(), 1);
+    assert!(nodes[0].is_ejected(later), "the request was sent before");
+    nodes[0].record_accepted(later);
+    nodes[1].record_accepted(later);
+    assert_eq!(order(&nodes, later).len(), 3);
+    nodes[2].record_failing(second, later);
+    let mut restarted = nodes[2].record.clone();
+    restarted.incarnation.instance = "i-new".to_owned();
+    nodes[2].replace_record(restarted);
+    assert_eq!(order(&nodes, later).len(), 3);
+}
+
 /// Guards against late requests while a VM hangs. The VM accepts connections and sends nothing, so no connection is refused or broken;
 /// its silence alone must put the node last.
 #[test]
--- a/tests/integration/request_limit.rs
+++ b/tests/integration/request_limit.rs
@@ -192,6 +192,7 @@
         sender: SocketAddr::from(([10, 0, 0, 1], 80)),
         request_limit,
         organisation: organisation.map(Into::into),
+        knows_ejection: request_limit.is_none(),
     };
     for limit in [None, Some(RequestRate(1_900))] {
         for organisation in [None, Some("a;b")] {
