--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -324,6 +324,7 @@
             sender: self.core.settings.peer_address,
             request_limit: find_request_limit(&self.core, to),
             organisation: self.call.organisation().map(|known| known.name.clone()),
+            knows_ejection: self.core.limits().upstream_health.is_some(),
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
