--- a/src/coordination/quota_keeper.rs
+++ b/src/coordination/quota_keeper.rs
@@ -25,7 +25,7 @@
 const RESERVE_EXCESS_SHARE: f64 = 0.3;
 /// Least capacity of a bucket, in tokens, if there are so few keepers that the excess bears it. The part above one token is not lost
 /// when a request arrives later than the next token.
-const MIN_CAPACITY: f64 = 1.5;
+const MIN_CAPACITY: f64 = 2.0;
 /// Most credits that one node gets near the limit, if it uses as many within the lifetime of credit.
 const FEW_CREDITS: f64 = 3.0;
 /// Share of the bucket that is reserved for requests that can be answered in time.
--- a/src/coordination/quota_shares.rs
+++ b/src/coordination/quota_shares.rs
@@ -100,13 +100,21 @@
     /// Names of the zones; a zone's place is its number.
     names: Vec<AvailabilityZoneName>,
     /// The members of each zone.
-    zones: Vec<Vec<SocketAddr>>,
+    zones: Vec<Vec<HashedNode>>,
     /// When the next node that is gone stops counting.
     next_removal: Option<Timestamp>,
     /// Number of the last state of the known nodes that was applied.
     generation: Option<u64>,
 }
 
+/// A node with the hash of its address. Hundreds of nodes are ranked for a request, so addresses are hashed only when the known nodes
+/// change.
+#[derive(Clone, Copy, Debug)]
+struct HashedNode {
+    address: SocketAddr,
+    hash: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Member {
     zone: AvailabilityZoneName,
@@ -159,11 +167,14 @@
                 self.zones.push(Vec::new());
                 self.zones.len() - 1
             });
-            self.zones[number].push(*address);
+            self.zones[number].push(HashedNode {
+                address: *address,
+                hash: rank_node(RANK_SEED, *address),
+            });
         }
     }
 
-    /// The keepers of an organisation's quota, at most `most`, by rank. Takes one hash a node.
+    /// The keepers of an organisation's quota, at most `most`, by rank. Takes a few operations a node.
     ///
     /// A node that joins never lowers their number, since the other nodes learn of it at different times and would grant larger
     /// shares meanwhile.
@@ -172,8 +183,8 @@
         let subject = hash_organisation(organisation);
         let mut keepers = Vec::with_capacity(MAX_KEEPERS + MIN_KEEPERS);
         let mut others = Vec::new();
-        for (zone, addresses) in self.zones.iter().enumerate() {
-            let first = find_first_of_zone(subject, zone, addresses);
+        for (zone, nodes) in self.zones.iter().enumerate() {
+            let first = find_first_of_zone(subject, zone, nodes);
             let (chosen, rest) = first.split_at(first.len().min(KEEPERS_PER_ZONE));
             keepers.extend_from_slice(chosen);
             others.extend_from_slice(rest);
@@ -210,16 +221,16 @@
 }
 
 /// The first nodes of a zone by rank, as many as there may be keepers in it.
-fn find_first_of_zone(subject: u64, zone: usize, addresses: &[SocketAddr]) -> Vec<Keeper> {
+fn find_first_of_zone(subject: u64, zone: usize, nodes: &[HashedNode]) -> Vec<Keeper> {
     let mut first: Vec<Keeper> = Vec::with_capacity(MIN_KEEPERS + 1);
-    for address in addresses {
-        let rank = rank_node(subject, *address);
+    for node in nodes {
+        let rank = mix(subject ^ node.hash);
         let is_full = first.len() == MIN_KEEPERS;
         if is_full && first.last().is_some_and(|last| last.rank < rank) {
             continue;
         }
         let keeper = Keeper {
-            address: *address,
+            address: node.address,
             zone,
             rank,
         };
@@ -230,6 +241,13 @@
     first
 }
 
+/// Mixes the bits of the hashes of an organisation and a node: the finalizer of `SplitMix64`, a bijection.
+const fn mix(bits: u64) -> u64 {
+    let bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^ (bits >> 31)
+}
+
 /// Rank of a node for an organisation, from 0 to 1: evenly distributed over the nodes, and independent of other organisations.
 #[must_use]
 pub fn rank_node_for(organisation: &OrganisationName, node: SocketAddr) -> f64 {
--- a/src/proxy/quotas.rs
+++ b/src/proxy/quotas.rs
@@ -2,9 +2,11 @@
 
 mod entry_side;
 mod keeper_side;
+mod stalls;
 
 pub use entry_side::{obtain_credit, return_credit};
 pub use keeper_side::answer_credit_request;
+pub use stalls::watch_for_stalls;
 
 use crate::{
     coordination::{
@@ -12,7 +14,7 @@
         quota_keeper::QuotaKeeper,
         quota_shares::{Keeper, KeeperMembers, most_keepers},
     },
-    proxy::core::ProxyCore,
+    proxy::{core::ProxyCore, quotas::stalls::StallWatch},
     state::{
         organisations::{Organisation, Quota},
         timestamp::Timestamp,
@@ -26,6 +28,7 @@
     keeper: RefCell<QuotaKeeper>,
     credits: RefCell<QuotaCredits>,
     members: RefCell<KeeperMembers>,
+    stalls: StallWatch,
     /// Whether the store held the record of this node before this process wrote it; `None` before the first read.
     was_member: Cell<Option<bool>>,
     /// Until when no further line tells that no keeper was reached.
--- a/src/proxy/quotas/keeper_side.rs
+++ b/src/proxy/quotas/keeper_side.rs
@@ -14,9 +14,12 @@
 };
 
 /// Answers a node that asks for credit. `None` if the organisation isn't known here or has no quota, or if this node doesn't keep its
-/// quota.
+/// quota, or if the request may have been waiting while this node was stalled.
 pub fn answer_credit_request(core: &ProxyCore, request: &CreditRequest) -> Option<CreditGrant> {
     record_peer_contact(core);
+    if core.quotas.stalls.may_be_stale(core.timers.now()) {
+        return None;
+    }
     let routes = core.routes()?;
     let organisation = routes
         .organisations()?
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -3,7 +3,7 @@
 use crate::{
     proxy::{
         core::ProxyCore, entry::ClientHandler, events::ProxyEvent, graceful_stop::stop_gracefully,
-        peer_requests::PeerHandler,
+        peer_requests::PeerHandler, quotas::watch_for_stalls,
     },
     transport::callers::{CallerLimits, serve_callers},
 };
@@ -46,6 +46,7 @@
         core.timers.clone(),
         Rc::new(PeerHandler::new(Rc::clone(core))),
     ));
+    spawn_local(watch_for_stalls(Rc::clone(core)));
     core.log(&ProxyEvent::NodeStarted {
         address: core.settings.peer_address,
         service: core.settings.service.clone(),
