Quotas: restarted keepers begin with a part of the tolerated excess

Cause: all keepers begin empty after a loss of all nodes. Change: a bucket that is opened after a restart holds its part of a fifth of the tolerated excess. It comes from the part of nodes that reach no keeper (0.15 instead of 0.3) and from the enlarged buckets of small quotas (0.35 instead of 0.4).

--- a/src/coordination/quota_credits.rs
+++ b/src/coordination/quota_credits.rs
@@ -36,7 +36,7 @@
 const CUT_OFF_DIVISOR: f64 = 2.0;
 /// Share of the tolerated excess that all nodes together may use while they can reach no keeper. Any number of them may be cut off,
 /// and the keepers may grant the whole quota to the others.
-const CUT_OFF_EXCESS_SHARE: f64 = 0.3;
+const CUT_OFF_EXCESS_SHARE: f64 = 0.15;
 
 /// Place of a node in the mesh.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/src/coordination/quota_keeper.rs
+++ b/src/coordination/quota_keeper.rs
@@ -23,6 +23,9 @@
 const BUCKET_EXCESS_SHARE: f64 = 0.2;
 /// Share of the tolerated excess that the reserves of all keepers together grant within a window.
 const RESERVE_EXCESS_SHARE: f64 = 0.3;
+/// Share of the tolerated excess that the buckets of all keepers together hold when they are restarted. Their earlier processes may have
+/// spent everything that they held; with nothing at all, a small organisation would be refused for seconds after a loss of all nodes.
+const RESTART_EXCESS_SHARE: f64 = 0.2;
 /// Least capacity of a bucket, in tokens, if there are so few keepers that the excess bears it. The part above one token is not lost
 /// when a request arrives later than the next token.
 const MIN_CAPACITY: f64 = 2.0;
@@ -114,6 +117,8 @@
     quota_rate: f64,
     /// Most tokens that the bucket holds.
     capacity: f64,
+    /// Tokens of a bucket that is opened after a restart.
+    restart_tokens: f64,
     /// Most credits that the reserve grants within a window.
     reserve: usize,
 }
@@ -136,10 +141,12 @@
             reason = "a positive number, and the cast saturates"
         )]
         let reserve = if keepers > 1.0 { reserve as usize } else { 0 };
+        let capacity = ((burst + added) / keepers).max(least);
         Self {
             rate: quota.requests_per_second() / keepers,
             quota_rate: quota.requests_per_second(),
-            capacity: ((burst + added) / keepers).max(least),
+            capacity,
+            restart_tokens: capacity.min(excess * RESTART_EXCESS_SHARE / keepers),
             reserve,
         }
     }
@@ -164,7 +171,7 @@
             tokens: if share.starts_full {
                 limits.capacity
             } else {
-                0.0
+                limits.restart_tokens
             },
             refilled: share.since,
             reserve_grants: VecDeque::new(),
--- a/src/coordination/quota_shares.rs
+++ b/src/coordination/quota_shares.rs
@@ -25,7 +25,7 @@
 /// Most keepers of an organisation. An entry node asks all of them before it refuses a request.
 const MAX_KEEPERS: usize = 10;
 /// Share of the tolerated excess that may be used to give each keeper a whole token.
-pub const WHOLE_TOKEN_EXCESS_SHARE: f64 = 0.4;
+pub const WHOLE_TOKEN_EXCESS_SHARE: f64 = 0.35;
 /// Number of windows for which a node that is gone still counts, and for which a node that joined grants nothing.
 const SETTLING_WINDOWS: u32 = 2;
 /// Seed of the hash that ranks the keepers. Any value works, as long as all nodes use the same.
