--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -6,10 +6,12 @@
 mod lines;
 mod liveness;
 mod logged_end;
+mod severity;
 
 pub use lines::LineWriter;
 pub use liveness::{NodeClearance, NodeSuspicion};
 pub use logged_end::LoggedEnd;
+pub use severity::Severity;
 
 use crate::{
     coordination::publishing::PublicationOutcome,
@@ -27,17 +29,6 @@
     u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
 }
 
-/// Severity of an event. It selects the log level, and the rate limit and sampling rate of the line.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Severity {
-    /// An event of normal operation, such as the end of a request that was answered in time.
-    Ordinary,
-    /// A request that was answered after its latency target. Under high load there are many.
-    Late,
-    /// A failure, a refused request, or a change of the state of the node.
-    Important,
-}
-
 /// One event. Fields that end in `_ms` are times in milliseconds.
 #[derive(Clone, Debug, Serialize)]
 #[serde(untagged)]
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -26,6 +26,7 @@
 mod proxy_decisions;
 mod proxy_events;
 mod publishing;
+mod quota_credits;
 mod quota_keeper;
 mod quota_mesh;
 mod request_limit;
