--- a/src/coordination/quota_shares.rs
+++ b/src/coordination/quota_shares.rs
@@ -5,7 +5,9 @@
 //! stalled or cut off removes only its own share.
 //!
 //! Nodes learn of a change of the known nodes at different times. A node that is gone counts for a while longer, and a node that joins
-//! grants nothing for as long, so that a former keeper and its successor don't grant the same share.
+//! grants nothing for as long, so that a former keeper and its successor don't grant the same share. A node whose record is in the
+//! store at its first read can't tell whether it joined or was restarted; it grants its share at once, from a bucket that is nearly
+//! empty.
 
 use crate::{
     coordination::rendezvous::rank_node,
