--- a/examples/added_time.rs
+++ b/examples/added_time.rs
@@ -1,7 +1,7 @@
 //! Measures the latency that camphorturn adds to a request.
 //!
 //! Each connection sends requests in turn directly to a stand-in upstream, through the node of this upstream, and
-//! through a node of another service. All three paths are thus measured under the same load of the machine.
+//! through a node of another service, so that the three paths share the load of the machine.
 //! `--seconds N` sets the duration for each number of connections, `--json` prints JSON.
 
 use bytes::Bytes;
@@ -27,7 +27,7 @@
 };
 use tokio::task::{LocalSet, spawn_local};
 
-/// Numbers of connections, measured one after the other.
+/// Numbers of connections, one run each.
 const CONNECTION_COUNTS: [u64; 3] = [1, 50, 200];
 /// Requests per second on each path, over all connections.
 const REQUESTS_PER_SECOND: u64 = 400;
--- a/src/coordination/quota_keeper.rs
+++ b/src/coordination/quota_keeper.rs
@@ -33,7 +33,7 @@
 const FEW_CREDITS: f64 = 3.0;
 /// Share of the bucket that is reserved for requests that can be answered in time.
 const RESERVED_SHARE: f64 = 0.25;
-/// Longest time after which a refused client is told to return.
+/// Maximum `Retry-After` of a refusal.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Share of a quota that a keeper grants.
@@ -242,8 +242,8 @@
         is_granted
     }
 
-    /// Time until a refused client should return, in milliseconds. Each refused client is told a time of its own, one token of the
-    /// whole quota apart: it was refused by all keepers, which all plan its return.
+    /// `Retry-After` of a refusal, in milliseconds. Consecutive refusals are one token of the whole quota apart, so that clients don't
+    /// retry at the same time: each of them was refused by all keepers, which all count it.
     fn plan_return(&mut self, now: Timestamp) -> u64 {
         let missing = (1.0 - self.tokens).max(0.0);
         let next_token = now + Duration::from_secs_f64(missing / self.limits.rate);
--- a/src/proxy/quotas/entry_side.rs
+++ b/src/proxy/quotas/entry_side.rs
@@ -24,7 +24,7 @@
 /// Longest time that a request waits for the answer of one keeper. It is much longer than a round trip between zones, and short enough
 /// that a request is still in time after several keepers didn't answer.
 const ASKING_TIMEOUT: Duration = Duration::from_millis(50);
-/// Time after which a client is told to return, and a further line is written, if no keeper could be reached.
+/// `Retry-After` of a refusal if no keeper could be reached, and the minimum interval between two log lines about it.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Credit for one request, or none.
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -23,6 +23,7 @@
 mod outgoing;
 mod overload;
 mod overload_mesh;
+mod placement;
 mod proxy_decisions;
 mod proxy_events;
 mod publishing;
--- a/tests/integration/operators.rs
+++ b/tests/integration/operators.rs
@@ -220,7 +220,7 @@
     assert_eq!(send_expecting_error(get(&server, "/health")).0, 503);
 }
 
-/// Failure: an operator is told that a publication was not stored, although the node publishes it after its answer was due.
+/// Failure: a publication is reported as not stored after a timeout, although the node publishes it later.
 #[test]
 fn build_failure_outcome_node_timeout() {
     let refused = |status| OperatorClientError::Refused {
--- a/tests/integration/proxy_decisions.rs
+++ b/tests/integration/proxy_decisions.rs
@@ -1,10 +1,9 @@
-//! Decisions of a node that need no connection: routes, announcements, candidates, reads of the store and log lines.
+//! Decisions of a node that need no connection: routes, announcements, reads of the store and log lines.
 
 use camphorturn::{
     coordination::{
         fanout::split_receivers,
         local_upstream::{Announcement, AnnouncementEffect, LocalUpstream},
-        placement::order_candidates,
         store_reading::{ReadingRole, is_reader, plan_reading},
     },
     log_reading::line::LogLine,
@@ -17,7 +16,7 @@
     state::{
         configuration::ConfigurationVersion,
         incarnation_id::IncarnationId,
-        known_node::{KnownNode, NodeLoad, NodeRecord, StoredRecord},
+        known_node::{KnownNode, NodeRecord, StoredRecord},
         rate_limit::RateLimit,
         routing_table::{ClientLimits, Route, RouteIndex, RoutingTable, WeightedService},
         timestamp::Timestamp,
@@ -43,7 +42,7 @@
     }
 }
 
-fn address(last: u8) -> SocketAddr {
+pub fn address(last: u8) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, last], 80))
 }
 
@@ -60,7 +59,7 @@
     }
 }
 
-fn known_node(last: u8, zone: &str) -> KnownNode {
+pub fn known_node(last: u8, zone: &str) -> KnownNode {
     KnownNode::new(StoredRecord {
         revision: 1,
         record: record(last, zone, "i"),
@@ -277,115 +276,6 @@
     assert!(upstream.current().is_none());
 }
 
-#[test]
-fn order_candidates_local_zone_first() {
-    let nodes = [known_node(1, "b"), known_node(2, "a"), known_node(3, "a")];
-    let mut busy = nodes.clone();
-    busy[1].load = Some((
-        NodeLoad {
-            running: 4,
-            limit: 4,
-            slowdown_percent: 100,
-            ..NodeLoad::default()
-        },
-        Timestamp(0),
-    ));
-    let order = order_candidates(
-        busy.iter(),
-        (&"desk".into(), &"look".into()),
-        &"a".into(),
-        || 0.5,
-        Timestamp(1),
-    );
-    let addresses: Vec<SocketAddr> = order.iter().map(|candidate| candidate.address).collect();
-    assert_eq!(addresses, [address(3), address(2), address(1)]);
-}
-
-#[test]
-fn order_candidates_without_unreachable() {
-    let mut unreachable = known_node(1, "a");
-    unreachable.record_unreachable(Timestamp(0));
-    let nodes = [unreachable, known_node(2, "a")];
-    let order = |now| {
-        order_candidates(
-            nodes.iter(),
-            (&"desk".into(), &"look".into()),
-            &"a".into(),
-            || 0.5,
-            now,
-        )
-        .len()
-    };
-    assert_eq!(order(Timestamp(1)), 1);
-    assert_eq!(order(Timestamp(300_000)), 2);
-}
-
-/// Failure: requests go to nodes that have just refused them because their upstream is ejected, or nowhere although no others are left.
-#[test]
-fn order_candidates_ejected() {
-    let second = Duration::from_secs(1);
-    let mut nodes = [1, 2, 3].map(|number| known_node(number, "a"));
-    nodes[0].record_failing(second, Timestamp(20));
-    nodes[1].record_failing(second, Timestamp(10));
-    let order = |nodes: &[KnownNode], now| -> Vec<SocketAddr> {
-        let order = order_candidates(
-            nodes.iter(),
-            (&"desk".into(), &"look".into()),
-            &"a".into(),
-            || 0.5,
-            now,
-        );
-        order.iter().map(|candidate| candidate.address).collect()
-    };
-    assert_eq!(order(&nodes, Timestamp(30)), [address(3)]);
-    assert_eq!(
-        order(&nodes[..2], Timestamp(30)),
-        [address(2), address(1)],
-        "the node that refused least recently comes first"
-    );
-    // Only one of them is asked at a time once the waits have passed.
-    let later = Timestamp(30) + second;
-    assert_eq!(order(&nodes, later), [address(2), address(3)]);
-    nodes[0].record_accepted(Timestamp(15));
-    assert_eq!(order(&nodes[..1], later).len(), 1);
-    assert!(nodes[0].is_ejected(later), "the request was sent before");
-    nodes[0].record_accepted(later);
-    nodes[1].record_accepted(later);
-    assert_eq!(order(&nodes, later).len(), 3);
-    nodes[2].record_failing(second, later);
-    let mut restarted = nodes[2].record.clone();
-    restarted.incarnation.instance = "i-new".to_owned();
-    nodes[2].replace_record(restarted);
-    assert_eq!(order(&nodes, later).len(), 3);
-}
-
-/// Guards against late requests while a VM hangs. The VM accepts connections and sends nothing, so no connection is refused or broken;
-/// its silence alone must put the node last.
-#[test]
-fn order_candidates_silent_node_last() {
-    let mut silent = known_node(1, "a");
-    silent.record_sent_request(Timestamp(0));
-    let mut busy = known_node(2, "a");
-    busy.record_sent_request(Timestamp(0));
-    busy.record_sent_request(Timestamp(0));
-    let first = |silent: &KnownNode, busy: &KnownNode, now| {
-        let nodes = [silent.clone(), busy.clone()];
-        let order = order_candidates(
-            nodes.iter(),
-            (&"desk".into(), &"look".into()),
-            &"a".into(),
-            || 0.5,
-            now,
-        );
-        order[0].address
-    };
-    assert_eq!(first(&silent, &busy, Timestamp(50_000)), address(1));
-    busy.record_response(Timestamp(390_000));
-    assert_eq!(first(&silent, &busy, Timestamp(400_000)), address(2));
-    silent.record_ended_request();
-    assert_eq!(silent.silence(Timestamp(400_000)), Duration::ZERO);
-}
-
 #[test]
 fn is_reader_two_per_zone() {
     let all: Vec<SocketAddr> = (1..=20).map(address).collect();
@@ -510,17 +400,3 @@
     // Ten seconds of the rate, and one burst.
     assert!((659..=661).contains(&granted), "{granted}");
 }
-
-#[test]
-fn reported_finish_expires() {
-    let mut known_node = known_node(1, "a");
-    let class = "look".into();
-    known_node.record_refusal(&class, Duration::from_millis(200), Timestamp(0));
-    let later = |millis: u64| Timestamp(millis * 1_000);
-    assert_eq!(
-        known_node.reported_finish(&class, later(40)),
-        Some(Duration::from_millis(160))
-    );
-    assert_eq!(known_node.reported_finish(&class, later(60)), None);
-    assert_eq!(known_node.reported_finish(&"book".into(), later(0)), None);
-}
