--- a/src/coordination/rendezvous.rs
+++ b/src/coordination/rendezvous.rs
@@ -13,28 +13,6 @@
     nodes
 }
 
-/// The first `count` nodes by their rank for the subject with this hash. Takes time proportional to the number of nodes.
-#[must_use]
-pub fn find_first_nodes(
-    subject: u64,
-    nodes: impl Iterator<Item = SocketAddr>,
-    count: usize,
-) -> Vec<SocketAddr> {
-    let mut first: Vec<(u64, SocketAddr)> = Vec::with_capacity(count + 1);
-    for node in nodes {
-        let ranked = (rank_node(subject, node), node);
-        if first.len() == count && first.last().is_some_and(|last| *last < ranked) {
-            continue;
-        }
-        let position = first.partition_point(|known| *known < ranked);
-        if position < count {
-            first.insert(position, ranked);
-            first.truncate(count);
-        }
-    }
-    first.into_iter().map(|(_, node)| node).collect()
-}
-
 /// Rank of a node for the subject with this hash; the lowest is the first.
 #[must_use]
 pub fn rank_node(subject: u64, node: SocketAddr) -> u64 {
