Readers send newly known nodes what they have missed

Cause: a node reads the records once at its start. If its upstream announces itself later, the reader of the zone doesn't know the node meanwhile and sends the records of that time to the others only.

--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -8,8 +8,8 @@
 use crate::{
     coordination::{
         call_admission::CallAdmission, calls_per_execution::CallsPerExecution,
-        local_upstream::LocalUpstream, offer_rounds::OfferRounds, retry_budget::RetryBudget,
-        table_sources::TableSources, version_lag::VersionLag,
+        local_upstream::LocalUpstream, offer_rounds::OfferRounds, recent_records::RecentRecords,
+        retry_budget::RetryBudget, table_sources::TableSources, version_lag::VersionLag,
     },
     options::proxy_settings::{NodeLimits, ProxySettings},
     proxy::{
@@ -116,6 +116,8 @@
     pub evacuations: EvacuationsInForce,
     /// Liveness of other nodes.
     pub liveness: PeerLiveness,
+    /// Records that this node has read lately as a reader of its zone.
+    pub recent_records: RefCell<RecentRecords>,
     /// Quotas of organisations.
     pub quotas: Quotas,
     /// Contact with other nodes and the store.
@@ -172,6 +174,7 @@
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
             liveness: PeerLiveness::default(),
+            recent_records: RefCell::default(),
             quotas: Quotas::default(),
             contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -23,7 +23,7 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use rand::seq::SliceRandom;
-use std::rc::Rc;
+use std::{net::SocketAddr, rc::Rc};
 use tokio::task::spawn_local;
 
 /// Number of nodes that are asked to read the store in place of one that can't.
@@ -49,6 +49,23 @@
     send_along_tree(core, &receivers, &message);
 }
 
+/// Sends records that were read before to nodes of the zone that have just become known: the nodes may have read the records of the
+/// store before these were stored.
+pub fn send_missed_records(
+    core: &Rc<ProxyCore>,
+    joined: &[SocketAddr],
+    earlier: Vec<StoredRecord>,
+) {
+    if joined.is_empty() || earlier.is_empty() {
+        return;
+    }
+    let message = StateMessage {
+        nodes: earlier,
+        ..StateMessage::default()
+    };
+    send_along_tree(core, joined, &message);
+}
+
 /// Asks a few other nodes of the zone to read the store for a while. The store may reject both readers of a zone and no other
 /// node; the zone would then not learn of a change in time.
 pub fn delegate_store_reading(core: &Rc<ProxyCore>) {
--- a/src/proxy/store_sync/nodes.rs
+++ b/src/proxy/store_sync/nodes.rs
@@ -13,7 +13,7 @@
         crash_detection::{apply_stored_quarantine, propagate_quarantine_to_zone},
         directory::StateSource,
         events::ProxyEvent,
-        state_sharing::share_with_zone,
+        state_sharing::{send_missed_records, share_with_zone},
         upstream_announcements::apply_stored_record,
     },
     state::{
@@ -40,6 +40,7 @@
     pub(super) async fn apply_nodes(&self, records: &RecordBatch, is_full_read: bool) {
         let core = &self.core;
         let mut new_records = Vec::new();
+        let mut joined = Vec::new();
         let mut own_record = None;
         for record in &records.records {
             if let Some(fingerprint) = parse_quarantine_key(&record.key) {
@@ -53,9 +54,16 @@
             let Some(stored) = self.decode_node(record, value) else {
                 continue;
             };
-            if stored.record.address == core.settings.peer_address {
+            let address = stored.record.address;
+            if address == core.settings.peer_address {
                 own_record = Some(stored);
-            } else if core.apply_record(stored.clone(), StateSource::Store) {
+                continue;
+            }
+            let is_known = core.directory.borrow().nodes.contains_key(&address);
+            if core.apply_record(stored.clone(), StateSource::Store) {
+                if !is_known && stored.record.availability_zone == core.settings.availability_zone {
+                    joined.push(address);
+                }
                 new_records.push(stored);
             }
         }
@@ -74,6 +82,11 @@
         let is_own_stored = own_record.is_some();
         core.quotas.record_first_read(is_own_stored);
         core.mark_node_records_read();
+        if core.is_zone_reader() {
+            let now = core.timers.now();
+            let earlier = core.recent_records.borrow_mut().add(&new_records, now);
+            send_missed_records(core, &joined, earlier);
+        }
         if is_full_read {
             new_records = find_records_to_share(core, new_records, own_record.as_ref());
         }
