Lines 803 tell how a warm-up's limit was filled; soak lists the requests of an exceeded second

Cause: nothing told who started the 24th request of a second during a warm-up: line 803 had neither the counted starts nor their limit, and most of these lines are ordinary and sampled. Change: line 803 has cold_left_ms, cold_starts and cold_limit for a start during a warm-up, and is important in the upper half of the limit. The soak's check is unchanged and lists the requests of the second that it reports. The starts in the window were all counted, at most 23 in a second by the node's clock; the first ones arrived 25 to 300 ms after their start.

--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -265,20 +265,22 @@
         let during_warmup = of_upstream.filter(|execution| {
             reported <= execution.executed_at && execution.executed_at < warmup.to
         });
-        let mut times: Vec<Instant> = during_warmup
-            .map(|execution| execution.executed_at)
-            .collect();
-        times.sort();
+        let mut during_warmup: Vec<&ExecutedRequest> = during_warmup.collect();
+        during_warmup.sort_by_key(|execution| execution.executed_at);
         let second = Duration::from_secs(1);
-        let exceeds_limit = times
+        let excess = during_warmup
             .windows(WARMUP_REQUESTS_PER_SECOND + 1)
-            .any(|window| window[WARMUP_REQUESTS_PER_SECOND].duration_since(window[0]) < second);
-        if exceeds_limit {
+            .find(|window| {
+                let (first, last) = (window[0], window[WARMUP_REQUESTS_PER_SECOND]);
+                last.executed_at.duration_since(first.executed_at) < second
+            });
+        if let Some(window) = excess {
             found.push(Violation {
                 promise: "an upstream gets no more requests than it tolerates during its warm-up",
                 observed: format!(
-                    "more than {WARMUP_REQUESTS_PER_SECOND} requests in a second at node {}",
-                    warmup.node
+                    "more than {WARMUP_REQUESTS_PER_SECOND} requests in a second at node {}: {}",
+                    warmup.node,
+                    list_executions(window, warmup.from)
                 ),
             });
         }
@@ -286,6 +288,15 @@
     found
 }
 
+/// Lists executions with their times in milliseconds since `from`.
+fn list_executions(executions: &[&ExecutedRequest], from: Instant) -> String {
+    let listed = executions.iter().map(|execution| {
+        let since = execution.executed_at.duration_since(from).as_millis();
+        format!("{} at {since}", execution.target)
+    });
+    listed.collect::<Vec<_>>().join(", ")
+}
+
 /// Checks that a request which has crashed three upstreams crashes only few more once all nodes know of that.
 fn check_crashing(
     by_target: &HashMap<&str, Vec<&ExecutedRequest>>,
--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -21,7 +21,7 @@
 use crate::{
     coordination::{
         request_limit::RequestLimit,
-        slow_start::{SlowStart, WarmupReport},
+        slow_start::{SlowStart, WarmupReport, WarmupStart},
         vm_slowdown::VmSlowdown,
     },
     state::{
@@ -210,6 +210,12 @@
         self.slow_start.is_warming_up(now)
     }
 
+    /// What is known of the warm-up when a request has started; `None` if the upstream isn't known to be warming up.
+    #[must_use]
+    pub fn describe_warmup_start(&self, now: Timestamp) -> Option<WarmupStart> {
+        self.slow_start.describe_start(now)
+    }
+
     /// The request limit that the upstream names; `None` if it names none.
     #[must_use]
     pub fn request_limit(&self) -> Option<RequestRate> {
--- a/src/coordination/slow_start.rs
+++ b/src/coordination/slow_start.rs
@@ -62,6 +62,17 @@
     pub limit: usize,
 }
 
+/// The start of a request during a warm-up.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WarmupStart {
+    /// Remaining warm-up time.
+    pub remaining: Duration,
+    /// Number of starts counted within the window of the limit, including this one.
+    pub counted: usize,
+    /// Maximum number of requests within any second of the warm-up.
+    pub limit: usize,
+}
+
 /// Counts requests started at one upstream and limits them while it is cold.
 #[derive(Clone, Debug)]
 pub struct SlowStart {
@@ -144,6 +155,21 @@
         self.starts.push_back(now);
     }
 
+    /// What is known of the warm-up when a request has started; `None` if the upstream isn't known to be warming up.
+    #[must_use]
+    pub fn describe_start(&self, now: Timestamp) -> Option<WarmupStart> {
+        self.is_warming_up(now).then(|| WarmupStart {
+            remaining: self.warmup_until.since(now),
+            counted: self.counted_starts(now).count(),
+            limit: self.limit,
+        })
+    }
+
+    fn counted_starts(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> + Clone {
+        let starts = self.starts.iter().copied();
+        starts.filter(move |start| *start + LIMIT_WINDOW > now)
+    }
+
     /// Time until a request may start if `ahead` other requests start before it; zero if no warm-up of the upstream is known.
     #[must_use]
     pub fn wait(&self, ahead: usize, now: Timestamp) -> Duration {
@@ -159,18 +185,15 @@
     }
 
     fn wait_in_window(&self, ahead: usize, now: Timestamp) -> Duration {
-        let counted = self
-            .starts
-            .iter()
-            .filter(|start| **start + LIMIT_WINDOW > now);
+        let counted = self.counted_starts(now);
         let position = counted.clone().count() + ahead;
         let Some(to_expire) = position.checked_sub(self.limit) else {
             return Duration::ZERO;
         };
         let windows = u32::try_from(to_expire / self.limit).unwrap_or(u32::MAX);
         let offset = to_expire % self.limit;
-        let mut counted = counted.copied();
         let next = counted
+            .clone()
             .nth(offset)
             .map_or(LIMIT_WINDOW, |start| (start + LIMIT_WINDOW).since(now));
         next.saturating_add(LIMIT_WINDOW.saturating_mul(windows))
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -117,6 +117,15 @@
         expected_ms: u64,
         /// Time that the attempt waited for a slot.
         waited_ms: u64,
+        /// Remaining warm-up time of the upstream when the attempt started; none if it was not known to be warming up.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        cold_left_ms: Option<u64>,
+        /// Attempts that had started within the last second then, including this one.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        cold_starts: Option<usize>,
+        /// Largest number of attempts within a second of the warm-up.
+        #[serde(skip_serializing_if = "Option::is_none")]
+        cold_limit: Option<usize>,
         /// Time since the attempt arrived.
         took_ms: u64,
     },
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -77,6 +77,12 @@
                 target_ms,
                 ..
             } => end.severity_of_request(*took_ms > *target_ms),
+            // The starts that fill the limit of a warm-up are all needed to trace how it was exceeded.
+            Self::AttemptExecuted {
+                cold_starts: Some(starts),
+                cold_limit: Some(limit),
+                ..
+            } if 2 * *starts > *limit => Severity::Important,
             Self::AttemptReturned { end, .. } | Self::AttemptExecuted { end, .. } => end.severity(),
             Self::RetrySuppressed { .. } => Severity::Ordinary,
             _ => Severity::Important,
--- a/src/proxy/executing/attempt_log_line.rs
+++ b/src/proxy/executing/attempt_log_line.rs
@@ -1,6 +1,7 @@
 //! The log line about an attempt at the local upstream.
 
 use crate::{
+    coordination::slow_start::WarmupStart,
     protocol::hop::{AttemptOutcome, HopRequest},
     proxy::{
         core::ProxyCore,
@@ -27,6 +28,8 @@
     running: u16,
     queued: u16,
     waited: Duration,
+    /// The warm-up of the upstream when the attempt started.
+    warmup: Option<WarmupStart>,
     is_written: bool,
 }
 
@@ -49,6 +52,7 @@
             running: load.running,
             queued: load.queued,
             waited: Duration::ZERO,
+            warmup: None,
             is_written: false,
             core: Rc::clone(core),
         }
@@ -65,6 +69,8 @@
     /// Records that the attempt got a slot after this wait.
     pub fn record_start(&mut self, waited: Duration) {
         self.waited = waited;
+        let now = self.core.timers.now();
+        self.warmup = self.core.slots.queue.borrow().describe_warmup_start(now);
         self.record_slowdown();
     }
 
@@ -106,6 +112,9 @@
             pace_age_ms: self.slowdown_age.map(in_millis),
             expected_ms: in_millis(self.core.slots.expected_time(&self.class)),
             waited_ms: in_millis(self.waited),
+            cold_left_ms: self.warmup.map(|warmup| in_millis(warmup.remaining)),
+            cold_starts: self.warmup.map(|warmup| warmup.counted),
+            cold_limit: self.warmup.map(|warmup| warmup.limit),
             took_ms: in_millis(self.core.timers.now().since(self.arrived)),
         });
     }
