--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -49,3 +49,4 @@
 mod upstream_health_mesh;
 mod version_lag;
 mod vm_slowdown;
+mod warmup_arrivals;
--- /dev/null
+++ b/tests/integration/warmup_arrivals.rs
@@ -0,0 +1,157 @@
+//! Limit of a warm-up, counted where the upstream receives requests: it may read a request some time after the node has started it.
+
+use camphorturn::{
+    coordination::{
+        slot_queue::{SlotAction, SlotDecision, SlotNumber, SlotQueue, SlotRequest},
+        slow_start::WarmupReport,
+    },
+    state::timestamp::Timestamp,
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+const WARMUP: Duration = Duration::from_secs(4);
+const LIMIT: usize = 23;
+const SLOTS: usize = 4;
+const SECOND_MILLIS: u64 = 1_000;
+/// Time that the upstream takes for a request once it has read it.
+const RUN_MILLIS: u64 = 8;
+/// Mean time between two requests.
+const REQUEST_INTERVAL_MILLIS: u64 = 12;
+/// Longest time for which the node or the upstream stalls.
+const MAX_STALL_MILLIS: u64 = 400;
+
+const fn at(millis: u64) -> Timestamp {
+    Timestamp(millis * 1_000)
+}
+
+/// An upstream in warm-up, whose requests arrive after a delay.
+struct Replay {
+    queue: SlotQueue,
+    rng: StdRng,
+    /// Until when nothing that was sent to the upstream is read.
+    stalled_until: u64,
+    /// The requests at the upstream and when they end.
+    running: Vec<(u64, SlotNumber)>,
+    arrivals: Vec<u64>,
+}
+
+impl Replay {
+    fn new(seed: u64) -> Self {
+        let mut queue = SlotQueue::new(SLOTS, at(0));
+        let report = WarmupReport {
+            remaining: WARMUP,
+            total: WARMUP,
+            limit: LIMIT,
+        };
+        queue.record_warmup(report, at(0));
+        Self {
+            queue,
+            rng: StdRng::seed_from_u64(seed),
+            stalled_until: 0,
+            running: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    fn run(&mut self) {
+        for now in 0..u64::try_from(WARMUP.as_millis()).expect("a short time") {
+            if self.rng.random_range(0..SECOND_MILLIS / 2) == 0 {
+                self.stalled_until = now + self.rng.random_range(0..=MAX_STALL_MILLIS);
+            }
+            self.finish_due(now);
+            if self.rng.random_range(0..REQUEST_INTERVAL_MILLIS) == 0 {
+                self.submit(now);
+            }
+            let actions = self.queue.expire(at(now));
+            self.apply(&actions, now);
+        }
+    }
+
+    fn finish_due(&mut self, now: u64) {
+        let (due, running) = self.running.iter().partition(|(end, _)| *end <= now);
+        self.running = running;
+        let due: Vec<(u64, SlotNumber)> = due;
+        for (_, number) in due {
+            let actions = self.queue.finish(number, at(now));
+            self.apply(&actions, now);
+        }
+    }
+
+    fn submit(&mut self, now: u64) {
+        let request = SlotRequest {
+            priority: 1,
+            organisation: None,
+            finish_within: Duration::from_secs(1),
+            target_left: Duration::from_secs(1),
+            time_left: Duration::from_secs(1),
+            expected: Duration::from_millis(RUN_MILLIS),
+        };
+        if let SlotDecision::Run(number) = self.queue.submit(&request, at(now)) {
+            self.start(number, now);
+        }
+    }
+
+    fn apply(&mut self, actions: &[SlotAction], now: u64) {
+        for action in actions {
+            if let SlotAction::Start(number) = action {
+                self.start(*number, now);
+            }
+        }
+    }
+
+    fn start(&mut self, number: SlotNumber, now: u64) {
+        let arrived = now.max(self.stalled_until);
+        self.arrivals.push(arrived);
+        self.running.push((arrived + RUN_MILLIS, number));
+    }
+
+    /// Most requests that the upstream got within a second.
+    fn count_busiest_second(&mut self) -> usize {
+        self.arrivals.sort_unstable();
+        let counts = self.arrivals.iter().enumerate().map(|(index, first)| {
+            self.arrivals[index..].partition_point(|time| time - first < SECOND_MILLIS)
+        });
+        counts.max().unwrap_or(0)
+    }
+}
+
+/// Failure: an upstream in warm-up gets more requests within a second than it tolerates. Sequence: the node starts requests while the
+/// upstream, or the node itself, is too busy to pass them on; they arrive up to 0.4 s later, and a second after their start the node
+/// starts as many others.
+#[test]
+fn start_within_limit_despite_late_arrivals() {
+    for seed in 0..50 {
+        let mut replay = Replay::new(seed);
+        replay.run();
+        let busiest = replay.count_busiest_second();
+        assert!(busiest <= LIMIT, "{busiest} of {LIMIT}, seed {seed}");
+    }
+}
+
+/// Failure: a request that takes long counts as one of the present second until it ends, and an upstream in warm-up gets far fewer
+/// requests than it tolerates.
+#[test]
+fn start_beside_long_requests() {
+    let mut replay = Replay::new(1);
+    let request = SlotRequest {
+        priority: 1,
+        organisation: None,
+        finish_within: Duration::ZERO,
+        target_left: Duration::from_secs(10),
+        time_left: Duration::from_secs(10),
+        expected: Duration::from_secs(3),
+    };
+    let report = WarmupReport {
+        remaining: WARMUP,
+        total: WARMUP,
+        limit: 1,
+    };
+    replay.queue.record_warmup(report, at(0));
+    assert!(matches!(
+        replay.queue.submit(&request, at(0)),
+        SlotDecision::Run(_)
+    ));
+    let next = replay.queue.submit(&request, at(1_900));
+    assert!(matches!(next, SlotDecision::Run(_)), "{next:?}");
+}
