The limit of a warm-up counts requests by their latest possible arrival

Callers saw: upstreams in warm-up got more requests in a second than they tolerate, and may crash of it. Cause: the node counted a request for a second from the moment at which it decided to start it. The upstream gets it later: a connection is opened first, and node and upstream may stall. Requests that arrive late join those of the next second. The class: a limit that holds where the other side counts is kept by the time of our decision.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -118,6 +118,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Running {
     number: SlotNumber,
+    started: Timestamp,
     ends_at: Timestamp,
 }
 
@@ -324,9 +325,24 @@
         warmup_wait.max(self.request_limit.wait(ahead, now))
     }
 
+    /// Records that the upstream has answered a request, which still holds its slot.
+    pub fn record_answer(&mut self, number: SlotNumber, now: Timestamp) {
+        let mut running = self.running.iter();
+        if let Some(answered) = running.find(|running| running.number == number) {
+            self.slow_start.record_answer(answered.started, now);
+        }
+    }
+
     /// Records the end of a request at the upstream.
     pub fn finish(&mut self, number: SlotNumber, now: Timestamp) -> Vec<SlotAction> {
-        self.running.retain(|running| running.number != number);
+        let index = self
+            .running
+            .iter()
+            .position(|running| running.number == number);
+        if let Some(index) = index {
+            let ended = self.running.remove(index);
+            self.slow_start.record_abandonment(ended.started, now);
+        }
         self.start_waiting(now)
     }
 
@@ -440,6 +456,7 @@
         self.fair_order.record_start(waiting.fair_tag);
         self.running.push(Running {
             number: waiting.number,
+            started: now,
             ends_at: now + self.slowdown.estimate_duration(waiting.expected),
         });
     }
--- a/src/coordination/slow_start.rs
+++ b/src/coordination/slow_start.rs
@@ -1,18 +1,20 @@
 //! Limit on the requests that an upstream gets while it warms up.
 //!
 //! During its warm-up, an upstream tolerates a limited request rate and crashes well above it. All requests reach it through its
-//! local node, so this node counts the starts of the last second. It also counts while the upstream is not warming up: a warm-up
-//! may begin at any time, and earlier starts within the same second count towards the limit.
+//! local node, so this node counts the requests of the last second, by the latest time at which they may have arrived. It also counts
+//! while the upstream is not warming up: a warm-up may begin at any time, and earlier requests within the same second count towards
+//! the limit.
 //!
 //! Load pattern: all upstreams restart at once, and the requests queued meanwhile would start in one burst.
 
+mod arrivals;
+
 use crate::state::timestamp::Timestamp;
-use std::{collections::VecDeque, time::Duration};
+use arrivals::{MAX_ARRIVALS, RecentArrivals};
+use std::time::Duration;
 
 /// Sliding window of the limit: one second plus a margin for timer granularity.
 const LIMIT_WINDOW: Duration = Duration::from_millis(1_020);
-/// Maximum number of remembered starts, and upper bound of every limit.
-const MAX_STARTS: usize = 4_096;
 /// Minimum time between the end of a node process and the start of the next one on the same VM.
 const MIN_RESTART_PAUSE: Duration = Duration::from_millis(100);
 
@@ -47,7 +49,7 @@
             reason = "the cast saturates"
         )]
         let limit = (per_second * self.overage + self.slack).floor() as usize;
-        limit.clamp(1, MAX_STARTS)
+        limit.clamp(1, MAX_ARRIVALS)
     }
 }
 
@@ -67,7 +69,7 @@
 pub struct WarmupStart {
     /// Remaining warm-up time.
     pub remaining: Duration,
-    /// Number of starts counted within the window of the limit, including this one.
+    /// Number of requests counted within the window of the limit, including this one.
     pub counted: usize,
     /// Maximum number of requests within any second of the warm-up.
     pub limit: usize,
@@ -78,8 +80,7 @@
 pub struct SlowStart {
     limit: usize,
     warmup_until: Timestamp,
-    /// The last starts, oldest first.
-    starts: VecDeque<Timestamp>,
+    arrivals: RecentArrivals,
     /// Start of the counting. Set while an earlier process of this node may have sent requests to the current incarnation of the
     /// upstream; these are not counted.
     counted_since: Option<Timestamp>,
@@ -94,9 +95,9 @@
     #[must_use]
     pub fn new(now: Timestamp) -> Self {
         Self {
-            limit: MAX_STARTS,
+            limit: MAX_ARRIVALS,
             warmup_until: Timestamp::default(),
-            starts: VecDeque::new(),
+            arrivals: RecentArrivals::default(),
             counted_since: Some(now),
             started: now,
             is_inherited: false,
@@ -124,7 +125,7 @@
         if report.remaining.is_zero() {
             return;
         }
-        self.limit = report.limit.clamp(1, MAX_STARTS);
+        self.limit = report.limit.clamp(1, MAX_ARRIVALS);
         self.warmup_until = self.warmup_until.max(now + report.remaining);
         let elapsed = report.total.saturating_sub(report.remaining);
         let is_known = !self.is_inherited && !report.total.is_zero();
@@ -144,15 +145,17 @@
 
     /// Records the start of a request.
     pub fn record_start(&mut self, now: Timestamp) {
-        while self
-            .starts
-            .front()
-            .is_some_and(|start| *start + LIMIT_WINDOW <= now)
-            || self.starts.len() >= MAX_STARTS
-        {
-            self.starts.pop_front();
-        }
-        self.starts.push_back(now);
+        self.arrivals.record_start(now);
+    }
+
+    /// Records the answer to a request that started at `started`.
+    pub fn record_answer(&mut self, started: Timestamp, now: Timestamp) {
+        self.arrivals.record_answer(started, now, LIMIT_WINDOW);
+    }
+
+    /// Records that a request which started at `started` has ended without an answer.
+    pub fn record_abandonment(&mut self, started: Timestamp, now: Timestamp) {
+        self.arrivals.record_abandonment(started, now, LIMIT_WINDOW);
     }
 
     /// What is known of the warm-up when a request has started; `None` if the upstream isn't known to be warming up.
@@ -160,16 +163,11 @@
     pub fn describe_start(&self, now: Timestamp) -> Option<WarmupStart> {
         self.is_warming_up(now).then(|| WarmupStart {
             remaining: self.warmup_until.since(now),
-            counted: self.counted_starts(now).count(),
+            counted: self.arrivals.list_within(LIMIT_WINDOW, now).len(),
             limit: self.limit,
         })
     }
 
-    fn counted_starts(&self, now: Timestamp) -> impl Iterator<Item = Timestamp> + Clone {
-        let starts = self.starts.iter().copied();
-        starts.filter(move |start| *start + LIMIT_WINDOW > now)
-    }
-
     /// Time until a request may start if `ahead` other requests start before it; zero if no warm-up of the upstream is known.
     #[must_use]
     pub fn wait(&self, ahead: usize, now: Timestamp) -> Duration {
@@ -185,17 +183,15 @@
     }
 
     fn wait_in_window(&self, ahead: usize, now: Timestamp) -> Duration {
-        let counted = self.counted_starts(now);
-        let position = counted.clone().count() + ahead;
+        let arrivals = self.arrivals.list_within(LIMIT_WINDOW, now);
+        let position = arrivals.len() + ahead;
         let Some(to_expire) = position.checked_sub(self.limit) else {
             return Duration::ZERO;
         };
         let windows = u32::try_from(to_expire / self.limit).unwrap_or(u32::MAX);
-        let offset = to_expire % self.limit;
-        let next = counted
-            .clone()
-            .nth(offset)
-            .map_or(LIMIT_WINDOW, |start| (start + LIMIT_WINDOW).since(now));
+        let next = arrivals
+            .get(to_expire % self.limit)
+            .map_or(LIMIT_WINDOW, |at| (*at + LIMIT_WINDOW).since(now));
         next.saturating_add(LIMIT_WINDOW.saturating_mul(windows))
     }
 }
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -134,6 +134,9 @@
         .record_start(&hop.class, core.timers.now());
     record_execution_start(core, &hop.class);
     let (outcome, response) = dispatch(core, hop, req, fingerprint, time_left, trial).await;
+    if response.is_some() {
+        slot_guard.record_answer();
+    }
     drop(slot_guard);
     if let Some(response) = &response {
         record_execution_end(core, &hop.class, response.status().is_server_error());
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -168,6 +168,13 @@
             number,
         }
     }
+
+    /// Records that the upstream has answered the request.
+    pub fn record_answer(&self) {
+        let now = self.core.timers.now();
+        let mut queue = self.core.slots.queue.borrow_mut();
+        queue.record_answer(self.number, now);
+    }
 }
 
 impl Drop for SlotGuard {
--- a/tests/integration/slow_start.rs
+++ b/tests/integration/slow_start.rs
@@ -27,6 +27,7 @@
     let mut started = 0;
     while started < 2 * LIMIT && slow_start.wait(0, now).is_zero() {
         slow_start.record_start(now);
+        slow_start.record_answer(now, now);
         started += 1;
     }
     started
@@ -93,6 +94,7 @@
     let mut slow_start = SlowStart::new(at(0));
     for millis in [5_000, 5_100, 5_200, 5_300] {
         slow_start.record_start(at(millis));
+        slow_start.record_answer(at(millis), at(millis));
     }
     slow_start.record_report(report(WARMUP), at(5_400));
     assert_eq!(start_all(&mut slow_start, at(5_400)), 1);
--- a/tests/integration/warmup_arrivals.rs
+++ b/tests/integration/warmup_arrivals.rs
@@ -20,6 +20,8 @@
 const REQUEST_INTERVAL_MILLIS: u64 = 12;
 /// Longest time for which the node or the upstream stalls.
 const MAX_STALL_MILLIS: u64 = 400;
+/// One in so many requests is given up by its client, at a random time before its answer.
+const ABANDONED_ONE_IN: u64 = 10;
 
 const fn at(millis: u64) -> Timestamp {
     Timestamp(millis * 1_000)
@@ -31,8 +33,8 @@
     rng: StdRng,
     /// Until when nothing that was sent to the upstream is read.
     stalled_until: u64,
-    /// The requests at the upstream and when they end.
-    running: Vec<(u64, SlotNumber)>,
+    /// The requests at the upstream, when they end and whether they are answered then.
+    running: Vec<(u64, SlotNumber, bool)>,
     arrivals: Vec<u64>,
 }
 
@@ -69,10 +71,13 @@
     }
 
     fn finish_due(&mut self, now: u64) {
-        let (due, running) = self.running.iter().partition(|(end, _)| *end <= now);
+        let (due, running) = self.running.iter().partition(|(end, ..)| *end <= now);
         self.running = running;
-        let due: Vec<(u64, SlotNumber)> = due;
-        for (_, number) in due {
+        let due: Vec<(u64, SlotNumber, bool)> = due;
+        for (_, number, is_answered) in due {
+            if is_answered {
+                self.queue.record_answer(number, at(now));
+            }
             let actions = self.queue.finish(number, at(now));
             self.apply(&actions, now);
         }
@@ -103,7 +108,12 @@
     fn start(&mut self, number: SlotNumber, now: u64) {
         let arrived = now.max(self.stalled_until);
         self.arrivals.push(arrived);
-        self.running.push((arrived + RUN_MILLIS, number));
+        let mut end = arrived + RUN_MILLIS;
+        let is_answered = self.rng.random_range(0..ABANDONED_ONE_IN) > 0;
+        if !is_answered {
+            end = self.rng.random_range(now..end);
+        }
+        self.running.push((end, number, is_answered));
     }
 
     /// Most requests that the upstream got within a second.
