The answer to a request ends it once in the count of a warm-up

Cause: the answer and the release of the slot each ended a request that started at the recorded time. Of several requests that started at the same microsecond, one was then taken to have been given up, and counted for half a second more. Change: a running request remembers that it was answered.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -120,6 +120,7 @@
     number: SlotNumber,
     started: Timestamp,
     ends_at: Timestamp,
+    is_answered: bool,
 }
 
 /// Running and waiting requests of one upstream.
@@ -327,8 +328,10 @@
 
     /// Records that the upstream has answered a request, which still holds its slot.
     pub fn record_answer(&mut self, number: SlotNumber, now: Timestamp) {
-        let mut running = self.running.iter();
-        if let Some(answered) = running.find(|running| running.number == number) {
+        let mut running = self.running.iter_mut();
+        let answered = running.find(|running| running.number == number && !running.is_answered);
+        if let Some(answered) = answered {
+            answered.is_answered = true;
             self.slow_start.record_answer(answered.started, now);
         }
     }
@@ -341,7 +344,9 @@
             .position(|running| running.number == number);
         if let Some(index) = index {
             let ended = self.running.remove(index);
-            self.slow_start.record_abandonment(ended.started, now);
+            if !ended.is_answered {
+                self.slow_start.record_abandonment(ended.started, now);
+            }
         }
         self.start_waiting(now)
     }
@@ -457,6 +462,7 @@
         self.running.push(Running {
             number: waiting.number,
             started: now,
+            is_answered: false,
             ends_at: now + self.slowdown.estimate_duration(waiting.expected),
         });
     }
--- a/tests/integration/warmup_arrivals.rs
+++ b/tests/integration/warmup_arrivals.rs
@@ -165,3 +165,29 @@
     let next = replay.queue.submit(&request, at(1_900));
     assert!(matches!(next, SlotDecision::Run(_)), "{next:?}");
 }
+
+/// Failure: of several requests that start at the same moment, the end of one that is answered counts as the end of another, which is
+/// then taken to have arrived later.
+#[test]
+fn start_after_answers_to_simultaneous_requests() {
+    let mut replay = Replay::new(1);
+    let mut numbers = Vec::new();
+    for _ in 0..SLOTS {
+        replay.submit(0);
+    }
+    numbers.extend(replay.running.drain(..).map(|(_, number, _)| number));
+    let report = WarmupReport {
+        remaining: WARMUP,
+        total: WARMUP,
+        limit: SLOTS,
+    };
+    replay.queue.record_warmup(report, at(0));
+    for number in numbers {
+        replay.queue.record_answer(number, at(10));
+        replay.queue.finish(number, at(10));
+    }
+    for _ in 0..SLOTS {
+        replay.submit(1_040);
+    }
+    assert_eq!(replay.running.len(), SLOTS);
+}
