Nodes without a configuration execute no requests; early reports of a warm-up are kept

Cause: the limit of a warm-up is in the configuration. A restarted node dropped what its upstream reported before the configuration was known, and executed requests of other nodes meanwhile. The class: a report that can't be used yet is dropped and not read again. Change: a node without a configuration refuses requests of other nodes (upstream_down, so that they go elsewhere), and applies an early report of a warm-up once it has the configuration. Before: warming_upstream_before_configuration_gets_no_requests 1 of 0 requests, warming_upstream_announced_before_configuration 20 of 5. The assertions are unchanged.

--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -208,6 +208,11 @@
     if core.evacuations.contains(&core.settings.availability_zone) {
         return Some(RefusalReason::Evacuated);
     }
+    // Without a configuration the limit of the upstream's warm-up is unknown. Another node may send requests that early after a
+    // restart of this one.
+    if core.routes().is_none() {
+        return Some(RefusalReason::UpstreamDown);
+    }
     let upstream = core.local_upstream.borrow();
     match upstream.current() {
         None => Some(RefusalReason::UpstreamDown),
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -29,6 +29,8 @@
     pub(super) slowdown: SlowdownTracker,
     /// Time of the last probe, whose response carries the remaining warm-up time.
     pub(super) warmup_probed_at: Cell<Option<Timestamp>>,
+    /// End of the warm-up that the upstream reported before this node knew a configuration.
+    pub(super) warmup_before_routes: Cell<Timestamp>,
     /// Until when the upstream gets no requests after a failed connect or a crash.
     pub(super) paused_until: Cell<Timestamp>,
     service_times: RefCell<ServiceTimes>,
@@ -45,6 +47,7 @@
             queue: RefCell::new(SlotQueue::new(INITIAL_SLOT_LIMIT, now)),
             slowdown: SlowdownTracker::new(probes_per_second),
             warmup_probed_at: Cell::default(),
+            warmup_before_routes: Cell::default(),
             paused_until: Cell::default(),
             service_times: RefCell::default(),
             failure_rate: Cell::default(),
@@ -58,6 +61,7 @@
         self.paused_until.set(Timestamp::default());
         self.slowdown.reset_baseline();
         self.warmup_probed_at.set(None);
+        self.warmup_before_routes.take();
         self.queue.borrow_mut().begin_incarnation();
     }
 
--- a/src/proxy/executing/warmup.rs
+++ b/src/proxy/executing/warmup.rs
@@ -17,6 +17,11 @@
 
 /// Records the remaining warm-up time that the upstream reports. Logs the start of a warm-up.
 pub fn record_warmup_left(core: &ProxyCore, service: &ServiceName, remaining: Duration) {
+    if core.routes().is_none() {
+        let until = core.timers.now() + remaining;
+        core.slots.warmup_before_routes.set(until);
+        return;
+    }
     let Some(warmup_limit) = find_warmup_limit(core, service).filter(|_| !remaining.is_zero())
     else {
         return;
@@ -68,8 +73,16 @@
     )
 }
 
+/// Records the warm-up that the upstream reported before this node knew a configuration, and with it the limit.
+fn record_early_warmup(core: &ProxyCore) {
+    let until = core.slots.warmup_before_routes.take();
+    let remaining = until.since(core.timers.now());
+    record_warmup_left(core, &find_local_service(core), remaining);
+}
+
 /// Probes whether the upstream is warming up, unless this is known recently enough or its service has no warm-up limit.
 pub async fn refresh_warmup(core: &Rc<ProxyCore>) {
+    record_early_warmup(core);
     let has_warmup_limit = find_warmup_limit(core, &find_local_service(core)).is_some();
     let now = core.timers.now();
     let probed_at = core.slots.warmup_probed_at.get();
