Late readers get only the records that they lack, and the reader's own

A reader of a zone never sent its own record to a node that had read the records before that was stored; if the late node ranks first it is the reader itself. And it sent all records of the last 10 s to each node that became known: at 983 nodes that start at once up to 226 KB (982 records of 230 B) from each of two readers, half of it on average, some 220 MB in all (by arithmetic; a node that had read all 40 records got 3,566 B of them again, measured). Change: the value of a node's record in the store tells up to which revision the node had read when it wrote it. The reader sends the node the records between the two, its own among them; recent_records.rs is removed.

--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -12,7 +12,6 @@
 pub mod quota_credits;
 pub mod quota_keeper;
 pub mod quota_shares;
-pub mod recent_records;
 pub mod rendezvous;
 pub mod request_limit;
 pub mod retiring;
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -8,8 +8,8 @@
 use crate::{
     coordination::{
         call_admission::CallAdmission, calls_per_execution::CallsPerExecution,
-        local_upstream::LocalUpstream, offer_rounds::OfferRounds, recent_records::RecentRecords,
-        retry_budget::RetryBudget, table_sources::TableSources, version_lag::VersionLag,
+        local_upstream::LocalUpstream, offer_rounds::OfferRounds, retry_budget::RetryBudget,
+        table_sources::TableSources, version_lag::VersionLag,
     },
     options::proxy_settings::{NodeLimits, ProxySettings},
     proxy::{
@@ -114,10 +114,10 @@
     pub offer_rounds: RefCell<OfferRounds>,
     /// Availability zones that get no requests.
     pub evacuations: EvacuationsInForce,
+    /// Revision of this node's record in the store, as last read; 0 before.
+    pub own_record_revision: Cell<u64>,
     /// Liveness of other nodes.
     pub liveness: PeerLiveness,
-    /// Records that this node has read lately as a reader of its zone.
-    pub recent_records: RefCell<RecentRecords>,
     /// Quotas of organisations.
     pub quotas: Quotas,
     /// Contact with other nodes and the store.
@@ -173,8 +173,8 @@
             table_offered: Notify::new(),
             offer_rounds: RefCell::default(),
             evacuations: EvacuationsInForce::default(),
+            own_record_revision: Cell::default(),
             liveness: PeerLiveness::default(),
-            recent_records: RefCell::default(),
             quotas: Quotas::default(),
             contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -49,21 +49,18 @@
     send_along_tree(core, &receivers, &message);
 }
 
-/// Sends records that were read before to nodes of the zone that have just become known: the nodes may have read the records of the
-/// store before these were stored.
-pub fn send_missed_records(
-    core: &Rc<ProxyCore>,
-    joined: &[SocketAddr],
-    earlier: Vec<StoredRecord>,
-) {
-    if joined.is_empty() || earlier.is_empty() {
+/// Sends a node of the zone the records that were stored after its first read of the records and before its own record, since the
+/// readers of the zone didn't know it then. Without them it would send no requests to their nodes, and take wrong nodes for keepers
+/// of quotas, until it reads the store again.
+pub fn send_missed_records(core: &Rc<ProxyCore>, to: SocketAddr, missed: Vec<StoredRecord>) {
+    if missed.is_empty() {
         return;
     }
     let message = StateMessage {
-        nodes: earlier,
+        nodes: missed,
         ..StateMessage::default()
     };
-    send_along_tree(core, joined, &message);
+    send_along_tree(core, &[to], &message);
 }
 
 /// Asks a few other nodes of the zone to read the store for a while. The store may reject both readers of a zone and no other
--- a/src/proxy/store_sync/nodes.rs
+++ b/src/proxy/store_sync/nodes.rs
@@ -17,11 +17,11 @@
         upstream_announcements::apply_stored_record,
     },
     state::{
-        known_node::{NodeRecord, StoredRecord},
+        known_node::{NodeRecord, NodeRecordValue, StoredRecord},
         request_fingerprint::RequestFingerprint,
     },
 };
-use std::collections::HashSet;
+use std::{collections::HashSet, net::SocketAddr, ops::Range};
 
 impl<S: StateStore> TopicSync<S> {
     /// Applies the first full read after the store was restored from a backup.
@@ -29,7 +29,10 @@
         let node_records = records.records.iter();
         let node_records: Vec<StoredRecord> = node_records
             .filter(|record| parse_quarantine_key(&record.key).is_none())
-            .filter_map(|record| self.decode_node(record, record.value.as_ref()?))
+            .filter_map(|record| {
+                let value = self.decode_node(record, record.value.as_ref()?)?;
+                Some(build_stored_record(record, value.record))
+            })
             .collect();
         let quarantined = list_quarantined(&records.records);
         apply_restored_records(&self.core, node_records, &quarantined, records.next).await;
@@ -40,7 +43,7 @@
     pub(super) async fn apply_nodes(&self, records: &RecordBatch, is_full_read: bool) {
         let core = &self.core;
         let mut new_records = Vec::new();
-        let mut joined = Vec::new();
+        let mut late_readers = Vec::new();
         let mut own_record = None;
         for record in &records.records {
             if let Some(fingerprint) = parse_quarantine_key(&record.key) {
@@ -51,19 +54,17 @@
                 self.remove_nodes(|key| key == record.key, record.position);
                 continue;
             };
-            let Some(stored) = self.decode_node(record, value) else {
+            let Some(value) = self.decode_node(record, value) else {
                 continue;
             };
-            let address = stored.record.address;
-            if address == core.settings.peer_address {
+            let stored = build_stored_record(record, value.record);
+            if stored.record.address == core.settings.peer_address {
+                core.own_record_revision.set(stored.revision);
                 own_record = Some(stored);
                 continue;
             }
-            let is_known = core.directory.borrow().nodes.contains_key(&address);
+            late_readers.extend(find_late_reader(core, &stored, value.read_revision));
             if core.apply_record(stored.clone(), StateSource::Store) {
-                if !is_known && stored.record.availability_zone == core.settings.availability_zone {
-                    joined.push(address);
-                }
                 new_records.push(stored);
             }
         }
@@ -83,9 +84,10 @@
         core.quotas.record_first_read(is_own_stored);
         core.mark_node_records_read();
         if core.is_zone_reader() {
-            let now = core.timers.now();
-            let earlier = core.recent_records.borrow_mut().add(&new_records, now);
-            send_missed_records(core, &joined, earlier);
+            for late_reader in late_readers {
+                let missed = late_reader.list_missed(core, &new_records);
+                send_missed_records(core, late_reader.address, missed);
+            }
         }
         if is_full_read {
             new_records = find_records_to_share(core, new_records, own_record.as_ref());
@@ -97,9 +99,9 @@
         }
     }
 
-    fn decode_node(&self, record: &KeyedRecord, value: &[u8]) -> Option<StoredRecord> {
+    fn decode_node(&self, record: &KeyedRecord, value: &[u8]) -> Option<NodeRecordValue> {
         match serde_json::from_slice(value) {
-            Ok(node) => Some(build_stored_record(record, node)),
+            Ok(value) => Some(value),
             Err(error) => {
                 self.log_rejected(record, error.to_string());
                 None
@@ -141,6 +143,52 @@
     }
 }
 
+/// A node that had read the records before its own was stored.
+struct LateReader {
+    address: SocketAddr,
+    /// Revisions of the records that it may lack.
+    missed: Range<u64>,
+}
+
+impl LateReader {
+    /// The known records that the node may lack, except those that are sent to the whole zone now.
+    fn list_missed(&self, core: &ProxyCore, new_records: &[StoredRecord]) -> Vec<StoredRecord> {
+        let is_new = |address: SocketAddr| {
+            new_records
+                .iter()
+                .any(|new_record| new_record.record.address == address)
+        };
+        let mut known = core.directory.borrow().list_records();
+        let own = known
+            .iter_mut()
+            .find(|stored| stored.record.address == core.settings.peer_address);
+        if let Some(own) = own {
+            own.revision = core.own_record_revision.get();
+        }
+        known.retain(|stored| {
+            let address = stored.record.address;
+            self.missed.contains(&stored.revision) && address != self.address && !is_new(address)
+        });
+        known
+    }
+}
+
+/// Whether a node of the zone may lack records: those after the revision up to which it had read, and before its own became known here.
+fn find_late_reader(
+    core: &ProxyCore,
+    stored: &StoredRecord,
+    read_revision: Option<u64>,
+) -> Option<LateReader> {
+    let read_revision = read_revision?;
+    let address = stored.record.address;
+    let directory = core.directory.borrow();
+    let known = directory.nodes.get(&address);
+    let known_since = known.map_or(stored.revision, |known| known.revision);
+    let missed = read_revision + 1..known_since;
+    let is_in_zone = stored.record.availability_zone == core.settings.availability_zone;
+    (is_in_zone && !missed.is_empty()).then_some(LateReader { address, missed })
+}
+
 /// The records of a full read that other nodes of the zone may not have. A reader stops reading once the record of a node that
 /// ranks before it is known. So if this node is a reader, earlier readers may not have seen the records that
 /// were stored after this node's own.
--- a/src/proxy/store_sync/store_writes.rs
+++ b/src/proxy/store_sync/store_writes.rs
@@ -9,7 +9,7 @@
         store_calls::{CallReason, StoreCall},
         upstream_announcements::RecordWrite,
     },
-    state::known_node::NodeRecord,
+    state::known_node::{NodeRecord, NodeRecordValue},
 };
 use flume::Receiver;
 use std::rc::Rc;
@@ -32,7 +32,7 @@
                 CallReason::OwnRecord
             };
             core.counters.store_calls.count(StoreCall::Append, reason);
-            match append(&store, &write.record).await {
+            match append(&core, &store, &write.record).await {
                 Ok(()) => {
                     retries.record_success();
                     core.stored_record.replace(Some(write.record.clone()));
@@ -67,7 +67,16 @@
     }
 }
 
-async fn append<S: StateStore>(store: &S, record: &NodeRecord) -> Result<(), StoreError> {
-    let value = serde_json::to_vec(record).map_err(|_| StoreError::Malformed("own record"))?;
+async fn append<S: StateStore>(
+    core: &ProxyCore,
+    store: &S,
+    record: &NodeRecord,
+) -> Result<(), StoreError> {
+    let read_revision = core.directory.borrow().read_position();
+    let value = NodeRecordValue {
+        record: record.clone(),
+        read_revision: (read_revision > 0).then_some(read_revision),
+    };
+    let value = serde_json::to_vec(&value).map_err(|_| StoreError::Malformed("own record"))?;
     store.append_node(record, &value).await
 }
--- a/src/state/known_node.rs
+++ b/src/state/known_node.rs
@@ -47,6 +47,18 @@
     pub operator_address: Option<SocketAddr>,
 }
 
+/// Value of a node's record in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeRecordValue {
+    /// The record.
+    #[serde(flatten)]
+    pub record: NodeRecord,
+    /// Revision up to which the node had read the records when it wrote its own; `None` if it had not read any, and will do so. The
+    /// readers of its zone send it what was stored between the two.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub read_revision: Option<u64>,
+}
+
 /// A node record with its place in the order of the records in the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoredRecord {
