--- a/tests/integration/quota_mesh/simulation.rs
+++ b/tests/integration/quota_mesh/simulation.rs
@@ -138,6 +138,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Start {
     pub arrived: u64,
+    /// When the entry node had credit for it, or admitted it without.
+    pub admitted: u64,
     pub started: u64,
 }
 
@@ -367,7 +369,11 @@
             return self.schedule(back, Event::Return(entry, granted.0));
         }
         let started = now + self.draw_delay();
-        self.starts.push(Start { arrived, started });
+        self.starts.push(Start {
+            arrived,
+            admitted: now,
+            started,
+        });
     }
 
     fn is_backed_off(&self, from: usize, to: usize, now: u64) -> bool {
