--- a/soak/tests/short.rs
+++ b/soak/tests/short.rs
@@ -1,29 +1,18 @@
 //! Short soaks on real processes, with the same faults on every run.
 
-use std::process::Command;
+mod support;
 
-const TOOL: &str = env!("CARGO_BIN_EXE_camphorturn-soak");
+use support::run_seed;
 
-fn run_seed(seed: &str) {
-    let output = Command::new(TOOL)
-        .args(["run", "--seed", seed, "--seconds", "4", "--nodes", "4"])
-        .output()
-        .expect("the tool runs");
-    let text = String::from_utf8_lossy(&output.stdout);
-    assert!(
-        output.status.success(),
-        "{text}{}",
-        String::from_utf8_lossy(&output.stderr)
-    );
-    assert!(text.starts_with(&format!("seed {seed}: clean")), "{text}");
-}
+const SECONDS: &str = "4";
+const NODES: &str = "4";
 
 #[test]
 fn run_short_seed() {
-    run_seed("7");
+    run_seed("7", SECONDS, NODES);
 }
 
 #[test]
 fn run_short_seed_with_low_bandwidth() {
-    run_seed("8");
+    run_seed("8", SECONDS, NODES);
 }
