--- a/soak/tests/regressions.rs
+++ b/soak/tests/regressions.rs
@@ -25,3 +25,9 @@
 fn run_seed_9811() {
     run_seed("9811", SECONDS, NODES);
 }
+
+/// Failure: a planned stop ends a connection on which a request has just arrived.
+#[test]
+fn run_seed_9927() {
+    run_seed("9927", SECONDS, NODES);
+}
