--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -17,6 +17,7 @@
 mod forecast;
 mod late_start_share;
 mod limited_arrivals;
+mod waiting;
 
 use crate::{
     coordination::{
@@ -25,7 +26,6 @@
         vm_slowdown::VmSlowdown,
     },
     state::{
-        ablation::Mechanism,
         names::OrganisationName,
         request_rate::{LimitReport, RequestRate},
         timestamp::Timestamp,
@@ -36,6 +36,7 @@
 use late_start_share::LateStartShare;
 use limited_arrivals::LimitedArrivals;
 use std::time::Duration;
+use waiting::Waiting;
 
 /// Number that identifies a request while it waits or runs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -81,40 +82,6 @@
     Expire(SlotNumber),
 }
 
-/// Priority, whether the latency target is missed, and the position in the fair order; the lowest starts first.
-type Rank = (u16, bool, FairTag);
-
-/// Request that waits in the queue.
-#[derive(Clone, Copy, Debug)]
-struct Waiting {
-    number: SlotNumber,
-    priority: u16,
-    /// Position in the fair order of the organisations.
-    fair_tag: FairTag,
-    expected: Duration,
-    /// Latest start to finish within the latency target; none if that was impossible when the request arrived.
-    latest_on_time_start: Option<Timestamp>,
-    /// Latest start to finish before the deadline.
-    latest_start: Timestamp,
-}
-
-impl Waiting {
-    /// Sort key: within a priority, requests that can still meet their latency target come first. Executing a request that is late
-    /// already would make the next one late as well. Among equals, the organisations share the slots.
-    fn rank(&self, now: Timestamp) -> Rank {
-        let priority = if Mechanism::Priorities.is_disabled() {
-            0
-        } else {
-            self.priority
-        };
-        (priority, self.is_late(now), self.fair_tag)
-    }
-
-    fn is_late(&self, now: Timestamp) -> bool {
-        self.latest_on_time_start.is_none_or(|latest| now > latest)
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Running {
     number: SlotNumber,
