--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1022,7 +1022,7 @@
     const GRACE: Duration = Duration::from_secs(6);
     /// Clients of each machine, by kind. The more urgent kind, `look`, uses most of the slots.
     const LOOKING: usize = 14;
-    const BOOKING: usize = 17;
+    const BOOKING: usize = 36;
     let setup = Arc::new(Setup::new(case_folder, NABTA_GROWN, 3, 18, "6.0", "6.0"));
     let runs: Runs = Runs::default();
     for machine in &setup.machines {
@@ -1052,7 +1052,7 @@
         Arc::new(AtomicBool::new(false)),
         Arc::new(AtomicBool::new(false)),
     );
-    let ends: Arc<Mutex<Vec<String>>> = Arc::default();
+    let ends: Arc<Mutex<Vec<(Duration, String)>>> = Arc::default();
     let counts: Arc<Mutex<HashMap<(&str, u16), usize>>> = Arc::default();
     let mut clients = Vec::new();
     for number in 0..(BOOKING + LOOKING) * setup.machines.len() {
@@ -1069,7 +1069,7 @@
             let is_book = number >= LOOKING * setup.machines.len();
             let (kind, method) = if is_book { ("book", "POST") } else { ("look", "GET") };
             let length = if is_book { "Content-Length: 0\r\n" } else { "" };
-            sleep(ms(rng.next() % 2_000));
+            sleep(ms(rng.next() % 4_000));
             let mut count = 0;
             while !done.load(SeqCst) && !(machine.number == 0 && left.load(SeqCst)) {
                 let id = format!("{kind}-{number}-{count}");
@@ -1087,7 +1087,8 @@
                         setup.record.add(format!("answer {id} {status} after {} ms", took.as_millis()));
                         *counts.lock().unwrap().entry((kind, status)).or_default() += 1;
                         let retry_after = find(&headers, "retry-after").and_then(|text| text.parse().ok());
-                        sleep(Duration::from_secs_f64(retry_after.unwrap_or(0.1) + f64::from(rng.next() as u8) / 1_000.0));
+                        sleep(Duration::from_secs_f64(retry_after.unwrap_or(0.1)));
+                        sleep(ms(rng.next() % if is_book { 4_000 } else { 250 }));
                     }
                     Err(error) => {
                         let text = format!(
@@ -1098,7 +1099,7 @@
                         setup.record.add(text.clone());
                         // Read (past the slack), before its deadline, and at work nowhere.
                         if took > ms(200) && took < DEADLINE && ran.is_empty() {
-                            ends.lock().unwrap().push(text);
+                            ends.lock().unwrap().push((took, text));
                         }
                         sleep(ms(200));
                     }
@@ -1139,9 +1140,16 @@
         let _ = client.join();
     }
     let ends = ends.lock().unwrap().clone();
-    for end in &ends {
+    for (_, end) in &ends {
         setup.record.say(format!("LOST: {end}"));
     }
+    let early = ends
+        .iter()
+        .filter(|(took, _)| *took < DEADLINE.mul_f64(0.7));
+    let early = early.count();
+    setup.record.say(format!(
+        "{early} of these had used less than seven tenths of their time"
+    ));
     let mut counts: Vec<((&str, u16), usize)> =
         counts.lock().unwrap().clone().into_iter().collect();
     counts.sort_unstable();
