--- a/review/standin.rs
+++ b/review/standin.rs
@@ -1022,7 +1022,7 @@
     const GRACE: Duration = Duration::from_secs(6);
     /// Clients of each machine, by kind. The more urgent kind, `look`, uses most of the slots.
     const LOOKING: usize = 14;
-    const BOOKING: usize = 36;
+    const BOOKING: usize = 50;
     let setup = Arc::new(Setup::new(case_folder, NABTA_GROWN, 3, 18, "6.0", "6.0"));
     let runs: Runs = Runs::default();
     for machine in &setup.machines {
