--- a/review/standin.rs
+++ b/review/standin.rs
@@ -33,8 +33,8 @@
             .lock()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
         for pid in nodes.iter() {
-            let _ = Command::new("kill")
-                .args(["-KILL", &pid.to_string()])
+            let _ = Command::new("bash")
+                .args(["-c", &format!("kill -KILL {pid}")])
                 .status();
         }
         exit(2)
@@ -479,8 +479,8 @@
     fn signal(&self, name: &str) {
         let process = self.process.lock().unwrap();
         if let Some(child) = process.as_ref() {
-            let pid = child.id().to_string();
-            let _ = Command::new("kill").args([name, &pid]).status();
+            let line = format!("kill {name} {}", child.id());
+            let _ = Command::new("bash").args(["-c", &line]).status();
         }
     }
 
