--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,4 +6,4 @@
     echo "not built: run the build of deploy/system.toml and review/build.sh first"
     exit 2
 fi
-exec target/review/standin forgotten-leave review/3
+exec target/review/standin stopped-queue review/3
