graceful stop: deliver the answers that are still being sent

Cause: the stop waited for handlers to return and then for three checks at 50 ms, in place of the writes. What the connections still had to write was lost with the process. Ruled out: a discard by the kernel (the clients lacked more than a socket holds), a deadline (none was near).

Change: the servers of a node share a set of connections, which is shut down by hyper-util's GracefulShutdown once the requests have ended: idle connections are closed, the others end after their answer is written. No fixed wait remains.

--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -36,7 +36,7 @@
         timestamp::Timestamp,
     },
     timers::TimerService,
-    transport::outgoing::OutgoingConnections,
+    transport::{callers::CallerConnections, outgoing::OutgoingConnections},
 };
 use flume::{Receiver, Sender};
 use http::HeaderMap;
@@ -86,6 +86,10 @@
     pub call_admission: RefCell<CallAdmission>,
     /// Connections to the local upstream and to other nodes.
     pub outgoing: Rc<OutgoingConnections>,
+    /// Connections from clients and other nodes.
+    pub request_connections: Rc<CallerConnections>,
+    /// Connections to the other endpoints of the node, for instance those for announcements of the upstream.
+    pub endpoint_connections: Rc<CallerConnections>,
     /// Client requests in progress.
     pub in_progress: Cell<usize>,
     /// When the node was asked to stop.
@@ -158,6 +162,8 @@
             calls_per_execution: RefCell::default(),
             call_admission: RefCell::default(),
             outgoing: OutgoingConnections::new(timers.clone()),
+            request_connections: CallerConnections::new(),
+            endpoint_connections: CallerConnections::new(),
             in_progress: Cell::new(0),
             stopping_since: Cell::new(None),
             counters: ProxyCounters::default(),
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -489,6 +489,8 @@
     NodeStopped {
         /// Requests of clients that were aborted.
         in_progress: usize,
+        /// Connections of clients and other nodes that were closed before the answer on them was sent in full.
+        unanswered: usize,
         /// Time since it was asked to stop.
         took_ms: u64,
     },
--- a/src/proxy/graceful_stop.rs
+++ b/src/proxy/graceful_stop.rs
@@ -1,5 +1,5 @@
-//! Graceful stop of a node. The local upstream gets new requests for a short time; the process ends once its clients have left and
-//! all requests have ended, at the latest shortly before it is killed.
+//! Graceful stop of a node. The local upstream gets new requests for a short time; the process ends once its clients have left, all
+//! requests have ended and their answers are sent, at the latest shortly before it is killed.
 
 use crate::{
     proxy::{
@@ -20,10 +20,6 @@
 /// Interval of the checks whether all requests have ended.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Consecutive checks that must find nothing in progress. A request counts as ended when its response is passed to the connection;
-/// one check later the response has been written.
-const REQUIRED_IDLE_CHECKS: u32 = 3;
-
 /// Whether the upstream may get a new request that ends within `time_left`. A request that can't end before the process is killed
 /// would be aborted.
 #[must_use]
@@ -36,7 +32,7 @@
     stopping_for <= ACCEPTING_TIME && stopping_for + time_left <= latest
 }
 
-/// Stops the node: waits until nothing is in progress or the grace period is nearly over.
+/// Stops the node: waits until its work is done or the grace period is nearly over.
 pub async fn stop_gracefully(core: &Rc<ProxyCore>) {
     let since = core.timers.now();
     core.stopping_since.set(Some(since));
@@ -44,23 +40,32 @@
         in_progress: core.in_progress.get(),
         running: core.slots.load().running,
     });
-    let latest = since + core.limits().shutdown_grace.saturating_sub(KILL_MARGIN);
-    let mut idle_checks = 0;
-    while idle_checks < REQUIRED_IDLE_CHECKS && core.timers.now() < latest {
-        let _ = core.timers.after(CHECK_INTERVAL).recv_async().await;
-        idle_checks = if has_finished(core, since) {
-            idle_checks + 1
-        } else {
-            0
-        };
+    let latest = core
+        .timers
+        .after(core.limits().shutdown_grace.saturating_sub(KILL_MARGIN));
+    tokio::select! {
+        () = finish_work(core, since) => {}
+        _ = latest.recv_async() => {}
     }
     core.log(&ProxyEvent::NodeStopped {
         in_progress: core.in_progress.get(),
+        unanswered: core.request_connections.open(),
         took_ms: in_millis(core.timers.now().since(since)),
     });
 }
 
-fn has_finished(core: &ProxyCore, since: Timestamp) -> bool {
+/// Returns once all requests have ended and their answers are sent. A request that ends here may still have to be received in full by
+/// a slow client.
+async fn finish_work(core: &Rc<ProxyCore>, since: Timestamp) {
+    // The upstream sends the calls of its requests to this node, which therefore accepts connections until no request runs there.
+    while !have_requests_ended(core, since) {
+        let _ = core.timers.after(CHECK_INTERVAL).recv_async().await;
+    }
+    core.request_connections.shut_down().await;
+    core.endpoint_connections.shut_down().await;
+}
+
+fn have_requests_ended(core: &ProxyCore, since: Timestamp) -> bool {
     let clients_have_left = core.timers.now().since(since) >= CLIENT_DEPARTURE_TIME;
     clients_have_left && core.in_progress.get() == 0 && core.slots.load().running == 0
 }
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -39,12 +39,14 @@
         build_caller_limits(),
         core.timers.clone(),
         Rc::new(ClientHandler::new(Rc::clone(core))),
+        Rc::clone(&core.request_connections),
     ));
     spawn_local(serve_callers(
         listeners.peers,
         build_caller_limits(),
         core.timers.clone(),
         Rc::new(PeerHandler::new(Rc::clone(core))),
+        Rc::clone(&core.request_connections),
     ));
     spawn_local(watch_nodes(Rc::clone(core)));
     spawn_local(watch_for_stalls(Rc::clone(core)));
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -4,8 +4,10 @@
 //! drops the handler's future, which cancels the request.
 
 mod body;
+mod connections;
 mod reply;
 
+pub use connections::CallerConnections;
 pub use reply::{CallerReply, reply_json};
 
 use crate::{
@@ -27,7 +29,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{cell::Cell, convert::Infallible, io, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
 use tokio::net::{TcpListener, TcpStream};
 
 /// Connections above the limit whose requests are answered with an error; further ones are closed at once.
@@ -94,24 +96,28 @@
     pub max_body_bytes: usize,
 }
 
-/// Accepts connections and serves their requests until the future is dropped.
-///
-/// # Errors
-/// None: after a failed `accept` the server pauses and tries again.
+/// Accepts connections and serves their requests until `connections` are shut down or the future is dropped. After a failed
+/// `accept` the server pauses and tries again.
 pub async fn serve_callers(
     listener: TcpListener,
     limits: CallerLimits,
     timers: TimerService,
     handler: Rc<dyn CallerHandler>,
-) -> io::Result<()> {
+    connections: Rc<CallerConnections>,
+) {
     let server = Rc::new(CallerServer {
         limits,
         timers,
         handler,
+        connections,
         open: Cell::new(0),
     });
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = server.connections.wait_for_shutdown() => return,
+        };
+        match accepted {
             Ok((stream, _)) => server.admit(stream),
             // Without a pause, this loop would spin on the same error while no file descriptors are free.
             Err(_) => drop(server.timers.after(ACCEPT_RETRY_PAUSE).recv_async().await),
@@ -123,7 +129,9 @@
     limits: CallerLimits,
     timers: TimerService,
     handler: Rc<dyn CallerHandler>,
-    /// Number of open connections.
+    /// Connections of this server and of others that end with it.
+    connections: Rc<CallerConnections>,
+    /// Number of open connections of this server.
     open: Cell<usize>,
 }
 
@@ -243,14 +251,13 @@
         async move { Ok::<_, Infallible>(server.answer(req, too_many).await) }
     });
     let limits = server.handler.limits(server.limits);
-    let ended = http1::Builder::new()
+    let http_connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .auto_date_header(false)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = ended {
+        .serve_connection(TokioIo::new(stream), service);
+    if let Err(error) = server.connections.drive(http_connection).await {
         tracing::trace!(%error, "caller connection ended");
     }
 }
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -75,6 +75,8 @@
     received_requests: RefCell<Vec<PlainRequest>>,
     /// Further headers of every answer to a request.
     reports: RefCell<Vec<(String, String)>>,
+    /// Body of every answer to a request; `None` for the one that the settings say.
+    answer_body: RefCell<Option<Vec<u8>>>,
     health_checks: Cell<u32>,
     is_leaving: Cell<bool>,
     /// Number of requests in progress.
@@ -122,6 +124,7 @@
             usual_action: Cell::new((UpstreamAction::Answer, 100)),
             received_requests: RefCell::default(),
             reports: RefCell::default(),
+            answer_body: RefCell::default(),
             health_checks: Cell::default(),
             is_leaving: Cell::default(),
             running: Cell::default(),
@@ -226,6 +229,11 @@
             .collect();
     }
 
+    /// Sets the body of every answer to a request from now on.
+    pub fn set_answer_body(&self, body: Vec<u8>) {
+        self.state.answer_body.replace(Some(body));
+    }
+
     /// Sets whether health checks are answered with 503, as by a draining upstream, from now on.
     pub fn set_leaving(&self, is_leaving: bool) {
         self.state.is_leaving.set(is_leaving);
--- a/stand-ins/src/upstream/answer.rs
+++ b/stand-ins/src/upstream/answer.rs
@@ -13,14 +13,20 @@
 }
 
 impl Answer {
-    /// Prepares the answer to a request by an upstream with these settings.
-    pub fn prepare(settings: &UpstreamSettings, request: &PlainRequest) -> Self {
+    /// Prepares the answer to a request by an upstream with these settings, with `body` if there is one.
+    pub fn prepare(
+        settings: &UpstreamSettings,
+        request: &PlainRequest,
+        body: Option<Vec<u8>>,
+    ) -> Self {
         let names = settings.names;
-        let body = if settings.echoes_request {
-            let start = format!("{} {}\n", request.method, request.target);
-            [start.as_bytes(), &request.body].concat()
-        } else {
-            b"whole body".to_vec()
+        let body = match body {
+            Some(body) => body,
+            None if settings.echoes_request => {
+                let start = format!("{} {}\n", request.method, request.target);
+                [start.as_bytes(), &request.body].concat()
+            }
+            None => b"whole body".to_vec(),
         };
         Self {
             names,
--- a/stand-ins/src/upstream/serving.rs
+++ b/stand-ins/src/upstream/serving.rs
@@ -100,7 +100,8 @@
     }
     let action = state.planned_actions.borrow_mut().pop_front();
     let action = action.unwrap_or_else(|| draw_usual_action(state));
-    let answer = Answer::prepare(&state.settings, &request);
+    let body = state.answer_body.borrow().clone();
+    let answer = Answer::prepare(&state.settings, &request, body);
     if state.is_crashed_by_request(&request.target) {
         record_execution(state, &request);
         state.received_requests.borrow_mut().push(request);
