graceful stop: bound the waits of requests by the end of their node

Cause: a request waited until its own deadline, whatever became of the node that waits for the answer. Evidence: line 853 of the stopped node counts as many requests in progress as were lost, and line 803 of the node where each waited ends with client_left; no line refuses one. Ruled out: refusals that aren't sent (fails as before with the answers delivered) and refusals that get lost between nodes.

Change: a stopping node tells the nodes where its requests wait by when they must end (ends_in_ms in a state message, repeated while they wait), and requests that it sends afterwards carry a flag. Those nodes refuse what can't end in time as soon as the forecast says so, 1.5 times the expected duration reserved. The refusal is the answer of the attempt, so that 'not run' is said only by the node that knows. What waits at the stopping node itself is refused at once if it can't be accepted, and after 2 s. Requests still running at the end get 502 with the cause node_stopping. Line 856 is new.

--- a/src/coordination/slot_queue.rs
+++ b/src/coordination/slot_queue.rs
@@ -12,11 +12,12 @@
 //! of the same priority that can. It waits only if late requests have recently got slots; otherwise it is refused at once, while
 //! its client still has time to do something else.
 
+mod early_end;
 mod early_refusal;
 mod fair_order;
 mod forecast;
 mod late_start_share;
-mod limited_arrivals;
+mod recent_arrivals;
 mod waiting;
 
 use crate::{
@@ -34,7 +35,7 @@
 use fair_order::{FairOrder, FairTag};
 use forecast::forecast_start;
 use late_start_share::LateStartShare;
-use limited_arrivals::LimitedArrivals;
+use recent_arrivals::RecentArrivals;
 use std::time::Duration;
 use waiting::Waiting;
 
@@ -105,7 +106,7 @@
     fair_order: FairOrder,
     /// Whether requests are refused as soon as their turn is forecast beyond their deadline.
     refuses_early: bool,
-    limited_arrivals: LimitedArrivals,
+    recent_arrivals: RecentArrivals,
 }
 
 impl SlotQueue {
@@ -123,7 +124,7 @@
             request_limit: RequestLimit::default(),
             fair_order: FairOrder::default(),
             refuses_early: false,
-            limited_arrivals: LimitedArrivals::default(),
+            recent_arrivals: RecentArrivals::default(),
         }
     }
 
@@ -264,6 +265,7 @@
             expected: request.expected,
             latest_on_time_start: meets_target.then_some(latest_on_time_start),
             latest_start: now + request.time_left.saturating_sub(duration),
+            ends_early: false,
         }
     }
 
@@ -445,6 +447,7 @@
             kept
         });
         actions.extend(self.remove_hopeless(now));
+        actions.extend(self.remove_ending_late(now));
         while self.can_start_another(now) {
             let Some(index) = self.find_next_startable(now) else {
                 break;
--- a/src/coordination/slot_queue/early_refusal.rs
+++ b/src/coordination/slot_queue/early_refusal.rs
@@ -3,7 +3,7 @@
 //! Load pattern: all upstreams of a service name a limit of a fraction of the load. Requests that arrive later and can meet their
 //! target start first, so a late one would wait until its deadline, and its client would learn only then that it was not served.
 
-use super::{SlotAction, SlotNumber, SlotQueue, SlotRequest, Waiting, limited_arrivals::StartRank};
+use super::{SlotAction, SlotNumber, SlotQueue, SlotRequest, Waiting, recent_arrivals::StartRank};
 use crate::state::timestamp::Timestamp;
 use std::time::Duration;
 
@@ -16,9 +16,7 @@
 
     /// Counts a request that runs or waits.
     pub(super) fn record_arrival(&mut self, rank: StartRank, now: Timestamp) {
-        if self.forecasts_limited_turns() {
-            self.limited_arrivals.record(rank, now);
-        }
+        self.recent_arrivals.record(rank, now);
     }
 
     /// Time by which late requests that start first delay a new late one under the request limit; zero without one.
@@ -84,7 +82,7 @@
     /// Lengthens a wait by requests that are yet to arrive and start first.
     fn delay_by_arrivals(&self, rank: StartRank, wait: Duration, now: Timestamp) -> Duration {
         let interval = self.request_limit.interval();
-        let arrivals = &self.limited_arrivals;
+        let arrivals = &self.recent_arrivals;
         wait.mul_f64(arrivals.find_delay_factor(rank, interval, now))
     }
 }
--- a/src/coordination/slot_queue/limited_arrivals.rs
+++ b/src/coordination/slot_queue/recent_arrivals.rs
@@ -30,9 +30,9 @@
 
 /// Requests that run or wait, counted by rank when they arrive.
 #[derive(Clone, Debug, Default)]
-pub struct LimitedArrivals(Vec<RecentRequests>);
+pub struct RecentArrivals(Vec<RecentRequests>);
 
-impl LimitedArrivals {
+impl RecentArrivals {
     /// Counts a request that runs or waits.
     pub fn record(&mut self, rank: StartRank, now: Timestamp) {
         if let Some(known) = self.0.iter_mut().find(|known| known.rank == rank) {
--- a/src/coordination/slot_queue/waiting.rs
+++ b/src/coordination/slot_queue/waiting.rs
@@ -21,6 +21,8 @@
     pub latest_on_time_start: Option<Timestamp>,
     /// Latest start to finish before the deadline.
     pub latest_start: Timestamp,
+    /// Whether `latest_start` was lowered because the sender ends before the deadline.
+    pub ends_early: bool,
 }
 
 impl Waiting {
--- a/src/log_reading/cause.rs
+++ b/src/log_reading/cause.rs
@@ -203,6 +203,13 @@
             _ => {}
         }
     }
+    if cause == "node_stopping" {
+        causes.push(
+            "The node that the client had sent the request to was stopped, and its grace period ended before the answer."
+                .to_owned(),
+        );
+        causes.extend(explain_slowest(lines, names));
+    }
     if cause == "deadline_passed" {
         causes.push(format!(
             "No answer arrived within the {} ms that the client allowed.",
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -40,7 +40,14 @@
 /// Bit in the flags of a [`HopRequest`]: the sender understands [`RefusalReason::UpstreamFailing`].
 const EJECTION_FLAG: u8 = 8;
 
+/// Bit in the flags of a [`HopRequest`]: the sender ends at the end of the time left.
+const ENDING_FLAG: u8 = 16;
+
 /// What the entry node sends along with a request that it forwards to an upstream's node.
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "independent flags, one bit each on the wire"
+)]
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct HopRequest {
     /// Service whose upstream is to run the request.
@@ -74,6 +81,9 @@
     /// Whether the sender understands [`RefusalReason::UpstreamFailing`]. A node of an earlier version would take the answer for
     /// malformed, and the request for one that may have been executed.
     pub knows_ejection: bool,
+    /// Whether the sender is stopping and ends at the end of `time_left`, before the deadline of the request. The request must not
+    /// start unless it is expected to end by then.
+    pub ends_with_sender: bool,
 }
 
 /// How an attempt at an upstream ended, as reported by the upstream's node.
@@ -140,7 +150,12 @@
         } else {
             0
         };
-        idempotent | retry | limit | ejection
+        let ending = if self.ends_with_sender {
+            ENDING_FLAG
+        } else {
+            0
+        };
+        idempotent | retry | limit | ejection | ending
     }
 
     /// Parses the header's value; `None` if it is malformed.
@@ -175,6 +190,7 @@
             },
             organisation: parts.next().map(OrganisationName::from),
             knows_ejection: flags & EJECTION_FLAG != 0,
+            ends_with_sender: flags & ENDING_FLAG != 0,
         };
         Some(request)
     }
@@ -344,6 +360,9 @@
     /// Asks the receiver to check whether it can reach the node at this address.
     #[serde(rename = "reaches", default, skip_serializing_if = "Option::is_none")]
     pub check_peer: Option<SocketAddr>,
+    /// The sender is stopping: its requests that wait at the receiver must end within this time, in milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub ends_in_ms: Option<u64>,
     /// Answer to `check_peer`: whether the node is reachable.
     #[serde(rename = "reached", default, skip_serializing_if = "Option::is_none")]
     pub peer_reachable: Option<bool>,
--- a/src/protocol/outcome.rs
+++ b/src/protocol/outcome.rs
@@ -82,4 +82,6 @@
     NodeLost,
     /// The answer was malformed, truncated, too large or that of another request.
     BadAnswer,
+    /// The node that received the request from the client ended before the answer.
+    NodeStopping,
 }
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -14,6 +14,7 @@
     options::proxy_settings::{NodeLimits, ProxySettings},
     proxy::{
         directory::{Directory, StateSource},
+        entry::WaitingAttempts,
         evacuating::EvacuationsInForce,
         events::{LineWriter, ProxyEvent},
         executing::{Slots, UnreadHeaders},
@@ -92,8 +93,12 @@
     pub endpoint_connections: Rc<CallerConnections>,
     /// Client requests in progress.
     pub in_progress: Cell<usize>,
+    /// Attempts of this node that may be waiting for a slot at other nodes.
+    pub waiting_attempts: Rc<WaitingAttempts>,
     /// When the node was asked to stop.
     pub stopping_since: Cell<Option<Timestamp>>,
+    /// Notified when the client requests that are still in progress have to end, because the node does.
+    pub requests_end: Notify,
     /// Counters since the start.
     pub counters: ProxyCounters,
     /// Writes events to the log.
@@ -165,7 +170,9 @@
             request_connections: CallerConnections::new(),
             endpoint_connections: CallerConnections::new(),
             in_progress: Cell::new(0),
+            waiting_attempts: Rc::default(),
             stopping_since: Cell::new(None),
+            requests_end: Notify::new(),
             counters: ProxyCounters::default(),
             log_writer: LineWriter::new(settings.name.clone(), settings.log, timers.now()),
             started: timers.now(),
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -6,6 +6,9 @@
 mod request_log_line;
 mod request_router;
 mod startup_wait;
+mod waiting_attempts;
+
+pub use waiting_attempts::WaitingAttempts;
 
 use crate::{
     protocol::outcome::{RefusalReason, UnknownCause},
@@ -253,7 +256,8 @@
     let mut request_router = RequestRouter::new(core, call, line.attempts());
     let outcome = tokio::select! {
         outcome = request_router.run() => outcome,
-        _ = timeout.recv_async() => request_router.end_at_deadline(),
+        _ = timeout.recv_async() => request_router.end_early(UnknownCause::DeadlinePassed),
+        () = core.requests_end.notified() => request_router.end_early(UnknownCause::NodeStopping),
     };
     if matches!(outcome, RequestOutcome::Refused(..)) {
         return_unused_credit(core, organisation.as_deref(), granted);
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -10,7 +10,10 @@
     proxy::{
         calls::record_call,
         core::ProxyCore,
-        entry::{request_attempts::RequestAttempts, request_router::ClientCall},
+        entry::{
+            request_attempts::RequestAttempts, request_router::ClientCall,
+            waiting_attempts::WaitingAttempt,
+        },
         events::{LoggedEnd, ProxyEvent, in_millis},
         executing::{CompletedAttempt, execute},
         liveness::WatchedAttempt,
@@ -115,6 +118,8 @@
     known_load_age: Option<Duration>,
     /// `None` if the attempt is not watched.
     watched: Option<WatchedAttempt>,
+    /// `None` if the attempt can't be waiting for a slot, or is bounded by the stop of this node from the start.
+    _waiting: Option<WaitingAttempt>,
     ended: Cell<bool>,
 }
 
@@ -134,6 +139,8 @@
         }
         let route = &call.route;
         let watched = WatchedAttempt::begin(core, to, (&call.service, &route.class), route.target);
+        let may_wait = !finish_within.is_zero() && !core.is_stopping();
+        let waiting = may_wait.then(|| core.waiting_attempts.begin(to, call.deadline));
         Self {
             core: Rc::clone(core),
             call: Rc::clone(call),
@@ -143,6 +150,7 @@
             sent,
             known_load_age,
             watched,
+            _waiting: waiting,
             ended: Cell::new(false),
         }
     }
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -21,6 +21,7 @@
             request_attempts::RequestAttempts,
         },
         events::ProxyEvent,
+        graceful_stop::find_requests_end,
         retry_budgets::{count_request, refund_retries, spend_retry},
     },
     state::{
@@ -150,17 +151,23 @@
         }
     }
 
-    /// The outcome of the request if its deadline passes now.
-    pub fn end_at_deadline(&mut self) -> RequestOutcome {
+    /// The outcome of the request if it has to end now, for the given cause.
+    pub fn end_early(&mut self, cause: UnknownCause) -> RequestOutcome {
         match self.earlier_outcome.take() {
             Some(outcome) => outcome,
             None if self.attempts.upstream_attempts() == 0 && self.in_flight.is_empty() => {
                 self.refuse()
             }
-            None => RequestOutcome::Unknown(UnknownCause::DeadlinePassed),
+            None => RequestOutcome::Unknown(cause),
         }
     }
 
+    /// When the request has to end: at its deadline, or earlier if this node is stopping.
+    fn latest_end(&self) -> Timestamp {
+        let requests_end = find_requests_end(&self.core);
+        requests_end.map_or(self.call.deadline, |end| end.min(self.call.deadline))
+    }
+
     /// Performs the next step; returns the outcome if the request ends with it.
     fn perform_step(&mut self, step: NextStep) -> Option<RequestOutcome> {
         let continues = match step {
@@ -214,7 +221,7 @@
     }
 
     fn may_retry(&self) -> bool {
-        self.may_attempt_another() && self.call.deadline > self.core.timers.now()
+        self.may_attempt_another() && self.latest_end() > self.core.timers.now()
     }
 
     /// Whether one more attempt stays within the attempt limit of the route. Attempts in flight count, since they may have reached
@@ -252,7 +259,7 @@
         let now = self.core.timers.now();
         let time = SearchTime {
             elapsed: now.since(self.call.arrived),
-            remaining: self.call.deadline.since(now),
+            remaining: self.latest_end().since(now),
         };
         match self.find_next_live_node(time) {
             SearchStep::TryNode(node) => self.start_attempt(node, Duration::ZERO),
@@ -314,7 +321,7 @@
             service: self.call.service.clone(),
             class: self.call.route.class.clone(),
             caller: self.core.settings.service.clone(),
-            time_left: self.call.deadline.since(now),
+            time_left: self.latest_end().since(now),
             finish_within,
             target_left: self.call.route.target.saturating_sub(elapsed),
             priority: rank_request(self.call.organisation(), &self.call.route),
@@ -325,6 +332,7 @@
             request_limit: find_request_limit(&self.core, to),
             organisation: self.call.organisation().map(|known| known.name.clone()),
             knows_ejection: self.core.limits().upstream_health.is_some(),
+            ends_with_sender: self.latest_end() < self.call.deadline,
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -494,6 +494,17 @@
         /// Time since it was asked to stop.
         took_ms: u64,
     },
+    /// Another node is stopping, and bounds how long its requests wait here.
+    SenderStopping {
+        /// The node.
+        from: SocketAddr,
+        /// Time within which its requests must end.
+        ends_ms: u64,
+        /// Number of its requests that were waiting.
+        waiting: usize,
+        /// Number of those that were refused at once.
+        refused: usize,
+    },
     /// The settings file was read again.
     SettingsRead {
         /// Whether a setting differs from those read before. Limits take effect at once, other settings at the next start.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -60,6 +60,7 @@
             Self::NodeStarted { .. } => (851, "node_started"),
             Self::StopRequested { .. } => (852, "stop_requested"),
             Self::NodeStopped { .. } => (853, "node_stopped"),
+            Self::SenderStopping { .. } => (856, "sender_stopping"),
             Self::SettingsRead { .. } => (854, "settings_read"),
             Self::SettingsRejected { .. } => (855, "settings_rejected"),
             Self::NodeSuspected(..) => (864, "node_suspected"),
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -35,7 +35,10 @@
 pub use probes::{has_incarnation_ended, probe_instance, verify_incarnation};
 use request_limit::record_remembered_limit;
 use slots::{SlotGuard, wait_for_slot};
-pub use slots::{Slots, compute_slot_limit, refuse_queued_requests, set_slot_limit};
+pub use slots::{
+    Slots, compute_slot_limit, limit_requests_of, refuse_queued_requests, refuse_requests_beyond,
+    set_slot_limit,
+};
 use slowdown::refresh_slowdown;
 use std::{rc::Rc, time::Duration};
 pub use upstream_headers::UnreadHeaders;
@@ -75,7 +78,7 @@
 ) -> CompletedAttempt {
     let arrived = core.timers.now();
     let organisation = find_organisation(core, hop);
-    if let Some((reason, finish_or_wait)) = find_refusal(core, hop, fingerprint) {
+    if let Some((reason, finish_or_wait)) = find_refusal(core, hop, fingerprint, arrived) {
         return refuse(core, reason, finish_or_wait);
     }
     if hop.is_retry && !has_call_budget(core, &hop.class) {
@@ -100,9 +103,9 @@
             return refuse(core, RefusalReason::QueueFull, finish_in);
         }
         SlotDecision::Wait(number) => {
-            if !wait_for_slot(core, number).await {
+            if !wait_for_slot(core, number, hop).await {
                 let (reason, finish_or_wait) =
-                    find_late_refusal(core, hop, fingerprint, trial.as_ref())
+                    find_late_refusal(core, hop, fingerprint, arrived, trial.as_ref())
                         .unwrap_or((RefusalReason::DeadlineTooShort, hop.time_left));
                 return refuse(core, reason, finish_or_wait);
             }
@@ -112,7 +115,7 @@
     let slot_guard = SlotGuard::new(core, number);
     // While the request waited, the upstream may have started to drain or been ejected, or the request may have been quarantined.
     if let Some((reason, finish_or_wait)) =
-        find_late_refusal(core, hop, fingerprint, trial.as_ref())
+        find_late_refusal(core, hop, fingerprint, arrived, trial.as_ref())
     {
         return refuse(core, reason, finish_or_wait);
     }
@@ -163,6 +166,10 @@
     };
     let mut queue = core.slots.queue.borrow_mut();
     queue.set_early_refusal(core.limits().overload.refuses_early());
+    if hop.ends_with_sender && !queue.can_end_within(request.expected, request.time_left) {
+        let finish_in = request.expected;
+        return SlotDecision::Refuse { finish_in };
+    }
     queue.submit(&request, now)
 }
 
@@ -171,13 +178,16 @@
     core: &ProxyCore,
     hop: &HopRequest,
     fingerprint: RequestFingerprint,
+    arrived: Timestamp,
 ) -> Option<(RefusalReason, Duration)> {
     // Clients retry a request that crashes upstreams under new request IDs and at other nodes. Without the quarantine each retry
     // would crash one more upstream and abort all requests that it executes.
     if let Some(remaining) = find_quarantine(core, fingerprint) {
         return Some((RefusalReason::Quarantined, remaining));
     }
-    find_unavailability_reason(core, hop).map(|reason| (reason, Duration::ZERO))
+    let waited = core.timers.now().since(arrived);
+    let time_left = hop.time_left.saturating_sub(waited);
+    find_unavailability_reason(core, hop, time_left).map(|reason| (reason, Duration::ZERO))
 }
 
 /// Like [`find_refusal`], for a request that was admitted and has waited since.
@@ -185,9 +195,10 @@
     core: &ProxyCore,
     hop: &HopRequest,
     fingerprint: RequestFingerprint,
+    arrived: Timestamp,
     trial: Option<&Trial>,
 ) -> Option<(RefusalReason, Duration)> {
-    let refusal = find_refusal(core, hop, fingerprint);
+    let refusal = find_refusal(core, hop, fingerprint, arrived);
     refusal.or_else(|| Some((name_ejection(hop), recheck(core, trial)?)))
 }
 
@@ -201,8 +212,12 @@
 }
 
 /// Why the local upstream accepts no request of this service now; none if it does.
-fn find_unavailability_reason(core: &ProxyCore, hop: &HopRequest) -> Option<RefusalReason> {
-    if !accepts_work(core, hop.time_left) {
+fn find_unavailability_reason(
+    core: &ProxyCore,
+    hop: &HopRequest,
+    time_left: Duration,
+) -> Option<RefusalReason> {
+    if !accepts_work(core, hop.sender, time_left) {
         return Some(RefusalReason::Draining);
     }
     if core.evacuations.contains(&core.settings.availability_zone) {
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -2,7 +2,12 @@
 
 use crate::{
     coordination::slot_queue::{SlotAction, SlotNumber, SlotQueue},
-    proxy::{core::ProxyCore, executing::slowdown::SlowdownTracker},
+    protocol::hop::HopRequest,
+    proxy::{
+        core::ProxyCore,
+        events::{ProxyEvent, in_millis},
+        executing::slowdown::SlowdownTracker,
+    },
     state::{
         ablation::Mechanism, failure_rate::FailureRate, known_node::NodeLoad, names::ClassName,
         request_rate::RequestRate, service_times::ServiceTimes, timestamp::Timestamp,
@@ -12,6 +17,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -35,10 +41,18 @@
     pub(super) paused_until: Cell<Timestamp>,
     service_times: RefCell<ServiceTimes>,
     failure_rate: Cell<FailureRate>,
-    waiting_requests: RefCell<HashMap<SlotNumber, Sender<bool>>>,
+    waiting_requests: RefCell<HashMap<SlotNumber, WaitingRequest>>,
     scheduled_expiry: Cell<Option<Timestamp>>,
 }
 
+/// A request in the queue, whose handler waits for the decision.
+struct WaitingRequest {
+    /// The node that sent the request.
+    sender: SocketAddr,
+    /// Receives whether the request has got a slot.
+    decision: Sender<bool>,
+}
+
 impl Slots {
     /// Slots without requests. `probes_per_second` limits the probes of the upstream.
     #[must_use]
@@ -159,6 +173,50 @@
     apply_slot_actions(core, actions);
 }
 
+/// Refuses the waiting requests of other nodes whose deadline is more than `limit` away, so that those nodes send them elsewhere.
+pub fn refuse_requests_beyond(core: &Rc<ProxyCore>, limit: Duration) {
+    let own_address = core.settings.peer_address;
+    let numbers = list_waiting(core, |sender| sender != own_address);
+    let end = core.timers.now() + limit;
+    let mut queue = core.slots.queue.borrow_mut();
+    let actions = queue.withdraw_ending_after(&numbers, end);
+    drop(queue);
+    apply_slot_actions(core, actions);
+}
+
+/// Bounds the end of the waiting requests of a node that stops and won't be there for their answers after `limit`. Those that can't
+/// end by then are refused.
+pub fn limit_requests_of(core: &Rc<ProxyCore>, sender: SocketAddr, limit: Duration) {
+    let numbers = list_waiting(core, |other| other == sender);
+    let refused = limit_waiting(core, &numbers, limit);
+    core.log(&ProxyEvent::SenderStopping {
+        from: sender,
+        ends_ms: in_millis(limit),
+        waiting: numbers.len(),
+        refused,
+    });
+}
+
+/// Returns the number of requests that are refused at once.
+fn limit_waiting(core: &Rc<ProxyCore>, numbers: &[SlotNumber], limit: Duration) -> usize {
+    let now = core.timers.now();
+    let mut queue = core.slots.queue.borrow_mut();
+    let actions = queue.limit_end(numbers, now + limit, now);
+    drop(queue);
+    let is_refusal = |action: &&SlotAction| matches!(action, SlotAction::Expire(_));
+    let refused = actions.iter().filter(is_refusal).count();
+    apply_slot_actions(core, actions);
+    refused
+}
+
+fn list_waiting(core: &ProxyCore, is_included: impl Fn(SocketAddr) -> bool) -> Vec<SlotNumber> {
+    let waiting = core.slots.waiting_requests.borrow();
+    let included = waiting
+        .iter()
+        .filter(|(_, request)| is_included(request.sender));
+    included.map(|(number, _)| *number).collect()
+}
+
 /// Holds a slot and returns it when dropped. The future of a request may be dropped at any `await` when its client disconnects.
 pub struct SlotGuard {
     core: Rc<ProxyCore>,
@@ -217,9 +275,19 @@
 }
 
 /// Waits until the queue decides on a request: true once it has a slot, false if it can no longer end in time or was refused.
-pub async fn wait_for_slot(core: &Rc<ProxyCore>, number: SlotNumber) -> bool {
-    let (tx, rx) = flume::bounded(1);
-    core.slots.waiting_requests.borrow_mut().insert(number, tx);
+pub async fn wait_for_slot(core: &Rc<ProxyCore>, number: SlotNumber, hop: &HopRequest) -> bool {
+    let (decision, rx) = flume::bounded(1);
+    let request = WaitingRequest {
+        sender: hop.sender,
+        decision,
+    };
+    core.slots
+        .waiting_requests
+        .borrow_mut()
+        .insert(number, request);
+    if hop.ends_with_sender {
+        limit_waiting(core, &[number], hop.time_left);
+    }
     if core.limits().overload.refuses_early() {
         // The request may have moved the turn of others beyond their deadline.
         let actions = core.slots.queue.borrow_mut().expire(core.timers.now());
@@ -245,9 +313,9 @@
             SlotAction::Expire(number) => (number, false),
         };
         let waiting = core.slots.waiting_requests.borrow_mut().remove(&number);
-        if let Some(tx) = waiting {
+        if let Some(request) = waiting {
             // The receiver lives as long as the guard of the queue entry, which returns the slot when dropped.
-            let _ = tx.send(has_slot);
+            let _ = request.decision.send(has_slot);
         }
     }
     schedule_expiry(core);
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -10,6 +10,7 @@
         directory::StateSource,
         evacuating::apply_peer_evacuations,
         events::ProxyEvent,
+        executing::limit_requests_of,
         quotas::answer_credit_request,
         retiring::is_reachable,
         state_messages::{count_state_bytes, log_malformed, send_along_tree, send_state},
@@ -23,7 +24,7 @@
 use http::{Response, StatusCode};
 use http_body_util::Full;
 use rand::seq::SliceRandom;
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::task::spawn_local;
 
 /// Number of nodes that are asked to read the store in place of one that can't.
@@ -164,6 +165,9 @@
         }
         apply_peer_evacuations(core, evacuations);
     }
+    if let (Some(millis), Some(from)) = (message.ends_in_ms, message.sender) {
+        limit_requests_of(core, from, Duration::from_millis(millis));
+    }
     if let Some(finding) = &message.finding {
         apply_finding(core, finding);
     }
--- a/src/transport/callers/connections.rs
+++ b/src/transport/callers/connections.rs
@@ -5,7 +5,7 @@
     cell::{Cell, RefCell},
     rc::Rc,
 };
-use tokio::sync::Notify;
+use tokio::{sync::Notify, task::spawn_local};
 
 /// Connections that are shut down together.
 #[derive(Default)]
@@ -13,7 +13,9 @@
     /// `None` once the shutdown has begun.
     running: RefCell<Option<GracefulShutdown>>,
     shutdown_begun: Notify,
+    /// Number of open connections.
     open: Cell<usize>,
+    connection_ended: Notify,
 }
 
 impl CallerConnections {
@@ -35,11 +37,13 @@
     /// Closes the idle connections, and returns once each of the others has received the rest of its request and sent the complete
     /// answer. Servers accept no connections from then on.
     pub async fn shut_down(&self) {
-        let Some(running) = self.running.take() else {
-            return;
-        };
-        self.shutdown_begun.notify_waiters();
-        running.shutdown().await;
+        if let Some(running) = self.running.take() {
+            self.shutdown_begun.notify_waiters();
+            spawn_local(running.shutdown());
+        }
+        while self.open() > 0 {
+            self.connection_ended.notified().await;
+        }
     }
 
     /// Returns once the shutdown has begun.
@@ -59,23 +63,24 @@
         let Some(watcher) = watcher else {
             return Ok(());
         };
-        let _open = OpenConnection::count(&self.open);
+        let _open = OpenConnection::count(self);
         watcher.watch(connection).await
     }
 }
 
 /// Counts a connection as open until dropped.
-struct OpenConnection<'a>(&'a Cell<usize>);
+struct OpenConnection<'a>(&'a CallerConnections);
 
 impl<'a> OpenConnection<'a> {
-    fn count(open: &'a Cell<usize>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
+    fn count(connections: &'a CallerConnections) -> Self {
+        connections.open.set(connections.open() + 1);
+        Self(connections)
     }
 }
 
 impl Drop for OpenConnection<'_> {
     fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
+        self.0.open.set(self.0.open() - 1);
+        self.0.connection_ended.notify_waiters();
     }
 }
--- a/tests/integration/log_causes.rs
+++ b/tests/integration/log_causes.rs
@@ -187,6 +187,16 @@
     assert_cause(&logged, "The VM of n2 was slow: work took 400%");
 }
 
+#[test]
+fn explain_stopped_node() {
+    let stopping = "{\"unknown\":\"node_stopping\"}";
+    let abandoned = returned("\"abandoned\"", 1_990, "");
+    let [attempt, end] = entry_lines(3_000, &abandoned, &ended(stopping, 2_000, ""));
+    let trace = trace(&[attempt, end]);
+    assert_cause(&trace, "was stopped, and its grace period ended");
+    assert_cause(&trace, "n2 had not answered 1990 ms");
+}
+
 #[test]
 fn explain_lists_calls() {
     let members = ended("{\"answered\":200}", 5, "").replace("\"r1\"", "\"r1.c9\"");
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod contributing_page;
 mod crash_counting;
+mod early_end;
 mod evacuations;
 mod fair_shares;
 mod imports;
--- a/tests/integration/request_limit.rs
+++ b/tests/integration/request_limit.rs
@@ -193,6 +193,7 @@
         request_limit,
         organisation: organisation.map(Into::into),
         knows_ejection: request_limit.is_none(),
+        ends_with_sender: request_limit.is_none(),
     };
     for limit in [None, Some(RequestRate(1_900))] {
         for organisation in [None, Some("a;b")] {
