graceful stop: wait for requests of operators

What operators saw: a request that waits for the store while its node is stopped, such as a publication, ended as 'the node is stopping', though it may have been stored.

Cause: the stop waited for requests of clients only; the answer's channel was dropped with the event loop. Change: requests of operators count as in progress. Evidence: stop_answers_operator failed before (the node had ended) and passes now.

--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -93,6 +93,8 @@
     pub endpoint_connections: Rc<CallerConnections>,
     /// Client requests in progress.
     pub in_progress: Cell<usize>,
+    /// Requests of operators in progress.
+    pub operator_requests: Cell<usize>,
     /// Attempts of this node that may be waiting for a slot at other nodes.
     pub waiting_attempts: Rc<WaitingAttempts>,
     /// When the node was asked to stop.
@@ -170,6 +172,7 @@
             request_connections: CallerConnections::new(),
             endpoint_connections: CallerConnections::new(),
             in_progress: Cell::new(0),
+            operator_requests: Cell::new(0),
             waiting_attempts: Rc::default(),
             stopping_since: Cell::new(None),
             requests_end: Notify::new(),
--- a/src/proxy/graceful_stop.rs
+++ b/src/proxy/graceful_stop.rs
@@ -91,7 +91,10 @@
 
 fn have_requests_ended(core: &ProxyCore, since: Timestamp) -> bool {
     let clients_have_left = core.timers.now().since(since) >= CLIENT_DEPARTURE_TIME;
-    clients_have_left && core.in_progress.get() == 0 && core.slots.load().running == 0
+    clients_have_left
+        && core.in_progress.get() == 0
+        && core.operator_requests.get() == 0
+        && core.slots.load().running == 0
 }
 
 /// Ends the requests that are still in progress shortly before the end of the process, and returns once their answers are sent. An
--- a/src/proxy/operator_requests.rs
+++ b/src/proxy/operator_requests.rs
@@ -40,6 +40,23 @@
     }
 }
 
+/// Counts a request as in progress until dropped.
+struct InProgressGuard(Rc<ProxyCore>);
+
+impl InProgressGuard {
+    fn begin(core: &Rc<ProxyCore>) -> Self {
+        core.operator_requests.set(core.operator_requests.get() + 1);
+        Self(Rc::clone(core))
+    }
+}
+
+impl Drop for InProgressGuard {
+    fn drop(&mut self) {
+        let in_progress = &self.0.operator_requests;
+        in_progress.set(in_progress.get() - 1);
+    }
+}
+
 /// Answers one request. Errors of `send` are ignored: the client may have closed its connection meanwhile.
 async fn answer<S: PublicationStore>(
     core: Rc<ProxyCore>,
@@ -47,6 +64,7 @@
     record_writes: Sender<RecordWrite>,
     request: OperatorRequest,
 ) {
+    let _in_progress = InProgressGuard::begin(&core);
     match request {
         OperatorRequest::Status { reply } => {
             let _ = reply.send(describe_node(&core));
