--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -95,7 +95,7 @@
     pub in_progress: Cell<usize>,
     /// Requests of operators in progress.
     pub operator_requests: Cell<usize>,
-    /// Attempts of this node that may be waiting for a slot at other nodes.
+    /// Attempts at requests of clients that may be waiting for a slot.
     pub waiting_attempts: Rc<WaitingAttempts>,
     /// When the node was asked to stop.
     pub stopping_since: Cell<Option<Timestamp>>,
--- a/src/proxy/entry/waiting_attempts.rs
+++ b/src/proxy/entry/waiting_attempts.rs
@@ -1,4 +1,4 @@
-//! Attempts of this node that may be waiting for a slot at other nodes.
+//! Attempts at requests of this node's clients that may be waiting for a slot, here or at other nodes.
 
 use crate::state::timestamp::Timestamp;
 use std::{
@@ -14,7 +14,7 @@
     deadline: Timestamp,
 }
 
-/// The attempts in progress that their nodes may have queued.
+/// The attempts in progress that may be in a queue.
 #[derive(Default)]
 pub struct WaitingAttempts {
     attempts: RefCell<HashMap<u64, Attempt>>,
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -103,7 +103,11 @@
             return refuse(core, RefusalReason::QueueFull, finish_in);
         }
         SlotDecision::Wait(number) => {
-            if !wait_for_slot(core, number, hop).await {
+            let time_left = hop
+                .time_left
+                .saturating_sub(core.timers.now().since(arrived));
+            let end_limit = hop.ends_with_sender.then_some(time_left);
+            if !wait_for_slot(core, number, hop.sender, end_limit).await {
                 let (reason, finish_or_wait) =
                     find_late_refusal(core, hop, fingerprint, arrived, trial.as_ref())
                         .unwrap_or((RefusalReason::DeadlineTooShort, hop.time_left));
--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     coordination::slot_queue::{SlotAction, SlotNumber, SlotQueue},
-    protocol::hop::HopRequest,
     proxy::{
         core::ProxyCore,
         events::{ProxyEvent, in_millis},
@@ -188,6 +187,9 @@
 /// end by then are refused.
 pub fn limit_requests_of(core: &Rc<ProxyCore>, sender: SocketAddr, limit: Duration) {
     let numbers = list_waiting(core, |other| other == sender);
+    if numbers.is_empty() {
+        return;
+    }
     let refused = limit_waiting(core, &numbers, limit);
     core.log(&ProxyEvent::SenderStopping {
         from: sender,
@@ -274,19 +276,22 @@
     }
 }
 
-/// Waits until the queue decides on a request: true once it has a slot, false if it can no longer end in time or was refused.
-pub async fn wait_for_slot(core: &Rc<ProxyCore>, number: SlotNumber, hop: &HopRequest) -> bool {
+/// Waits until the queue decides on a request of `sender`: true once it has a slot, false if it can no longer end in time or was
+/// refused. `end_limit` is the time until the sender ends, if that is before the deadline.
+pub async fn wait_for_slot(
+    core: &Rc<ProxyCore>,
+    number: SlotNumber,
+    sender: SocketAddr,
+    end_limit: Option<Duration>,
+) -> bool {
     let (decision, rx) = flume::bounded(1);
-    let request = WaitingRequest {
-        sender: hop.sender,
-        decision,
-    };
+    let request = WaitingRequest { sender, decision };
     core.slots
         .waiting_requests
         .borrow_mut()
         .insert(number, request);
-    if hop.ends_with_sender {
-        limit_waiting(core, &[number], hop.time_left);
+    if let Some(limit) = end_limit {
+        limit_waiting(core, &[number], limit);
     }
     if core.limits().overload.refuses_early() {
         // The request may have moved the turn of others beyond their deadline.
--- a/src/proxy/graceful_stop.rs
+++ b/src/proxy/graceful_stop.rs
@@ -78,8 +78,7 @@
     });
 }
 
-/// Returns once all requests have ended and their answers are sent. A request that ends here may still have to be received in full by
-/// a slow client.
+/// Returns once all requests have ended and their answers are sent.
 async fn finish_work(core: &Rc<ProxyCore>, since: Timestamp) {
     // The upstream sends the calls of its requests to this node, which therefore accepts connections until no request runs there.
     while !have_requests_ended(core, since) {
--- a/src/transport/callers/connections.rs
+++ b/src/transport/callers/connections.rs
@@ -8,7 +8,6 @@
 use tokio::{sync::Notify, task::spawn_local};
 
 /// Connections that are shut down together.
-#[derive(Default)]
 pub struct CallerConnections {
     /// `None` once the shutdown has begun.
     running: RefCell<Option<GracefulShutdown>>,
@@ -24,7 +23,9 @@
     pub fn new() -> Rc<Self> {
         Rc::new(Self {
             running: RefCell::new(Some(GracefulShutdown::new())),
-            ..Self::default()
+            shutdown_begun: Notify::new(),
+            open: Cell::new(0),
+            connection_ended: Notify::new(),
         })
     }
 
