--- a/src/proxy/executing/slots.rs
+++ b/src/proxy/executing/slots.rs
@@ -205,8 +205,8 @@
     let mut queue = core.slots.queue.borrow_mut();
     let actions = queue.limit_end(numbers, now + limit, now);
     drop(queue);
-    let is_refusal = |action: &&SlotAction| matches!(action, SlotAction::Expire(_));
-    let refused = actions.iter().filter(is_refusal).count();
+    let is_refused = |action: &&SlotAction| matches!(action, SlotAction::Expire(number) if numbers.contains(number));
+    let refused = actions.iter().filter(is_refused).count();
     apply_slot_actions(core, actions);
     refused
 }
