--- a/review/4/common.rs
+++ b/review/4/common.rs
@@ -454,11 +454,6 @@
     streams: Mutex<Vec<TcpStream>>,
     sequence: AtomicU64,
     pub silent_beats: AtomicBool,
-    /// Share of the requests that it sheds, in percent: it answers that it did not execute them.
-    pub shed_percent: AtomicU64,
-    /// Share of its answers, in thousandths, of which a second copy is sent late: where the next answer on the connection is expected.
-    pub extra_per_mille: AtomicU64,
-    random: AtomicU64,
 }
 
 impl Upstream {
@@ -487,9 +482,6 @@
             streams: Mutex::default(),
             sequence: AtomicU64::new(0),
             silent_beats: AtomicBool::new(false),
-            shed_percent: AtomicU64::new(0),
-            extra_per_mille: AtomicU64::new(0),
-            random: AtomicU64::new(wall_ms() ^ (machine.number as u64 + 1) << 40),
         });
         upstream.listen()?;
         let beating = Arc::clone(&upstream);
@@ -611,35 +603,11 @@
             .map(|answer| answer.status())
     }
 
-    /// Whether a thing happens that has this chance in a thousand.
-    fn draw(&self, per_mille: u64) -> bool {
-        let mut state = self.random.load(Ordering::SeqCst) | 1;
-        state ^= state << 13;
-        state ^= state >> 7;
-        state ^= state << 17;
-        self.random.store(state, Ordering::SeqCst);
-        (state >> 20) % 1_000 < per_mille
-    }
-
     fn serve(&self, mut wire: Wire, incarnation: u64) {
-        let mut extra: Option<(Vec<u8>, String)> = None;
         while let Ok(Some(request)) = wire.read() {
             if !self.is_current(incarnation) {
                 return;
             }
-            if let Some((copy, of)) = extra.take() {
-                let next = request
-                    .header("camphorturn-request-id")
-                    .unwrap_or("a health check")
-                    .to_owned();
-                self.record.line(&format!(
-                    "upstream {} sends the second copy of its answer to {of} as {next} arrives",
-                    self.instance()
-                ));
-                if wire.stream.write_all(&copy).is_err() {
-                    return;
-                }
-            }
             let load = format!(
                 "{},0,{},100",
                 self.running.load(Ordering::SeqCst),
@@ -684,32 +652,24 @@
                 }
                 continue;
             }
-            let is_full = self.running.load(Ordering::SeqCst) >= self.slots + 12;
-            let answer = if is_full || self.draw(self.shed_percent.load(Ordering::SeqCst) * 10) {
-                // As `fleetbench wire` shows the answer of a server that sheds.
-                let answer = build(
-                    "HTTP/1.1 503 Service Unavailable",
-                    &[("camphorturn-not-executed", "1")],
-                    b"",
-                );
-                self.record.line(&format!("upstream {instance} sheds {id}"));
+            if self.running.load(Ordering::SeqCst) >= self.slots + 12 {
+                let headers = [
+                    ("camphorturn-not-executed", "1"),
+                    ("camphorturn-request-id", id.as_str()),
+                ];
+                let answer = build("HTTP/1.1 503 Service Unavailable", &headers, b"");
                 if wire.stream.write_all(&answer).is_err() {
                     return;
                 }
-                answer
-            } else {
-                match self.run(&mut wire, &request, &id, &instance, incarnation) {
-                    Some(answer) => answer,
-                    None => return,
-                }
-            };
-            if self.draw(self.extra_per_mille.load(Ordering::SeqCst)) {
-                extra = Some((answer, id));
+                continue;
+            }
+            if !self.run(&mut wire, &request, &id, &instance, incarnation) {
+                return;
             }
         }
     }
 
-    /// Works on a request and answers it. Returns the answer; none if the connection has ended.
+    /// Works on a request and answers it. Returns whether the connection stays open.
     fn run(
         &self,
         wire: &mut Wire,
@@ -717,7 +677,7 @@
         id: &str,
         instance: &str,
         incarnation: u64,
-    ) -> Option<Vec<u8>> {
+    ) -> bool {
         let at_ms = self.record.ms();
         let number = {
             let mut runs = self.runs.lock().unwrap();
@@ -753,7 +713,7 @@
             self.running.fetch_sub(1, Ordering::SeqCst);
         }
         if !goes_on {
-            return None;
+            return false;
         }
         let load = format!(
             "{},0,{},100",
@@ -770,7 +730,7 @@
         let answer = build("HTTP/1.1 200 OK", &headers, body.as_bytes());
         let sent = wire.stream.write_all(&answer).is_ok();
         self.runs.lock().unwrap()[number].answered = sent;
-        sent.then_some(answer)
+        sent
     }
 }
 
