executing: notice a disconnected caller before a request is sent

Callers saw: nothing; an upstream runs a request whose caller has closed its connection while the node's process was stopped.

Cause: the server notices a disconnect only while the answer is pending. If the slowdown of the VM and the warm-up are known, nothing is awaited before the request goes out on a kept connection, so the first request that is read after a stall is executed, whoever has sent it.

Evidence: resumed_nodes::request_closed_during_stall_kept_connection fails on (1 execution, 0 allowed). The test beside it passed only because its first request waited for a probe; it failed as soon as the upstream was probed earlier.

Change: the executing node yields once before it asks for a slot. The server then reads the end of the connection and drops the request.

--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -41,6 +41,7 @@
 };
 use slowdown::refresh_slowdown;
 use std::{rc::Rc, time::Duration};
+use tokio::task::yield_now;
 pub use upstream_headers::UnreadHeaders;
 pub use warmup::record_warmup_left;
 use warmup::refresh_warmup;
@@ -93,6 +94,8 @@
     }
     refresh_slowdown(core).await;
     refresh_warmup(core).await;
+    // The server notices only while it waits for the answer that the caller has disconnected.
+    yield_now().await;
     line.record_decision();
     if let Some(next_check) = find_call_refusal(core, hop) {
         return refuse(core, RefusalReason::CallsRejected, next_check);
