departures: known in the zone before they are acknowledged, checked after a restart

Cause: while the store is away, only the node beside an upstream knows of its departure. After a restart that node believed the first heartbeat, also one from before the departure. A probe without an answer counted as no objection to a late heartbeat of another incarnation, and a departure of an upstream that was known from the stored record only was not stored.

Change: an incarnation that the process doesn't know gets requests once its health path has confirmed it and up to three nodes of the zone know of no departure; no answer is no confirmation. A departure, in each of its three forms, is told to the zone if the store hasn't taken it within 400 ms, before it is acknowledged. Nothing is asked at the first start of the mesh. No further store call.

Why it holds: every way to requests leads through the confirmation, and the departure outlives the process at the nodes that were told. An announcement that arrives later than ten seconds after the start can't be from before an earlier process's acknowledgement.

--- a/src/coordination/local_upstream.rs
+++ b/src/coordination/local_upstream.rs
@@ -38,6 +38,8 @@
     pub slots: u16,
     /// Whether the upstream is shutting down and accepts no new requests.
     pub leaving: bool,
+    /// Whether it is certain that this incarnation has not left. A delayed announcement looks like a current one.
+    is_confirmed: bool,
     sequence: u64,
 }
 
@@ -71,11 +73,41 @@
     pub fn serving(&self) -> Option<&UpstreamIncarnation> {
         self.current
             .as_ref()
-            .filter(|incarnation| !incarnation.leaving)
+            .filter(|incarnation| incarnation.is_confirmed && !incarnation.leaving)
     }
 
-    /// Applies an announcement and returns its effect.
+    /// Returns the current incarnation if it may be serving, but this is not confirmed.
+    #[must_use]
+    pub fn unconfirmed(&self) -> Option<&UpstreamIncarnation> {
+        self.current
+            .as_ref()
+            .filter(|incarnation| !incarnation.is_confirmed && !incarnation.leaving)
+    }
+
+    /// Applies an announcement that is known to be current and returns its effect.
     pub fn apply_announcement(&mut self, announcement: Announcement) -> AnnouncementEffect {
+        let identity = announcement.incarnation.clone();
+        let effect = self.apply_unconfirmed(announcement);
+        let is_newly_confirmed = effect != AnnouncementEffect::Stale && self.confirm(&identity);
+        match effect {
+            AnnouncementEffect::Unchanged if is_newly_confirmed => AnnouncementEffect::Changed,
+            effect => effect,
+        }
+    }
+
+    /// Confirms that an incarnation has not left. Returns whether this was unknown.
+    pub fn confirm(&mut self, identity: &IncarnationId) -> bool {
+        match &mut self.current {
+            Some(known) if known.identity.is_same_or_newer_than(identity) => {
+                !std::mem::replace(&mut known.is_confirmed, true)
+            }
+            _ => false,
+        }
+    }
+
+    /// Applies an announcement that may have been delayed, and returns its effect. An incarnation that was unknown so far gets no
+    /// requests until it is confirmed.
+    pub fn apply_unconfirmed(&mut self, announcement: Announcement) -> AnnouncementEffect {
         if self.has_ended(&announcement.incarnation) {
             return AnnouncementEffect::Stale;
         }
@@ -84,6 +116,7 @@
             service: announcement.service,
             slots: announcement.slots,
             leaving: announcement.leaving,
+            is_confirmed: false,
             sequence: announcement.sequence,
         };
         match &mut self.current {
@@ -118,7 +151,9 @@
         }
     }
 
-    fn has_ended(&self, reported: &IncarnationId) -> bool {
+    /// Whether an incarnation has left or was replaced.
+    #[must_use]
+    pub fn has_ended(&self, reported: &IncarnationId) -> bool {
         self.ended
             .iter()
             .any(|ended| ended.is_same_or_newer_than(reported))
@@ -170,6 +205,7 @@
     let changed = leaving != known.leaving || incarnation.slots != known.slots;
     *known = UpstreamIncarnation {
         leaving,
+        is_confirmed: known.is_confirmed,
         identity: IncarnationId {
             started_ms: incarnation
                 .identity
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -311,6 +311,16 @@
     pub next: u64,
 }
 
+/// The departure of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Departure {
+    /// Address of the upstream's node, at which it accepts messages of other nodes.
+    pub node: SocketAddr,
+    /// The upstream's incarnation that is leaving.
+    #[serde(rename = "run")]
+    pub incarnation: IncarnationId,
+}
+
 /// Asks for credit for requests of an organisation: each request that is sent to an upstream uses one credit.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CreditRequest {
@@ -389,4 +399,11 @@
     /// What the sender has found out about a request during which upstreams crashed.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub finding: Option<Rc<CrashFinding>>,
+    /// The upstream of a node is leaving. The store may not hold this yet.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub departure: Option<Departure>,
+    /// Asks the receiver for the departure of this incarnation of the upstream at the sender; absent from the answer if the receiver
+    /// knows of none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub check_departure: Option<IncarnationId>,
 }
--- a/src/proxy.rs
+++ b/src/proxy.rs
@@ -32,6 +32,7 @@
 mod table_fetching;
 mod table_offering;
 pub mod upstream_announcements;
+mod upstream_confirmation;
 
 pub use self::{
     start::{ProxyListeners, run_proxy},
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -135,6 +135,10 @@
     pub contact: MeshContact,
     /// Notified when a newer routing table is in force.
     pub table_applied: Notify,
+    /// Wakes the tasks that wait for a newer routing table.
+    newer_table: Notify,
+    /// Whether a task is checking if the local upstream serves.
+    pub is_checking_upstream: Cell<bool>,
     /// Until when this node reads the store in place of a node that can't reach it.
     substitute_reader_until: Cell<Timestamp>,
     /// Upstream crashes that this node counts, by request.
@@ -194,6 +198,8 @@
             quotas: Quotas::default(),
             contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
+            newer_table: Notify::new(),
+            is_checking_upstream: Cell::new(false),
             substitute_reader_until: Cell::default(),
             crash_counts: RefCell::default(),
             quarantine: RefCell::default(),
@@ -248,6 +254,7 @@
         if is_newer {
             self.log(&event);
             self.table_applied.notify_one();
+            self.newer_table.notify_waiters();
         }
         is_newer
     }
@@ -272,6 +279,11 @@
         is_changed
     }
 
+    /// Waits until a newer routing table is in force.
+    pub async fn wait_for_newer_table(&self) {
+        self.newer_table.notified().await;
+    }
+
     /// Marks the node records as read from the store, and wakes the task that waits for them.
     pub fn mark_node_records_read(&self) {
         self.node_records_read.set(true);
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     coordination::publishing::PublicationOutcome,
+    proxy::upstream_confirmation::CheckResult,
     state::{
         names::{AvailabilityZoneName, ClassName, NodeName, OrganisationName, ServiceName},
         request_fingerprint::RequestFingerprint,
@@ -188,6 +189,14 @@
         /// Identity of the upstream's incarnation.
         instance: String,
     },
+    /// The local upstream was checked, since an announcement or the stored record of it may be outdated. It gets requests only once it
+    /// is confirmed.
+    UpstreamChecked {
+        /// Identity of the upstream's incarnation.
+        instance: String,
+        /// What the check has shown.
+        result: CheckResult,
+    },
     /// Another incarnation than the known one answered at the local upstream.
     UpstreamReplaced {
         /// Identity of the incarnation that was known before.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -19,6 +19,7 @@
             Self::RequestQuarantined { .. } => (807, "request_quarantined"),
             Self::QuarantineLifted { .. } => (808, "quarantine_lifted"),
             Self::CallRefusalsChanged { .. } => (809, "call_refusals_changed"),
+            Self::UpstreamChecked { .. } => (810, "upstream_checked"),
             Self::UpstreamAnnounced { .. } => (811, "upstream_announced"),
             Self::UpstreamDeparted { .. } => (812, "upstream_departed"),
             Self::UpstreamReplaced { .. } => (813, "upstream_replaced"),
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -32,7 +32,7 @@
 use bytes::Bytes;
 use dispatch::dispatch;
 use http::Response;
-pub use probes::{has_incarnation_ended, probe_instance, verify_incarnation};
+pub use probes::{ProbedState, find_health_uri, has_incarnation_ended, probe_state};
 use request_limit::record_remembered_limit;
 use slots::{SlotGuard, wait_for_slot};
 pub use slots::{
@@ -240,6 +240,7 @@
         None => Some(RefusalReason::UpstreamDown),
         Some(current) if current.service != hop.service => Some(RefusalReason::ServiceMismatch),
         Some(current) if current.leaving => Some(RefusalReason::Draining),
+        Some(_) if upstream.unconfirmed().is_some() => Some(RefusalReason::UpstreamDown),
         Some(_) if core.timers.now() < core.slots.paused_until.get() => {
             Some(RefusalReason::UpstreamDown)
         }
--- a/src/proxy/executing/probes.rs
+++ b/src/proxy/executing/probes.rs
@@ -8,7 +8,7 @@
             warmup::record_warmup_header,
         },
     },
-    state::{known_node::NodeRecord, names::ServiceName},
+    state::names::ServiceName,
     transport::outgoing::{ConnectionReuse, SendError, SendOptions},
 };
 use bytes::Bytes;
@@ -27,40 +27,56 @@
 /// Maximum body of a probe response, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024;
 
-/// Whether the upstream answers a probe as the incarnation of the record and accepts requests (a success status). An upstream that
-/// doesn't answer is probed again: on a busy VM the answer to a single probe may come too late.
-pub async fn verify_incarnation(core: &Rc<ProxyCore>, record: &NodeRecord) -> bool {
-    let Some(uri) = find_health_uri(core, &record.service) else {
-        return false;
+/// What the local upstream answers to probes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbedState {
+    /// It is the expected incarnation and accepts requests.
+    Accepting,
+    /// It is the expected incarnation and accepts no requests: it is leaving or unhealthy.
+    NotAccepting,
+    /// It is another incarnation.
+    OtherInstance,
+    /// It did not answer in time, or not with its identity.
+    Unknown,
+}
+
+/// Probes whether the upstream is the incarnation with this name and accepts requests. An upstream that doesn't answer is probed
+/// again: on a busy VM the answer to a single probe may come too late.
+pub async fn probe_state(
+    core: &Rc<ProxyCore>,
+    service: &ServiceName,
+    instance: &str,
+) -> ProbedState {
+    let Some(uri) = find_health_uri(core, service) else {
+        return ProbedState::Unknown;
     };
     let answer = probe_until_answered(core, uri).await;
-    answer.is_some_and(|answer| is_accepting(core, record, &answer))
+    let reported = answer
+        .as_ref()
+        .and_then(|answer| Some((read_instance(core, answer)?, answer.status())));
+    match reported {
+        None => ProbedState::Unknown,
+        Some((reported, _)) if reported != instance => ProbedState::OtherInstance,
+        Some((_, status)) if status.is_success() => ProbedState::Accepting,
+        Some((_, _)) => ProbedState::NotAccepting,
+    }
 }
 
-/// Probes the upstream up to [`VERIFYING_PROBES`] times, until it answers.
+/// Probes the upstream up to [`VERIFYING_PROBES`] times, until it answers. A full upstream rejects probes like other requests, which
+/// tells nothing about its state.
 async fn probe_until_answered(core: &Rc<ProxyCore>, uri: Uri) -> Option<Response<Bytes>> {
+    let not_executed = &core.settings.headers.not_executed;
     for _ in 0..VERIFYING_PROBES {
-        if let Ok(answer) = send_probe(core, uri.clone(), ConnectionReuse::Any).await {
-            return Some(answer);
+        let answer = send_probe(core, uri.clone(), ConnectionReuse::Any).await;
+        match answer {
+            Ok(answer) if !answer.headers().contains_key(not_executed) => return Some(answer),
+            Ok(_) | Err(_) => {}
         }
         let _ = core.timers.after(VERIFYING_PAUSE).recv_async().await;
     }
     None
 }
 
-fn is_accepting(core: &ProxyCore, record: &NodeRecord, answer: &Response<Bytes>) -> bool {
-    let is_same =
-        read_instance(core, answer).is_some_and(|reported| reported == record.incarnation.instance);
-    is_same && answer.status().is_success()
-}
-
-/// The instance name with which the upstream answers one of a few probes; none without an answer.
-pub async fn probe_instance(core: &Rc<ProxyCore>, service: &ServiceName) -> Option<String> {
-    let uri = find_health_uri(core, service)?;
-    let answer = probe_until_answered(core, uri).await?;
-    read_instance(core, &answer).map(str::to_owned)
-}
-
 /// Whether an incarnation of the upstream has ended. It has if connections are refused, if they end without a response because
 /// another process accepts them, or if another incarnation answers. An upstream that does not answer in time is running and busy.
 pub async fn has_incarnation_ended(
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -16,6 +16,7 @@
         state_messages::{count_state_bytes, log_malformed, send_along_tree, send_state},
         store_sync::request_own_record_rewrite,
         table_fetching::accept_offer,
+        upstream_confirmation::{find_departure, record_peer_departure},
     },
     state::known_node::StoredRecord,
     transport::callers::{CallerReply, reply_json},
@@ -99,6 +100,7 @@
     let is_offer = message.offered_version.is_some();
     let has_evacuations = message.evacuations.is_some();
     let credit_request = message.credit_request.take();
+    let checked_departure = from.zip(message.check_departure.take());
     apply_message(core, message);
     let mut answer = match changes_since {
         Some(version) => StateMessage {
@@ -122,6 +124,9 @@
     if let Some(request) = credit_request {
         answer.credit_grant = answer_credit_request(core, &request);
     }
+    if let Some((node, incarnation)) = checked_departure {
+        answer.departure = find_departure(core, node, &incarnation);
+    }
     if answer == StateMessage::default() {
         return Response::new(Full::default());
     }
@@ -171,6 +176,9 @@
     if let Some(finding) = &message.finding {
         apply_finding(core, finding);
     }
+    if let Some(departure) = &message.departure {
+        record_peer_departure(core, departure);
+    }
     for stored in message.nodes {
         core.apply_record(stored, StateSource::Peer);
     }
--- a/src/proxy/store_sync.rs
+++ b/src/proxy/store_sync.rs
@@ -25,7 +25,9 @@
         state_sharing::delegate_store_reading,
         store_calls::{CallReason, StoreCall},
         table_offering::keep_zone_current,
-        upstream_announcements::{RecordWrite, build_own_record, publish_own_record_when_changed},
+        upstream_announcements::{
+            RecordWrite, build_own_record, is_record_withheld, publish_own_record_when_changed,
+        },
     },
     state::store_position::StorePosition,
 };
@@ -242,6 +244,9 @@
 fn rewrite_own_record(core: &ProxyCore, record_writes: &Sender<RecordWrite>) {
     core.stored_record.replace(None);
     core.log(&ProxyEvent::OwnRecordDropped {});
+    if is_record_withheld(core) {
+        return;
+    }
     let Some(record) = build_own_record(core) else {
         return;
     };
--- a/src/proxy/store_sync/store_writes.rs
+++ b/src/proxy/store_sync/store_writes.rs
@@ -7,7 +7,7 @@
         core::ProxyCore,
         crash_detection::find_quarantine,
         store_calls::{CallReason, StoreCall},
-        upstream_announcements::RecordWrite,
+        upstream_announcements::{RecordWrite, is_record_withheld},
     },
     state::known_node::{NodeRecord, NodeRecordValue},
 };
@@ -26,6 +26,9 @@
             if let Some(newer) = record_writes.drain().last() {
                 write = newer;
             }
+            if is_record_withheld(&core) {
+                break;
+            }
             let reason = if retries.is_failing() {
                 CallReason::Retry
             } else {
--- a/src/proxy/upstream_announcements.rs
+++ b/src/proxy/upstream_announcements.rs
@@ -6,18 +6,24 @@
         core::ProxyCore,
         events::ProxyEvent,
         executing::{
-            compute_slot_limit, probe_instance, record_warmup_left, set_slot_limit,
-            verify_incarnation,
+            ProbedState, compute_slot_limit, find_health_uri, probe_state, record_warmup_left,
+            set_slot_limit,
+        },
+        upstream_confirmation::{
+            CheckResult, check_incarnation, is_recently_started, share_departure,
         },
     },
     state::{incarnation_id::IncarnationId, known_node::NodeRecord},
 };
 use flume::Sender;
 use std::{rc::Rc, time::Duration};
+use tokio::task::spawn_local;
 
 /// Longest time for which an acknowledgement waits for the store. The announcement is already in effect at this node; the
-/// stored record matters only if the node is restarted.
+/// stored record matters only if the node is restarted. A departure that isn't stored by then is shared with the zone.
 const STORE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for which an acknowledgement waits for the check of an incarnation that was unknown so far.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// A record to be written to the store, and where to confirm the write.
 #[derive(Debug)]
@@ -42,10 +48,17 @@
     }
     let before = find_own_identity(core);
     let (service, warmup_left) = (announcement.service.clone(), announcement.warmup_left);
-    let effect = core
-        .local_upstream
-        .borrow_mut()
-        .apply_announcement(announcement);
+    let is_first = before.is_none() && core.settings.first_start && is_recently_started(core);
+    let is_current =
+        is_first || (is_serving_other(core, &announcement) && !is_recently_started(core));
+    let effect = {
+        let mut upstream = core.local_upstream.borrow_mut();
+        if is_current {
+            upstream.apply_announcement(announcement)
+        } else {
+            upstream.apply_unconfirmed(announcement)
+        }
+    };
     if effect == AnnouncementEffect::Changed
         && before.is_some()
         && before != find_own_identity(core)
@@ -63,23 +76,96 @@
         });
         publish_change(core, record_writes).await;
     }
+    if core.local_upstream.borrow().unconfirmed().is_some() {
+        wait_for_check(core, record_writes).await;
+    }
 }
 
-/// Whether the upstream, when probed, contradicts an announcement of another incarnation than the known one.
+/// Whether the upstream, when probed, does not confirm an announcement of another incarnation than the known one.
 ///
 /// An announcement of an incarnation that has ended may arrive late, and a node that was started since does not know that
 /// incarnation. If the announcement were applied, the incarnation that serves would count as ended for good.
 async fn is_contradicted(core: &Rc<ProxyCore>, announcement: &Announcement) -> bool {
-    let known = core
-        .local_upstream
-        .borrow()
-        .serving()
-        .map(|known| known.identity.clone());
-    if known.is_none_or(|known| known.instance == announcement.incarnation.instance) {
+    if !is_serving_other(core, announcement) {
         return false;
     }
-    let reported = probe_instance(core, &announcement.service).await;
-    reported.is_some_and(|reported| reported != announcement.incarnation.instance)
+    let (service, instance) = (&announcement.service, &announcement.incarnation.instance);
+    let state = probe_state(core, service, instance).await;
+    matches!(state, ProbedState::OtherInstance | ProbedState::Unknown)
+}
+
+/// Whether another incarnation of the upstream than the announced one is known, and not known to be leaving.
+fn is_serving_other(core: &ProxyCore, announcement: &Announcement) -> bool {
+    let upstream = core.local_upstream.borrow();
+    let known = upstream.current().filter(|known| !known.leaving);
+    known.is_some_and(|known| known.identity.instance != announcement.incarnation.instance)
+}
+
+/// Starts a check of the unconfirmed incarnation, unless one is running, and waits for it for a limited time.
+async fn wait_for_check(core: &Rc<ProxyCore>, record_writes: &Sender<RecordWrite>) {
+    if core.is_checking_upstream.replace(true) {
+        return;
+    }
+    let (pending, concluded) = flume::bounded(0);
+    let (task_core, task_writes) = (Rc::clone(core), record_writes.clone());
+    spawn_local(async move {
+        wait_for_health_path(&task_core, &task_writes, &pending).await;
+        confirm_current(&task_core, &task_writes).await;
+        task_core.is_checking_upstream.set(false);
+        drop(pending);
+    });
+    let timeout = core.timers.after(CHECK_TIMEOUT);
+    tokio::select! {
+        _ = concluded.recv_async() => {}
+        _ = timeout.recv_async() => {}
+    }
+}
+
+/// Waits until the path is known at which the upstream is probed; it is in the configuration of its service. Without one, no request
+/// is routed to the upstream. Its record is published meanwhile, so that other nodes know the node once it is configured.
+async fn wait_for_health_path(
+    core: &Rc<ProxyCore>,
+    record_writes: &Sender<RecordWrite>,
+    pending: &Sender<()>,
+) {
+    while is_health_path_unknown(core) {
+        publish_change(core, record_writes).await;
+        // The receiver may have stopped waiting.
+        let _ = pending.try_send(());
+        core.wait_for_newer_table().await;
+    }
+}
+
+/// Whether the unconfirmed incarnation can't be probed yet.
+fn is_health_path_unknown(core: &ProxyCore) -> bool {
+    let upstream = core.local_upstream.borrow();
+    let unconfirmed = upstream.unconfirmed();
+    unconfirmed.is_some_and(|known| find_health_uri(core, &known.service).is_none())
+}
+
+/// Whether the record of this node must not be published, because it may say that an upstream serves which has left.
+#[must_use]
+pub fn is_record_withheld(core: &ProxyCore) -> bool {
+    let is_unconfirmed = core.local_upstream.borrow().unconfirmed().is_some();
+    is_unconfirmed && !is_health_path_unknown(core)
+}
+
+/// Checks the unconfirmed incarnation. If the check is inconclusive, the next announcement starts another one.
+async fn confirm_current(core: &Rc<ProxyCore>, record_writes: &Sender<RecordWrite>) {
+    let unconfirmed = core.local_upstream.borrow().unconfirmed().cloned();
+    let Some(known) = unconfirmed else {
+        return;
+    };
+    match check_incarnation(core, &known.service, &known.identity).await {
+        CheckResult::Confirmed => {
+            core.local_upstream.borrow_mut().confirm(&known.identity);
+        }
+        CheckResult::Departed => {
+            record_departure(core, &known.identity);
+        }
+        CheckResult::Replaced | CheckResult::NotAccepting | CheckResult::NoAnswer => return,
+    }
+    publish_change(core, record_writes).await;
 }
 
 /// Identity of the current incarnation of the local upstream; none before it is known.
@@ -97,11 +183,24 @@
     incarnation: &IncarnationId,
     record_writes: &Sender<RecordWrite>,
 ) {
-    if record_departure(core, incarnation) {
+    if !record_departure(core, incarnation) {
+        return;
+    }
+    if find_own_identity(core).is_some() || is_stored(core, incarnation) {
         publish_change(core, record_writes).await;
+    } else {
+        // Without a record of the incarnation there is nothing to be stored.
+        share_departure(core, incarnation).await;
     }
 }
 
+fn is_stored(core: &ProxyCore, incarnation: &IncarnationId) -> bool {
+    let stored = core.stored_record.borrow();
+    stored
+        .as_ref()
+        .is_some_and(|stored| stored.incarnation == *incarnation)
+}
+
 /// Records that an incarnation of the upstream is leaving, and returns whether this was unknown. From then on it gets no requests.
 pub fn record_departure(core: &ProxyCore, incarnation: &IncarnationId) -> bool {
     let is_first_notice = core
@@ -128,7 +227,11 @@
 }
 
 async fn publish_change(core: &Rc<ProxyCore>, record_writes: &Sender<RecordWrite>) {
-    let Some(record) = build_own_record(core) else {
+    if is_record_withheld(core) {
+        return;
+    }
+    let record = build_own_record(core).or_else(|| build_departed_record(core));
+    let Some(record) = record else {
         return;
     };
     set_slot_limit(core, compute_slot_limit(record.slots));
@@ -136,6 +239,7 @@
     if core.stored_record.borrow().as_ref() == Some(&record) {
         return;
     }
+    let departed = record.leaving.then(|| record.incarnation.clone());
     let (done, recorded) = flume::bounded(1);
     if record_writes.send(RecordWrite { record, done }).is_err() {
         return;
@@ -143,7 +247,9 @@
     let timeout = core.timers.after(STORE_TIMEOUT);
     tokio::select! {
         _ = recorded.recv_async() => {}
-        _ = timeout.recv_async() => {}
+        _ = timeout.recv_async() => if let Some(incarnation) = departed {
+            share_departure(core, &incarnation).await;
+        }
     }
 }
 
@@ -159,7 +265,16 @@
         core.local_upstream
             .borrow_mut()
             .record_departure(&record.incarnation);
-    } else if unknown && !unchanged && verify_incarnation(core, &record).await {
+        return;
+    }
+    if !unknown || unchanged {
+        return;
+    }
+    let result = check_incarnation(core, &record.service, &record.incarnation).await;
+    if result == CheckResult::Departed && record_departure(core, &record.incarnation) {
+        core.own_record_changed.notify_one();
+    }
+    if result == CheckResult::Confirmed {
         let announcement = Announcement {
             incarnation: record.incarnation.clone(),
             service: record.service.clone(),
@@ -182,6 +297,16 @@
     }
 }
 
+/// Builds the record of this node from the stored one, after the incarnation in it has left or was replaced.
+fn build_departed_record(core: &ProxyCore) -> Option<NodeRecord> {
+    let stored = core.stored_record.borrow().clone()?;
+    let has_ended = core.local_upstream.borrow().has_ended(&stored.incarnation);
+    has_ended.then_some(NodeRecord {
+        leaving: true,
+        ..stored
+    })
+}
+
 /// Builds the record of this node; none if its upstream is not known yet.
 #[must_use]
 pub fn build_own_record(core: &ProxyCore) -> Option<NodeRecord> {
