nodes: a client's or upstream's header is not read as that of a node

Cause: nodes forward all headers of a client and mark their own messages by headers. Any message with x-state was a state message, whoever had set it. Looking at every name that nodes add, read or remove, the same cause lost a client's or an upstream's x-hop, and let `Connection` remove the request id, the host and the signature. A listener takes 100 headers and the node adds one, so requests with 96 and answers with 100 were lost between two nodes, with the same effect on others.

Change: a message with x-hop is a forwarded request; the node's header is the first of its name, the others are forwarded, both ways. `Connection` removes no header of the platform, nor Host. Requests and answers may have 1,000 headers, nodes accept somewhat more from each other, and the executing node rejects an answer beyond that itself. A request that a node's server rejects before it is handled has not run: another node is asked, and a node that rejects one request isn't backed off.

Why it holds: whether a message is forwarded doesn't depend on a word that a caller can add, since the node's own header always comes first.

--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -79,6 +79,19 @@
         }
     }
 
+    /// Whether one of the names is that of the header.
+    #[must_use]
+    pub fn contains(&self, name: &HeaderName) -> bool {
+        let in_requests = [
+            &self.time_left,
+            &self.target_instance,
+            &self.caller_service,
+            &self.api_key,
+            &self.organisation,
+        ];
+        in_requests.contains(&name) || self.is_read_in_answers(name)
+    }
+
     /// Whether the platform defines the header and nodes don't read it.
     #[must_use]
     pub fn is_reserved_and_unread(&self, name: &HeaderName) -> bool {
--- a/src/protocol/headers.rs
+++ b/src/protocol/headers.rs
@@ -1,9 +1,11 @@
-//! Removal of hop-by-hop headers from messages that are forwarded, and the check of a message's length headers.
+//! Headers of forwarded messages: removal of hop-by-hop headers, headers that nodes add for each other, and the check of a message's
+//! length headers.
 
+use crate::options::proxy_settings::HeaderNames;
 use http::{
     HeaderMap, HeaderName, HeaderValue,
     header::{
-        CONNECTION, CONTENT_LENGTH, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
+        CONNECTION, CONTENT_LENGTH, HOST, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER,
         TRANSFER_ENCODING, UPGRADE,
     },
 };
@@ -24,10 +26,13 @@
     UPGRADE,
 ];
 
-/// Removes the headers that concern one connection only, including those that `Connection` names.
-pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+/// Removes the headers that concern one connection only, including those that `Connection` names. `Host` and the headers in `names`
+/// stay: they never concern one connection only, and a message without them would be forwarded with another meaning.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap, names: &HeaderNames) {
     for name in list_connection_named(headers) {
-        headers.remove(name);
+        if name != HOST && !names.contains(&name) {
+            headers.remove(name);
+        }
     }
     for name in HOP_BY_HOP {
         headers.remove(name);
@@ -43,6 +48,25 @@
         .collect()
 }
 
+/// Adds a header of a node. It precedes all headers with the same name in the message, which belong to an application.
+pub fn insert_first(headers: &mut HeaderMap, name: &HeaderName, value: HeaderValue) {
+    let others: Vec<HeaderValue> = headers.get_all(name).iter().cloned().collect();
+    headers.insert(name, value);
+    for other in others {
+        headers.append(name, other);
+    }
+}
+
+/// Removes the header that [`insert_first`] has added, and leaves those with the same name that belong to an application.
+pub fn take_first(headers: &mut HeaderMap, name: &HeaderName) -> Option<HeaderValue> {
+    let others: Vec<HeaderValue> = headers.get_all(name).iter().skip(1).cloned().collect();
+    let first = headers.remove(name);
+    for other in others {
+        headers.append(name, other);
+    }
+    first
+}
+
 /// All values of a header that may have either of two names.
 pub fn list_values<'a>(
     headers: &'a HeaderMap,
@@ -70,7 +94,7 @@
         headers.insert(CONNECTION, HeaderValue::from_static("close, x-private"));
         headers.insert("x-private", HeaderValue::from_static("1"));
         headers.insert("x-kept", HeaderValue::from_static("1"));
-        remove_hop_by_hop(&mut headers);
+        remove_hop_by_hop(&mut headers, &HeaderNames::default_names());
         assert_eq!(headers.len(), 1);
         assert!(headers.contains_key("x-kept"));
     }
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -18,13 +18,16 @@
         table_change::TableChange,
     },
 };
+use http::HeaderName;
 use serde::{Deserialize, Deserializer, Serialize, de::DeserializeOwned};
 use std::{fmt::Write, net::SocketAddr, rc::Rc, time::Duration};
 
 /// Header of requests and answers between nodes; holds a [`HopRequest`] or a [`HopAnswer`].
-pub const HOP_HEADER: &str = "x-hop";
-/// Header that marks a message whose body is a [`StateMessage`] instead of a forwarded request.
-pub const STATE_HEADER: &str = "x-state";
+///
+/// NB: clients and upstreams may use the same name. The header of the node is the first one of a message; the others are forwarded.
+pub const HOP_HEADER: HeaderName = HeaderName::from_static("x-hop");
+/// Header that marks a message whose body is a [`StateMessage`]. In a message with [`HOP_HEADER`] it is a header of a client.
+pub const STATE_HEADER: HeaderName = HeaderName::from_static("x-state");
 
 /// Bit in the flags of a [`HopRequest`]: running the request twice does no harm.
 const IDEMPOTENT_FLAG: u8 = 1;
--- a/src/proxy/client_reply.rs
+++ b/src/proxy/client_reply.rs
@@ -1,6 +1,7 @@
 //! Builds the replies to client requests.
 
 use crate::{
+    options::proxy_settings::HeaderNames,
     protocol::{
         hop::get_variant_name,
         outcome::{RefusalReason, UnknownCause},
@@ -30,9 +31,9 @@
 /// Builds the reply for an outcome: the upstream's response, or a status with an error text as JSON. `Retry-After` is in seconds
 /// with three decimals.
 #[must_use]
-pub fn build_reply(outcome: RequestOutcome) -> CallerReply {
+pub fn build_reply(names: &HeaderNames, outcome: RequestOutcome) -> CallerReply {
     match outcome {
-        RequestOutcome::Answered(response) => strip_connection_headers(*response),
+        RequestOutcome::Answered(response) => strip_connection_headers(names, *response),
         RequestOutcome::Refused(reason, after) => {
             let text = format!("not run: {}", get_variant_name(&reason));
             let mut reply = reply_json(get_refusal_status(reason), &text);
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -86,7 +86,7 @@
                 core.timers.now().since(arrived),
             );
             line.write_outcome(&outcome);
-            build_reply(outcome)
+            build_reply(&core.settings.headers, outcome)
         })
     }
 
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -92,7 +92,7 @@
             (AttemptOutcome::Refused(reason), _) => LoggedEnd::Refused(reason),
             (AttemptOutcome::Unknown(cause), _) => LoggedEnd::Unknown(cause),
         },
-        Err(SendError::NotSent) => LoggedEnd::NotSent,
+        Err(SendError::NotSent | SendError::Rejected) => LoggedEnd::NotSent,
         Err(_) => LoggedEnd::Unknown(UnknownCause::NodeLost),
     }
 }
@@ -198,8 +198,11 @@
     }
 
     fn update_known_node(&self, result: &Result<CompletedAttempt, SendError>) {
-        let Ok(completed) = result else {
-            return self.back_off_node();
+        let completed = match result {
+            Ok(completed) => completed,
+            // Other requests may be accepted.
+            Err(SendError::Rejected) => return,
+            Err(_) => return self.back_off_node(),
         };
         let now = self.core.timers.now();
         let mut directory = self.core.directory.borrow_mut();
--- a/src/proxy/entry/request_router/attempt_results.rs
+++ b/src/proxy/entry/request_router/attempt_results.rs
@@ -34,7 +34,7 @@
         let AttemptResult { to, result } = attempt;
         match result {
             Ok(CompletedAttempt { answer, response }) => self.apply_answer(to, answer, response),
-            Err(SendError::NotSent) => {
+            Err(SendError::NotSent | SendError::Rejected) => {
                 self.last_refusal = RefusalReason::NotSent;
                 NextStep::TryAnotherNode
             }
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -5,7 +5,7 @@
     options::proxy_settings::HeaderNames,
     protocol::{
         headers::remove_hop_by_hop,
-        hop::{AttemptOutcome, HOP_HEADER, HopRequest},
+        hop::{AttemptOutcome, HopRequest},
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::{
@@ -26,7 +26,7 @@
 };
 use bytes::Bytes;
 use http::{
-    HeaderName, HeaderValue, Request, Response, StatusCode,
+    HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT},
     response::Parts,
 };
@@ -40,6 +40,10 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(3);
 /// Maximum body of a response, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
+/// Largest number of headers of a response, and their largest total size in bytes. Other nodes accept somewhat more, for the header
+/// that this node adds; otherwise the response would be lost between two nodes, and this one be considered lost.
+const MAX_ANSWER_HEADERS: usize = 1_000;
+const MAX_ANSWER_HEAD_BYTES: usize = 32 * 1024;
 /// Time for which the upstream gets no requests after a failed connect or a crash.
 const UPSTREAM_DOWN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -164,7 +168,9 @@
             AttemptOutcome::Unknown(UnknownCause::UpstreamDisconnected),
             None,
         ),
-        Err(SendError::BadAnswer) => (AttemptOutcome::Unknown(UnknownCause::BadAnswer), None),
+        Err(SendError::BadAnswer | SendError::Rejected) => {
+            (AttemptOutcome::Unknown(UnknownCause::BadAnswer), None)
+        }
     }
 }
 
@@ -189,12 +195,22 @@
     }
     let signed = response.headers().contains_key(&names.signature);
     let encoded = response.headers().contains_key(CONTENT_ENCODING);
-    if encoded || (response.status().is_success() && !signed) {
+    let is_upgrade = response.status() == StatusCode::SWITCHING_PROTOCOLS;
+    let is_too_long = is_head_too_long(response.headers());
+    if is_upgrade || is_too_long || encoded || (response.status().is_success() && !signed) {
         return (AttemptOutcome::Unknown(UnknownCause::BadAnswer), None);
     }
     (AttemptOutcome::Answered, Some(response))
 }
 
+/// Whether a response has more headers than the nodes pass on.
+fn is_head_too_long(headers: &HeaderMap) -> bool {
+    let bytes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len());
+    headers.len() > MAX_ANSWER_HEADERS || bytes.sum::<usize>() > MAX_ANSWER_HEAD_BYTES
+}
+
 /// Whether a response belongs to the request with this ID. The response to an earlier request may still arrive on a kept
 /// connection; it carries the ID of that request.
 fn is_response_to(names: &HeaderNames, parts: &Parts, id: Option<&HeaderValue>) -> bool {
@@ -215,10 +231,9 @@
     time_left: Duration,
 ) -> Option<Request<Full<Bytes>>> {
     let mut headers = req.headers;
-    remove_hop_by_hop(&mut headers);
-    for name in [CONTENT_LENGTH, EXPECT, HeaderName::from_static(HOP_HEADER)] {
-        headers.remove(name);
-    }
+    remove_hop_by_hop(&mut headers, names);
+    headers.remove(CONTENT_LENGTH);
+    headers.remove(EXPECT);
     let millis = time_left.as_millis().max(1).to_string();
     headers.insert(&names.time_left, HeaderValue::from_str(&millis).ok()?);
     let instance = HeaderValue::from_str(instance).ok()?;
--- a/src/proxy/liveness.rs
+++ b/src/proxy/liveness.rs
@@ -110,7 +110,7 @@
             Ok(completed) if completed.answer.outcome == AttemptOutcome::Answered => {
                 AttemptEnd::Executed
             }
-            Ok(_) | Err(SendError::BadAnswer) => AttemptEnd::NotExecuted,
+            Ok(_) | Err(SendError::BadAnswer | SendError::Rejected) => AttemptEnd::NotExecuted,
             Err(SendError::NotSent | SendError::Disconnected) => AttemptEnd::NoAnswer,
         };
         self.end.set(end);
--- a/src/proxy/peer_requests.rs
+++ b/src/proxy/peer_requests.rs
@@ -4,8 +4,9 @@
 //! only its request at the other node.
 
 use crate::{
+    options::proxy_settings::HeaderNames,
     protocol::{
-        headers::remove_hop_by_hop,
+        headers::{insert_first, remove_hop_by_hop, take_first},
         hop::{AttemptOutcome, HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER},
     },
     proxy::{
@@ -23,9 +24,8 @@
 use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use http::{
-    HeaderName, HeaderValue, Request, Response, StatusCode,
+    HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_LENGTH, DATE, EXPECT},
-    response::Parts,
 };
 use http_body_util::Full;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
@@ -49,7 +49,8 @@
     hop: &HopRequest,
     req: &CallerRequest,
 ) -> Result<CompletedAttempt, SendError> {
-    let request = build_hop(hop, req).ok_or(SendError::NotSent)?;
+    let names = &core.settings.headers;
+    let request = build_hop(names, hop, req).ok_or(SendError::NotSent)?;
     let options = SendOptions {
         reuse: ConnectionReuse::for_request(
             hop.idempotent || Mechanism::FreshConnections.is_disabled(),
@@ -59,9 +60,12 @@
         max_body_bytes: MAX_BODY_BYTES,
         answer_timeouts: None,
     };
-    let is_answer = |parts: &Parts| parts.headers.contains_key(HOP_HEADER);
-    let mut response = core.outgoing.send(to, request, options, is_answer).await?;
-    let header = response.headers_mut().remove(HOP_HEADER);
+    let mut response = core.outgoing.send(to, request, options, |_| true).await?;
+    let status = response.status();
+    let header = take_first(response.headers_mut(), &HOP_HEADER);
+    if header.is_none() {
+        return Err(classify_rejection(status));
+    }
     let answer = header
         .as_ref()
         .and_then(|value| HopAnswer::decode(value.to_str().ok()?))
@@ -71,15 +75,25 @@
     Ok(CompletedAttempt { answer, response })
 }
 
-fn build_hop(hop: &HopRequest, req: &CallerRequest) -> Option<Request<Full<Bytes>>> {
+/// Classifies an answer of a node's server without the header of its handler: the node has rejected the request before it was handled.
+const fn classify_rejection(status: StatusCode) -> SendError {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => SendError::NotSent,
+        _ => SendError::Rejected,
+    }
+}
+
+fn build_hop(
+    names: &HeaderNames,
+    hop: &HopRequest,
+    req: &CallerRequest,
+) -> Option<Request<Full<Bytes>>> {
     let mut headers = req.headers.clone();
-    remove_hop_by_hop(&mut headers);
+    remove_hop_by_hop(&mut headers, names);
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
-    headers.insert(
-        HeaderName::from_static(HOP_HEADER),
-        HeaderValue::from_str(&hop.encode()).ok()?,
-    );
+    let value = HeaderValue::from_str(&hop.encode()).ok()?;
+    insert_first(&mut headers, &HOP_HEADER, value);
     let mut request = Request::new(Full::new(req.body.clone()));
     *request.method_mut() = req.method.clone();
     *request.uri_mut() = req.uri.clone();
@@ -104,7 +118,9 @@
     fn handle(&self, req: CallerRequest) -> LocalBoxFuture<'static, CallerReply> {
         let core = Rc::clone(&self.core);
         Box::pin(async move {
-            if req.headers.contains_key(STATE_HEADER) {
+            // A forwarded request may have a header of its client with the name of the mark of state messages.
+            let is_hop = req.headers.contains_key(HOP_HEADER);
+            if !is_hop && req.headers.contains_key(STATE_HEADER) {
                 return answer_state_message(&core, &req.body).await;
             }
             answer_hop(&core, req).await
@@ -117,7 +133,7 @@
 }
 
 async fn answer_hop(core: &Rc<ProxyCore>, mut req: CallerRequest) -> CallerReply {
-    let header = req.headers.remove(HOP_HEADER);
+    let header = take_first(&mut req.headers, &HOP_HEADER);
     let hop = header
         .as_ref()
         .and_then(|value| HopRequest::decode(value.to_str().ok()?));
@@ -127,20 +143,19 @@
     record_peer_version(core, hop.sender, hop.version);
     let completed = execute(core, &hop, req).await;
     let mut reply = match completed.response {
-        Some(response) => strip_connection_headers(response),
+        Some(response) => strip_connection_headers(&core.settings.headers, response),
         None => Response::new(Full::default()),
     };
     if let Ok(value) = HeaderValue::from_str(&completed.answer.encode()) {
-        let name = HeaderName::from_static(HOP_HEADER);
-        reply.headers_mut().insert(name, value);
+        insert_first(reply.headers_mut(), &HOP_HEADER, value);
     }
     reply
 }
 
 /// Removes the headers that apply only to the connection on which a response arrived.
-pub fn strip_connection_headers(response: Response<Bytes>) -> CallerReply {
+pub fn strip_connection_headers(names: &HeaderNames, response: Response<Bytes>) -> CallerReply {
     let (mut parts, body) = response.into_parts();
-    remove_hop_by_hop(&mut parts.headers);
+    remove_hop_by_hop(&mut parts.headers, names);
     parts.headers.remove(CONTENT_LENGTH);
     parts.headers.remove(DATE);
     Response::from_parts(parts, Full::new(body))
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -21,6 +21,12 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Maximum request head, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum number of headers of a request.
+const MAX_HEADERS: usize = 1_000;
+/// How much longer a request head of another node may be: nodes add headers to those of the client.
+const HOP_HEAD_BYTES: usize = 8 * 1024;
+/// How many more headers a request of another node may have.
+const HOP_HEADERS: usize = 24;
 /// Maximum request body, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -43,7 +49,7 @@
     ));
     spawn_local(serve_callers(
         listeners.peers,
-        build_caller_limits(),
+        build_peer_limits(),
         core.timers.clone(),
         Rc::new(PeerHandler::new(Rc::clone(core))),
         Rc::clone(&core.request_connections),
@@ -59,7 +65,17 @@
     stop_gracefully(core).await;
 }
 
-/// Limits on the connections and requests of clients and other nodes.
+/// Limits on the connections and requests of other nodes. They forward any request that a client may send.
+fn build_peer_limits() -> CallerLimits {
+    let limits = build_caller_limits();
+    CallerLimits {
+        max_head_bytes: limits.max_head_bytes + HOP_HEAD_BYTES,
+        max_headers: limits.max_headers + HOP_HEADERS,
+        ..limits
+    }
+}
+
+/// Limits on the connections and requests of clients.
 #[must_use]
 pub fn build_caller_limits() -> CallerLimits {
     CallerLimits {
@@ -67,6 +83,7 @@
         head_timeout: HEAD_TIMEOUT,
         body_timeout: BODY_TIMEOUT,
         max_head_bytes: MAX_HEAD_BYTES,
+        max_headers: MAX_HEADERS,
         max_body_bytes: MAX_BODY_BYTES,
     }
 }
--- a/src/proxy/state_messages.rs
+++ b/src/proxy/state_messages.rs
@@ -7,7 +7,7 @@
     transport::outgoing::{AnswerTimeouts, ConnectionReuse, SendError, SendOptions},
 };
 use bytes::Bytes;
-use http::{HeaderName, HeaderValue, Method, Request, Response, Uri};
+use http::{HeaderValue, Method, Request, Response, Uri};
 use http_body_util::Full;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::task::spawn_local;
@@ -137,8 +137,6 @@
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("/state");
     let marker = HeaderValue::from_static("1");
-    request
-        .headers_mut()
-        .insert(HeaderName::from_static(STATE_HEADER), marker);
+    request.headers_mut().insert(STATE_HEADER, marker);
     request
 }
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -92,6 +92,8 @@
     pub body_timeout: Duration,
     /// Largest head (target and headers) in bytes.
     pub max_head_bytes: usize,
+    /// Largest number of headers of a request.
+    pub max_headers: usize,
     /// Largest body in bytes.
     pub max_body_bytes: usize,
 }
@@ -256,6 +258,7 @@
         .auto_date_header(false)
         .header_read_timeout(limits.head_timeout)
         .max_buf_size(limits.max_head_bytes)
+        .max_headers(limits.max_headers)
         .serve_connection(TokioIo::new(stream), service);
     if let Err(error) = server.connections.drive(http_connection).await {
         tracing::trace!(%error, "caller connection ended");
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -35,8 +35,11 @@
 const KEEPALIVE_PROBES: u32 = 2;
 /// Time that sent bytes may stay unacknowledged before a connection counts as broken.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest read buffer of a connection, in bytes; also the largest head of an answer.
-const MAX_BUFFER_BYTES: usize = 32 * 1024;
+/// Largest read buffer of a connection, in bytes; also the largest head of an answer. Larger than the largest head that a node passes
+/// on.
+const MAX_BUFFER_BYTES: usize = 40 * 1024;
+/// Largest number of headers of an answer. Larger than the largest number that a node passes on.
+const MAX_HEADERS: usize = 1_024;
 
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -47,6 +50,9 @@
     /// The connection ended, or the answer timed out, after the request or a part of it was written.
     #[error("connection ended before the answer")]
     Disconnected,
+    /// The other side rejected the request before it handled it.
+    #[error("rejected unhandled")]
+    Rejected,
     /// The answer was malformed, truncated, too large or that of another request.
     #[error("malformed answer")]
     BadAnswer,
@@ -340,6 +346,7 @@
     set_socket_options(&stream).map_err(|_| SendError::NotSent)?;
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
+        .max_headers(MAX_HEADERS)
         .handshake(TokioIo::new(stream));
     let (tx, driver) = handshake.await.map_err(|_| SendError::NotSent)?;
     let driver = spawn_local(driver.map(|ended| {
