--- a/src/coordination.rs
+++ b/src/coordination.rs
@@ -5,6 +5,7 @@
 pub mod crash_counters;
 pub mod fanout;
 pub mod local_upstream;
+pub mod memory_budget;
 pub mod node_liveness;
 pub mod offer_rounds;
 pub mod placement;
--- a/src/local_mesh/node.rs
+++ b/src/local_mesh/node.rs
@@ -7,8 +7,8 @@
     },
     local_mesh::{LOCAL_TOKEN, LocalMeshError, plan::NodePlan, store::LocalStore},
     options::proxy_settings::{
-        DEFAULT_CONFIGURATION_APPLY_TIMEOUT, HeaderNames, LogSettings, NodeLimits,
-        OverloadSettings, ProxySettings,
+        DEFAULT_CONFIGURATION_APPLY_TIMEOUT, DEFAULT_MEMORY_BYTES, HeaderNames, LogSettings,
+        NodeLimits, OverloadSettings, ProxySettings,
     },
     proxy::{
         ProxyListeners, core::ProxyCore, operator_requests::answer_operators, run_proxy,
@@ -320,6 +320,7 @@
             upstream_health: None,
             node_checks: false,
             overload: OverloadSettings::default(),
+            memory_bytes: DEFAULT_MEMORY_BYTES,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/src/options/proxy_settings.rs
+++ b/src/options/proxy_settings.rs
@@ -132,6 +132,9 @@
     }
 }
 
+/// Default of [`NodeLimits::memory_bytes`].
+pub const DEFAULT_MEMORY_BYTES: usize = 256_000_000;
+
 /// Default of [`NodeLimits::configuration_apply_timeout`].
 pub const DEFAULT_CONFIGURATION_APPLY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -184,6 +187,8 @@
     pub node_checks: bool,
     /// Refusals under overload.
     pub overload: OverloadSettings,
+    /// Memory of the process in bytes; the platform ends a process that uses more.
+    pub memory_bytes: usize,
 }
 
 /// Settings of a node.
--- a/src/protocol/hop.rs
+++ b/src/protocol/hop.rs
@@ -49,6 +49,13 @@
 /// Bit in the flags of a [`HopRequest`]: the sender understands [`RefusalReason::UpstreamFailing`].
 const EJECTION_FLAG: u8 = 8;
 
+/// Header of a forwarded request with a large body: the request's fingerprint. The receiver doesn't have the body when it decides about
+/// the request. It stands first, like [`HOP_HEADER`], in messages whose [`HopRequest::has_fingerprint`] is set.
+pub const FINGERPRINT_HEADER: HeaderName = HeaderName::from_static("x-hop-digest");
+
+/// Bit in the flags of a [`HopRequest`]: the message has a [`FINGERPRINT_HEADER`].
+const FINGERPRINT_FLAG: u8 = 32;
+
 /// Bit in the flags of a [`HopRequest`]: the sender ends at the end of the time left.
 const ENDING_FLAG: u8 = 16;
 
@@ -93,6 +100,8 @@
     /// Whether the sender is stopping and ends at the end of `time_left`, before the deadline of the request. The request must not
     /// start unless it is expected to end by then.
     pub ends_with_sender: bool,
+    /// Whether the message has a [`FINGERPRINT_HEADER`].
+    pub has_fingerprint: bool,
 }
 
 /// How an attempt at an upstream ended, as reported by the upstream's node.
@@ -164,7 +173,12 @@
         } else {
             0
         };
-        idempotent | retry | limit | ejection | ending
+        let fingerprint = if self.has_fingerprint {
+            FINGERPRINT_FLAG
+        } else {
+            0
+        };
+        idempotent | retry | limit | ejection | ending | fingerprint
     }
 
     /// Parses the header's value; `None` if it is malformed.
@@ -205,6 +219,7 @@
             },
             knows_ejection: flags & EJECTION_FLAG != 0,
             ends_with_sender: flags & ENDING_FLAG != 0,
+            has_fingerprint: flags & FINGERPRINT_FLAG != 0,
         };
         Some(request)
     }
--- a/src/proxy/client_reply.rs
+++ b/src/proxy/client_reply.rs
@@ -7,9 +7,11 @@
         outcome::{RefusalReason, UnknownCause},
     },
     proxy::peer_requests::strip_connection_headers,
-    transport::callers::{CallerReply, reply_json},
+    transport::{
+        callers::{CallerReply, reply_json},
+        message_body::MessageBody,
+    },
 };
-use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header::RETRY_AFTER};
 use std::time::Duration;
 
@@ -17,7 +19,7 @@
 #[derive(Debug)]
 pub enum RequestOutcome {
     /// The complete response of an upstream.
-    Answered(Box<Response<Bytes>>),
+    Answered(Box<Response<MessageBody>>),
     /// The request was not executed and never will be. The client may retry after the given time.
     Refused(RefusalReason, Duration),
     /// The request may have been executed.
--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -37,7 +37,9 @@
         timestamp::Timestamp,
     },
     timers::TimerService,
-    transport::{callers::CallerConnections, outgoing::OutgoingConnections},
+    transport::{
+        callers::CallerConnections, held_bytes::SharedBudget, outgoing::OutgoingConnections,
+    },
 };
 use flume::{Receiver, Sender};
 use http::HeaderMap;
@@ -85,6 +87,8 @@
     pub calls_per_execution: RefCell<CallsPerExecution>,
     /// Results of the calls that start here, and refusals of requests whose calls would be rejected.
     pub call_admission: RefCell<CallAdmission>,
+    /// The memory that requests, answers and connections use.
+    pub memory: SharedBudget,
     /// Connections to the local upstream and to other nodes.
     pub outgoing: Rc<OutgoingConnections>,
     /// Connections from clients and other nodes.
@@ -157,6 +161,7 @@
     /// The state of a node that has just started: no routing table, no known nodes.
     #[must_use]
     pub fn new(settings: ProxySettings, timers: TimerService) -> Rc<Self> {
+        let memory = SharedBudget::for_memory(settings.limits.memory_bytes);
         Rc::new(Self {
             directory: RefCell::new(Directory::default()),
             node_records_read: Cell::new(false),
@@ -172,7 +177,8 @@
             retry_budgets: RefCell::default(),
             calls_per_execution: RefCell::default(),
             call_admission: RefCell::default(),
-            outgoing: OutgoingConnections::new(timers.clone()),
+            outgoing: OutgoingConnections::new(timers.clone(), memory.clone()),
+            memory,
             request_connections: CallerConnections::new(),
             endpoint_connections: CallerConnections::new(),
             in_progress: Cell::new(0),
@@ -229,6 +235,7 @@
     pub fn set_limits(&self, limits: NodeLimits) {
         self.limits.set(limits);
         self.slots.set_probe_limit(limits.probes_per_second);
+        self.memory.set_memory(limits.memory_bytes);
     }
 
     /// Writes an event to the log with the current time.
--- a/src/proxy/core/counters.rs
+++ b/src/proxy/core/counters.rs
@@ -38,6 +38,8 @@
     pub upstream_trials: Cell<u64>,
     /// Requests refused since the local upstream is ejected or returning.
     pub refused_as_failing: Cell<u64>,
+    /// Requests that were refused because the memory for requests was full.
+    pub refused_for_memory: Cell<u64>,
     /// Bytes of state messages received from other nodes.
     pub state_bytes: Cell<u64>,
     /// Routing tables received from other nodes that were not newer than the one in force.
--- a/src/proxy/entry.rs
+++ b/src/proxy/entry.rs
@@ -22,6 +22,7 @@
             request_router::{ClientCall, RequestRouter},
             startup_wait::wait_during_startup,
         },
+        events::ProxyEvent,
         quotas::{obtain_credit, return_credit},
     },
     state::{
@@ -31,7 +32,10 @@
         routing_table::Route,
         timestamp::Timestamp,
     },
-    transport::callers::{CallerHandler, CallerLimits, CallerReply, CallerRequest},
+    transport::{
+        callers::{CallerHandler, CallerLimits, CallerReply, CallerRequest},
+        message_body::ReadError,
+    },
 };
 use futures::future::LocalBoxFuture;
 use http::HeaderValue;
@@ -76,7 +80,7 @@
             let arrived = core.timers.now();
             let mut req = req;
             ensure_request_id(&core, &mut req);
-            let fingerprint = req.compute_fingerprint();
+            let fingerprint = req.fingerprint;
             let mut line = RequestLogLine::new(&core, &req, fingerprint);
             let outcome = route_request(&core, req, fingerprint, &mut line).await;
             count_outcome(
@@ -94,6 +98,10 @@
         self.core.is_stopping()
     }
 
+    fn record_rejected_body(&self, error: ReadError) {
+        record_rejected_body(&self.core, error);
+    }
+
     /// Takes the limits for idle time and body size from the configuration in force. Closing a connection within the idle time that
     /// the configuration allows clients would abort requests that are in transit.
     fn limits(&self, initial: CallerLimits) -> CallerLimits {
@@ -111,6 +119,17 @@
     }
 }
 
+/// Counts and logs that a request was rejected for lack of memory.
+pub fn record_rejected_body(core: &ProxyCore, error: ReadError) {
+    if error == ReadError::MemoryFull {
+        increment(&core.counters.refused_for_memory);
+        core.log(&ProxyEvent::MemoryFull {
+            held: core.memory.held(),
+            limit: core.memory.total(),
+        });
+    }
+}
+
 /// Counts a request as in progress until dropped, also when its client disconnects.
 struct InProgressGuard(Rc<ProxyCore>);
 
--- a/src/proxy/entry/attempt.rs
+++ b/src/proxy/entry/attempt.rs
@@ -62,7 +62,7 @@
         ..
     }) = &result
     {
-        let bytes = call.req.body.len() + response.body().len();
+        let bytes = call.req.body.known_length() + response.body().known_length();
         core.class_bytes.borrow_mut().observe(&hop.class, bytes);
     }
     AttemptResult { to, result }
@@ -102,7 +102,8 @@
         method: req.method.clone(),
         uri: req.uri.clone(),
         headers: req.headers.clone(),
-        body: req.body.clone(),
+        body: req.body.share().unwrap_or_default(),
+        fingerprint: req.fingerprint,
     }
 }
 
--- a/src/proxy/entry/request_router.rs
+++ b/src/proxy/entry/request_router.rs
@@ -33,7 +33,7 @@
         routing_table::Route,
         timestamp::Timestamp,
     },
-    transport::callers::CallerRequest,
+    transport::{callers::CallerRequest, message_body::is_large},
 };
 use attempt_results::NextStep;
 use futures::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
@@ -333,6 +333,7 @@
             organisation: self.call.organisation().map(|known| known.name.clone()),
             knows_ejection: self.core.limits().upstream_health.is_some(),
             ends_with_sender: self.latest_end() < self.call.deadline,
+            has_fingerprint: is_large(self.call.req.body.known_length()),
         };
         let core = Rc::clone(&self.core);
         let call = Rc::clone(&self.call);
--- a/src/proxy/entry/request_router/attempt_results.rs
+++ b/src/proxy/entry/request_router/attempt_results.rs
@@ -12,9 +12,8 @@
         entry::{attempt::AttemptResult, request_router::RequestRouter},
         executing::CompletedAttempt,
     },
-    transport::outgoing::SendError,
+    transport::{message_body::MessageBody, outgoing::SendError},
 };
-use bytes::Bytes;
 use http::Response;
 use std::{net::SocketAddr, time::Duration};
 
@@ -49,7 +48,7 @@
         &mut self,
         to: SocketAddr,
         answer: HopAnswer,
-        response: Option<Response<Bytes>>,
+        response: Option<Response<MessageBody>>,
     ) -> NextStep {
         match (answer.outcome, response) {
             (AttemptOutcome::Answered, Some(response)) => {
@@ -112,7 +111,7 @@
     }
 
     /// A server error ends an idempotent request only if no retry gives an answer: the cause may lie in this upstream.
-    fn apply_response(&mut self, response: Response<Bytes>) -> NextStep {
+    fn apply_response(&mut self, response: Response<MessageBody>) -> NextStep {
         if matches!(
             self.earlier_outcome,
             Some(RequestOutcome::Unknown(UnknownCause::UpstreamCrashed))
--- a/src/proxy/events.rs
+++ b/src/proxy/events.rs
@@ -514,6 +514,13 @@
         /// Number of those that were refused at once.
         refused: usize,
     },
+    /// A request was refused unread, because its body doesn't fit into the memory of this node now.
+    MemoryFull {
+        /// Bytes that are held for connections, requests and answers.
+        held: usize,
+        /// Largest number of such bytes.
+        limit: usize,
+    },
     /// The settings file was read again.
     SettingsRead {
         /// Whether a setting differs from those read before. Limits take effect at once, other settings at the next start.
--- a/src/proxy/events/catalogue.rs
+++ b/src/proxy/events/catalogue.rs
@@ -62,6 +62,7 @@
             Self::StopRequested { .. } => (852, "stop_requested"),
             Self::NodeStopped { .. } => (853, "node_stopped"),
             Self::SenderStopping { .. } => (856, "sender_stopping"),
+            Self::MemoryFull { .. } => (857, "memory_full"),
             Self::SettingsRead { .. } => (854, "settings_read"),
             Self::SettingsRejected { .. } => (855, "settings_rejected"),
             Self::NodeSuspected(..) => (864, "node_suspected"),
--- a/src/proxy/executing.rs
+++ b/src/proxy/executing.rs
@@ -26,10 +26,9 @@
         retry_budgets::{has_call_budget, spend_call_budget},
     },
     state::{request_fingerprint::RequestFingerprint, timestamp::Timestamp},
-    transport::callers::CallerRequest,
+    transport::{callers::CallerRequest, message_body::MessageBody},
 };
 use attempt_log_line::AttemptLogLine;
-use bytes::Bytes;
 use dispatch::dispatch;
 use http::Response;
 pub use probes::{ProbedState, find_health_uri, has_incarnation_ended, probe_state};
@@ -53,7 +52,7 @@
     /// The answer to the node that sent the attempt.
     pub answer: HopAnswer,
     /// The response of the upstream; none unless the outcome is "answered".
-    pub response: Option<Response<Bytes>>,
+    pub response: Option<Response<MessageBody>>,
 }
 
 /// Executes a request at the local upstream, or refuses it. Dropping the future removes the request from the queue, or closes its
@@ -63,7 +62,7 @@
     hop: &HopRequest,
     req: CallerRequest,
 ) -> CompletedAttempt {
-    let fingerprint = req.compute_fingerprint();
+    let fingerprint = req.fingerprint;
     let mut line = AttemptLogLine::new(core, hop, &req, fingerprint);
     let completed = execute_with_log(core, hop, req, fingerprint, &mut line).await;
     line.write_result(&completed);
@@ -143,11 +142,12 @@
         .borrow_mut()
         .record_start(&hop.class, core.timers.now());
     record_execution_start(core, &hop.class);
-    let (outcome, response) = dispatch(core, hop, req, fingerprint, time_left, trial).await;
-    if response.is_some() {
+    let (outcome, mut response) = dispatch(core, hop, req, fingerprint, time_left, trial).await;
+    if let Some(response) = &mut response {
         slot_guard.record_answer();
+        // The upstream is busy until it has sent the whole answer.
+        response.body_mut().keep(slot_guard);
     }
-    drop(slot_guard);
     if let Some(response) = &response {
         record_execution_end(core, &hop.class, response.status().is_server_error());
     }
--- a/src/proxy/executing/dispatch.rs
+++ b/src/proxy/executing/dispatch.rs
@@ -21,16 +21,15 @@
     state::{ablation::Mechanism, request_fingerprint::RequestFingerprint},
     transport::{
         callers::CallerRequest,
+        message_body::{MessageBody, is_large},
         outgoing::{ConnectionReuse, SendError, SendOptions},
     },
 };
-use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_ENCODING, CONTENT_LENGTH, EXPECT},
     response::Parts,
 };
-use http_body_util::Full;
 use std::{rc::Rc, time::Duration};
 
 /// Timeout for opening a connection to the upstream on the same VM.
@@ -55,7 +54,7 @@
     fingerprint: RequestFingerprint,
     time_left: Duration,
     trial: Option<Trial>,
-) -> (AttemptOutcome, Option<Response<Bytes>>) {
+) -> (AttemptOutcome, Option<Response<MessageBody>>) {
     let Some(incarnation) = core
         .local_upstream
         .borrow()
@@ -67,6 +66,7 @@
     let names = &core.settings.headers;
     let id = req.headers.get(&names.request_id).cloned();
     let request_id = core.read_request_id(&req.headers);
+    let body_bytes = req.body.known_length();
     let Some(request) = build_request(names, req, hop, &incarnation.instance, time_left) else {
         return (AttemptOutcome::Refused(RefusalReason::NotSent), None);
     };
@@ -78,6 +78,7 @@
         idle_limit: IDLE_LIMIT,
         max_body_bytes: MAX_BODY_BYTES,
         answer_timeouts: None,
+        read_timeout: is_large(body_bytes).then_some(time_left),
     };
     let execution = RunningExecution::begin(core, &hop.class, trial);
     let started = core.timers.now();
@@ -86,7 +87,7 @@
     let address = core.settings.upstream_address;
     let is_answer = |parts: &Parts| is_response_to(names, parts, id.as_ref());
     let send_result = tokio::select! {
-        send_result = core.outgoing.send(address, request, options, is_answer) => send_result,
+        send_result = core.outgoing.send_large(address, request, options, time_left, is_answer) => send_result,
         _ = deadline.recv_async() => {
             execution.finish(ExecutionEnd::Abandoned, true);
             return (AttemptOutcome::Unknown(UnknownCause::DeadlinePassed), None);
@@ -155,9 +156,9 @@
 
 fn classify_send_result(
     core: &Rc<ProxyCore>,
-    send_result: Result<Response<Bytes>, SendError>,
+    send_result: Result<Response<MessageBody>, SendError>,
     instance: &str,
-) -> (AttemptOutcome, Option<Response<Bytes>>) {
+) -> (AttemptOutcome, Option<Response<MessageBody>>) {
     match send_result {
         Ok(response) => classify_response(core, response, instance),
         Err(SendError::NotSent) => {
@@ -176,9 +177,9 @@
 
 fn classify_response(
     core: &Rc<ProxyCore>,
-    response: Response<Bytes>,
+    response: Response<MessageBody>,
     instance: &str,
-) -> (AttemptOutcome, Option<Response<Bytes>>) {
+) -> (AttemptOutcome, Option<Response<MessageBody>>) {
     let names = &core.settings.headers;
     record_load_header(core, response.headers());
     log_unread_headers(core, response.headers(), instance);
@@ -229,7 +230,7 @@
     hop: &HopRequest,
     instance: &str,
     time_left: Duration,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<MessageBody>> {
     let mut headers = req.headers;
     remove_hop_by_hop(&mut headers, names);
     headers.remove(CONTENT_LENGTH);
@@ -245,7 +246,7 @@
         let organisation = HeaderValue::from_bytes(organisation.as_str().as_bytes()).ok()?;
         headers.insert(&names.organisation, organisation);
     }
-    let mut request = Request::new(Full::new(req.body));
+    let mut request = Request::new(req.body);
     *request.method_mut() = req.method;
     *request.uri_mut() = req.uri;
     *request.headers_mut() = headers;
--- a/src/proxy/executing/leaving.rs
+++ b/src/proxy/executing/leaving.rs
@@ -14,9 +14,9 @@
 use std::rc::Rc;
 
 /// Records what the answer to a request says. The request was for `incarnation`; 421 is the answer of another one.
-pub fn record_leaving_header(
+pub fn record_leaving_header<B>(
     core: &Rc<ProxyCore>,
-    response: &Response<Bytes>,
+    response: &Response<B>,
     incarnation: &IncarnationId,
 ) {
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
@@ -34,7 +34,7 @@
     }
 }
 
-fn record_report(core: &Rc<ProxyCore>, response: &Response<Bytes>, incarnation: &IncarnationId) {
+fn record_report<B>(core: &Rc<ProxyCore>, response: &Response<B>, incarnation: &IncarnationId) {
     match read_leaving_report(&core.settings.headers, response.headers()) {
         Ok(true) => {
             if record_departure(core, incarnation) {
--- a/src/proxy/executing/probes.rs
+++ b/src/proxy/executing/probes.rs
@@ -9,11 +9,13 @@
         },
     },
     state::names::ServiceName,
-    transport::outgoing::{ConnectionReuse, SendError, SendOptions},
+    transport::{
+        message_body::MessageBody,
+        outgoing::{ConnectionReuse, SendError, SendOptions},
+    },
 };
 use bytes::Bytes;
 use http::{Request, Response, Uri, response::Parts};
-use http_body_util::Full;
 use std::{rc::Rc, time::Duration};
 
 /// Timeout of a probe. After a timeout the last reported slowdown of the upstream stays in use.
@@ -134,7 +136,7 @@
         return Err(ProbeError::RateLimited);
     }
     increment(&core.counters.probes);
-    let mut request = Request::new(Full::default());
+    let mut request = Request::new(MessageBody::default());
     *request.uri_mut() = uri;
     let options = SendOptions {
         reuse,
@@ -143,6 +145,7 @@
         idle_limit: IDLE_LIMIT,
         max_body_bytes: MAX_BODY_BYTES,
         answer_timeouts: None,
+        read_timeout: None,
     };
     let timeout = core.timers.after(PROBE_TIMEOUT);
     let names = &core.settings.headers;
--- a/src/proxy/executing/request_limit.rs
+++ b/src/proxy/executing/request_limit.rs
@@ -42,7 +42,7 @@
 }
 
 /// Records what the answer to a request that was sent at `sent` says about the limit.
-pub fn record_limit_header(core: &Rc<ProxyCore>, response: &Response<Bytes>, sent: Timestamp) {
+pub fn record_limit_header<B>(core: &Rc<ProxyCore>, response: &Response<B>, sent: Timestamp) {
     let report = read_report(core, response);
     record_report(core, report, sent, LimitSource::Answer);
 }
@@ -66,7 +66,7 @@
     handle_change(core, before, LimitSource::Peer);
 }
 
-fn read_report(core: &ProxyCore, response: &Response<Bytes>) -> LimitReport {
+fn read_report<B>(core: &ProxyCore, response: &Response<B>) -> LimitReport {
     let names = &core.settings.headers;
     let Ok(report) = read_limit_report(names, response.headers(), response.status()) else {
         increment(&core.counters.limits_unreadable);
--- a/src/proxy/metrics.rs
+++ b/src/proxy/metrics.rs
@@ -244,6 +244,11 @@
             "Answers of the upstream whose request limit could not be read",
             counters.limits_unreadable.get(),
         ),
+        metric(
+            "refused_for_memory",
+            "Requests refused unread because their bodies did not fit into the memory",
+            counters.refused_for_memory.get(),
+        ),
         metric(
             "leaving_unreadable",
             "Answers of the upstream of which it could not be read whether it leaves",
@@ -323,6 +328,16 @@
             "Requests of clients in progress",
             in_progress,
         ),
+        metric(
+            "held_bytes",
+            "Bytes held for connections, requests and answers",
+            u64::try_from(core.memory.held()).unwrap_or(u64::MAX),
+        ),
+        metric(
+            "held_bytes_limit",
+            "Largest number of such bytes",
+            u64::try_from(core.memory.total()).unwrap_or(u64::MAX),
+        ),
         metric("running", "Requests at the upstream", load.running.into()),
         metric("queued", "Requests that wait for it", load.queued.into()),
         metric("limit", "Requests let run at once", load.limit.into()),
--- a/src/proxy/peer_requests.rs
+++ b/src/proxy/peer_requests.rs
@@ -7,10 +7,13 @@
     options::proxy_settings::HeaderNames,
     protocol::{
         headers::{insert_first, remove_hop_by_hop, take_first},
-        hop::{AttemptOutcome, HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER},
+        hop::{
+            AttemptOutcome, FINGERPRINT_HEADER, HOP_HEADER, HopAnswer, HopRequest, STATE_HEADER,
+        },
     },
     proxy::{
         core::ProxyCore,
+        entry::record_rejected_body,
         executing::{CompletedAttempt, execute},
         state_sharing::answer_state_message,
         table_fetching::record_peer_version,
@@ -18,16 +21,15 @@
     state::ablation::Mechanism,
     transport::{
         callers::{CallerHandler, CallerReply, CallerRequest, reply_json},
+        message_body::{MessageBody, ReadError, is_large},
         outgoing::{ConnectionReuse, SendError, SendOptions},
     },
 };
-use bytes::Bytes;
 use futures::future::LocalBoxFuture;
 use http::{
     HeaderValue, Request, Response, StatusCode,
     header::{CONTENT_LENGTH, DATE, EXPECT},
 };
-use http_body_util::Full;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// Timeout for opening a connection to another node. TCP retransmits a lost packet of a connect after a second, so after a few
@@ -36,6 +38,8 @@
 /// A kept connection to another node that has been idle for longer is not used again. A VM that has lost power does not close its
 /// connections: it is unknown whether a request sent on one was executed, while a failed connect proves that it was not.
 const IDLE_LIMIT: Duration = Duration::from_secs(1);
+/// Maximum body of a state message, in bytes.
+const MAX_STATE_BYTES: usize = 4 * 1024 * 1024;
 /// Maximum body between nodes, in bytes.
 const MAX_BODY_BYTES: usize = 64 * 1024 * 1024;
 
@@ -59,8 +63,12 @@
         idle_limit: IDLE_LIMIT,
         max_body_bytes: MAX_BODY_BYTES,
         answer_timeouts: None,
+        read_timeout: is_large(req.body.known_length()).then_some(hop.time_left),
     };
-    let mut response = core.outgoing.send(to, request, options, |_| true).await?;
+    let outgoing = &core.outgoing;
+    let mut response = outgoing
+        .send_large(to, request, options, hop.time_left, |_| true)
+        .await?;
     let status = response.status();
     let header = take_first(response.headers_mut(), &HOP_HEADER);
     if header.is_none() {
@@ -87,14 +95,18 @@
     names: &HeaderNames,
     hop: &HopRequest,
     req: &CallerRequest,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<MessageBody>> {
     let mut headers = req.headers.clone();
     remove_hop_by_hop(&mut headers, names);
     headers.remove(CONTENT_LENGTH);
     headers.remove(EXPECT);
     let value = HeaderValue::from_str(&hop.encode()).ok()?;
     insert_first(&mut headers, &HOP_HEADER, value);
-    let mut request = Request::new(Full::new(req.body.clone()));
+    if hop.has_fingerprint {
+        let value = HeaderValue::from_str(&req.fingerprint.to_string()).ok()?;
+        insert_first(&mut headers, &FINGERPRINT_HEADER, value);
+    }
+    let mut request = Request::new(req.body.share()?);
     *request.method_mut() = req.method.clone();
     *request.uri_mut() = req.uri.clone();
     *request.headers_mut() = headers;
@@ -121,7 +133,10 @@
             // A forwarded request may have a header of its client with the name of the mark of state messages.
             let is_hop = req.headers.contains_key(HOP_HEADER);
             if !is_hop && req.headers.contains_key(STATE_HEADER) {
-                return answer_state_message(&core, &req.body).await;
+                return match req.body.to_bytes(MAX_STATE_BYTES).await {
+                    Ok(body) => answer_state_message(&core, &body).await,
+                    Err(error) => reply_json(StatusCode::BAD_REQUEST, &error.to_string()),
+                };
             }
             answer_hop(&core, req).await
         })
@@ -130,6 +145,10 @@
     fn is_stopping(&self) -> bool {
         self.core.is_stopping()
     }
+
+    fn record_rejected_body(&self, error: ReadError) {
+        record_rejected_body(&self.core, error);
+    }
 }
 
 async fn answer_hop(core: &Rc<ProxyCore>, mut req: CallerRequest) -> CallerReply {
@@ -140,11 +159,16 @@
     let Some(hop) = hop else {
         return reply_json(StatusCode::BAD_REQUEST, "not a message between nodes");
     };
+    if hop.has_fingerprint {
+        let header = take_first(&mut req.headers, &FINGERPRINT_HEADER);
+        let fingerprint = header.and_then(|value| value.to_str().ok()?.parse().ok());
+        req.fingerprint = fingerprint.unwrap_or(req.fingerprint);
+    }
     record_peer_version(core, hop.sender, hop.version);
     let completed = execute(core, &hop, req).await;
     let mut reply = match completed.response {
         Some(response) => strip_connection_headers(&core.settings.headers, response),
-        None => Response::new(Full::default()),
+        None => Response::default(),
     };
     if let Ok(value) = HeaderValue::from_str(&completed.answer.encode()) {
         insert_first(reply.headers_mut(), &HOP_HEADER, value);
@@ -153,10 +177,13 @@
 }
 
 /// Removes the headers that apply only to the connection on which a response arrived.
-pub fn strip_connection_headers(names: &HeaderNames, response: Response<Bytes>) -> CallerReply {
+pub fn strip_connection_headers(
+    names: &HeaderNames,
+    response: Response<MessageBody>,
+) -> CallerReply {
     let (mut parts, body) = response.into_parts();
     remove_hop_by_hop(&mut parts.headers, names);
     parts.headers.remove(CONTENT_LENGTH);
     parts.headers.remove(DATE);
-    Response::from_parts(parts, Full::new(body))
+    Response::from_parts(parts, body)
 }
--- a/src/proxy/start.rs
+++ b/src/proxy/start.rs
@@ -5,7 +5,7 @@
         core::ProxyCore, entry::ClientHandler, events::ProxyEvent, graceful_stop::stop_gracefully,
         liveness::watch_nodes, peer_requests::PeerHandler, quotas::watch_for_stalls,
     },
-    transport::callers::{CallerLimits, serve_callers},
+    transport::callers::{BodyHandling, CallerLimits, serve_callers},
 };
 use flume::Receiver;
 use std::{rc::Rc, time::Duration};
@@ -46,6 +46,7 @@
         core.timers.clone(),
         Rc::new(ClientHandler::new(Rc::clone(core))),
         Rc::clone(&core.request_connections),
+        core.memory.clone(),
     ));
     spawn_local(serve_callers(
         listeners.peers,
@@ -53,6 +54,7 @@
         core.timers.clone(),
         Rc::new(PeerHandler::new(Rc::clone(core))),
         Rc::clone(&core.request_connections),
+        core.memory.clone(),
     ));
     spawn_local(watch_nodes(Rc::clone(core)));
     spawn_local(watch_for_stalls(Rc::clone(core)));
@@ -71,6 +73,7 @@
     CallerLimits {
         max_head_bytes: limits.max_head_bytes + HOP_HEAD_BYTES,
         max_headers: limits.max_headers + HOP_HEADERS,
+        bodies: BodyHandling::ForwardLarge,
         ..limits
     }
 }
@@ -85,5 +88,6 @@
         max_head_bytes: MAX_HEAD_BYTES,
         max_headers: MAX_HEADERS,
         max_body_bytes: MAX_BODY_BYTES,
+        bodies: BodyHandling::Hold,
     }
 }
--- a/src/proxy/state_messages.rs
+++ b/src/proxy/state_messages.rs
@@ -4,11 +4,13 @@
     coordination::fanout::split_receivers,
     protocol::hop::{STATE_HEADER, StateMessage},
     proxy::{core::ProxyCore, events::ProxyEvent},
-    transport::outgoing::{AnswerTimeouts, ConnectionReuse, SendError, SendOptions},
+    transport::{
+        message_body::MessageBody,
+        outgoing::{AnswerTimeouts, ConnectionReuse, SendError, SendOptions},
+    },
 };
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, Uri};
-use http_body_util::Full;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::task::spawn_local;
 
@@ -23,6 +25,7 @@
         head: ANSWER_TIMEOUT,
         body_chunk: ANSWER_TIMEOUT,
     }),
+    read_timeout: None,
 };
 /// Timeout for opening a connection for a message that a request of a client waits for.
 const URGENT_CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
@@ -132,8 +135,8 @@
     });
 }
 
-fn build_request(body: Vec<u8>) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(Bytes::from(body)));
+fn build_request(body: Vec<u8>) -> Request<MessageBody> {
+    let mut request = Request::new(MessageBody::from(Bytes::from(body)));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = Uri::from_static("/state");
     let marker = HeaderValue::from_static("1");
--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -19,11 +19,13 @@
         upstream_confirmation::{find_departure, record_peer_departure},
     },
     state::known_node::StoredRecord,
-    transport::callers::{CallerReply, reply_json},
+    transport::{
+        callers::{CallerReply, reply_json},
+        message_body::MessageBody,
+    },
 };
 use bytes::Bytes;
 use http::{Response, StatusCode};
-use http_body_util::Full;
 use rand::seq::SliceRandom;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::task::spawn_local;
@@ -128,7 +130,7 @@
         answer.departure = find_departure(core, node, &incarnation);
     }
     if answer == StateMessage::default() {
-        return Response::new(Full::default());
+        return CallerReply::default();
     }
     let body = serde_json::to_vec(&answer).unwrap_or_default();
     if let (Some(change), Some(known_version)) = (&answer.change, changes_since) {
@@ -139,7 +141,7 @@
             bytes: body.len(),
         });
     }
-    Response::new(Full::new(Bytes::from(body)))
+    Response::new(MessageBody::from(Bytes::from(body)))
 }
 
 fn apply_message(core: &Rc<ProxyCore>, mut message: StateMessage) {
--- a/src/state/request_fingerprint.rs
+++ b/src/state/request_fingerprint.rs
@@ -15,22 +15,45 @@
     /// Computes the fingerprint of a request.
     #[must_use]
     pub fn compute(method: &str, host: &str, target: &str, body: &[u8]) -> Self {
+        let mut hasher = FingerprintHasher::begin(method, host, target);
+        hasher.update(body);
+        hasher.finish()
+    }
+
+    /// The fingerprint as a number.
+    #[must_use]
+    pub const fn bits(self) -> u64 {
+        self.0
+    }
+}
+
+/// Computes the fingerprint of a request while its body arrives.
+pub struct FingerprintHasher(Sha256);
+
+impl FingerprintHasher {
+    /// Begins with what precedes the body.
+    #[must_use]
+    pub fn begin(method: &str, host: &str, target: &str) -> Self {
         let mut hasher = Sha256::new();
         for part in [method.as_bytes(), host.as_bytes(), target.as_bytes()] {
             hasher.update(part);
             // A separator that occurs in none of these parts: text moved from one part to the next changes the hash.
             hasher.update(b"\n");
         }
-        hasher.update(body);
-        let hash = hasher.finalize();
-        let first = hash.iter().take(size_of::<u64>());
-        Self(first.fold(0, |bits, byte| (bits << u8::BITS) | u64::from(*byte)))
+        Self(hasher)
     }
 
-    /// The fingerprint as a number.
+    /// Adds a part of the body.
+    pub fn update(&mut self, part: &[u8]) {
+        self.0.update(part);
+    }
+
+    /// The fingerprint of the request.
     #[must_use]
-    pub const fn bits(self) -> u64 {
-        self.0
+    pub fn finish(self) -> RequestFingerprint {
+        let hash = self.0.finalize();
+        let first = hash.iter().take(size_of::<u64>());
+        RequestFingerprint(first.fold(0, |bits, byte| (bits << u8::BITS) | u64::from(*byte)))
     }
 }
 
--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -1,7 +1,7 @@
 //! The HTTP/1.1 server on the node's event loop. Its callers are clients, other nodes or the local upstream.
 //!
-//! A request's body is read completely before the handler gets the request. When a caller disconnects, the server
-//! drops the handler's future, which cancels the request.
+//! A request's body is read completely before the handler gets the request; a server for other nodes passes large bodies on while they
+//! arrive. When a caller disconnects, the server drops the handler's future, which cancels the request.
 
 mod body;
 mod connections;
@@ -11,15 +11,20 @@
 pub use reply::{CallerReply, reply_json};
 
 use crate::{
-    protocol::headers::has_conflicting_lengths, state::request_fingerprint::RequestFingerprint,
+    protocol::headers::has_conflicting_lengths,
+    state::request_fingerprint::{FingerprintHasher, RequestFingerprint},
     timers::TimerService,
+    transport::{
+        held_bytes::{HeldBytes, SharedBudget},
+        message_body::{ForwardedBody, MessageBody, ReadError, discard, is_large},
+        socket_options::{CONNECTION_BYTES, limit_receive_buffer},
+    },
 };
-use body::{BodyError, read_body};
-use bytes::Bytes;
+use body::{BodyLimits, get_declared_length, read_body};
 use futures::future::LocalBoxFuture;
 use http::{
     HeaderMap, HeaderValue, Method, Request, StatusCode, Uri,
-    header::{CONNECTION, HOST, TRANSFER_ENCODING},
+    header::{CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING},
     request::Parts,
     uri::{Authority, PathAndQuery},
 };
@@ -29,13 +34,22 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{cell::Cell, convert::Infallible, rc::Rc, time::Duration};
-use tokio::net::{TcpListener, TcpStream};
+use rand::RngExt;
+use std::{cell::Cell, convert::Infallible, ops::Range, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+};
 
 /// Connections above the limit whose requests are answered with an error; further ones are closed at once.
 const MAX_REJECTED_CONNECTIONS: usize = 64;
 /// Pause after a failed `accept`, which fails again at once while no file descriptors are free.
 const ACCEPT_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest time for which the rest of a rejected body is read. A sender that goes on may not read the answer otherwise.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// `Retry-After` of a request that doesn't fit into the memory, in seconds. A large body is gone after about this time; different
+/// times keep its successors from returning together.
+const MEMORY_RETRY_SECONDS: Range<f64> = 0.3..1.2;
 
 /// A caller's request with its complete body.
 #[derive(Debug)]
@@ -46,25 +60,30 @@
     pub uri: Uri,
     /// All headers, as received.
     pub headers: HeaderMap,
-    /// The complete body.
-    pub body: Bytes,
+    /// The body; complete unless the server forwards large bodies.
+    pub body: MessageBody,
+    /// Identifies requests with the same content. It covers the body only if that is complete.
+    pub fingerprint: RequestFingerprint,
 }
 
 impl CallerRequest {
     /// The host from the request target, else from the `Host` header; empty if both name none.
     #[must_use]
     pub fn host(&self) -> &str {
-        let header = self.headers.get(HOST).and_then(|value| value.to_str().ok());
-        let authority = self.uri.authority().map(Authority::as_str);
-        authority.or(header).unwrap_or_default()
+        find_host(&self.uri, &self.headers)
     }
+}
 
-    /// The fingerprint that this request shares with every other attempt at the same request.
-    #[must_use]
-    pub fn compute_fingerprint(&self) -> RequestFingerprint {
-        let target = self.uri.path_and_query().map_or("", PathAndQuery::as_str);
-        RequestFingerprint::compute(self.method.as_str(), self.host(), target, &self.body)
-    }
+fn find_host<'a>(uri: &'a Uri, headers: &'a HeaderMap) -> &'a str {
+    let header = headers.get(HOST).and_then(|value| value.to_str().ok());
+    let authority = uri.authority().map(Authority::as_str);
+    authority.or(header).unwrap_or_default()
+}
+
+fn begin_fingerprint(parts: &Parts) -> FingerprintHasher {
+    let target = parts.uri.path_and_query().map_or("", PathAndQuery::as_str);
+    let host = find_host(&parts.uri, &parts.headers);
+    FingerprintHasher::begin(parts.method.as_str(), host, target)
 }
 
 /// Answers the requests that a server receives.
@@ -75,6 +94,9 @@
     /// Whether a connection is to be closed after its next answer instead of being kept open.
     fn is_stopping(&self) -> bool;
 
+    /// Records that a request was rejected because of its body.
+    fn record_rejected_body(&self, _error: ReadError) {}
+
     /// Limits in force now, given those that the server was started with.
     fn limits(&self, initial: CallerLimits) -> CallerLimits {
         initial
@@ -96,6 +118,17 @@
     pub max_headers: usize,
     /// Largest body in bytes.
     pub max_body_bytes: usize,
+    /// What is done with bodies.
+    pub bodies: BodyHandling,
+}
+
+/// How a server handles the bodies of requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BodyHandling {
+    /// Each body is read before the request is handled.
+    Hold,
+    /// Large bodies are forwarded while they arrive: the sender holds them.
+    ForwardLarge,
 }
 
 /// Accepts connections and serves their requests until `connections` are shut down or the future is dropped. After a failed
@@ -106,12 +139,14 @@
     timers: TimerService,
     handler: Rc<dyn CallerHandler>,
     connections: Rc<CallerConnections>,
+    budget: SharedBudget,
 ) {
     let server = Rc::new(CallerServer {
         limits,
         timers,
         handler,
         connections,
+        budget,
         open: Cell::new(0),
     });
     loop {
@@ -133,23 +168,32 @@
     handler: Rc<dyn CallerHandler>,
     /// Connections of this server and of others that end with it.
     connections: Rc<CallerConnections>,
+    /// The memory that requests and connections may use.
+    budget: SharedBudget,
     /// Number of open connections of this server.
     open: Cell<usize>,
 }
 
 /// Counts a connection as open until it is dropped.
-struct OpenConnection(Rc<CallerServer>);
+struct OpenConnection {
+    server: Rc<CallerServer>,
+    /// Counts the buffers of the connection; `None` if there is no memory for them.
+    buffers: Option<HeldBytes>,
+}
 
 impl OpenConnection {
     fn count(server: &Rc<CallerServer>) -> Self {
         server.open.set(server.open.get() + 1);
-        Self(Rc::clone(server))
+        Self {
+            buffers: server.budget.try_reserve(CONNECTION_BYTES),
+            server: Rc::clone(server),
+        }
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        self.server.open.set(self.server.open.get() - 1);
     }
 }
 
@@ -159,9 +203,9 @@
         if open >= self.limits.max_connections + MAX_REJECTED_CONNECTIONS {
             return;
         }
-        let too_many = open >= self.limits.max_connections;
         let connection = OpenConnection::count(self);
-        tokio::task::spawn_local(serve_connection(connection, stream, too_many));
+        let too_many = open >= self.limits.max_connections || connection.buffers.is_none();
+        spawn_local(serve_connection(connection, stream, too_many));
     }
 
     async fn answer(&self, req: Request<Incoming>, too_many: bool) -> CallerReply {
@@ -186,7 +230,7 @@
     }
 
     async fn read_request(&self, req: Request<Incoming>) -> Result<CallerRequest, CallerReply> {
-        let (parts, incoming) = req.into_parts();
+        let (parts, mut incoming) = req.into_parts();
         if has_conflicting_lengths(&parts.headers) {
             let rejection = reply_json(StatusCode::BAD_REQUEST, "conflicting lengths");
             return Err(close_after(rejection));
@@ -195,32 +239,72 @@
             let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
             return Err(close_after(reply_json(status, "head too large")));
         }
+        let mut hasher = begin_fingerprint(&parts);
         // Most requests have no body; they need no timer.
         let body = if incoming.is_end_stream() {
-            Bytes::new()
+            MessageBody::default()
+        } else if self.is_forwarded(&incoming) {
+            MessageBody::Forwarded(Box::new(self.forward_body(incoming)))
         } else {
             let limits = self.handler.limits(self.limits);
-            let timeout = self.timers.after(limits.body_timeout);
-            let read = read_body(incoming, limits.max_body_bytes, timeout).await;
-            read.map_err(reject_body)?
+            let body_limits = BodyLimits {
+                bytes: limits.max_body_bytes,
+                time: limits.body_timeout,
+            };
+            let (budget, timers) = (&self.budget, &self.timers);
+            let read = read_body(&mut incoming, body_limits, budget, timers, &mut hasher).await;
+            match read {
+                Ok(body) => body.into(),
+                Err(error) => return Err(self.reject_body(error, incoming)),
+            }
         };
         Ok(CallerRequest {
             method: parts.method,
             uri: parts.uri,
             headers: parts.headers,
             body,
+            fingerprint: hasher.finish(),
         })
     }
-}
 
-fn reject_body(error: BodyError) -> CallerReply {
-    let status = match error {
-        BodyError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
-        BodyError::Timeout => StatusCode::REQUEST_TIMEOUT,
-        BodyError::Malformed => StatusCode::BAD_REQUEST,
-    };
-    // The rest of the body is unread, so the next bytes on this connection are not a request.
-    close_after(reply_json(status, &error.to_string()))
+    fn is_forwarded(&self, incoming: &Incoming) -> bool {
+        let is_large = get_declared_length(incoming).is_some_and(is_large);
+        self.limits.bodies == BodyHandling::ForwardLarge && is_large
+    }
+
+    fn forward_body(&self, incoming: Incoming) -> ForwardedBody {
+        let limit = self.limits.max_body_bytes;
+        let timeout = self.timers.after(DISCARD_TIMEOUT);
+        ForwardedBody::new(incoming, limit).discard_unread(timeout)
+    }
+
+    /// Rejects a request whose body was not read to its end, which proves that it was not run.
+    fn reject_body(&self, error: ReadError, incoming: Incoming) -> CallerReply {
+        let status = match error {
+            ReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            ReadError::MemoryFull if self.limits.bodies == BodyHandling::ForwardLarge => {
+                // To other nodes, 503 says that this node accepts no request at all.
+                StatusCode::TOO_MANY_REQUESTS
+            }
+            ReadError::MemoryFull => StatusCode::SERVICE_UNAVAILABLE,
+            ReadError::Timeout => StatusCode::REQUEST_TIMEOUT,
+            ReadError::Malformed => StatusCode::BAD_REQUEST,
+        };
+        self.handler.record_rejected_body(error);
+        if error != ReadError::Malformed {
+            let timeout = self.timers.after(DISCARD_TIMEOUT);
+            spawn_local(discard(incoming, self.limits.max_body_bytes, timeout));
+        }
+        let mut reply = reply_json(status, &error.to_string());
+        if error == ReadError::MemoryFull {
+            let seconds = rand::rng().random_range(MEMORY_RETRY_SECONDS);
+            if let Ok(value) = HeaderValue::from_str(&format!("{seconds:.3}")) {
+                reply.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        // The next bytes on this connection may not be a request.
+        close_after(reply)
+    }
 }
 
 fn close_after(mut reply: CallerReply) -> CallerReply {
@@ -247,7 +331,8 @@
     if stream.set_nodelay(true).is_err() {
         return;
     }
-    let server = Rc::clone(&connection.0);
+    limit_receive_buffer(&stream);
+    let server = Rc::clone(&connection.server);
     let service = service_fn(|req| {
         let server = Rc::clone(&server);
         async move { Ok::<_, Infallible>(server.answer(req, too_many).await) }
--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -4,16 +4,25 @@
 //! next request. Dropping the future of a request closes its connection too, so that the other side learns that the
 //! request was cancelled.
 
-use crate::{state::timestamp::Timestamp, timers::TimerService};
+use crate::{
+    state::timestamp::Timestamp,
+    timers::TimerService,
+    transport::{
+        held_bytes::{HeldBytes, SharedBudget},
+        message_body::{BodyCollector, ForwardedBody, MessageBody},
+        metered_stream::{Allowance, MeteredStream},
+        socket_options::{CONNECTION_BYTES, limit_receive_buffer},
+    },
+};
 use bytes::{Bytes, BytesMut};
 use futures::{
     FutureExt,
     future::{Either, select},
 };
 use http::{HeaderMap, Request, Response, response::Parts};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
-    body::Incoming,
+    body::{Body, Incoming},
     client::conn::http1::{self, SendRequest},
 };
 use hyper_util::rt::TokioIo;
@@ -33,7 +42,7 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 /// Unanswered keepalive probes after which a connection counts as broken.
 const KEEPALIVE_PROBES: u32 = 2;
-/// Time that sent bytes may stay unacknowledged before a connection counts as broken.
+/// Time that sent bytes may stay unacknowledged, or unread in a full receive buffer, before a connection counts as broken.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Largest read buffer of a connection, in bytes; also the largest head of an answer. Larger than the largest head that a node passes
 /// on.
@@ -41,6 +50,11 @@
 /// Largest number of headers of an answer. Larger than the largest number that a node passes on.
 const MAX_HEADERS: usize = 1_024;
 
+/// Largest number of bytes that may precede the body of an answer: interim answers and the head.
+const MAX_HEAD_BYTES: usize = 256 * 1024;
+/// Bytes on the connection for each byte of a body. Chunks have heads of their own.
+const BODY_OVERHEAD_FACTOR: usize = 2;
+
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum SendError {
@@ -106,6 +120,9 @@
     pub max_body_bytes: usize,
     /// Timeouts for the parts of the answer; `None` if the sender of the request limits its time.
     pub answer_timeouts: Option<AnswerTimeouts>,
+    /// Longest time for which the other side may read nothing of what was sent; `None` for the usual one, which lets requests fail soon
+    /// after a VM has lost power. A large body is read only once its request runs, so it has a connection of its own.
+    pub read_timeout: Option<Duration>,
 }
 
 /// Timeouts for the parts of an answer. With a timeout for the whole answer, a node with a slow network link would give
@@ -119,7 +136,13 @@
 }
 
 struct Connection {
-    tx: SendRequest<Full<Bytes>>,
+    tx: SendRequest<MessageBody>,
+    /// Limits the bytes of each answer.
+    allowance: Allowance,
+    /// Counts the buffers of the connection in the memory budget; `None` while it is idle. A byte that arrives then ends it.
+    buffers: Option<HeldBytes>,
+    /// Whether the connection may be used for further requests.
+    is_reusable: bool,
     /// Aborts the task that does the connection's reads and writes.
     driver: AbortHandle,
 }
@@ -140,6 +163,7 @@
 /// The outgoing connections of a node.
 pub struct OutgoingConnections {
     timers: TimerService,
+    budget: SharedBudget,
     /// Idle connections by address; the last one of each address was used last.
     idle: RefCell<HashMap<SocketAddr, Vec<IdleConnection>>>,
 }
@@ -147,9 +171,10 @@
 impl OutgoingConnections {
     /// Creates a client without connections.
     #[must_use]
-    pub fn new(timers: TimerService) -> Rc<Self> {
+    pub fn new(timers: TimerService, budget: SharedBudget) -> Rc<Self> {
         Rc::new(Self {
             timers,
+            budget,
             idle: RefCell::default(),
         })
     }
@@ -167,35 +192,115 @@
     pub async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
-        req: Request<Full<Bytes>>,
+        req: Request<MessageBody>,
         options: SendOptions,
         is_answer: impl Fn(&Parts) -> bool,
     ) -> Result<Response<Bytes>, SendError> {
+        let (connection, answer) = self.exchange(address, req, options, is_answer).await?;
+        let (parts, incoming) = answer.into_parts();
+        let body = match self.read_body(incoming, options).await {
+            Ok(body) => body,
+            Err(error) => return Err(error.into_send_error(&connection)),
+        };
+        self.return_to_pool(address, connection, read_keep_alive(&parts.headers));
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Sends a request. Returns its answer once it is complete, or once so much of it was read that it is not held as a whole; the rest
+    /// then has to arrive before `deadline` fires.
+    ///
+    /// # Errors
+    /// See [`SendError`]: only `NotSent` guarantees that the request did not reach the other side.
+    pub async fn send_large(
+        self: &Rc<Self>,
+        address: SocketAddr,
+        req: Request<MessageBody>,
+        options: SendOptions,
+        deadline: Duration,
+        is_answer: impl Fn(&Parts) -> bool,
+    ) -> Result<Response<MessageBody>, SendError> {
+        let until = self.timers.now() + deadline;
+        let (connection, answer) = self.exchange(address, req, options, is_answer).await?;
+        let (parts, mut incoming) = answer.into_parts();
+        let collected = match self.collect(&mut incoming, options).await {
+            Ok(collected) => collected,
+            Err(error) => return Err(error.into_send_error(&connection)),
+        };
+        let keep_alive = read_keep_alive(&parts.headers);
+        let body = match collected {
+            Collected::Complete(collector) => {
+                self.return_to_pool(address, connection, keep_alive);
+                MessageBody::from(collector.finish())
+            }
+            Collected::Partial(collector) => {
+                let pool = Rc::clone(self);
+                let remaining = until.since(self.timers.now());
+                let body = ForwardedBody::new(incoming, options.max_body_bytes)
+                    .after(collector)
+                    .until(self.timers.after(remaining), connection.driver.clone())
+                    .on_end(move || pool.return_to_pool(address, connection, keep_alive));
+                MessageBody::Forwarded(Box::new(body))
+            }
+        };
+        Ok(Response::from_parts(parts, body))
+    }
+
+    /// Reads a body to its end, or until it doesn't fit into the memory.
+    async fn collect(
+        &self,
+        incoming: &mut Incoming,
+        options: SendOptions,
+    ) -> Result<Collected, ExchangeError> {
+        let exact = incoming.size_hint().exact();
+        let declared = exact.map(|length| usize::try_from(length).unwrap_or(usize::MAX));
+        if declared.is_some_and(|length| length > options.max_body_bytes) {
+            return Err(ExchangeError::Failed(SendError::BadAnswer));
+        }
+        let mut collector = BodyCollector::begin_answer(&self.budget, declared);
+        loop {
+            let frame = match incoming.frame().await {
+                None => return Ok(Collected::Complete(collector)),
+                Some(Err(_)) => return Err(ExchangeError::Failed(SendError::BadAnswer)),
+                Some(Ok(frame)) => frame,
+            };
+            let data = frame.into_data().unwrap_or_default();
+            if collector.length() + data.len() > options.max_body_bytes {
+                return Err(ExchangeError::Failed(SendError::BadAnswer));
+            }
+            let fits = collector.reserve(data.len()).is_ok();
+            collector.push(data);
+            if !fits {
+                return Ok(Collected::Partial(collector));
+            }
+        }
+    }
+
+    /// Sends a request on a connection, and returns both with the head of the answer.
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        req: Request<MessageBody>,
+        options: SendOptions,
+        is_answer: impl Fn(&Parts) -> bool,
+    ) -> Result<(Connection, Response<Incoming>), SendError> {
         let mut req = req;
         while let Some(mut connection) = self.take_idle(address, options) {
             match self
-                .exchange(&mut connection, req, options, &is_answer)
+                .send_on(&mut connection, req, options, &is_answer)
                 .await
             {
-                Ok(answer) => {
-                    self.return_to_pool(address, connection, answer.headers());
-                    return Ok(answer);
-                }
+                Ok(answer) => return Ok((connection, answer)),
                 Err(ExchangeError::Unsent(unsent)) => req = *unsent,
-                Err(ExchangeError::Failed(error)) => return Err(error),
+                Err(error) => return Err(error.into_send_error(&connection)),
             }
         }
-        let mut connection = self.open(address, options.connect_timeout).await?;
+        let mut connection = self.open(address, options).await?;
         match self
-            .exchange(&mut connection, req, options, &is_answer)
+            .send_on(&mut connection, req, options, &is_answer)
             .await
         {
-            Ok(answer) => {
-                self.return_to_pool(address, connection, answer.headers());
-                Ok(answer)
-            }
-            Err(ExchangeError::Unsent(_)) => Err(SendError::NotSent),
-            Err(ExchangeError::Failed(error)) => Err(error),
+            Ok(answer) => Ok((connection, answer)),
+            Err(error) => Err(error.into_send_error(&connection)),
         }
     }
 
@@ -213,13 +318,14 @@
         }
     }
 
-    async fn exchange(
+    async fn send_on(
         &self,
         connection: &mut Connection,
-        req: Request<Full<Bytes>>,
+        req: Request<MessageBody>,
         options: SendOptions,
         is_answer: impl Fn(&Parts) -> bool,
-    ) -> Result<Response<Bytes>, ExchangeError> {
+    ) -> Result<Response<Incoming>, ExchangeError> {
+        connection.allowance.set(MAX_HEAD_BYTES);
         let sent = connection.tx.try_send_request(req);
         let head_timeout = options.answer_timeouts.map(|timeouts| timeouts.head);
         let response = match self.wait_at_most(head_timeout, sent).await? {
@@ -236,8 +342,9 @@
         if !is_answer(&parts) {
             return Err(ExchangeError::Failed(SendError::BadAnswer));
         }
-        let body = self.read_body(incoming, options).await?;
-        Ok(Response::from_parts(parts, body))
+        let body_bytes = options.max_body_bytes.saturating_mul(BODY_OVERHEAD_FACTOR);
+        connection.allowance.set(MAX_HEAD_BYTES + body_bytes);
+        Ok(Response::from_parts(parts, incoming))
     }
 
     async fn read_body(
@@ -273,9 +380,13 @@
         }
     }
 
-    async fn open(&self, address: SocketAddr, limit: Duration) -> Result<Connection, SendError> {
-        let timeout = self.timers.after(limit);
-        let opening = pin!(open_connection(address));
+    async fn open(
+        &self,
+        address: SocketAddr,
+        options: SendOptions,
+    ) -> Result<Connection, SendError> {
+        let timeout = self.timers.after(options.connect_timeout);
+        let opening = pin!(open_connection(address, options.read_timeout, &self.budget));
         match select(opening, timeout.recv_async()).await {
             Either::Left((opened, _)) => opened,
             Either::Right(_) => Err(SendError::NotSent),
@@ -285,6 +396,9 @@
     /// Takes the connection that was used last, if `options` allow to reuse it. Closes connections that have been idle
     /// for too long.
     fn take_idle(&self, address: SocketAddr, options: SendOptions) -> Option<Connection> {
+        if options.read_timeout.is_some() {
+            return None;
+        }
         let now = self.timers.now();
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(&address)?;
@@ -293,7 +407,9 @@
             now.since(idle.since) < limit.min(options.idle_limit) && !idle.connection.tx.is_closed()
         });
         let newest = kept.pop_if(|idle| options.reuse.allows(now.since(idle.since)));
-        newest.map(|idle| idle.connection)
+        let mut connection = newest?.connection;
+        connection.buffers = Some(self.budget.reserve(CONNECTION_BYTES));
+        Some(connection)
     }
 
     /// Adds a connection to the pool once it is ready for the next request. A connection with an unfinished body or
@@ -302,13 +418,16 @@
         self: &Rc<Self>,
         address: SocketAddr,
         mut connection: Connection,
-        headers: &HeaderMap,
+        keep_alive: Option<Duration>,
     ) {
-        let keep_alive = read_keep_alive(headers);
+        if !connection.is_reusable {
+            return;
+        }
         let pool = Rc::clone(self);
         spawn_local(async move {
             yield_now().await;
             if connection.tx.ready().await.is_ok() {
+                connection.buffers = None;
                 let since = pool.timers.now();
                 let mut idle = pool.idle.borrow_mut();
                 idle.entry(address).or_default().push(IdleConnection {
@@ -334,16 +453,41 @@
 
 enum ExchangeError {
     /// No byte of the request was written; holds the request, to be sent on another connection.
-    Unsent(Box<Request<Full<Bytes>>>),
+    Unsent(Box<Request<MessageBody>>),
     /// The request failed and must not be sent again.
     Failed(SendError),
 }
 
-async fn open_connection(address: SocketAddr) -> Result<Connection, SendError> {
+impl ExchangeError {
+    /// The error that remains when the request is not sent on another connection.
+    fn into_send_error(self, connection: &Connection) -> SendError {
+        match self {
+            Self::Unsent(_) => SendError::NotSent,
+            Self::Failed(_) if connection.allowance.is_exhausted() => SendError::BadAnswer,
+            Self::Failed(error) => error,
+        }
+    }
+}
+
+/// The part of a body that was read before the answer is returned.
+enum Collected {
+    Complete(BodyCollector),
+    Partial(BodyCollector),
+}
+
+async fn open_connection(
+    address: SocketAddr,
+    read_timeout: Option<Duration>,
+    budget: &SharedBudget,
+) -> Result<Connection, SendError> {
     let stream = TcpStream::connect(address)
         .await
         .map_err(|_| SendError::NotSent)?;
-    set_socket_options(&stream).map_err(|_| SendError::NotSent)?;
+    set_socket_options(&stream, read_timeout.unwrap_or(UNACKNOWLEDGED_TIMEOUT))
+        .map_err(|_| SendError::NotSent)?;
+    let allowance = Allowance::default();
+    allowance.set(MAX_HEAD_BYTES);
+    let stream = MeteredStream::new(stream, allowance.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(MAX_BUFFER_BYTES)
         .max_headers(MAX_HEADERS)
@@ -356,17 +500,21 @@
     }));
     Ok(Connection {
         tx,
+        allowance,
+        buffers: Some(budget.reserve(CONNECTION_BYTES)),
+        is_reusable: read_timeout.is_none(),
         driver: driver.abort_handle(),
     })
 }
 
-fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
+fn set_socket_options(stream: &TcpStream, read_timeout: Duration) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
+    limit_receive_buffer(stream);
     let socket = SockRef::from(stream);
     let keepalive = TcpKeepalive::new()
         .with_time(KEEPALIVE_INTERVAL)
         .with_interval(KEEPALIVE_INTERVAL)
         .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+    socket.set_tcp_user_timeout(Some(read_timeout))
 }
--- a/stand-ins/src/upstream.rs
+++ b/stand-ins/src/upstream.rs
@@ -2,10 +2,12 @@
 //! answers late, twice, truncated or not at all.
 
 mod answer;
+mod flood;
 mod listening;
 mod serving;
 mod settings;
 
+pub use flood::FloodShape;
 pub use settings::{
     ExecutedRequest, ExecutionLog, ServiceTime, UpstreamHeaderNames, UpstreamSettings,
 };
@@ -50,6 +52,8 @@
     AnswerTwice,
     /// Crashes while executing it, and restarts at once as another incarnation.
     Restart,
+    /// Executes it and answers without end.
+    Flood(FloodShape),
     /// Executes it and holds the answer until [`StandInUpstream::release`] or until the client disconnects.
     Hold,
 }
--- a/stand-ins/src/upstream/answer.rs
+++ b/stand-ins/src/upstream/answer.rs
@@ -38,6 +38,15 @@
         }
     }
 
+    /// Builds a head with status 200, without a length and without its last line end.
+    pub fn build_head(&self, load: &str) -> String {
+        let names = self.names;
+        format!(
+            "HTTP/1.1 200 -\r\n{}: {}\r\n{}: {load}\r\n{}: signed\r\n",
+            names.request_id, self.id, names.load, names.signature
+        )
+    }
+
     /// Builds the bytes to send for an action. The second value is whether the connection stays open afterwards. `load` is the
     /// value of the load header, and `reports` are further headers.
     pub fn build(
@@ -71,7 +80,9 @@
                 let headers = [(names.request_id, id), (names.not_executed, "1")];
                 (build_answer(503, &headers, b""), true)
             }
-            UpstreamAction::LoseAnswer | UpstreamAction::Restart => (Vec::new(), false),
+            UpstreamAction::LoseAnswer | UpstreamAction::Restart | UpstreamAction::Flood(_) => {
+                (Vec::new(), false)
+            }
             UpstreamAction::CutBody => {
                 let mut answer = build_answer(200, &head(id), &self.body);
                 answer.truncate(answer.len() - 4);
--- a/stand-ins/src/upstream/serving.rs
+++ b/stand-ins/src/upstream/serving.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{PlainRequest, build_answer, read_request, write_all},
-    upstream::{ExecutedRequest, UpstreamAction, UpstreamState, answer::Answer},
+    upstream::{ExecutedRequest, UpstreamAction, UpstreamState, answer::Answer, flood::flood},
 };
 use rand::RngExt;
 use std::{
@@ -126,6 +126,10 @@
         return false;
     }
     drop(running);
+    if let UpstreamAction::Flood(shape) = action {
+        flood(stream, shape, &answer.build_head(&format_load(state))).await;
+        return false;
+    }
     let (bytes, keep_open) = answer.build(action, &format_load(state), &state.reports.borrow());
     write_all(stream, &bytes).await.is_ok() && keep_open
 }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -13,6 +13,7 @@
 mod local_mesh;
 mod log_causes;
 mod log_reading;
+mod memory_budget;
 mod mesh_model;
 mod metrics_page;
 mod misses;
--- a/tests/integration/metrics_page.rs
+++ b/tests/integration/metrics_page.rs
@@ -6,7 +6,7 @@
         slow_start::SlowStartSettings,
     },
     options::proxy_settings::{
-        HeaderNames, LogSettings, NodeLimits, OverloadSettings, ProxySettings,
+        DEFAULT_MEMORY_BYTES, HeaderNames, LogSettings, NodeLimits, OverloadSettings, ProxySettings,
     },
     proxy::{core::ProxyCore, metrics::render_metrics},
     state::class_counts::ClassCounts,
@@ -43,6 +43,7 @@
             upstream_health: None,
             node_checks: false,
             overload: OverloadSettings::default(),
+            memory_bytes: DEFAULT_MEMORY_BYTES,
         },
         log: LogSettings {
             ordinary_one_in: 1,
--- a/tests/integration/outgoing.rs
+++ b/tests/integration/outgoing.rs
@@ -3,11 +3,15 @@
 use bolero::check;
 use bytes::Bytes;
 use camphorturn::{
+    options::proxy_settings::DEFAULT_MEMORY_BYTES,
     timers::TimerService,
-    transport::outgoing::{ConnectionReuse, OutgoingConnections, SendOptions},
+    transport::{
+        held_bytes::SharedBudget,
+        message_body::MessageBody,
+        outgoing::{ConnectionReuse, OutgoingConnections, SendOptions},
+    },
 };
 use http::Request;
-use http_body_util::Full;
 use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -23,6 +27,7 @@
         idle_limit: Duration::from_secs(1),
         max_body_bytes: 64 * 1024,
         answer_timeouts: None,
+        read_timeout: None,
     }
 }
 
@@ -51,10 +56,13 @@
         .expect("an event loop");
     LocalSet::new().block_on(&runtime, async {
         let timers = TimerService::system();
-        let outgoing: Rc<OutgoingConnections> = OutgoingConnections::new(timers.clone());
+        let outgoing: Rc<OutgoingConnections> = OutgoingConnections::new(
+            timers.clone(),
+            SharedBudget::for_memory(DEFAULT_MEMORY_BYTES),
+        );
         let address = serve_once(bytes).await;
         let options = build_options(ConnectionReuse::Never);
-        let request = Request::new(Full::new(Bytes::new()));
+        let request = Request::new(MessageBody::default());
         let sent = outgoing.send(address, request, options, |_| true).await;
         timers.stop();
         sent.ok().map(http::Response::into_body)
@@ -115,7 +123,10 @@
         .expect("an event loop");
     LocalSet::new().block_on(&runtime, async {
         let timers = TimerService::fake();
-        let outgoing = OutgoingConnections::new(timers.clone());
+        let outgoing = OutgoingConnections::new(
+            timers.clone(),
+            SharedBudget::for_memory(DEFAULT_MEMORY_BYTES),
+        );
         let connections = Rc::new(Cell::new(0));
         let address = serve_and_count(Rc::clone(&connections)).await;
         let non_idempotent = ConnectionReuse::for_request(false);
@@ -128,7 +139,7 @@
         ] {
             timers.advance(Duration::from_millis(pause));
             let options = build_options(reuse);
-            let request = Request::new(Full::new(Bytes::new()));
+            let request = Request::new(MessageBody::default());
             let sent = outgoing.send(address, request, options, |_| true).await;
             assert!(sent.is_ok(), "after {pause} ms");
             // The connection returns to the pool after other tasks have run.
--- a/tests/integration/request_limit.rs
+++ b/tests/integration/request_limit.rs
@@ -197,6 +197,7 @@
         organisation: organisation.map(Into::into),
         knows_ejection: request_limit.is_none(),
         ends_with_sender: request_limit.is_none(),
+        has_fingerprint: organisation.is_some(),
     }
 }
 
