quarantines: told to a node that starts while the store is away

A node that asks another one for everything gets configuration and records, but only the store told it of requests in quarantine; its upstream could be crashed by one of them.

Change: the node that is asked sends its quarantines as well.

--- a/src/proxy/state_sharing.rs
+++ b/src/proxy/state_sharing.rs
@@ -6,7 +6,7 @@
     protocol::hop::StateMessage,
     proxy::{
         core::ProxyCore,
-        crash_detection::apply_finding,
+        crash_detection::{apply_finding, send_quarantines},
         directory::StateSource,
         evacuating::apply_peer_evacuations,
         events::ProxyEvent,
@@ -18,7 +18,7 @@
         table_fetching::accept_offer,
         upstream_confirmation::{find_departure, record_peer_departure},
     },
-    state::known_node::StoredRecord,
+    state::{configuration::ConfigurationVersion, known_node::StoredRecord},
     transport::{
         callers::{CallerReply, reply_json},
         message_body::MessageBody,
@@ -114,6 +114,11 @@
         },
         None => StateMessage::default(),
     };
+    let knows_nothing = changes_since == Some(ConfigurationVersion::default()) && !has_records;
+    if let Some(from) = from.filter(|_| knows_nothing) {
+        // The store holds them too, but a node that asks for everything may not reach it.
+        send_quarantines(core, from);
+    }
     if has_evacuations {
         answer.evacuations_position = Some(core.evacuations.position());
     }
