memory: discard a forwarded body from when it is dropped

The time for which the rest of a body is read and discarded began with its arrival, so a request that was refused after two seconds in the queue closed its connection at once. It begins when the body is dropped now. Nothing is discarded for a sender that waits for an interim answer: asking it for the body would contradict the refusal.

--- a/src/transport/callers.rs
+++ b/src/transport/callers.rs
@@ -24,7 +24,7 @@
 use futures::future::LocalBoxFuture;
 use http::{
     HeaderMap, HeaderValue, Method, Request, StatusCode, Uri,
-    header::{CONNECTION, HOST, RETRY_AFTER, TRANSFER_ENCODING},
+    header::{CONNECTION, EXPECT, HOST, RETRY_AFTER, TRANSFER_ENCODING},
     request::Parts,
     uri::{Authority, PathAndQuery},
 };
@@ -255,7 +255,11 @@
             let read = read_body(&mut incoming, body_limits, budget, timers, &mut hasher).await;
             match read {
                 Ok(body) => body.into(),
-                Err(error) => return Err(self.reject_body(error, incoming)),
+                Err(error) => {
+                    // A sender that waits for an interim answer sends nothing after the rejection.
+                    let is_sent = !parts.headers.contains_key(EXPECT);
+                    return Err(self.reject_body(error, incoming, is_sent));
+                }
             }
         };
         Ok(CallerRequest {
@@ -274,12 +278,11 @@
 
     fn forward_body(&self, incoming: Incoming) -> ForwardedBody {
         let limit = self.limits.max_body_bytes;
-        let timeout = self.timers.after(DISCARD_TIMEOUT);
-        ForwardedBody::new(incoming, limit).discard_unread(timeout)
+        ForwardedBody::new(incoming, limit).discard_unread(&self.timers, DISCARD_TIMEOUT)
     }
 
     /// Rejects a request whose body was not read to its end, which proves that it was not run.
-    fn reject_body(&self, error: ReadError, incoming: Incoming) -> CallerReply {
+    fn reject_body(&self, error: ReadError, incoming: Incoming, is_sent: bool) -> CallerReply {
         let status = match error {
             ReadError::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             ReadError::MemoryFull if self.limits.bodies == BodyHandling::ForwardLarge => {
@@ -291,7 +294,7 @@
             ReadError::Malformed => StatusCode::BAD_REQUEST,
         };
         self.handler.record_rejected_body(error);
-        if error != ReadError::Malformed {
+        if is_sent && error != ReadError::Malformed {
             let timeout = self.timers.after(DISCARD_TIMEOUT);
             spawn_local(discard(incoming, self.limits.max_body_bytes, timeout));
         }
--- a/src/transport/message_body.rs
+++ b/src/transport/message_body.rs
@@ -3,6 +3,7 @@
 use crate::{
     coordination::memory_budget::SMALL_BODY_BYTES,
     state::timestamp::Timestamp,
+    timers::TimerService,
     transport::held_bytes::{HeldBytes, SharedBudget},
 };
 use bytes::{Bytes, BytesMut};
@@ -17,6 +18,7 @@
     pin::Pin,
     rc::{Rc, Weak},
     task::{Context, Poll, ready},
+    time::Duration,
 };
 use thiserror::Error;
 use tokio::task::{AbortHandle, spawn_local};
@@ -335,8 +337,8 @@
     in_use: Rc<RefCell<InUse>>,
     /// Counts `first` in the memory budget.
     held: Option<HeldBytes>,
-    /// Until when the rest is read and discarded if the body is dropped before its end.
-    discard_until: Option<Receiver<Timestamp>>,
+    /// How long the rest is read and discarded if the body is dropped before its end.
+    discard: Option<(TimerService, Duration)>,
 }
 
 impl ForwardedBody {
@@ -356,7 +358,7 @@
             on_end: None,
             in_use: Rc::default(),
             held: None,
-            discard_until: None,
+            discard: None,
         }
     }
 
@@ -388,10 +390,10 @@
         self
     }
 
-    /// If the body is dropped before its end, discards the rest until `timeout` fires, so that the sender reads the answer.
+    /// If the body is dropped before its end, discards the rest for `time`, so that the sender reads the answer.
     #[must_use]
-    pub fn discard_unread(mut self, timeout: Receiver<Timestamp>) -> Self {
-        self.discard_until = Some(timeout);
+    pub fn discard_unread(mut self, timers: &TimerService, time: Duration) -> Self {
+        self.discard = Some((timers.clone(), time));
         self
     }
 
@@ -445,8 +447,9 @@
 
 impl Drop for ForwardedBody {
     fn drop(&mut self) {
-        if let (Some(incoming), Some(timeout)) = (self.incoming.take(), self.discard_until.take()) {
-            spawn_local(discard(incoming, self.limit, timeout));
+        if let (Some(incoming), Some((timers, time))) = (self.incoming.take(), self.discard.take())
+        {
+            spawn_local(discard(incoming, self.limit, timers.after(time)));
         }
     }
 }
