--- a/src/transport/outgoing.rs
+++ b/src/transport/outgoing.rs
@@ -4,29 +4,23 @@
 //! next request. Dropping the future of a request closes its connection too, so that the other side learns that the
 //! request was cancelled.
 
+mod connection;
+
+use self::connection::{Connection, open_connection};
 use crate::{
     state::timestamp::Timestamp,
     timers::TimerService,
     transport::{
-        held_bytes::{HeldBytes, SharedBudget},
+        held_bytes::SharedBudget,
         message_body::{BodyCollector, ForwardedBody, MessageBody},
-        metered_stream::{Allowance, MeteredStream},
-        socket_options::{CONNECTION_BYTES, limit_receive_buffer},
+        socket_options::CONNECTION_BYTES,
     },
 };
 use bytes::{Bytes, BytesMut};
-use futures::{
-    FutureExt,
-    future::{Either, select},
-};
+use futures::future::{Either, select};
 use http::{HeaderMap, Request, Response, response::Parts};
 use http_body_util::{BodyExt, Limited};
-use hyper::{
-    body::{Body, Incoming},
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
+use hyper::body::{Body, Incoming};
 use std::{
     cell::RefCell, collections::HashMap, io::ErrorKind, net::SocketAddr, pin::pin, rc::Rc,
     time::Duration,
@@ -34,22 +28,9 @@
 use thiserror::Error;
 use tokio::{
     net::TcpStream,
-    task::{AbortHandle, spawn_local, yield_now},
+    task::{spawn_local, yield_now},
 };
 
-/// Idle time after which TCP sends a keepalive probe, and the time between two probes. A VM that loses power doesn't
-/// close its connections.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
-/// Unanswered keepalive probes after which a connection counts as broken.
-const KEEPALIVE_PROBES: u32 = 2;
-/// Time that sent bytes may stay unacknowledged, or unread in a full receive buffer, before a connection counts as broken.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Largest read buffer of a connection, in bytes; also the largest head of an answer. Larger than the largest head that a node passes
-/// on.
-const MAX_BUFFER_BYTES: usize = 40 * 1024;
-/// Largest number of headers of an answer. Larger than the largest number that a node passes on.
-const MAX_HEADERS: usize = 1_024;
-
 /// Largest number of bytes that may precede the body of an answer: interim answers and the head.
 const MAX_HEAD_BYTES: usize = 256 * 1024;
 /// Bytes on the connection for each byte of a body. Chunks have heads of their own.
@@ -135,24 +116,6 @@
     pub body_chunk: Duration,
 }
 
-struct Connection {
-    tx: SendRequest<MessageBody>,
-    /// Limits the bytes of each answer.
-    allowance: Allowance,
-    /// Counts the buffers of the connection in the memory budget; `None` while it is idle. A byte that arrives then ends it.
-    buffers: Option<HeldBytes>,
-    /// Whether the connection may be used for further requests.
-    is_reusable: bool,
-    /// Aborts the task that does the connection's reads and writes.
-    driver: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 struct IdleConnection {
     connection: Connection,
     since: Timestamp,
@@ -474,47 +437,3 @@
     Complete(BodyCollector),
     Partial(BodyCollector),
 }
-
-async fn open_connection(
-    address: SocketAddr,
-    read_timeout: Option<Duration>,
-    budget: &SharedBudget,
-) -> Result<Connection, SendError> {
-    let stream = TcpStream::connect(address)
-        .await
-        .map_err(|_| SendError::NotSent)?;
-    set_socket_options(&stream, read_timeout.unwrap_or(UNACKNOWLEDGED_TIMEOUT))
-        .map_err(|_| SendError::NotSent)?;
-    let allowance = Allowance::default();
-    allowance.set(MAX_HEAD_BYTES);
-    let stream = MeteredStream::new(stream, allowance.clone());
-    let handshake = http1::Builder::new()
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .max_headers(MAX_HEADERS)
-        .handshake(TokioIo::new(stream));
-    let (tx, driver) = handshake.await.map_err(|_| SendError::NotSent)?;
-    let driver = spawn_local(driver.map(|ended| {
-        if let Err(error) = ended {
-            tracing::trace!(%error, "outgoing connection ended");
-        }
-    }));
-    Ok(Connection {
-        tx,
-        allowance,
-        buffers: Some(budget.reserve(CONNECTION_BYTES)),
-        is_reusable: read_timeout.is_none(),
-        driver: driver.abort_handle(),
-    })
-}
-
-fn set_socket_options(stream: &TcpStream, read_timeout: Duration) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    limit_receive_buffer(stream);
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_INTERVAL)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(read_timeout))
-}
