departures: what counts is when an announcement arrived, not when it is checked

Evidence: forgotten_departures::late_announcement_checked_long_after and stored_record_read_long_after_start fail without the change.

Change: the source of an incarnation (stored record, early or current announcement) is recorded when it arrives, and decides about its check.

--- a/src/proxy/core.rs
+++ b/src/proxy/core.rs
@@ -22,6 +22,7 @@
         liveness::PeerLiveness,
         mesh_contact::MeshContact,
         quotas::Quotas,
+        upstream_confirmation::IncarnationSource,
     },
     state::{
         answered_requests::AnsweredRequests,
@@ -141,6 +142,8 @@
     pub table_applied: Notify,
     /// Wakes the tasks that wait for a newer routing table.
     newer_table: Notify,
+    /// The source of the current incarnation's latest announcement.
+    pub announcement_source: Cell<IncarnationSource>,
     /// Whether a task is checking if the local upstream serves.
     pub is_checking_upstream: Cell<bool>,
     /// Until when this node reads the store in place of a node that can't reach it.
@@ -205,6 +208,7 @@
             contact: MeshContact::new(timers.now()),
             table_applied: Notify::new(),
             newer_table: Notify::new(),
+            announcement_source: Cell::new(IncarnationSource::EarlyAnnouncement),
             is_checking_upstream: Cell::new(false),
             substitute_reader_until: Cell::default(),
             crash_counts: RefCell::default(),
--- a/src/proxy/upstream_announcements.rs
+++ b/src/proxy/upstream_announcements.rs
@@ -10,7 +10,8 @@
             set_slot_limit,
         },
         upstream_confirmation::{
-            CheckResult, check_incarnation, is_recently_started, share_departure,
+            CheckResult, IncarnationSource, check_incarnation, classify_announcement,
+            share_departure,
         },
     },
     state::{incarnation_id::IncarnationId, known_node::NodeRecord},
@@ -48,9 +49,10 @@
     }
     let before = find_own_identity(core);
     let (service, warmup_left) = (announcement.service.clone(), announcement.warmup_left);
-    let is_first = before.is_none() && core.settings.first_start && is_recently_started(core);
-    let is_current =
-        is_first || (is_serving_other(core, &announcement) && !is_recently_started(core));
+    let source = classify_announcement(core);
+    let is_early = source == IncarnationSource::EarlyAnnouncement;
+    let is_first = before.is_none() && core.settings.first_start && is_early;
+    let is_current = is_first || (is_serving_other(core, &announcement) && !is_early);
     let effect = {
         let mut upstream = core.local_upstream.borrow_mut();
         if is_current {
@@ -66,6 +68,7 @@
         core.slots.reset_incarnation_state();
     }
     if effect != AnnouncementEffect::Stale {
+        core.announcement_source.set(source);
         record_warmup_left(core, &service, warmup_left);
     }
     if effect == AnnouncementEffect::Changed {
@@ -156,7 +159,8 @@
     let Some(known) = unconfirmed else {
         return;
     };
-    match check_incarnation(core, &known.service, &known.identity).await {
+    let source = core.announcement_source.get();
+    match check_incarnation(core, &known.service, &known.identity, source).await {
         CheckResult::Confirmed => {
             core.local_upstream.borrow_mut().confirm(&known.identity);
         }
@@ -270,7 +274,8 @@
     if !unknown || unchanged {
         return;
     }
-    let result = check_incarnation(core, &record.service, &record.incarnation).await;
+    let source = IncarnationSource::StoredRecord;
+    let result = check_incarnation(core, &record.service, &record.incarnation, source).await;
     if result == CheckResult::Departed && record_departure(core, &record.incarnation) {
         core.own_record_changed.notify_one();
     }
--- a/src/proxy/upstream_confirmation.rs
+++ b/src/proxy/upstream_confirmation.rs
@@ -44,23 +44,35 @@
     NoAnswer,
 }
 
+/// From where an incarnation of the local upstream is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum IncarnationSource {
+    /// The record in the store, which an earlier process of this node has written.
+    StoredRecord,
+    /// An announcement that may have been sent before the start of this process.
+    EarlyAnnouncement,
+    /// An announcement that was sent while this process ran.
+    CurrentAnnouncement,
+}
+
 /// Checks whether an incarnation of the local upstream runs and has not left, and logs the result.
 pub async fn check_incarnation(
     core: &Rc<ProxyCore>,
     service: &ServiceName,
     incarnation: &IncarnationId,
+    source: IncarnationSource,
 ) -> CheckResult {
-    let result = if is_recently_started(core) {
-        let probe = probe_state(core, service, &incarnation.instance);
+    let probe = probe_state(core, service, &incarnation.instance);
+    let result = if source == IncarnationSource::CurrentAnnouncement {
+        match interpret_probe(probe.await) {
+            CheckResult::NotAccepting | CheckResult::NoAnswer => CheckResult::Confirmed,
+            result => result,
+        }
+    } else {
         match join(probe, is_departure_known(core, incarnation)).await {
             (_, true) => CheckResult::Departed,
             (state, false) => interpret_probe(state),
         }
-    } else {
-        match interpret_probe(probe_state(core, service, &incarnation.instance).await) {
-            CheckResult::NotAccepting | CheckResult::NoAnswer => CheckResult::Confirmed,
-            result => result,
-        }
     };
     core.log(&ProxyEvent::UpstreamChecked {
         instance: incarnation.instance.clone(),
@@ -78,10 +90,14 @@
     }
 }
 
-/// Whether an announcement from before the start of this process may still arrive.
+/// The source of an incarnation whose latest announcement has arrived now.
 #[must_use]
-pub fn is_recently_started(core: &ProxyCore) -> bool {
-    core.timers.now().since(core.started) <= MAX_ANNOUNCEMENT_DELAY
+pub fn classify_announcement(core: &ProxyCore) -> IncarnationSource {
+    if core.timers.now().since(core.started) <= MAX_ANNOUNCEMENT_DELAY {
+        IncarnationSource::EarlyAnnouncement
+    } else {
+        IncarnationSource::CurrentAnnouncement
+    }
 }
 
 /// Whether one of a few nodes of the zone knows that an incarnation of this node's upstream is leaving.
